Workspace with the decision crates and the internal protocol

Types, program shard state machine, replication, membership, scheduling, configuration readers, the prost protocol and the node-to-node transport. No measurement yet: nothing runs end to end.

--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,20 @@
+//! Which nodes are in the fleet, which of them are alive, and which are leaving.
+//!
+//! The protocol is SWIM (Das, Gupta and Motivala, 2002) with suspicion and the refinements known as Lifeguard:
+//! a direct probe, indirect probes through others, suspicion before death, refutation, and news carried on the
+//! probes themselves. A node probes one other in each period, so its cost does not grow with the fleet.
+//!
+//! The crate is a state machine: the driver passes in time and messages and carries out [`Effect`]s.
+
+mod broadcast;
+mod detector;
+mod directory;
+mod member;
+mod message;
+mod settings;
+
+pub use detector::{Detector, Effect, Event};
+pub use directory::Directory;
+pub use member::{Member, MemberState, RoleSet};
+pub use message::{Envelope, Packet};
+pub use settings::MembershipSettings;
--- /dev/null
+++ b/crates/scheduling/src/lib.rs
@@ -0,0 +1,25 @@
+//! Which engine serves a call, and in which order an engine's calls are served.
+//!
+//! Each engine has one owner in the fleet, which holds its [`EngineQueue`]. A node that has a call to place
+//! asks a few owners for a [`Bid`] and takes the cheapest by [`choose`]. All of it is plain state machines and
+//! functions of their arguments: the node, the simulator and the experiment tool run the very same code.
+
+mod cache_index;
+mod cost;
+mod health;
+mod order;
+mod placement;
+mod queue;
+mod rates;
+mod retry_budget;
+mod work;
+
+pub use cache_index::CacheIndex;
+pub use cost::{Bid, EngineLoad, Estimate, estimate};
+pub use health::{Health, HealthSettings, HealthState};
+pub use order::{OrderKey, OrderSettings, order_key};
+pub use placement::{Placement, PlacementWeights, choose, sample_candidates};
+pub use queue::{EngineQueue, FinishedWork, QueueEffect, QueueSettings, Release};
+pub use rates::{EngineRates, RateObservation};
+pub use retry_budget::RetryBudget;
+pub use work::{ContextPrefix, PriorityRank, Work, context_prefixes};
--- /dev/null
+++ b/crates/transport/src/codec.rs
@@ -0,0 +1,68 @@
+//! Frames on a byte stream: a length of four bytes, then the protocol buffer message.
+
+use std::io;
+
+use bytes::{BufMut, Bytes, BytesMut};
+use futures::StreamExt;
+use sumacdrift_proto::{Frame, Wire};
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
+use tokio::sync::mpsc;
+use tokio_util::codec::{FramedRead, LengthDelimitedCodec};
+
+use crate::TrafficCounters;
+
+/// Largest frame accepted; a shard's whole state travels in one.
+const MAX_FRAME_BYTES: usize = 256 << 20;
+/// Bytes that are gathered before they are written.
+const WRITE_BATCH_BYTES: usize = 64 << 10;
+/// Bytes of the length before each frame.
+const LENGTH_BYTES: usize = 4;
+
+/// Reads frames.
+pub(crate) struct FrameReader<R> {
+    frames: FramedRead<R, LengthDelimitedCodec>,
+}
+
+impl<R: AsyncRead + Unpin> FrameReader<R> {
+    pub(crate) fn new(stream: R) -> Self {
+        let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
+        Self { frames: FramedRead::new(stream, codec) }
+    }
+
+    /// The next frame; `None` at the end of the stream.
+    pub(crate) async fn next(&mut self, counters: &TrafficCounters) -> io::Result<Option<Frame>> {
+        let Some(bytes) = self.frames.next().await else { return Ok(None) };
+        let bytes: Bytes = bytes?.freeze();
+        counters.received(bytes.len() + LENGTH_BYTES);
+        let frame =
+            Frame::decode(bytes).map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))?;
+        Ok(Some(frame))
+    }
+}
+
+/// Writes frames from a queue until the queue closes. Frames that wait together are written together.
+pub(crate) async fn write_frames<W: AsyncWrite + Unpin>(
+    mut stream: W,
+    frames: &mut mpsc::Receiver<Frame>,
+    counters: &TrafficCounters,
+) -> io::Result<()> {
+    let mut batch = BytesMut::with_capacity(WRITE_BATCH_BYTES);
+    while let Some(frame) = frames.recv().await {
+        append(&mut batch, &frame, counters);
+        while batch.len() < WRITE_BATCH_BYTES {
+            let Ok(frame) = frames.try_recv() else { break };
+            append(&mut batch, &frame, counters);
+        }
+        stream.write_all(&batch).await?;
+        stream.flush().await?;
+        batch.clear();
+    }
+    stream.shutdown().await
+}
+
+fn append(batch: &mut BytesMut, frame: &Frame, counters: &TrafficCounters) {
+    let bytes = frame.encode();
+    counters.sent(bytes.len() + LENGTH_BYTES);
+    batch.put_u32(bytes.len() as u32);
+    batch.put_slice(&bytes);
+}
--- /dev/null
+++ b/crates/transport/src/network.rs
@@ -0,0 +1,83 @@
+//! Where streams come from.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::{TcpListener, TcpStream};
+
+/// A byte stream in both directions.
+pub trait Stream: AsyncRead + AsyncWrite + Send + Unpin {}
+
+impl<T: AsyncRead + AsyncWrite + Send + Unpin> Stream for T {}
+
+/// A byte stream whose kind does not matter.
+pub type BoxedStream = Box<dyn Stream>;
+
+/// A future whose kind does not matter.
+pub(crate) type BoxedFuture<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
+
+/// Makes and accepts streams.
+pub trait Network: Send + Sync {
+    /// Opens a stream to an address.
+    fn connect(&self, to: SocketAddr) -> Pin<Box<dyn Future<Output = io::Result<BoxedStream>> + Send + '_>>;
+
+    /// Listens on an address.
+    fn listen(
+        &self,
+        at: SocketAddr,
+    ) -> Pin<Box<dyn Future<Output = io::Result<Box<dyn Acceptor>>> + Send + '_>>;
+}
+
+/// Accepts streams on one address.
+pub trait Acceptor: Send {
+    /// Waits for the next stream.
+    fn accept(&mut self) -> Pin<Box<dyn Future<Output = io::Result<BoxedStream>> + Send + '_>>;
+
+    /// The address in fact listened on, which differs from the one asked for where that had port 0.
+    fn local_address(&self) -> SocketAddr;
+}
+
+/// TCP.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct TcpNetwork;
+
+impl Network for TcpNetwork {
+    fn connect(&self, to: SocketAddr) -> BoxedFuture<'_, io::Result<BoxedStream>> {
+        Box::pin(async move {
+            let stream = TcpStream::connect(to).await?;
+            // Small frames must not wait for each other's acknowledgement.
+            stream.set_nodelay(true)?;
+            Ok(Box::new(stream) as BoxedStream)
+        })
+    }
+
+    fn listen(&self, at: SocketAddr) -> BoxedFuture<'_, io::Result<Box<dyn Acceptor>>> {
+        Box::pin(async move {
+            let listener = TcpListener::bind(at).await?;
+            let address = listener.local_addr()?;
+            Ok(Box::new(TcpAcceptor { listener, address }) as Box<dyn Acceptor>)
+        })
+    }
+}
+
+struct TcpAcceptor {
+    listener: TcpListener,
+    address: SocketAddr,
+}
+
+impl Acceptor for TcpAcceptor {
+    fn accept(&mut self) -> BoxedFuture<'_, io::Result<BoxedStream>> {
+        Box::pin(async move {
+            let (stream, _) = self.listener.accept().await?;
+            stream.set_nodelay(true)?;
+            Ok(Box::new(stream) as BoxedStream)
+        })
+    }
+
+    fn local_address(&self) -> SocketAddr {
+        self.address
+    }
+}
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,23 @@
+//! Vocabulary shared by every crate: identifiers, time, chat messages, usage and result codes.
+//!
+//! This crate holds no behaviour that needs a clock, a socket or a task, so that each decision crate can
+//! depend on it without pulling in a runtime.
+
+mod chat;
+mod ids;
+mod outcome;
+mod rendezvous;
+mod result_code;
+mod time;
+mod usage;
+
+pub use chat::{ChatMessage, HistoryMode, InvalidMessage, MessageDigest, PrefixDigest};
+pub use ids::{
+    CallId, EngineName, Generation, IdempotencyKey, Incarnation, InvalidName, ModelName, NodeId, PoolName,
+    PriorityName, ProgramId, RegionName, ServiceName, ShardId, TenantName, TurnNumber, ZoneName,
+};
+pub use outcome::{Problem, Ran};
+pub use rendezvous::{rendezvous_order, stable_hash};
+pub use result_code::ResultCode;
+pub use time::Timestamp;
+pub use usage::{TokenCount, Usage, estimate_tokens};
--- /dev/null
+++ b/test.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Format, lint and tests: the one command that must pass before a change lands.
+set -euo pipefail
+cd "$(dirname "$0")"
+jobs="${CARGO_BUILD_JOBS:-8}"
+cargo fmt --all --check
+cargo clippy --workspace --all-targets --release --jobs "$jobs" -- -D warnings
+cargo test --workspace --release --jobs "$jobs"
