Thin path end to end: node, emulated systems, sumacbench demo

The gateway, program shards replicated over three nodes, engine owners and the emulated engine, tool service and object API run in one process on loopback.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,15 @@
-//! Work in progress.
+//! Stand-ins, load, experiments and reports.
+
+mod caller;
+mod checks;
+pub mod demo;
+mod fleet;
+pub mod overhead;
+mod program_run;
+mod report;
+mod statistics;
+mod workload;
+
+pub use caller::{Caller, ChatOutcome, ChatRequest, Refusal, ServiceOutcome};
+pub use fleet::{BenchError, Fleet, FleetPlan};
+pub use report::{DemoReport, GuaranteeResult};
--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,103 @@
+//! `sumacbench`: stand-ins, load, experiments and reports.
+
+use std::io::IsTerminal;
+use std::process::ExitCode;
+
+use clap::{Arg, ArgAction, ArgMatches, Command};
+use sumacdrift_bench::demo::{self, DemoOptions};
+use sumacdrift_bench::{BenchError, overhead};
+use sumacdrift_config::LogLevel;
+use sumacdrift_node::{discard_logger, json_logger};
+
+/// Exit status where a guarantee was violated or not checked.
+const EXIT_VIOLATED: u8 = 1;
+/// Exit status where the run itself failed.
+const EXIT_FAILED: u8 = 3;
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("can't start the runtime: {error}");
+            return ExitCode::from(EXIT_FAILED);
+        }
+    };
+    let outcome = match matches.subcommand() {
+        Some(("demo", arguments)) => runtime.block_on(run_demo(arguments)),
+        Some(("overhead", arguments)) => runtime.block_on(run_overhead(arguments)),
+        _ => Ok(ExitCode::from(EXIT_FAILED)),
+    };
+    outcome.unwrap_or_else(|error| {
+        eprintln!("{error}");
+        ExitCode::from(EXIT_FAILED)
+    })
+}
+
+fn command() -> Command {
+    Command::new("sumacbench")
+        .version(clap::crate_version!())
+        .about("Stand-ins, load, experiments and reports for sumacdrift")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("demo")
+                .about("A whole fleet on loopback, programs, faults, and the ten guarantees checked")
+                .arg(number("nodes", "3", "Nodes, each in a zone of its own"))
+                .arg(number("seconds", "20", "Length of the run"))
+                .arg(number("seed", "1", "Seed of the programs"))
+                .arg(number("programs", "200", "Number of programs"))
+                .arg(report_flag())
+                .arg(Arg::new("log").long("log").action(ArgAction::SetTrue).help("Show the nodes' logs")),
+        )
+        .subcommand(
+            Command::new("overhead")
+                .about("What the system adds to a call, against calling the engine directly")
+                .arg(report_flag()),
+        )
+}
+
+fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("N")
+        .default_value(default)
+        .value_parser(clap::value_parser!(u64))
+        .help(help)
+}
+
+fn report_flag() -> Arg {
+    Arg::new("report").long("report").value_name("FILE").help("Write the report as JSON")
+}
+
+fn get(arguments: &ArgMatches, name: &str) -> u64 {
+    arguments.get_one::<u64>(name).copied().unwrap_or_default()
+}
+
+async fn run_demo(arguments: &ArgMatches) -> Result<ExitCode, BenchError> {
+    let options = DemoOptions {
+        nodes: get(arguments, "nodes").max(1) as usize,
+        seconds: get(arguments, "seconds").max(1),
+        seed: get(arguments, "seed"),
+        programs: get(arguments, "programs").max(1) as usize,
+        shows_progress: std::io::stderr().is_terminal(),
+    };
+    let logger = if arguments.get_flag("log") { json_logger(LogLevel::Info) } else { discard_logger() };
+    let report = demo::run(&options, logger).await?;
+    println!("{}", report.table());
+    write_report(arguments, &report)?;
+    Ok(if report.is_clean() { ExitCode::SUCCESS } else { ExitCode::from(EXIT_VIOLATED) })
+}
+
+async fn run_overhead(arguments: &ArgMatches) -> Result<ExitCode, BenchError> {
+    let report = overhead::run(discard_logger()).await?;
+    println!("{}", report.table());
+    write_report(arguments, &report)?;
+    Ok(ExitCode::SUCCESS)
+}
+
+fn write_report(arguments: &ArgMatches, report: &impl serde::Serialize) -> Result<(), BenchError> {
+    let Some(file) = arguments.get_one::<String>("report") else { return Ok(()) };
+    let text = serde_json::to_string_pretty(report).map_err(|error| BenchError::Report(error.to_string()))?;
+    std::fs::write(file, text).map_err(|error| BenchError::Report(error.to_string()))
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -12,7 +12,8 @@
 
 pub use api_key::ApiKeyHash;
 pub use bundle::{
-    Bundle, Engine, Pool, Priority, RetrySettings, Service, ServiceBackEnd, ServiceRoute, Tenant, Weights,
+    Bundle, Engine, Pool, PoolLookup, Priority, RetrySettings, Service, ServiceBackEnd, ServiceRoute, Tenant,
+    Weights,
 };
 pub use document::{Mistake, Mistakes};
 pub use settings::{
--- /dev/null
+++ b/crates/emulator/src/object_http.rs
@@ -0,0 +1,236 @@
+//! The HTTP face of the object API and the machine list.
+
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use axum::body::Body;
+use axum::extract::{Path, Query, State};
+use axum::http::{HeaderMap, StatusCode};
+use axum::response::{IntoResponse, Response};
+use axum::routing::get;
+use axum::{Json, Router};
+use serde::Deserialize;
+use serde_json::json;
+use sumacdrift_types::Timestamp;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::{MachineEntry, MachineList, MachineState, ObjectFaults, ObjectStore, StoreError, StoredObject};
+
+/// How long a watch waits for a change.
+const WATCH_TIME: Duration = Duration::from_secs(10);
+/// Readers that are served at a time.
+const MAX_READERS: usize = 32;
+/// How late the machine list is.
+const MACHINE_LIST_DELAY: Duration = Duration::from_secs(5);
+
+struct Shared {
+    store: Mutex<ObjectStore>,
+    faults: Mutex<ObjectFaults>,
+    machines: Mutex<MachineList>,
+    changed: Notify,
+    readers: AtomicUsize,
+    requests: AtomicUsize,
+    origin: Instant,
+}
+
+/// An emulated object API that listens on an address.
+#[derive(Clone)]
+pub struct ObjectServer {
+    shared: Arc<Shared>,
+    address: SocketAddr,
+    stop: CancellationToken,
+}
+
+impl ObjectServer {
+    /// Starts an empty object API.
+    pub async fn start(at: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind(at).await?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            store: Mutex::default(),
+            faults: Mutex::default(),
+            machines: Mutex::new(MachineList::new(MACHINE_LIST_DELAY)),
+            changed: Notify::new(),
+            readers: AtomicUsize::new(0),
+            requests: AtomicUsize::new(0),
+            origin: Instant::now(),
+        });
+        let router = Router::new()
+            .route("/objects/{name}", get(read).put(write))
+            .route("/machines", get(machines))
+            .with_state(Arc::clone(&shared));
+        let stop = CancellationToken::new();
+        let stopped = stop.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                () = stopped.cancelled() => {}
+                _ = axum::serve(listener, router) => {}
+            }
+        });
+        Ok(Self { shared, address, stop })
+    }
+
+    /// The address listened on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Writes an object from outside HTTP, whatever its version.
+    pub fn put(&self, name: &str, value: String) -> Result<u64, StoreError> {
+        let mut store = lock(&self.shared.store);
+        let expected = store.get(name).map_or(0, |object| object.version);
+        let version = store.put(name, expected, value);
+        drop(store);
+        self.shared.changed.notify_waiters();
+        version
+    }
+
+    /// Changes the faults that the object API shows.
+    pub fn set_faults(&self, change: impl FnOnce(&mut ObjectFaults)) {
+        change(&mut lock(&self.shared.faults));
+    }
+
+    /// Notes a change of the machine list.
+    pub fn set_machine(&self, ip: IpAddr, state: Option<MachineState>) {
+        let now = self.shared.now();
+        lock(&self.shared.machines).set(ip, state, now);
+    }
+
+    /// Requests received so far.
+    pub fn requests(&self) -> usize {
+        self.shared.requests.load(Ordering::Relaxed)
+    }
+
+    /// Stops the object API at once.
+    pub fn stop(&self) {
+        self.stop.cancel();
+    }
+}
+
+impl Shared {
+    fn now(&self) -> Timestamp {
+        Timestamp(self.origin.elapsed().as_micros() as u64)
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+#[derive(Debug, Deserialize)]
+struct ReadQuery {
+    /// Wait for a version after this one.
+    watch_after: Option<u64>,
+}
+
+/// Counts a reader for as long as it is served.
+struct Reader<'a>(&'a AtomicUsize);
+
+impl Drop for Reader<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Waits as the faults demand; an answer here takes the place of the real one.
+async fn show_faults(shared: &Shared) -> Option<Response> {
+    shared.requests.fetch_add(1, Ordering::Relaxed);
+    let faults = lock(&shared.faults).clone();
+    tokio::time::sleep(Duration::from_millis(faults.delay_millis)).await;
+    faults.is_down.then(|| StatusCode::SERVICE_UNAVAILABLE.into_response())
+}
+
+async fn read(
+    State(shared): State<Arc<Shared>>,
+    Path(name): Path<String>,
+    Query(query): Query<ReadQuery>,
+) -> Response {
+    if let Some(response) = show_faults(&shared).await {
+        return response;
+    }
+    if shared.readers.fetch_add(1, Ordering::Relaxed) >= MAX_READERS {
+        shared.readers.fetch_sub(1, Ordering::Relaxed);
+        return StatusCode::TOO_MANY_REQUESTS.into_response();
+    }
+    let _reader = Reader(&shared.readers);
+    match query.watch_after {
+        None => object_response(lock(&shared.store).get(&name).cloned()),
+        Some(version) => watch(&shared, &name, version).await,
+    }
+}
+
+async fn watch(shared: &Shared, name: &str, version: u64) -> Response {
+    let deadline = Instant::now() + WATCH_TIME;
+    loop {
+        let changed = shared.changed.notified();
+        let state = lock(&shared.store).changed_since(name, version).map(|object| object.cloned());
+        match state {
+            Err(error) => return object_response(Err(error)),
+            Ok(Some(object)) => return object_response(Ok(object)),
+            Ok(None) => {}
+        }
+        if tokio::time::timeout_at(deadline, changed).await.is_err() {
+            return StatusCode::NOT_MODIFIED.into_response();
+        }
+    }
+}
+
+fn object_response(object: Result<StoredObject, StoreError>) -> Response {
+    match object {
+        Ok(object) => Json(json!({"version": object.version, "value": object.value})).into_response(),
+        Err(StoreError::NotFound) => StatusCode::NOT_FOUND.into_response(),
+        Err(StoreError::Expired) => StatusCode::GONE.into_response(),
+        Err(StoreError::Conflict(version)) => {
+            (StatusCode::CONFLICT, Json(json!({"version": version}))).into_response()
+        }
+    }
+}
+
+async fn write(
+    State(shared): State<Arc<Shared>>,
+    Path(name): Path<String>,
+    headers: HeaderMap,
+    value: String,
+) -> Response {
+    if let Some(response) = show_faults(&shared).await {
+        return response;
+    }
+    let expected = headers.get("if-match").and_then(|value| value.to_str().ok()).unwrap_or_default();
+    let Ok(expected) = expected.parse::<u64>() else { return StatusCode::BAD_REQUEST.into_response() };
+    let outcome = lock(&shared.store).put(&name, expected, value);
+    shared.changed.notify_waiters();
+    let is_lost = {
+        let faults = &mut lock(&shared.faults);
+        let is_lost = outcome.is_ok() && faults.lose_answers > 0;
+        faults.lose_answers -= usize::from(is_lost);
+        is_lost
+    };
+    if is_lost {
+        return lost_answer();
+    }
+    match outcome {
+        Ok(version) => Json(json!({"version": version})).into_response(),
+        Err(error) => object_response(Err(error)),
+    }
+}
+
+fn lost_answer() -> Response {
+    let cut = futures::stream::once(async {
+        Err::<bytes::Bytes, io::Error>(io::Error::new(io::ErrorKind::ConnectionReset, "lost"))
+    });
+    Response::new(Body::from_stream(cut))
+}
+
+async fn machines(State(shared): State<Arc<Shared>>) -> Response {
+    if let Some(response) = show_faults(&shared).await {
+        return response;
+    }
+    let machines: Vec<MachineEntry> = lock(&shared.machines).visible(shared.now());
+    Json(machines).into_response()
+}
--- /dev/null
+++ b/crates/gateway/src/chat.rs
@@ -0,0 +1,94 @@
+//! The chat completion and model endpoints.
+
+use axum::Json;
+use axum::body::Body;
+use axum::extract::State;
+use axum::http::HeaderMap;
+use axum::response::{IntoResponse, Response};
+use serde_json::{Value, json};
+use sumacdrift_types::{CallId, IdempotencyKey, Problem, ProgramId, TenantName};
+
+use crate::ChatCall;
+use crate::auth::authenticate;
+use crate::chat_answer::{AnswerShape, answer};
+use crate::chat_request::{self, ChatRequest};
+use crate::error::ProblemResponse;
+use crate::headers::{self, ProgramHeaders};
+use crate::router::{Gateway, new_call};
+
+/// Prefix of the program that a keyed call without a program belongs to.
+const KEYED_PROGRAM_PREFIX: &str = "key-";
+
+/// `POST /v1/chat/completions`.
+pub(crate) async fn complete(State(gateway): State<Gateway>, headers: HeaderMap, body: Body) -> Response {
+    let call = new_call();
+    match try_complete(gateway, call, &headers, body).await {
+        Ok(response) => response,
+        Err(problem) => ProblemResponse::of_call(problem, call).into_response(),
+    }
+}
+
+async fn try_complete(
+    gateway: Gateway,
+    call: CallId,
+    headers: &HeaderMap,
+    body: Body,
+) -> Result<Response, Problem> {
+    gateway.dispatcher.check_ready()?;
+    let caller = authenticate(gateway.dispatcher.as_ref(), headers)?;
+    let found = headers::read(headers)?;
+    let counted = gateway.limits.enter(&caller.tenant)?;
+    let body = gateway.read_body(body).await?;
+    let request = chat_request::parse(&body)?;
+    let shape = AnswerShape {
+        call,
+        model: request.model.clone(),
+        is_stream: request.is_stream,
+        include_usage: request.include_usage,
+    };
+    let chat_call = to_call(call, caller.tenant.name, found, request);
+    let stream = gateway.dispatcher.clone().chat(chat_call).await?;
+    answer(stream, shape, counted).await
+}
+
+fn to_call(call: CallId, tenant: TenantName, found: ProgramHeaders, request: ChatRequest) -> ChatCall {
+    let keyed_program = found.key.as_ref().map(|key| keyed_program(&tenant, key));
+    ChatCall {
+        call,
+        tenant,
+        program: found.program.or(keyed_program),
+        parent: found.parent,
+        turn: found.turn,
+        key: found.key,
+        mode: found.mode,
+        model: request.model,
+        messages: request.messages,
+        parameters: request.parameters,
+        max_tokens: request.max_tokens,
+        deadline: found.deadline,
+    }
+}
+
+/// A call with a key and without a program is a program of one call, named after tenant and key, so that a
+/// repetition finds the recorded answer.
+fn keyed_program(tenant: &TenantName, key: &IdempotencyKey) -> ProgramId {
+    let digest = blake3::hash(format!("{tenant}/{key}").as_bytes());
+    let name = format!("{KEYED_PROGRAM_PREFIX}{}", digest.to_hex());
+    ProgramId::new(&name).unwrap_or_else(|_| unreachable!("hexadecimal digits make a valid name"))
+}
+
+/// `GET /v1/models`.
+pub(crate) async fn models(State(gateway): State<Gateway>, headers: HeaderMap) -> Response {
+    let caller = match authenticate(gateway.dispatcher.as_ref(), &headers) {
+        Ok(caller) => caller,
+        Err(problem) => return ProblemResponse::from(problem).into_response(),
+    };
+    let pools = caller.bundle.pools.values().filter(|pool| caller.tenant.pools.contains(&pool.name));
+    let models: std::collections::BTreeSet<String> =
+        pools.flat_map(|pool| pool.models.iter().map(ToString::to_string)).collect();
+    let data: Vec<Value> = models
+        .into_iter()
+        .map(|id| json!({"id": id, "object": "model", "created": 0, "owned_by": "sumacdrift"}))
+        .collect();
+    Json(json!({"object": "list", "data": data})).into_response()
+}
--- /dev/null
+++ b/crates/node/src/service_runner.rs
@@ -0,0 +1,294 @@
+//! Runs calls of plain services, those that may not be repeated at most once.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request};
+use http_body_util::Full;
+use rand::seq::SliceRandom;
+use slog::{info, warn};
+use sumacdrift_config::{Service, ServiceBackEnd};
+use sumacdrift_gateway::{ServiceAnswer, ServiceBody, ServiceCall};
+use sumacdrift_http_client::{HttpClient, HttpError, next_piece};
+use sumacdrift_program::{BeginService, Command, LedgerKey, Reply, ServiceResponse};
+use sumacdrift_types::{Problem, ResultCode, Timestamp};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::calls::RunningCalls;
+use crate::configuration::ConfigurationStore;
+use crate::context::Context;
+use crate::shard_client::ShardClient;
+
+/// Largest answer that is recorded.
+const MAX_RECORDED_BYTES: usize = 1 << 20;
+/// Pieces of an answer that may wait for the caller.
+const PIECE_QUEUE: usize = 16;
+/// How long a command that must not get lost is tried.
+const LEDGER_TIME: Duration = Duration::from_secs(15);
+/// Bytes of a digest over a request.
+const DIGEST_BYTES: usize = 16;
+
+/// Runs calls of plain services.
+pub(crate) struct ServiceRunner {
+    context: Arc<Context>,
+    configuration: Arc<ConfigurationStore>,
+    client: Arc<ShardClient>,
+    http: HttpClient,
+    calls: Arc<RunningCalls>,
+}
+
+impl ServiceRunner {
+    pub(crate) fn new(
+        context: Arc<Context>,
+        configuration: Arc<ConfigurationStore>,
+        client: Arc<ShardClient>,
+        calls: Arc<RunningCalls>,
+    ) -> Self {
+        let http = context.http.clone();
+        Self { context, configuration, client, http, calls }
+    }
+
+    /// Runs a call.
+    pub(crate) async fn run(self: Arc<Self>, call: ServiceCall) -> Result<ServiceAnswer, Problem> {
+        let service = self.look_up(&call)?;
+        self.context.metrics.service_calls.inc();
+        let path = call.path.split('?').next().unwrap_or_default();
+        let is_repeatable = service.is_repeatable(&call.method, path);
+        let outcome = if is_repeatable {
+            self.run_repeatable(&call, &service).await
+        } else {
+            Arc::clone(&self).run_once(call.clone(), service).await
+        };
+        if let Err(problem) = &outcome {
+            self.context.metrics.problem(problem);
+            info!(self.context.logger, "service call failed"; "call" => %call.call,
+                "service" => %call.service, "code" => problem.code.number(), "ran" => %problem.ran,
+                "detail" => &problem.detail);
+        }
+        outcome
+    }
+
+    fn look_up(&self, call: &ServiceCall) -> Result<Service, Problem> {
+        let bundle = self.configuration.current();
+        let service = bundle.as_ref().and_then(|bundle| bundle.services.get(&call.service));
+        let missing = || Problem::not_run(ResultCode::NotFound, format!("no service {}", call.service));
+        service.cloned().ok_or_else(missing)
+    }
+
+    /// A call that may be repeated: tries back ends until one answers, and passes the answer on as it comes.
+    async fn run_repeatable(&self, call: &ServiceCall, service: &Service) -> Result<ServiceAnswer, Problem> {
+        let mut last = no_back_end(call);
+        for back_end in self.back_ends(service) {
+            let request = to_request(call, back_end.address)?;
+            match self.http.send(request, service.deadline).await {
+                Ok(response) => return Ok(self.pass_on(call, response)),
+                Err(error) => last = to_problem(&error),
+            }
+        }
+        Err(last)
+    }
+
+    fn pass_on(&self, call: &ServiceCall, response: http::Response<hyper::body::Incoming>) -> ServiceAnswer {
+        let (head, mut body) = response.into_parts();
+        let (pieces, receiver) = mpsc::channel(PIECE_QUEUE);
+        let (calls, id) = (Arc::clone(&self.calls), call.call);
+        calls.begin(id);
+        tokio::spawn(async move {
+            loop {
+                let piece = match next_piece(&mut body).await {
+                    Ok(Some(piece)) => Ok(piece),
+                    Ok(None) => break,
+                    Err(error) => Err(std::io::Error::other(error)),
+                };
+                let is_end = piece.is_err();
+                if pieces.send(piece).await.is_err() || is_end {
+                    break;
+                }
+            }
+            calls.end(id);
+        });
+        ServiceAnswer {
+            status: head.status.as_u16(),
+            content_type: content_type(&head.headers),
+            is_replay: false,
+            body: ServiceBody::Pieces(receiver),
+        }
+    }
+
+    /// A call that may run only once. It runs in a task of its own: once admitted, its outcome must be recorded
+    /// whatever happens to the caller.
+    async fn run_once(
+        self: Arc<Self>,
+        call: ServiceCall,
+        service: Service,
+    ) -> Result<ServiceAnswer, Problem> {
+        let Some(key) = call.key.clone() else {
+            let detail = "this call may not be repeated by the system, so it needs an Idempotency-Key";
+            return Err(Problem::not_run(ResultCode::IdempotencyKeyRequired, detail));
+        };
+        let key = LedgerKey { tenant: call.tenant.clone(), service: call.service.clone(), key };
+        let (sender, receiver) = oneshot::channel();
+        let runner = Arc::clone(&self);
+        self.calls.begin(call.call);
+        tokio::spawn(async move {
+            let id = call.call;
+            let outcome = runner.admit_and_run(call, service, key).await;
+            runner.calls.end(id);
+            let _ = sender.send(outcome);
+        });
+        let lost = || Problem::unknown(ResultCode::Internal, "the call's task ended without an answer");
+        receiver.await.unwrap_or_else(|_| Err(lost()))
+    }
+
+    async fn admit_and_run(
+        &self,
+        call: ServiceCall,
+        service: Service,
+        key: LedgerKey,
+    ) -> Result<ServiceAnswer, Problem> {
+        let begin = BeginService {
+            call: call.call,
+            key: key.clone(),
+            request: request_digest(&call),
+            runner: self.context.runner(),
+        };
+        let command = Command::BeginService(begin);
+        let give_up = self.context.now() + LEDGER_TIME;
+        match self.client.ledger_command(&key, call.call, command, give_up).await {
+            Ok(Reply::RunService) => self.run_admitted(call, service, key).await,
+            Ok(Reply::ReplayService(response)) => {
+                self.context.metrics.replays.inc();
+                Ok(to_answer(response, true))
+            }
+            Ok(Reply::Refused(problem)) => Err(problem),
+            Ok(_) => Err(Problem::not_run(ResultCode::Internal, "the ledger's answer does not fit")),
+            Err(problem) => {
+                // The admission may have been committed without an answer; nothing was sent, so take it back.
+                self.settle(&key, &call, Command::ReleaseService { key: key.clone(), call: call.call }).await;
+                Err(problem)
+            }
+        }
+    }
+
+    async fn run_admitted(
+        &self,
+        call: ServiceCall,
+        service: Service,
+        key: LedgerKey,
+    ) -> Result<ServiceAnswer, Problem> {
+        let mut last = no_back_end(&call);
+        for back_end in self.back_ends(&service) {
+            let request = to_request(&call, back_end.address)?;
+            match self.http.fetch(request, service.deadline, MAX_RECORDED_BYTES).await {
+                Ok(response) => return self.record(&call, &key, response).await,
+                // Nothing was sent, so another back end may still be tried.
+                Err(error @ HttpError::NotSent(_)) => last = to_problem(&error),
+                Err(error) => {
+                    let command = Command::LoseService { key: key.clone(), call: call.call };
+                    self.settle(&key, &call, command).await;
+                    warn!(self.context.logger, "outcome of a call that may run once is unknown";
+                        "call" => %call.call, "service" => %call.service, "error" => error.to_string());
+                    return Err(to_problem(&error));
+                }
+            }
+        }
+        let command = Command::ReleaseService { key: key.clone(), call: call.call };
+        self.settle(&key, &call, command).await;
+        Err(last)
+    }
+
+    async fn record(
+        &self,
+        call: &ServiceCall,
+        key: &LedgerKey,
+        response: http::Response<Bytes>,
+    ) -> Result<ServiceAnswer, Problem> {
+        let (head, body) = response.into_parts();
+        let response = ServiceResponse {
+            status: head.status.as_u16(),
+            content_type: content_type(&head.headers),
+            body: body.to_vec(),
+        };
+        let command =
+            Command::FinishService { key: key.clone(), call: call.call, response: response.clone() };
+        match self.settle(key, call, command).await {
+            Some(Reply::Done) => Ok(to_answer(response, false)),
+            _ => {
+                let detail = "the call ran, but its answer could not be recorded";
+                Err(Problem::unknown(ResultCode::NotCommitted, detail))
+            }
+        }
+    }
+
+    async fn settle(&self, key: &LedgerKey, call: &ServiceCall, command: Command) -> Option<Reply> {
+        let give_up: Timestamp = self.context.now() + LEDGER_TIME;
+        self.client.ledger_command(key, call.call, command, give_up).await.ok()
+    }
+
+    /// Back ends that may get calls, those of the own zone first.
+    fn back_ends(&self, service: &Service) -> Vec<ServiceBackEnd> {
+        let mut back_ends: Vec<ServiceBackEnd> =
+            service.back_ends.iter().filter(|one| !one.is_leaving).cloned().collect();
+        back_ends.shuffle(&mut rand::rng());
+        back_ends.sort_by_key(|one| one.zone != self.context.settings.zone);
+        back_ends
+    }
+}
+
+fn request_digest(call: &ServiceCall) -> [u8; DIGEST_BYTES] {
+    let mut hasher = blake3::Hasher::new();
+    for part in [call.method.as_bytes(), call.path.as_bytes(), &call.body] {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    let mut digest = [0_u8; DIGEST_BYTES];
+    digest.copy_from_slice(&hasher.finalize().as_bytes()[..DIGEST_BYTES]);
+    digest
+}
+
+fn to_request(call: &ServiceCall, address: SocketAddr) -> Result<Request<Full<Bytes>>, Problem> {
+    let invalid = |detail: String| Problem::not_run(ResultCode::MalformedBody, detail);
+    let method: Method =
+        call.method.parse().map_err(|_| invalid(format!("method {} is not valid", call.method)))?;
+    let mut request = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{}", call.path))
+        .header("x-request-id", call.call.to_string());
+    for header in &call.headers {
+        request = request.header(header.name, &header.value);
+    }
+    if let Some(key) = &call.key {
+        request = request.header("idempotency-key", key.as_str());
+    }
+    request.body(Full::new(call.body.clone())).map_err(|error| invalid(error.to_string()))
+}
+
+fn content_type(headers: &http::HeaderMap) -> Option<String> {
+    headers.get("content-type").and_then(|value| value.to_str().ok()).map(str::to_owned)
+}
+
+fn to_answer(response: ServiceResponse, is_replay: bool) -> ServiceAnswer {
+    ServiceAnswer {
+        status: response.status,
+        content_type: response.content_type,
+        is_replay,
+        body: ServiceBody::Whole(Bytes::from(response.body)),
+    }
+}
+
+fn to_problem(error: &HttpError) -> Problem {
+    match error {
+        HttpError::NotSent(_) => Problem::not_run(ResultCode::BackEndUnreachable, error.to_string())
+            .with_retry_after(Duration::from_secs(1)),
+        HttpError::Broken(_) => Problem::unknown(ResultCode::BackEndCut, error.to_string()),
+        HttpError::TimedOut => Problem::unknown(ResultCode::DeadlineExceeded, error.to_string()),
+        HttpError::TooLarge(_) => Problem::unknown(ResultCode::BackEndGarbage, error.to_string()),
+    }
+}
+
+fn no_back_end(call: &ServiceCall) -> Problem {
+    let detail = format!("service {} has no back end that takes calls", call.service);
+    Problem::not_run(ResultCode::BackEndUnreachable, detail).with_retry_after(Duration::from_secs(1))
+}
--- a/crates/program/src/admission.rs
+++ b/crates/program/src/admission.rs
@@ -96,8 +96,12 @@
     propose(&record.budget, record.next_turn(), new_messages, Vec::new(), begin, now)
 }
 
-/// Recognizes a turn or key that was used before.
+/// Recognizes a turn or key that was used before, and a request whose first answer was lost on the way.
 fn admit_repetition(record: &Program, begin: &BeginTurn) -> Option<Admission> {
+    if let Some(in_flight) = record.in_flight_call(begin.call) {
+        let with_history = begin.mode == HistoryMode::Append;
+        return Some(Admission::Reply(run_reply(record, in_flight, with_history)));
+    }
     let by_key = begin.key.as_ref().and_then(|key| record.turn_of_key(key));
     let by_turn = begin.turn.filter(|turn| *turn < record.next_turn());
     if let Some(turn) = by_key.or(by_turn) {
@@ -202,6 +206,7 @@
         messages,
         reserved,
         runner: begin.runner,
+        give_up_at: now + begin.run_limit,
     })));
     Admission::Propose(entries)
 }
--- a/crates/program/src/command.rs
+++ b/crates/program/src/command.rs
@@ -1,5 +1,7 @@
 //! What a shard's leader is asked to do.
 
+use std::time::Duration;
+
 use sumacdrift_types::{
     CallId, ChatMessage, EngineName, HistoryMode, IdempotencyKey, Incarnation, NodeId, PrefixDigest,
     ProgramId, TenantName, Timestamp, TokenCount, TurnNumber, Usage,
@@ -130,6 +132,8 @@
     pub runner: Runner,
     /// Until when the call may wait for the turn before it.
     pub wait_until: Timestamp,
+    /// How long the call may run once admitted, in which it must be finished or abandoned.
+    pub run_limit: Duration,
 }
 
 /// Leading messages named by count and digest.
--- a/crates/program/src/entry.rs
+++ b/crates/program/src/entry.rs
@@ -126,6 +126,8 @@
     pub reserved: Reservation,
     /// The node that runs the call.
     pub runner: Runner,
+    /// When the call is given up even though its node is alive.
+    pub give_up_at: Timestamp,
 }
 
 /// The end of a turn with an answer.
--- a/crates/program/src/leader.rs
+++ b/crates/program/src/leader.rs
@@ -117,6 +117,7 @@
             Command::BeginTurn(begin) => self.begin_turn(state, *begin, now, &mut step),
             Command::FinishTurn(finish) => self.finish_turn(state, *finish, now, &mut step),
             Command::AbandonTurn { program, call, output_tokens, engines, reason } => {
+                self.forget_waiting(&program, call);
                 self.note(&program, DecisionKind::Abandoned, None, reason, now);
                 let abandoned = TurnAbandoned { program, call, output_tokens, engines };
                 self.abandon_turn(state, abandoned, &mut step);
@@ -475,6 +476,8 @@
             return;
         }
         match &record.state {
+            // The answer to this very request was lost on the way.
+            LedgerState::Accepted if record.call == begin.call => step.reply(begin.call, Reply::RunService),
             LedgerState::Accepted => step.refuse(begin.call, in_progress()),
             LedgerState::Unknown { .. } => step.refuse(begin.call, outcome_unknown()),
             LedgerState::Committed { response, .. } => {
--- a/crates/program/src/program.rs
+++ b/crates/program/src/program.rs
@@ -244,6 +244,7 @@
             messages: self.history.messages()[start..record.answer_index].to_vec(),
             reserved: Reservation { input_tokens: record.input_tokens, output_tokens: 0 },
             runner: Runner { node: Default::default(), incarnation: Default::default() },
+            give_up_at: Default::default(),
         }
     }
 
--- a/crates/proto/src/command.rs
+++ b/crates/proto/src/command.rs
@@ -1,5 +1,7 @@
 //! Messages for requests to a shard's leader.
 
+use std::time::Duration;
+
 use sumacdrift_program::{BeginService, BeginTurn, Command, FinishTurn, GrantChild, KnownPrefix, Page};
 use sumacdrift_types::{HistoryMode, PrefixDigest, Timestamp, TurnNumber};
 
@@ -76,6 +78,8 @@
     pub runner: Option<RunnerMessage>,
     #[prost(uint64, tag = "14")]
     pub wait_until_micros: u64,
+    #[prost(uint64, tag = "15")]
+    pub run_limit_micros: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -189,6 +193,7 @@
             limits: Some(self.limits.to_wire()),
             runner: Some(self.runner.to_wire()),
             wait_until_micros: time_field(self.wait_until),
+            run_limit_micros: self.run_limit.as_micros() as u64,
         }
     }
 
@@ -209,6 +214,7 @@
             limits: required_value(message.limits, "limits")?,
             runner: required_value(message.runner, "runner")?,
             wait_until: Timestamp(message.wait_until_micros),
+            run_limit: Duration::from_micros(message.run_limit_micros),
         })
     }
 }
--- a/crates/proto/src/entry.rs
+++ b/crates/proto/src/entry.rs
@@ -88,6 +88,8 @@
     pub reserved: Option<ReservationMessage>,
     #[prost(message, optional, tag = "7")]
     pub runner: Option<RunnerMessage>,
+    #[prost(uint64, tag = "8")]
+    pub give_up_at_micros: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -293,6 +295,7 @@
             messages: chat_texts(&self.messages),
             reserved: Some(self.reserved.to_wire()),
             runner: Some(self.runner.to_wire()),
+            give_up_at_micros: time_field(self.give_up_at),
         }
     }
 
@@ -305,6 +308,7 @@
             messages: chat_messages(message.messages),
             reserved: required_value(message.reserved, "reserved")?,
             runner: required_value(message.runner, "runner")?,
+            give_up_at: Timestamp(message.give_up_at_micros),
         })
     }
 }
--- a/crates/proto/src/request.rs
+++ b/crates/proto/src/request.rs
@@ -1,12 +1,10 @@
 //! Requests, responses and one-way messages between nodes.
 
-use std::collections::BTreeSet;
-
 use sumacdrift_membership::Envelope;
 use sumacdrift_program::{Command, Reply, Runner};
 use sumacdrift_replication::{Message, ReplicaId};
 use sumacdrift_scheduling::{Bid, ContextPrefix, Release, Work};
-use sumacdrift_types::{CallId, EngineName, Generation, NodeId, Problem, ProgramId, ShardId};
+use sumacdrift_types::{CallId, EngineName, Generation, NodeId, Problem, ProgramId, ShardId, ZoneName};
 
 use crate::basic::{CallMessage, ProblemMessage, RunnerMessage};
 use crate::command::CommandMessage;
@@ -75,7 +73,16 @@
     /// Number of program shards.
     pub shards: u32,
     /// The lives that founded it.
-    pub founders: BTreeSet<ReplicaId>,
+    pub founders: Vec<Founder>,
+}
+
+/// One life that founded the fleet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Founder {
+    /// The life.
+    pub replica: ReplicaId,
+    /// Its zone, by which the first replicas are spread.
+    pub zone: ZoneName,
 }
 
 /// The answer to a request.
@@ -154,6 +161,15 @@
         /// The program.
         program: ProgramId,
     },
+    /// A node leads a shard from now on.
+    LeaderAnnouncement {
+        /// The shard.
+        shard: ShardId,
+        /// The leader's term; a lower one is old news.
+        term: u64,
+        /// The leader.
+        node: NodeId,
+    },
     /// A call must be stopped by the node that runs it.
     CancelCall {
         /// The life that runs it.
@@ -229,7 +245,28 @@
     #[prost(uint32, tag = "2")]
     pub shards: u32,
     #[prost(message, repeated, tag = "3")]
-    pub founders: Vec<ReplicaMessage>,
+    pub founders: Vec<FounderMessage>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct FounderMessage {
+    #[prost(message, optional, tag = "1")]
+    pub replica: Option<ReplicaMessage>,
+    #[prost(string, tag = "2")]
+    pub zone: String,
+}
+
+impl Wire for Founder {
+    type Message = FounderMessage;
+
+    fn to_wire(&self) -> FounderMessage {
+        FounderMessage { replica: Some(self.replica.to_wire()), zone: self.zone.to_string() }
+    }
+
+    fn from_wire(message: FounderMessage) -> Result<Self, DecodeError> {
+        let zone = name(message.zone, "zone")?;
+        Ok(Founder { replica: required_value(message.replica, "replica")?, zone })
+    }
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -288,7 +325,7 @@
 
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct OneWayMessage {
-    #[prost(oneof = "OneWayKind", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "OneWayKind", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub kind: Option<OneWayKind>,
 }
 
@@ -306,6 +343,18 @@
     FreeProgram(EngineProgramMessage),
     #[prost(message, tag = "6")]
     CancelCall(CancelCallMessage),
+    #[prost(message, tag = "7")]
+    LeaderAnnouncement(LeaderAnnouncementMessage),
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct LeaderAnnouncementMessage {
+    #[prost(uint32, tag = "1")]
+    pub shard: u32,
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    #[prost(uint32, tag = "3")]
+    pub node: u32,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -360,7 +409,7 @@
     }
 
     fn from_wire(message: FoundingMessage) -> Result<Self, DecodeError> {
-        let founders = values(message.founders)?.into_iter().collect();
+        let founders = values(message.founders)?;
         Ok(Founding { fleet: message.fleet, shards: message.shards, founders })
     }
 }
@@ -484,6 +533,13 @@
                 engine: engine.to_string(),
                 program: program.to_string(),
             }),
+            OneWay::LeaderAnnouncement { shard, term, node } => {
+                OneWayKind::LeaderAnnouncement(LeaderAnnouncementMessage {
+                    shard: shard.0,
+                    term: *term,
+                    node: node.0,
+                })
+            }
             OneWay::CancelCall { runner, call } => OneWayKind::CancelCall(CancelCallMessage {
                 runner: Some(runner.to_wire()),
                 call: Some(call.to_wire()),
@@ -513,6 +569,11 @@
                 engine: name(message.engine, "engine")?,
                 program: name(message.program, "program")?,
             },
+            OneWayKind::LeaderAnnouncement(message) => OneWay::LeaderAnnouncement {
+                shard: ShardId(message.shard),
+                term: message.term,
+                node: NodeId(message.node),
+            },
             OneWayKind::CancelCall(message) => OneWay::CancelCall {
                 runner: required_value(message.runner, "runner")?,
                 call: required_value(message.call, "call")?,
--- a/crates/transport/src/network.rs
+++ b/crates/transport/src/network.rs
@@ -17,24 +17,21 @@
 pub type BoxedStream = Box<dyn Stream>;
 
 /// A future whose kind does not matter.
-pub(crate) type BoxedFuture<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
+pub type BoxedFuture<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
 
 /// Makes and accepts streams.
 pub trait Network: Send + Sync {
     /// Opens a stream to an address.
-    fn connect(&self, to: SocketAddr) -> Pin<Box<dyn Future<Output = io::Result<BoxedStream>> + Send + '_>>;
+    fn connect(&self, to: SocketAddr) -> BoxedFuture<'_, io::Result<BoxedStream>>;
 
     /// Listens on an address.
-    fn listen(
-        &self,
-        at: SocketAddr,
-    ) -> Pin<Box<dyn Future<Output = io::Result<Box<dyn Acceptor>>> + Send + '_>>;
+    fn listen(&self, at: SocketAddr) -> BoxedFuture<'_, io::Result<Box<dyn Acceptor>>>;
 }
 
 /// Accepts streams on one address.
 pub trait Acceptor: Send {
     /// Waits for the next stream.
-    fn accept(&mut self) -> Pin<Box<dyn Future<Output = io::Result<BoxedStream>> + Send + '_>>;
+    fn accept(&mut self) -> BoxedFuture<'_, io::Result<BoxedStream>>;
 
     /// The address in fact listened on, which differs from the one asked for where that had port 0.
     fn local_address(&self) -> SocketAddr;
