--- a/crates/bench/src/demo.rs
+++ b/crates/bench/src/demo.rs
@@ -163,6 +163,8 @@
     check_generations(fleet, context, generation);
 
     tokio::time::sleep_until(at(0.6)).await;
+    // Three replicas bear one loss at a time; the next one comes when the last is repaired.
+    fleet.wait_until_repaired().await?;
     if options.nodes >= 3 {
         kill(fleet, last - 1).await?;
     }
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -11,5 +11,5 @@
 mod workload;
 
 pub use caller::{Caller, ChatOutcome, ChatRequest, Refusal, ServiceOutcome};
-pub use fleet::{BenchError, Fleet, FleetPlan};
+pub use fleet::{BenchError, Fleet, FleetPlan, RunningNode};
 pub use report::{DemoReport, GuaranteeResult};
--- a/crates/config/src/bundle_reader.rs
+++ b/crates/config/src/bundle_reader.rs
@@ -109,10 +109,10 @@
                 rate.clone(),
                 rates.prefill_tokens_per_second,
             ),
-            step_seconds: table.number_or("step_seconds", rate.clone(), rates.step_seconds),
+            step_seconds: table.number_or("step_seconds", rate, rates.step_seconds),
             step_seconds_per_sequence: table.number_or(
                 "step_seconds_per_sequence",
-                rate,
+                0.0..=1.0,
                 rates.step_seconds_per_sequence,
             ),
             ..rates
--- a/crates/emulator/src/engine_http.rs
+++ b/crates/emulator/src/engine_http.rs
@@ -356,7 +356,7 @@
         engine: shared.name.clone(),
         call: call.to_owned(),
         program: program.to_string(),
-        prompt_tokens,
+        prompt_tokens: count_tokens(prompt.text()),
         started: now,
         finished: None,
     });
--- a/crates/emulator/src/trace.rs
+++ b/crates/emulator/src/trace.rs
@@ -16,7 +16,7 @@
     pub call: String,
     /// The program that the system named.
     pub program: String,
-    /// Tokens of the prompt.
+    /// Tokens of the prompt, without the part of an answer that it continues.
     pub prompt_tokens: u64,
     /// When it arrived.
     pub started: Timestamp,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,4 +23,4 @@
 mod shard_host;
 
 pub use logging::{discard_logger, json_logger};
-pub use node::{Node, NodeAddresses, StartError, StartOptions};
+pub use node::{Node, NodeAddresses, ShardSummary, StartError, StartOptions};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -93,6 +93,15 @@
     pub admin: SocketAddr,
 }
 
+/// How the shards that a node leads stand.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ShardSummary {
+    /// Shards led here.
+    pub led: usize,
+    /// Of those, shards that have fewer replicas than they could have.
+    pub unrepaired: usize,
+}
+
 /// A running node.
 pub struct Node {
     context: Arc<Context>,
@@ -150,6 +159,12 @@
         self.configuration.current().is_some() && self.client.is_ready()
     }
 
+    /// How the shards led here stand.
+    pub fn shards(&self) -> ShardSummary {
+        let (led, unrepaired) = self.host.repair_state();
+        ShardSummary { led, unrepaired }
+    }
+
     /// Cancelled when the node has stopped, by itself or on request.
     pub fn stopped(&self) -> CancellationToken {
         self.context.stopped.clone()
@@ -175,13 +190,6 @@
         is_clean
     }
 
-    /// Stops at once, as a crash does.
-    pub fn kill(self) {
-        self.context.stopping.cancel();
-        self.context.stopped.cancel();
-        self.gateway.abort();
-    }
-
     async fn hand_over(&self) {
         let deadline = tokio::time::Instant::now() + HAND_OVER_TIME;
         while self.host.hand_over() > 0 && tokio::time::Instant::now() < deadline {
--- a/crates/node/src/shard_host.rs
+++ b/crates/node/src/shard_host.rs
@@ -179,6 +179,21 @@
         led
     }
 
+    /// Shards led here, and how many of them have fewer replicas than they could have.
+    pub(crate) fn repair_state(&self) -> (usize, usize) {
+        let candidates = self.fleet.replica_candidates();
+        let now = self.context.now();
+        let (mut led, mut unrepaired) = (0, 0);
+        for hosted in self.all() {
+            let hosted = lock(&hosted);
+            if hosted.shard.is_serving(now) {
+                led += 1;
+                unrepaired += usize::from(hosted.shard.needs_repair(&candidates));
+            }
+        }
+        (led, unrepaired)
+    }
+
     /// Shards held here, with whether they are led here.
     pub(crate) fn roles(&self) -> Vec<(ShardId, bool, u64)> {
         let now = self.context.now();
--- a/crates/shard/src/repair.rs
+++ b/crates/shard/src/repair.rs
@@ -7,6 +7,9 @@
 
 use crate::ProgramShard;
 
+/// Voters that a group keeps at least.
+const MIN_VOTERS: usize = 2;
+
 /// How repair proceeds.
 #[derive(Debug, Clone, Copy)]
 pub struct RepairSettings {
@@ -20,7 +23,7 @@
 
 impl Default for RepairSettings {
     fn default() -> Self {
-        Self { replicas: 3, interval: Duration::from_millis(500), caught_up_entries: 16 }
+        Self { replicas: 3, interval: Duration::from_millis(200), caught_up_entries: 16 }
     }
 }
 
@@ -28,8 +31,8 @@
     /// Takes one step of repair, if this replica leads and one is due.
     ///
     /// `candidates` are the lives that may hold replicas at present; a member that is not among them is lost or
-    /// leaving. A replacement is added before the lost member is removed, so that the group is never smaller
-    /// than before.
+    /// leaving. A lost voter is removed before its replacement gets a vote: while it counts, a group of four with
+    /// one lost member bears no further loss, and a group of three that was repaired bears one.
     pub fn repair(&mut self, candidates: &[Candidate], now: Timestamp) {
         if now < self.next_repair || !self.replica.is_established_leader() {
             return;
@@ -42,6 +45,12 @@
         }
     }
 
+    /// Whether this replica leads a group that has fewer voters than it could have.
+    pub fn needs_repair(&self, candidates: &[Candidate]) -> bool {
+        self.replica.is_established_leader() && self.next_change(candidates).is_some()
+            || !self.replica.configuration().learners.is_empty()
+    }
+
     fn next_change(&self, candidates: &[Candidate]) -> Option<ConfigurationChange> {
         let configuration = self.replica.configuration();
         let is_candidate =
@@ -49,25 +58,21 @@
         if let Some(lost) = configuration.learners.iter().find(|learner| !is_candidate(learner)) {
             return Some(ConfigurationChange::Remove(*lost));
         }
+        let present = configuration.voters.iter().filter(|voter| is_candidate(voter)).count();
+        let lost = configuration.voters.iter().find(|voter| !is_candidate(voter) && **voter != self.own);
+        // A group is never shrunk to a single voter: what one replica alone commits is lost with it.
+        if let Some(lost) = lost.filter(|_| present >= MIN_VOTERS) {
+            return Some(ConfigurationChange::Remove(*lost));
+        }
         let caught_up = self.settings.repair.caught_up_entries;
         let ready = |learner: &&ReplicaId| self.replica.is_caught_up(**learner, caught_up);
         if let Some(learner) = configuration.learners.iter().find(ready) {
             return Some(ConfigurationChange::Promote(*learner));
         }
-        if !configuration.learners.is_empty() {
+        if !configuration.learners.is_empty() || present >= self.settings.repair.replicas {
             return None;
         }
-        let wanted = self.settings.repair.replicas;
-        let present = configuration.voters.iter().filter(|voter| is_candidate(voter)).count();
-        if present < wanted
-            && let Some(replacement) = self.replacement(candidates)
-        {
-            return Some(ConfigurationChange::AddLearner(replacement));
-        }
-        // Without a replacement a lost voter stays: removing it would not make the group any safer.
-        let is_spare = present >= wanted;
-        let lost = configuration.voters.iter().find(|voter| !is_candidate(voter) && **voter != self.own);
-        lost.filter(|_| is_spare).map(|lost| ConfigurationChange::Remove(*lost))
+        self.replacement(candidates).map(ConfigurationChange::AddLearner)
     }
 
     fn replacement(&self, candidates: &[Candidate]) -> Option<ReplicaId> {
