Owners compare what engines hold with what programs there are

Owners now list, now and then, for whom their engines hold memory and ask the leaders which of those are gone; only a leader's certain answer is acted on.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -250,7 +250,7 @@
         format!(
             "[node]\nid = {id}\nregion = \"loopback\"\nzone = \"{zone}\"\n\
              [listen]\ncallers = \"{callers}\"\npeers = \"{peers}\"\nadmin = \"127.0.0.1:0\"\n\
-             [fleet]\nseeds = [{}]\nfounders = [{}]\nshards = {}\n\
+             [fleet]\nseeds = [{}]\nfounders = [{}]\nshards = {}\nmemory_check_seconds = 2\n\
              [platform]\nobject_api = \"{}\"\n\
              [limits]\nturn_wait_seconds = 10\ndrain_seconds = 30\n",
             seeds.join(", "),
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -109,6 +109,8 @@
     pub idle_lease: Duration,
     /// Recorded answers of ended programs are kept this long.
     pub retention: Duration,
+    /// How often engines are asked for whom they hold memory.
+    pub memory_check: Duration,
 }
 
 /// The platform's services.
@@ -220,6 +222,7 @@
         replicas: table.integer_or("replicas", 1..=7, 3) as usize,
         idle_lease: table.seconds_or("idle_lease_seconds", Duration::from_secs(3600)),
         retention: table.seconds_or("retention_seconds", Duration::from_secs(900)),
+        memory_check: table.seconds_or("memory_check_seconds", Duration::from_secs(30)),
     }
 }
 
--- a/crates/emulator/src/block_cache.rs
+++ b/crates/emulator/src/block_cache.rs
@@ -79,6 +79,13 @@
         self.by_program.get(program).map_or(0, |hashes| hashes.iter().filter(own).count())
     }
 
+    /// Programs for which blocks are held.
+    pub fn programs(&self) -> Vec<ProgramId> {
+        let mut programs: Vec<ProgramId> = self.by_program.keys().cloned().collect();
+        programs.sort();
+        programs
+    }
+
     /// Takes a held or new block into use. `false` where memory is full of blocks in use.
     pub fn acquire(&mut self, hash: BlockHash, program: &ProgramId) -> bool {
         if !self.blocks.contains_key(&hash) {
--- a/crates/emulator/src/engine_http.rs
+++ b/crates/emulator/src/engine_http.rs
@@ -243,6 +243,7 @@
         .route("/v1/models", get(models))
         .route("/load", get(load))
         .route("/cache/events", get(cache_events))
+        .route("/cache/programs", get(list_programs))
         .route("/cache/programs/{program}", delete(free_program))
         .route("/kv/export", post(export))
         .route("/kv/import", post(import))
@@ -557,6 +558,11 @@
     Json(json!({"events": events}))
 }
 
+async fn list_programs(State(shared): State<Arc<Shared>>) -> Json<Value> {
+    let programs = shared.lock().model.cache().programs();
+    Json(json!({"programs": programs}))
+}
+
 async fn free_program(
     State(shared): State<Arc<Shared>>,
     Path(program): Path<String>,
--- a/crates/engine-client/src/client.rs
+++ b/crates/engine-client/src/client.rs
@@ -21,6 +21,8 @@
 const END_MARK: &[u8] = b"[DONE]";
 /// Time for freeing a program's memory.
 const FREE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Largest list of programs that is read.
+const MAX_LIST_BYTES: usize = 8 << 20;
 /// Largest part of a refusal's body that is kept for the explanation.
 const MAX_REFUSAL_BYTES: usize = 4096;
 
@@ -113,6 +115,16 @@
         Ok(EngineStream { body, events: EventSplitter::default(), stall_timeout, is_ended: false })
     }
 
+    /// Programs for which an engine holds memory.
+    pub async fn list_programs(&self, address: SocketAddr) -> Result<Vec<ProgramId>, EngineError> {
+        let request = Request::get(format!("http://{address}/cache/programs"))
+            .body(Full::default())
+            .map_err(|error| EngineError::Unreachable(error.to_string()))?;
+        let response = self.http.fetch(request, FREE_TIMEOUT, MAX_LIST_BYTES).await.map_err(from_http)?;
+        let list: ProgramList = serde_json::from_slice(response.body()).map_err(|_| EngineError::Garbage)?;
+        Ok(list.programs)
+    }
+
     /// Tells an engine that a program has ended, so that it drops what it holds for it.
     pub async fn free_program(&self, address: SocketAddr, program: &ProgramId) -> Result<(), EngineError> {
         let uri = format!("http://{address}/cache/programs/{program}");
@@ -129,6 +141,11 @@
     }
 }
 
+#[derive(Debug, Deserialize)]
+struct ProgramList {
+    programs: Vec<ProgramId>,
+}
+
 async fn refusal_text(body: &mut Incoming) -> String {
     let piece = tokio::time::timeout(FREE_TIMEOUT, next_piece(body)).await;
     let Ok(Ok(Some(piece))) = piece else { return String::new() };
--- a/crates/node/src/chat_runner.rs
+++ b/crates/node/src/chat_runner.rs
@@ -41,7 +41,7 @@
 /// Retries that may be saved up.
 const RETRY_BUDGET_MAXIMUM: f64 = 20.0;
 /// Name under which engines see calls that belong to no program.
-const NO_PROGRAM: &str = "single-call";
+pub(crate) const NO_PROGRAM: &str = "single-call";
 
 /// Runs turns.
 pub(crate) struct ChatRunner {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 mod fleet;
 mod founding;
 mod logging;
+mod memory_check;
 mod metrics;
 mod node;
 mod peer_handler;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -30,6 +30,7 @@
 use crate::engine_router::EngineRouter;
 use crate::fleet::Fleet;
 use crate::founding::FoundingState;
+use crate::memory_check::MemoryCheck;
 use crate::metrics::Metrics;
 use crate::peer_handler::PeerHandler;
 use crate::service_runner::ServiceRunner;
@@ -320,6 +321,17 @@
         })
     }
 
+    fn memory_check(&self) -> MemoryCheck {
+        MemoryCheck {
+            context: Arc::clone(&self.context),
+            fleet: Arc::clone(&self.fleet),
+            configuration: Arc::clone(&self.configuration),
+            client: Arc::clone(&self.client),
+            owner: Arc::clone(&self.owner),
+            engines: EngineClient::new(self.context.http.clone()),
+        }
+    }
+
     /// Starts the tasks.
     fn run(self, callers: TcpListener, addresses: NodeAddresses) -> Node {
         let limits = &self.context.settings.limits;
@@ -334,6 +346,7 @@
         let stop_gateway = CancellationToken::new();
         let gateway =
             tokio::spawn(sumacdrift_gateway::serve(callers, router, listener_settings, stop_gateway.clone()));
+        tokio::spawn(self.memory_check().run());
         if let Some(address) = self.context.settings.platform.object_api {
             let client = ObjectClient::new(self.context.http.clone(), address);
             tokio::spawn(Arc::clone(&self.configuration).follow_platform(client));
@@ -343,6 +356,7 @@
         tokio::spawn(Arc::clone(&self.host).run());
         tokio::spawn(Arc::clone(&self.owner).run());
         tokio::spawn(Arc::clone(&self.founding).run());
+
         Node {
             context: self.context,
             fleet: self.fleet,
--- a/crates/node/src/shard_client.rs
+++ b/crates/node/src/shard_client.rs
@@ -95,6 +95,28 @@
         self.command(shard, call, command, Duration::ZERO, give_up).await
     }
 
+    /// Tells which of these programs have ended. Programs of shards that do not answer are left out: only what
+    /// a leader says for certain may be acted on.
+    pub(crate) async fn list_gone(&self, programs: Vec<ProgramId>, give_up: Timestamp) -> Vec<ProgramId> {
+        let mut by_shard: HashMap<ShardId, Vec<ProgramId>> = HashMap::new();
+        for program in programs {
+            if let Ok(shard) = self.shard_of(program.as_str().as_bytes()) {
+                by_shard.entry(shard).or_default().push(program);
+            }
+        }
+        let mut gone = Vec::new();
+        for (shard, programs) in by_shard {
+            let call = CallId::random(&mut rand::rng());
+            let command = Command::ListGone { call, programs };
+            if let Ok(Reply::Gone(programs)) =
+                self.command(shard, call, command, Duration::ZERO, give_up).await
+            {
+                gone.extend(programs);
+            }
+        }
+        gone
+    }
+
     /// Sends a command that nobody waits for, trying for a while.
     pub(crate) async fn follow_up(&self, program: &ProgramId, call: CallId, command: Command) {
         let give_up = self.context.now() + FOLLOW_UP_TIME;
@@ -249,6 +271,7 @@
         | Command::ForgetWaiting { call, .. }
         | Command::EndProgram { call, .. }
         | Command::Describe { call, .. }
+        | Command::ListGone { call, .. }
         | Command::FinishService { call, .. }
         | Command::ReleaseService { call, .. }
         | Command::LoseService { call, .. } => *call,
--- a/crates/program/src/command.rs
+++ b/crates/program/src/command.rs
@@ -76,6 +76,13 @@
         /// Which part of the history and the decisions is wanted.
         page: Page,
     },
+    /// Tell which of these programs have ended or are not known.
+    ListGone {
+        /// Identifies the request, for its reply.
+        call: CallId,
+        /// The programs.
+        programs: Vec<ProgramId>,
+    },
     /// Admit a service call that may run only once.
     BeginService(BeginService),
     /// Record a service call's response.
--- a/crates/program/src/effect.rs
+++ b/crates/program/src/effect.rs
@@ -65,6 +65,8 @@
     Granted(BudgetLimits),
     /// A report on a program.
     Report(Box<ProgramReport>),
+    /// Programs that have ended or are not known.
+    Gone(Vec<ProgramId>),
     /// The service call may be sent now.
     RunService,
     /// The service call ran before; here is its response.
--- a/crates/program/src/leader.rs
+++ b/crates/program/src/leader.rs
@@ -151,6 +151,10 @@
                     None => step.refuse(call, unknown_program()),
                 }
             }
+            Command::ListGone { call, mut programs } => {
+                programs.retain(|program| state.program(program).is_none_or(|record| record.ended.is_some()));
+                step.reply(call, Reply::Gone(programs));
+            }
             Command::BeginService(begin) => self.begin_service(state, begin, &mut step),
             Command::FinishService { key, call, response } => {
                 step.entries.push(Entry::ServiceCommitted { key, call, response, at: now });
--- a/crates/proto/src/command.rs
+++ b/crates/proto/src/command.rs
@@ -16,7 +16,7 @@
 
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct CommandMessage {
-    #[prost(oneof = "CommandKind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(oneof = "CommandKind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
     pub kind: Option<CommandKind>,
 }
 
@@ -46,6 +46,16 @@
     ReleaseService(ServiceCallMessage),
     #[prost(message, tag = "12")]
     LoseService(ServiceCallMessage),
+    #[prost(message, tag = "13")]
+    ListGone(ListGoneMessage),
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ListGoneMessage {
+    #[prost(message, optional, tag = "1")]
+    pub call: Option<CallMessage>,
+    #[prost(string, repeated, tag = "2")]
+    pub programs: Vec<String>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -310,6 +320,9 @@
             first_message: page.first_message as u64,
             messages: page.messages as u64,
         }),
+        Command::ListGone { call, programs } => {
+            CommandKind::ListGone(ListGoneMessage { call: Some(call.to_wire()), programs: texts(programs) })
+        }
         Command::BeginService(begin) => CommandKind::BeginService(BeginServiceMessage {
             call: Some(begin.call.to_wire()),
             key: Some(begin.key.to_wire()),
@@ -362,6 +375,10 @@
             tenant: name(message.tenant, "tenant")?,
             page: Page { first_message: message.first_message as usize, messages: message.messages as usize },
         },
+        CommandKind::ListGone(message) => Command::ListGone {
+            call: required_value(message.call, "call")?,
+            programs: names(message.programs, "programs")?,
+        },
         CommandKind::BeginService(message) => Command::BeginService(BeginService {
             call: required_value(message.call, "call")?,
             key: required_value(message.key, "key")?,
