--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -8,6 +8,7 @@
 mod bundle;
 mod bundle_reader;
 mod document;
+mod in_force;
 mod settings;
 
 pub use api_key::ApiKeyHash;
@@ -16,6 +17,7 @@
     Weights,
 };
 pub use document::{Mistake, Mistakes};
+pub use in_force::{InForce, Versioned};
 pub use settings::{
     FleetSettings, LimitSettings, ListenSettings, LogLevel, PlatformSettings, Role, Settings,
 };
--- /dev/null
+++ b/crates/mutants/src/lib.rs
@@ -0,0 +1,100 @@
+//! A switch that breaks one rule of the decision code at a time, so that the checkers can be checked.
+//!
+//! A checker that has never failed proves little. With the feature `enabled`, a test breaks one rule on its own
+//! thread and expects the simulator to notice. Without the feature the switch is a constant `false`.
+
+/// A rule that can be broken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Rule {
+    /// A leader acknowledges only what a majority holds.
+    MajorityBeforeAcknowledgement,
+    /// A replica gives one vote in a term.
+    OneVoteInTerm,
+    /// A restarted process is another replica, which has no vote.
+    NewIdentityAfterRestart,
+    /// A replica votes only for candidates whose log is as long as its own.
+    VoteForLongLogsOnly,
+    /// A leader answers only while it holds a lease.
+    AnswerUnderLeaseOnly,
+    /// A turn waits for the one before it.
+    TurnsInOrder,
+    /// A full message list must begin with the recorded history.
+    HistoryMustMatch,
+    /// A budget is reserved before a call runs.
+    ReserveBudget,
+    /// A repeated turn gets its recorded answer.
+    ReplayRecordedTurn,
+    /// A service call is in the ledger before it is sent.
+    LedgerBeforeSending,
+    /// A service call whose outcome is unknown is not run again.
+    UnknownIsNotRunAgain,
+    /// Ended programs are freed at their engines.
+    FreeEndedPrograms,
+    /// A leaving engine's queue refuses.
+    LeavingEngineRefuses,
+    /// A generation never goes down.
+    GenerationsOnlyRise,
+    /// A granted call that failed on its way is not declared as not run.
+    SentIsNeverNotRun,
+    /// A stopping node finishes its calls.
+    StopFinishesCalls,
+    /// An answer goes to the call that asked for it.
+    AnswerToOwnCall,
+}
+
+impl Rule {
+    /// All rules.
+    pub const ALL: [Rule; 17] = [
+        Rule::MajorityBeforeAcknowledgement,
+        Rule::OneVoteInTerm,
+        Rule::NewIdentityAfterRestart,
+        Rule::VoteForLongLogsOnly,
+        Rule::AnswerUnderLeaseOnly,
+        Rule::TurnsInOrder,
+        Rule::HistoryMustMatch,
+        Rule::ReserveBudget,
+        Rule::ReplayRecordedTurn,
+        Rule::LedgerBeforeSending,
+        Rule::UnknownIsNotRunAgain,
+        Rule::FreeEndedPrograms,
+        Rule::LeavingEngineRefuses,
+        Rule::GenerationsOnlyRise,
+        Rule::SentIsNeverNotRun,
+        Rule::StopFinishesCalls,
+        Rule::AnswerToOwnCall,
+    ];
+}
+
+#[cfg(feature = "enabled")]
+mod switch {
+    use std::cell::Cell;
+
+    use super::Rule;
+
+    thread_local! {
+        static BROKEN: Cell<Option<Rule>> = const { Cell::new(None) };
+    }
+
+    /// Whether a rule is broken on this thread.
+    pub fn is_broken(rule: Rule) -> bool {
+        BROKEN.get() == Some(rule)
+    }
+
+    /// Breaks a rule on this thread while `run` runs.
+    pub fn with_broken<T>(rule: Rule, run: impl FnOnce() -> T) -> T {
+        BROKEN.set(Some(rule));
+        let outcome = run();
+        BROKEN.set(None);
+        outcome
+    }
+}
+
+#[cfg(feature = "enabled")]
+pub use switch::{is_broken, with_broken};
+
+/// Whether a rule is broken on this thread: never, in this build.
+#[cfg(not(feature = "enabled"))]
+#[inline(always)]
+pub const fn is_broken(_rule: Rule) -> bool {
+    false
+}
--- a/crates/node/src/configuration.rs
+++ b/crates/node/src/configuration.rs
@@ -6,7 +6,7 @@
 
 use rand::Rng;
 use slog::{error, info, warn};
-use sumacdrift_config::Bundle;
+use sumacdrift_config::{Bundle, InForce};
 use sumacdrift_platform::{BUNDLE_OBJECT, ObjectClient, PlatformError};
 use sumacdrift_proto::{FleetReply, FleetRequest, Request, Response};
 use sumacdrift_types::{EngineName, Generation, NodeId, ZoneName};
@@ -30,7 +30,7 @@
 /// The configuration in force.
 pub(crate) struct ConfigurationStore {
     context: Arc<Context>,
-    current: RwLock<Option<Arc<Bundle>>>,
+    in_force: RwLock<InForce<Arc<Bundle>>>,
     fleet: RwLock<Weak<Fleet>>,
     owner: RwLock<Weak<EngineOwner>>,
 }
@@ -39,7 +39,7 @@
     pub(crate) fn new(context: Arc<Context>) -> Self {
         Self {
             context,
-            current: RwLock::default(),
+            in_force: RwLock::default(),
             fleet: RwLock::new(Weak::new()),
             owner: RwLock::new(Weak::new()),
         }
@@ -53,7 +53,7 @@
 
     /// The configuration in force.
     pub(crate) fn current(&self) -> Option<Arc<Bundle>> {
-        self.current.read().unwrap_or_else(PoisonError::into_inner).clone()
+        self.in_force.read().unwrap_or_else(PoisonError::into_inner).current().cloned()
     }
 
     /// The generation in force; 0 where there is none.
@@ -74,9 +74,6 @@
     }
 
     /// Puts a bundle in force if it is newer than the present one.
-    ///
-    /// A lower or equal generation is never put in force, whoever sends it: that is what keeps an accepted
-    /// configuration from being reverted by a slow reader or a node that slept.
     pub(crate) fn offer(&self, source: &str, text: &str) -> bool {
         let bundle = match Bundle::parse(source, text) {
             Ok(bundle) => Arc::new(bundle),
@@ -87,12 +84,8 @@
             }
         };
         let generation = bundle.generation;
-        {
-            let mut current = self.current.write().unwrap_or_else(PoisonError::into_inner);
-            if current.as_ref().is_some_and(|present| present.generation >= generation) {
-                return false;
-            }
-            *current = Some(bundle);
+        if !self.in_force.write().unwrap_or_else(PoisonError::into_inner).offer(bundle) {
+            return false;
         }
         info!(self.context.logger, "configuration is in force";
             "generation" => generation.0, "source" => source);
--- a/crates/program/src/admission.rs
+++ b/crates/program/src/admission.rs
@@ -1,5 +1,6 @@
 //! Whether a turn may run now, must wait, ran before or is refused: a plain function of state and request.
 
+use sumacdrift_mutants::{Rule, is_broken};
 use sumacdrift_types::{ChatMessage, HistoryMode, PrefixDigest, Problem, ResultCode, Timestamp, TurnNumber};
 
 use crate::history::extend_digest;
@@ -86,7 +87,7 @@
     if record.in_flight.is_some() {
         return Admission::Wait("another call of the program is under way");
     }
-    if begin.turn.is_some_and(|turn| turn > record.next_turn()) {
+    if begin.turn.is_some_and(|turn| turn > record.next_turn()) && !is_broken(Rule::TurnsInOrder) {
         return Admission::Wait("an earlier turn has not come yet");
     }
     let new_messages = match new_messages(&record.history, begin) {
@@ -104,7 +105,7 @@
     }
     let by_key = begin.key.as_ref().and_then(|key| record.turn_of_key(key));
     let by_turn = begin.turn.filter(|turn| *turn < record.next_turn());
-    if let Some(turn) = by_key.or(by_turn) {
+    if let Some(turn) = by_key.or(by_turn).filter(|_| !is_broken(Rule::ReplayRecordedTurn)) {
         return Some(replay(record, turn, by_key.is_some(), begin));
     }
     let in_flight = record.in_flight.as_ref()?;
@@ -182,7 +183,8 @@
     }
     let recorded = history.len().checked_sub(known.length)?;
     let (repeated, added) = begin.messages.split_at_checked(recorded)?;
-    (extend_digest(known.digest, repeated) == history.digest()).then_some(added)
+    let is_same = extend_digest(known.digest, repeated) == history.digest();
+    (is_same || is_broken(Rule::HistoryMustMatch)).then_some(added)
 }
 
 fn propose(
--- a/crates/program/src/budget.rs
+++ b/crates/program/src/budget.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use sumacdrift_mutants::{Rule, is_broken};
 use sumacdrift_types::{Problem, ResultCode, Timestamp, TokenCount};
 
 /// Upper limits over the whole life of a program.
@@ -78,6 +79,9 @@
         if input_tokens > self.input_left() {
             return Err(exhausted("input tokens", self.limits.input_tokens));
         }
+        if is_broken(Rule::ReserveBudget) {
+            return Ok(Reservation { input_tokens, output_tokens: wanted_output });
+        }
         let output_tokens = wanted_output.min(self.output_left());
         if output_tokens == 0 {
             return Err(exhausted("output tokens", self.limits.output_tokens));
--- a/crates/program/src/leader.rs
+++ b/crates/program/src/leader.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
+use sumacdrift_mutants::{Rule, is_broken};
 use sumacdrift_types::{CallId, HistoryMode, Problem, ProgramId, Ran, ResultCode, Timestamp, TurnNumber};
 
 use crate::admission::{Admission, admit_turn, run_reply};
@@ -152,6 +153,9 @@
                 }
             }
             Command::ListGone { call, mut programs } => {
+                if is_broken(Rule::FreeEndedPrograms) {
+                    programs.clear();
+                }
                 programs.retain(|program| state.program(program).is_none_or(|record| record.ended.is_some()));
                 step.reply(call, Reply::Gone(programs));
             }
@@ -462,6 +466,10 @@
 
     fn begin_service(&mut self, state: &ShardState, begin: BeginService, step: &mut Step) {
         let Some(record) = state.ledger_record(&begin.key) else {
+            if is_broken(Rule::LedgerBeforeSending) {
+                step.reply(begin.call, Reply::RunService);
+                return;
+            }
             if !self.proposed_services.insert(begin.key.clone()) {
                 step.refuse(begin.call, in_progress());
                 return;
@@ -483,6 +491,9 @@
             // The answer to this very request was lost on the way.
             LedgerState::Accepted if record.call == begin.call => step.reply(begin.call, Reply::RunService),
             LedgerState::Accepted => step.refuse(begin.call, in_progress()),
+            LedgerState::Unknown { .. } if is_broken(Rule::UnknownIsNotRunAgain) => {
+                step.reply(begin.call, Reply::RunService);
+            }
             LedgerState::Unknown { .. } => step.refuse(begin.call, outcome_unknown()),
             LedgerState::Committed { response, .. } => {
                 step.reply(begin.call, Reply::ReplayService(response.clone()));
@@ -638,7 +649,9 @@
 
 fn push_end_effects(program: &ProgramId, record: &Program, step: &mut Step) {
     let engines = record.engines.iter().cloned().collect();
-    step.effects.push(Effect::FreeEngines { program: program.clone(), engines });
+    if !is_broken(Rule::FreeEndedPrograms) {
+        step.effects.push(Effect::FreeEngines { program: program.clone(), engines });
+    }
     for child in record.live_children() {
         step.effects.push(Effect::EndChild { child: child.clone() });
     }
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use sumacdrift_mutants::{Rule, is_broken};
 use sumacdrift_types::Timestamp;
 
 use crate::election::{Ballot, Vote, random_deadline};
@@ -179,6 +180,9 @@
         if !self.is_established_leader() || self.transfer_to.is_some() {
             return false;
         }
+        if is_broken(Rule::AnswerUnderLeaseOnly) {
+            return true;
+        }
         let contact = self.followers.majority_contact(self.configuration(), self.own, now);
         now.since(contact) < self.settings.election_timeout.mul_f64(0.9)
     }
@@ -425,9 +429,12 @@
             return;
         }
         let own_end = (self.log.last_term(), self.log.last_index());
-        let is_log_current = (request.last_term, request.last_index) >= own_end;
+        let is_log_current = (request.last_term, request.last_index) >= own_end
+            || is_broken(Rule::VoteForLongLogsOnly);
         let is_free = request.is_transfer || !self.hears_leader(now);
-        let is_promised = !request.is_pre_vote && !self.vote.may_give(request.term, from);
+        let is_promised = !request.is_pre_vote
+            && !self.vote.may_give(request.term, from)
+            && !is_broken(Rule::OneVoteInTerm);
         let is_granted = request.term >= self.term && is_log_current && is_free && !is_promised;
         if is_granted && !request.is_pre_vote {
             self.vote.give(request.term, from);
@@ -600,7 +607,10 @@
 
     fn advance_commit(&mut self, now: Timestamp) {
         let own_last = self.log.last_index();
-        let index = self.followers.majority_index(self.configuration(), self.own, own_last);
+        let index = match is_broken(Rule::MajorityBeforeAcknowledgement) {
+            true => own_last,
+            false => self.followers.majority_index(self.configuration(), self.own, own_last),
+        };
         // Only an entry of one's own term commits by counting; it commits all before it.
         if index <= self.committed || self.log.term_at(index) != Some(self.term) {
             return;
--- a/crates/scheduling/src/queue.rs
+++ b/crates/scheduling/src/queue.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use sumacdrift_mutants::{Rule, is_broken};
 use sumacdrift_types::{CallId, EngineName, Problem, ProgramId, ResultCode, Timestamp, TokenCount, Usage};
 
 use crate::{
@@ -146,7 +147,7 @@
 
     /// Whether the engine may get new calls.
     pub fn is_usable(&self, now: Timestamp) -> bool {
-        !self.is_leaving && self.health.allowed(self.settings.max_running, now) > 0
+        (!self.is_leaving || is_broken(Rule::LeavingEngineRefuses)) && self.health.allowed(self.settings.max_running, now) > 0
     }
 
     /// Marks the engine as leaving: from now on nothing new is sent to it.
@@ -245,7 +246,7 @@
 
     fn has_room(&self, now: Timestamp) -> bool {
         let allowed = self.health.allowed(self.settings.max_running, now);
-        !self.is_leaving && self.running.len() < allowed
+        (!self.is_leaving || is_broken(Rule::LeavingEngineRefuses)) && self.running.len() < allowed
     }
 
     /// The first call in order whose context fits beside the running ones.
--- /dev/null
+++ b/crates/simulation/src/lib.rs
@@ -0,0 +1,1 @@
+//! Work in progress.
