--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins, load, experiments and reports.
 
 mod caller;
+pub mod campaign;
 mod checks;
 pub mod demo;
 mod fleet;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -5,10 +5,12 @@
 
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use slog::Logger;
+use sumacdrift_bench::campaign::{self, CampaignOptions};
 use sumacdrift_bench::demo::{self, DemoOptions};
 use sumacdrift_bench::{BenchError, overhead};
 use sumacdrift_config::LogLevel;
 use sumacdrift_node::{discard_logger, json_logger};
+use sumacdrift_simulation::parse_faults;
 
 /// Exit status where a guarantee was violated or not checked.
 const EXIT_VIOLATED: u8 = 1;
@@ -27,6 +29,7 @@
     };
     let outcome = match matches.subcommand() {
         Some(("demo", arguments)) => runtime.block_on(run_demo(arguments)),
+        Some(("simulate", arguments)) => run_simulate(arguments),
         Some(("overhead", arguments)) => runtime.block_on(run_overhead(arguments)),
         _ => Ok(ExitCode::from(EXIT_FAILED)),
     };
@@ -51,6 +54,22 @@
                 .arg(report_flag())
                 .arg(log_flag()),
         )
+        .subcommand(
+            Command::new("simulate")
+                .about("The real state machines on a virtual clock, with faults, against an oracle")
+                .arg(number("seed", "1", "First seed"))
+                .arg(number("seeds", "1", "Number of seeds"))
+                .arg(number("programs", "20", "Programs in each run"))
+                .arg(number("threads", "8", "Runs at a time"))
+                .arg(
+                    Arg::new("faults")
+                        .long("faults")
+                        .value_name("LIST")
+                        .default_value("all")
+                        .help("Kinds of fault, such as crash,pause; all, random or none"),
+                )
+                .arg(report_flag()),
+        )
         .subcommand(
             Command::new("overhead")
                 .about("What the system adds to a call, against calling the engine directly")
@@ -105,6 +124,28 @@
     Ok(ExitCode::SUCCESS)
 }
 
+fn run_simulate(arguments: &ArgMatches) -> Result<ExitCode, BenchError> {
+    let list = arguments.get_one::<String>("faults").map(String::as_str).unwrap_or("all");
+    let faults = match parse_faults(list) {
+        Ok(faults) => faults,
+        Err(error) => {
+            eprintln!("{error}");
+            return Ok(ExitCode::from(EXIT_FAILED));
+        }
+    };
+    let options = CampaignOptions {
+        first_seed: get(arguments, "seed"),
+        seeds: get(arguments, "seeds").max(1),
+        programs: get(arguments, "programs").max(1) as usize,
+        faults,
+        threads: get(arguments, "threads").max(1) as usize,
+    };
+    let report = campaign::run(&options);
+    eprintln!("{}", report.summary());
+    write_report(arguments, &report)?;
+    Ok(if report.is_clean() { ExitCode::SUCCESS } else { ExitCode::from(EXIT_VIOLATED) })
+}
+
 fn write_report(arguments: &ArgMatches, report: &impl serde::Serialize) -> Result<(), BenchError> {
     let Some(file) = arguments.get_one::<String>("report") else { return Ok(()) };
     let text = serde_json::to_string_pretty(report).map_err(|error| BenchError::Report(error.to_string()))?;
--- a/crates/node/src/service_runner.rs
+++ b/crates/node/src/service_runner.rs
@@ -27,6 +27,8 @@
 const PIECE_QUEUE: usize = 16;
 /// How long a command that must not get lost is tried.
 const LEDGER_TIME: Duration = Duration::from_secs(15);
+/// Added to a call's time before the ledger gives its outcome up.
+const GIVE_UP_SLACK: Duration = Duration::from_secs(30);
 /// Bytes of a digest over a request.
 const DIGEST_BYTES: usize = 16;
 
@@ -153,6 +155,7 @@
             key: key.clone(),
             request: request_digest(&call),
             runner: self.context.runner(),
+            run_limit: service.deadline * service.back_ends.len().max(1) as u32 + GIVE_UP_SLACK,
         };
         let command = Command::BeginService(begin);
         let give_up = self.context.now() + LEDGER_TIME;
--- a/crates/node/src/shard_client.rs
+++ b/crates/node/src/shard_client.rs
@@ -19,6 +19,8 @@
 const MAX_PAUSE: Duration = Duration::from_millis(200);
 /// How long one node is given to answer a command that does not wait for anything.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Hints that are followed before a pause.
+const REDIRECTS_BEFORE_PAUSE: u32 = 3;
 /// How long follow-ups are tried.
 const FOLLOW_UP_TIME: Duration = Duration::from_secs(60);
 
@@ -143,6 +145,7 @@
     ) -> Result<Reply, Problem> {
         let mut pause = FIRST_PAUSE;
         let mut next_holder = 0;
+        let mut redirects = 0;
         loop {
             let target = self.target(shard, &mut next_holder);
             if let Some(target) = target {
@@ -151,7 +154,10 @@
                     Attempt::Failed(problem) => return Err(problem),
                     Attempt::Redirected(leader) => {
                         self.learn_hint(shard, target, leader);
-                        if leader.is_some_and(|leader| leader != target) {
+                        redirects += 1;
+                        // Two nodes that take each other for the leader must not be asked in a tight loop.
+                        let is_fresh_hint = leader.is_some_and(|leader| leader != target);
+                        if is_fresh_hint && redirects % REDIRECTS_BEFORE_PAUSE != 0 {
                             continue;
                         }
                     }
--- a/crates/program/src/command.rs
+++ b/crates/program/src/command.rs
@@ -197,4 +197,6 @@
     pub request: [u8; 16],
     /// The node that will run it.
     pub runner: Runner,
+    /// How long the call may run once admitted, in which its outcome must be recorded.
+    pub run_limit: Duration,
 }
--- a/crates/program/src/entry.rs
+++ b/crates/program/src/entry.rs
@@ -191,6 +191,8 @@
     pub call: CallId,
     /// The node that runs it.
     pub runner: Runner,
+    /// When its outcome is given up even though its node is alive.
+    pub give_up_at: Timestamp,
 }
 
 /// A recorded response of a plain HTTP service.
--- a/crates/program/src/leader.rs
+++ b/crates/program/src/leader.rs
@@ -159,7 +159,7 @@
                 programs.retain(|program| state.program(program).is_none_or(|record| record.ended.is_some()));
                 step.reply(call, Reply::Gone(programs));
             }
-            Command::BeginService(begin) => self.begin_service(state, begin, &mut step),
+            Command::BeginService(begin) => self.begin_service(state, begin, now, &mut step),
             Command::FinishService { key, call, response } => {
                 step.entries.push(Entry::ServiceCommitted { key, call, response, at: now });
             }
@@ -299,13 +299,13 @@
         let Some(record) = state.program(program) else { return };
         match record.in_flight_call(call) {
             Some(in_flight) => step.reply(call, run_reply(record, in_flight, with_history)),
-            None => step.refuse(call, no_longer_wanted()),
+            None => step.refuse(call, no_longer_wanted(Some(record))),
         }
     }
 
     fn finish_turn(&mut self, state: &ShardState, finish: FinishTurn, now: Timestamp, step: &mut Step) {
         let Some(record) = state.program(&finish.program) else {
-            step.refuse(finish.call, no_longer_wanted().with_ran(Ran::Yes));
+            step.refuse(finish.call, no_longer_wanted(None).with_ran(Ran::Yes));
             return;
         };
         if record.turn_of_call(finish.call).is_some() {
@@ -313,7 +313,7 @@
             return;
         }
         if record.in_flight_call(finish.call).is_none() {
-            step.refuse(finish.call, no_longer_wanted().with_ran(Ran::Yes));
+            step.refuse(finish.call, no_longer_wanted(Some(record)).with_ran(Ran::Yes));
             return;
         }
         self.last_activity.insert(finish.program.clone(), now);
@@ -335,7 +335,7 @@
         if is_recorded {
             step.reply(committed.call, Reply::Done);
         } else {
-            step.refuse(committed.call, no_longer_wanted().with_ran(Ran::Yes));
+            step.refuse(committed.call, no_longer_wanted(record).with_ran(Ran::Yes));
         }
     }
 
@@ -464,7 +464,7 @@
         Reply::Report(Box::new(report))
     }
 
-    fn begin_service(&mut self, state: &ShardState, begin: BeginService, step: &mut Step) {
+    fn begin_service(&mut self, state: &ShardState, begin: BeginService, now: Timestamp, step: &mut Step) {
         let Some(record) = state.ledger_record(&begin.key) else {
             if is_broken(Rule::LedgerBeforeSending) {
                 step.reply(begin.call, Reply::RunService);
@@ -479,6 +479,7 @@
                 request: begin.request,
                 call: begin.call,
                 runner: begin.runner,
+                give_up_at: now + begin.run_limit,
             }));
             return;
         };
@@ -602,7 +603,8 @@
         }
         for (key, record) in state.ledger() {
             let is_open = record.state == LedgerState::Accepted;
-            if is_open && self.is_gone(record.runner, now, is_alive) {
+            let is_overdue = now >= record.give_up_at;
+            if is_open && (is_overdue || self.is_gone(record.runner, now, is_alive)) {
                 step.entries.push(Entry::ServiceUnknown { key: key.clone(), call: record.call, at: now });
             }
         }
@@ -672,8 +674,14 @@
     Problem::not_run(ResultCode::TurnGap, detail).with_retry_after(WAITING_RETRY_AFTER)
 }
 
-fn no_longer_wanted() -> Problem {
-    Problem::not_run(ResultCode::ProgramEnded, "the program ended, or the call was given up, meanwhile")
+/// Why a call that was admitted is not wanted any more: its program ended, or the call was given up because its
+/// node was not heard of. In the second case the caller does well to ask again.
+fn no_longer_wanted(record: Option<&Program>) -> Problem {
+    if record.is_some_and(|record| record.ended.is_none()) {
+        let detail = "the call was given up meanwhile, since its node did not answer";
+        return Problem::not_run(ResultCode::NotCommitted, detail).with_retry_after(WAITING_RETRY_AFTER);
+    }
+    Problem::not_run(ResultCode::ProgramEnded, "the program ended meanwhile")
 }
 
 fn unknown_program() -> Problem {
--- a/crates/program/src/ledger.rs
+++ b/crates/program/src/ledger.rs
@@ -24,6 +24,8 @@
     pub call: CallId,
     /// The node that runs it.
     pub runner: Runner,
+    /// When its outcome is given up even though its node is alive.
+    pub give_up_at: Timestamp,
     /// How far it came.
     pub state: LedgerState,
 }
--- a/crates/program/src/state.rs
+++ b/crates/program/src/state.rs
@@ -103,6 +103,7 @@
             request: accepted.request,
             call: accepted.call,
             runner: accepted.runner,
+            give_up_at: accepted.give_up_at,
             state: LedgerState::Accepted,
         });
     }
@@ -152,6 +153,7 @@
         request: record.request,
         call: record.call,
         runner: record.runner,
+        give_up_at: record.give_up_at,
     }));
     let (key, call) = (key.clone(), record.call);
     match &record.state {
--- a/crates/proto/src/command.rs
+++ b/crates/proto/src/command.rs
@@ -172,6 +172,8 @@
     pub request: Vec<u8>,
     #[prost(message, optional, tag = "4")]
     pub runner: Option<RunnerMessage>,
+    #[prost(uint64, tag = "5")]
+    pub run_limit_micros: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -328,6 +330,7 @@
             key: Some(begin.key.to_wire()),
             request: begin.request.to_vec(),
             runner: Some(begin.runner.to_wire()),
+            run_limit_micros: begin.run_limit.as_micros() as u64,
         }),
         Command::FinishService { key, call, response } => {
             CommandKind::FinishService(service_call(key, call, Some(response.to_wire())))
@@ -384,6 +387,7 @@
             key: required_value(message.key, "key")?,
             request: fixed(&message.request, "request")?,
             runner: required_value(message.runner, "runner")?,
+            run_limit: Duration::from_micros(message.run_limit_micros),
         }),
         CommandKind::FinishService(message) => Command::FinishService {
             key: required_value(message.key, "key")?,
--- a/crates/proto/src/entry.rs
+++ b/crates/proto/src/entry.rs
@@ -176,6 +176,8 @@
     pub call: Option<CallMessage>,
     #[prost(message, optional, tag = "4")]
     pub runner: Option<RunnerMessage>,
+    #[prost(uint64, tag = "5")]
+    pub give_up_at_micros: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -370,6 +372,7 @@
             request: self.request.to_vec(),
             call: Some(self.call.to_wire()),
             runner: Some(self.runner.to_wire()),
+            give_up_at_micros: time_field(self.give_up_at),
         }
     }
 
@@ -379,6 +382,7 @@
             request: fixed(&message.request, "request")?,
             call: required_value(message.call, "call")?,
             runner: required_value(message.runner, "runner")?,
+            give_up_at: Timestamp(message.give_up_at_micros),
         })
     }
 }
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -429,8 +429,8 @@
             return;
         }
         let own_end = (self.log.last_term(), self.log.last_index());
-        let is_log_current = (request.last_term, request.last_index) >= own_end
-            || is_broken(Rule::VoteForLongLogsOnly);
+        let is_log_current =
+            (request.last_term, request.last_index) >= own_end || is_broken(Rule::VoteForLongLogsOnly);
         let is_free = request.is_transfer || !self.hears_leader(now);
         let is_promised = !request.is_pre_vote
             && !self.vote.may_give(request.term, from)
--- a/crates/scheduling/src/queue.rs
+++ b/crates/scheduling/src/queue.rs
@@ -147,7 +147,8 @@
 
     /// Whether the engine may get new calls.
     pub fn is_usable(&self, now: Timestamp) -> bool {
-        (!self.is_leaving || is_broken(Rule::LeavingEngineRefuses)) && self.health.allowed(self.settings.max_running, now) > 0
+        (!self.is_leaving || is_broken(Rule::LeavingEngineRefuses))
+            && self.health.allowed(self.settings.max_running, now) > 0
     }
 
     /// Marks the engine as leaving: from now on nothing new is sent to it.
--- /dev/null
+++ b/crates/simulation/src/packet.rs
@@ -0,0 +1,75 @@
+//! What travels between simulated nodes.
+
+use sumacdrift_config::Versioned;
+use sumacdrift_program::{Command, Reply};
+use sumacdrift_replication::{Message, ReplicaId};
+use sumacdrift_scheduling::{Release, Work};
+use sumacdrift_types::{
+    CallId, ChatMessage, EngineName, Generation, HistoryMode, Problem, ProgramId, TurnNumber,
+};
+
+/// The configuration, as far as the simulation needs one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct SimConfiguration {
+    pub(crate) generation: Generation,
+    /// Engines that are leaving, by number.
+    pub(crate) leaving: Vec<usize>,
+    /// Who rolled it out.
+    pub(crate) rollout: u64,
+}
+
+impl Versioned for SimConfiguration {
+    fn generation(&self) -> Generation {
+        self.generation
+    }
+}
+
+/// A message between nodes.
+#[derive(Debug, Clone)]
+pub(crate) enum Packet {
+    Group { from: ReplicaId, to: ReplicaId, message: Message },
+    Command { exchange: u64, command: Command },
+    CommandAnswer { exchange: u64, answer: CommandAnswer },
+    Enqueue { exchange: u64, engine: usize, work: Box<Work> },
+    EnqueueAnswer { exchange: u64, outcome: Result<(), Problem> },
+    Release { engine: usize, release: Release },
+    Forget { engine: usize, call: CallId },
+    FreeProgram { engine: EngineName, program: ProgramId },
+    Heartbeat { replica: ReplicaId, is_leaving: bool, configuration: Option<SimConfiguration> },
+    Cancel { call: CallId },
+}
+
+/// The answer to a command.
+#[derive(Debug, Clone)]
+pub(crate) enum CommandAnswer {
+    Reply(Reply),
+    NotLeader(Option<usize>),
+}
+
+/// A request of a caller to a gateway.
+#[derive(Debug, Clone)]
+pub(crate) enum CallerRequest {
+    Turn(TurnRequest),
+    Service { key: String, body: u8 },
+    End { program: ProgramId },
+}
+
+/// A turn as a caller sends it.
+#[derive(Debug, Clone)]
+pub(crate) struct TurnRequest {
+    pub(crate) program: ProgramId,
+    pub(crate) turn: TurnNumber,
+    pub(crate) mode: HistoryMode,
+    pub(crate) messages: Vec<ChatMessage>,
+    pub(crate) output_budget: u64,
+    pub(crate) wanted_output: u64,
+}
+
+/// What a gateway answers.
+#[derive(Debug, Clone)]
+pub(crate) enum CallerAnswer {
+    Turn { message: ChatMessage },
+    Service,
+    Ended,
+    Refused { call: CallId, problem: Problem },
+}
--- /dev/null
+++ b/crates/simulation/src/world.rs
@@ -0,0 +1,947 @@
+//! The simulated world: events in order of time, and what each of them does.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use sumacdrift_mutants::{Rule, is_broken};
+use sumacdrift_program::{Command, Effect, LeaderSettings, Reply};
+use sumacdrift_replication::{Configuration, ReplicaId};
+use sumacdrift_shard::{ProgramShard, RepairSettings, ShardOutput, ShardSettings};
+use sumacdrift_types::{
+    CallId, Generation, HistoryMode, Incarnation, ProgramId, ResultCode, ShardId, Timestamp,
+};
+
+use crate::caller::{CALLER_TIMEOUT, Caller, Next, Plan, WANTED_OUTPUT};
+use crate::faults::FaultKind;
+use crate::network::Network;
+use crate::node::{SimNode, Waiter, engine_index, node_index};
+use crate::oracle::{Guarantee, Oracle};
+use crate::packet::{CallerAnswer, CallerRequest, CommandAnswer, Packet, SimConfiguration};
+use crate::platform::{Platform, WriteOutcome};
+use crate::report::{SimulationReport, results};
+
+/// Nodes of a simulated fleet, each in a zone of its own.
+const NODES: usize = 4;
+/// Replicas of the shard.
+const REPLICAS: usize = 3;
+/// Engines of a simulated fleet.
+pub(crate) const ENGINES: usize = 3;
+/// How often nodes are given the time.
+const TICK: Duration = Duration::from_millis(40);
+/// How often nodes tell each other that they are there.
+const HEARTBEAT: Duration = Duration::from_millis(400);
+/// How often engine memory is compared with the programs there are.
+const MEMORY_CHECK: Duration = Duration::from_secs(4);
+/// How often watchers look at the platform.
+const PLATFORM_POLL: Duration = Duration::from_millis(500);
+/// Time between two rollouts.
+const ROLLOUT_INTERVAL: Duration = Duration::from_secs(5);
+/// Programs begin within this time.
+const ARRIVALS: Duration = Duration::from_secs(14);
+/// Faults begin within this time.
+const FAULT_TIME: Duration = Duration::from_secs(16);
+/// All faults are over at this time.
+const HEAL_AT: Duration = Duration::from_secs(24);
+/// A run ends at this time at the latest.
+const END_AT: Duration = Duration::from_secs(90);
+/// After a disturbance news may take this long.
+const NEWS_GRACE: Duration = Duration::from_secs(4);
+
+/// What to simulate.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SimulationOptions {
+    /// Seed.
+    pub seed: u64,
+    /// Programs; a third as many service calls come beside them.
+    pub programs: usize,
+    /// Kinds of fault, each of which takes place once or twice.
+    pub faults: Vec<FaultKind>,
+}
+
+/// Something that happens.
+#[derive(Debug, Clone)]
+pub(crate) enum Event {
+    Deliver { to: usize, incarnation: Option<Incarnation>, from: usize, packet: Box<Packet> },
+    Tick { node: usize, incarnation: Incarnation },
+    Heartbeat { node: usize, incarnation: Incarnation },
+    PlatformPoll { node: usize, incarnation: Incarnation },
+    TaskTimer { node: usize, incarnation: Incarnation, call: CallId, exchange: u64 },
+    TaskRetry { node: usize, incarnation: Incarnation, call: CallId, exchange: u64 },
+    EngineDone { node: usize, incarnation: Incarnation, call: CallId, is_cut: bool },
+    ServiceRuns { node: usize, incarnation: Incarnation, call: CallId, is_hung: bool },
+    ServiceDone { node: usize, incarnation: Incarnation, call: CallId, is_lost: bool },
+    CallerSends { caller: usize },
+    CallerTimer { caller: usize, attempt: u64 },
+    CallerGets { caller: usize, turn: u32, answer: Box<CallerAnswer> },
+    MemoryCheck,
+    Rollout,
+    FaultBegins(FaultKind),
+    FaultEnds(FaultKind, usize),
+    Restart(usize),
+    Heal,
+}
+
+/// The simulated world.
+pub(crate) struct World {
+    pub(crate) now: Timestamp,
+    pub(crate) random: ChaCha8Rng,
+    events: BTreeMap<(Timestamp, u64), Event>,
+    next_event: u64,
+    pub(crate) nodes: Vec<SimNode>,
+    pub(crate) network: Network,
+    pub(crate) platform: Platform,
+    pub(crate) callers: Vec<Caller>,
+    pub(crate) oracle: Oracle,
+    /// Programs that engines hold memory for.
+    pub(crate) memory: Vec<BTreeSet<ProgramId>>,
+    pub(crate) hangs_tools: bool,
+    pub(crate) cuts_streams: bool,
+    next_incarnation: u64,
+    pub(crate) next_exchange: u64,
+    rollouts: u64,
+    faults: Vec<String>,
+    races_operators: bool,
+    /// Until when nodes may be excused for not having heard news.
+    disturbed_until: Timestamp,
+    generations_seen: BTreeMap<(usize, Incarnation), Generation>,
+    stop_watch: BTreeMap<CallId, usize>,
+    last_served: Timestamp,
+    longest_without_leader: Duration,
+    trace: blake3::Hasher,
+    processed: u64,
+}
+
+/// Runs one simulation to its end.
+pub fn simulate(options: &SimulationOptions) -> SimulationReport {
+    let mut world = World::new(options);
+    world.run();
+    world.finish(options)
+}
+
+impl World {
+    fn new(options: &SimulationOptions) -> Self {
+        let mut world = World {
+            now: Timestamp(1_000_000),
+            random: ChaCha8Rng::seed_from_u64(options.seed),
+            events: BTreeMap::new(),
+            next_event: 0,
+            nodes: Vec::new(),
+            network: Network::default(),
+            platform: Platform::new(),
+            callers: Vec::new(),
+            oracle: Oracle::default(),
+            memory: vec![BTreeSet::new(); ENGINES],
+            hangs_tools: false,
+            cuts_streams: false,
+            next_incarnation: 1,
+            next_exchange: 1,
+            rollouts: 0,
+            faults: Vec::new(),
+            races_operators: false,
+            disturbed_until: Timestamp::default(),
+            generations_seen: BTreeMap::new(),
+            stop_watch: BTreeMap::new(),
+            last_served: Timestamp::default(),
+            longest_without_leader: Duration::ZERO,
+            trace: blake3::Hasher::new(),
+            processed: 0,
+        };
+        world.start_nodes();
+        world.plan_callers(options.programs);
+        world.plan_faults(&options.faults);
+        world.schedule(MEMORY_CHECK, Event::MemoryCheck);
+        world.schedule(ROLLOUT_INTERVAL, Event::Rollout);
+        world.schedule(HEAL_AT, Event::Heal);
+        world
+    }
+
+    fn start_nodes(&mut self) {
+        for index in 0..NODES {
+            let incarnation = self.new_incarnation();
+            self.nodes.push(SimNode::new(index, incarnation));
+        }
+        let founders: Vec<ReplicaId> = self.nodes[..REPLICAS].iter().map(SimNode::replica).collect();
+        for index in 0..NODES {
+            if index < REPLICAS {
+                let configuration = Configuration::of_voters(founders.iter().copied());
+                let (own, seed) = (self.nodes[index].replica(), self.random.random());
+                let settings = shard_settings();
+                let shard = ProgramShard::found(ShardId(0), own, configuration, settings, seed, self.now);
+                self.nodes[index].shard = Some(shard);
+            }
+            self.start_timers(index);
+        }
+    }
+
+    fn new_incarnation(&mut self) -> Incarnation {
+        self.next_incarnation += 1;
+        Incarnation(self.next_incarnation)
+    }
+
+    fn start_timers(&mut self, node: usize) {
+        let incarnation = self.nodes[node].incarnation;
+        let phase = Duration::from_millis(self.random.random_range(0..40));
+        self.schedule(phase, Event::Tick { node, incarnation });
+        self.schedule(phase, Event::Heartbeat { node, incarnation });
+        self.schedule(phase, Event::PlatformPoll { node, incarnation });
+    }
+
+    fn plan_callers(&mut self, programs: usize) {
+        for number in 0..programs {
+            let Ok(program) = ProgramId::new(&format!("p{number}")) else { continue };
+            let turns = self.random.random_range(1..=5);
+            let is_tight = self.random.random_bool(0.2);
+            let plan = Plan::Program {
+                program,
+                turns,
+                mode: if self.random.random_bool(0.5) { HistoryMode::Append } else { HistoryMode::Full },
+                output_budget: if is_tight { WANTED_OUTPUT * 3 / 2 } else { WANTED_OUTPUT * 100 },
+                is_ended: false,
+            };
+            self.add_caller(plan);
+        }
+        for number in 0..programs.div_ceil(3) {
+            let answers_wanted = self.random.random_range(1..=3);
+            self.add_caller(Plan::Service { key: format!("hook-{number}"), answers_wanted });
+        }
+    }
+
+    fn add_caller(&mut self, plan: Plan) {
+        let caller = self.callers.len();
+        self.callers.push(Caller::new(plan));
+        let start = self.random.random_range(500..ARRIVALS.as_millis() as u64);
+        self.schedule(Duration::from_millis(start), Event::CallerSends { caller });
+    }
+
+    fn plan_faults(&mut self, kinds: &[FaultKind]) {
+        for kind in kinds {
+            for _ in 0..self.random.random_range(1..=2) {
+                let start = self.random.random_range(1_500..FAULT_TIME.as_millis() as u64);
+                self.schedule(Duration::from_millis(start), Event::FaultBegins(*kind));
+            }
+        }
+    }
+
+    pub(crate) fn schedule(&mut self, after: Duration, event: Event) {
+        let key = (self.now + after, self.next_event);
+        self.next_event += 1;
+        self.events.insert(key, event);
+    }
+
+    fn run(&mut self) {
+        let end = Timestamp(1_000_000) + END_AT;
+        while let Some(((at, _), event)) = self.events.pop_first() {
+            if at > end {
+                return;
+            }
+            self.now = at;
+            let is_settled = self.callers.iter().all(|caller| caller.is_done);
+            if is_settled && at > Timestamp(1_000_000) + HEAL_AT + MEMORY_CHECK * 3 {
+                return;
+            }
+            self.process(event);
+        }
+    }
+
+    fn process(&mut self, event: Event) {
+        self.processed += 1;
+        self.trace.update(&self.now.0.to_le_bytes());
+        self.trace.update(format!("{event:?}").as_bytes());
+        match event {
+            Event::Deliver { to, incarnation, from, packet } => {
+                self.deliver(to, incarnation, from, packet);
+            }
+            Event::Tick { node, incarnation } => {
+                if self.is_running(node, incarnation, &Event::Tick { node, incarnation }) {
+                    self.tick(node);
+                    self.schedule(TICK, Event::Tick { node, incarnation });
+                }
+            }
+            Event::Heartbeat { node, incarnation } => {
+                if self.is_running(node, incarnation, &Event::Heartbeat { node, incarnation }) {
+                    self.heartbeat(node);
+                    self.schedule(HEARTBEAT, Event::Heartbeat { node, incarnation });
+                }
+            }
+            Event::PlatformPoll { node, incarnation } => {
+                if self.is_running(node, incarnation, &Event::PlatformPoll { node, incarnation }) {
+                    self.poll_platform(node);
+                    self.schedule(PLATFORM_POLL, Event::PlatformPoll { node, incarnation });
+                }
+            }
+            Event::TaskTimer { node, incarnation, call, exchange } => {
+                let again = Event::TaskTimer { node, incarnation, call, exchange };
+                if self.is_running(node, incarnation, &again) {
+                    self.task_timer(node, call, exchange);
+                }
+            }
+            Event::TaskRetry { node, incarnation, call, exchange } => {
+                let again = Event::TaskRetry { node, incarnation, call, exchange };
+                if self.is_running(node, incarnation, &again) {
+                    self.task_retry(node, call, exchange);
+                }
+            }
+            Event::EngineDone { node, incarnation, call, is_cut } => {
+                let again = Event::EngineDone { node, incarnation, call, is_cut };
+                if self.is_running(node, incarnation, &again) {
+                    self.engine_done(node, call, is_cut);
+                }
+            }
+            Event::ServiceRuns { node, incarnation, call, is_hung } => {
+                self.service_runs(node, incarnation, call, is_hung);
+            }
+            Event::ServiceDone { node, incarnation, call, is_lost } => {
+                let again = Event::ServiceDone { node, incarnation, call, is_lost };
+                if self.is_running(node, incarnation, &again) {
+                    self.service_done(node, call, is_lost);
+                }
+            }
+            Event::CallerSends { caller } => self.caller_sends(caller),
+            Event::CallerTimer { caller, attempt } => {
+                let one = &self.callers[caller];
+                if !one.is_done && one.attempt == attempt {
+                    self.caller_sends(caller);
+                }
+            }
+            Event::CallerGets { caller, turn, answer } => self.caller_gets(caller, turn, &answer),
+            Event::MemoryCheck => self.memory_check(),
+            Event::Rollout => self.rollout(),
+            Event::FaultBegins(kind) => self.fault_begins(kind),
+            Event::FaultEnds(kind, node) => self.fault_ends(kind, node),
+            Event::Restart(node) => self.restart(node),
+            Event::Heal => self.heal(),
+        }
+    }
+
+    /// Whether an event of a node can take place; of a paused node it is put off to the pause's end.
+    fn is_running(&mut self, node: usize, incarnation: Incarnation, event: &Event) -> bool {
+        let one = &self.nodes[node];
+        if !one.is_up || one.incarnation != incarnation {
+            return false;
+        }
+        if one.is_paused(self.now) {
+            let wait = one.paused_until.since(self.now);
+            self.schedule(wait, event.clone());
+            return false;
+        }
+        true
+    }
+
+    pub(crate) fn send(&mut self, from: usize, to: usize, packet: Packet) {
+        for arrival in self.network.arrivals(from, to, &mut self.random) {
+            let packet = Box::new(packet.clone());
+            self.schedule(arrival, Event::Deliver { to, incarnation: None, from, packet });
+        }
+    }
+
+    fn deliver(&mut self, to: usize, incarnation: Option<Incarnation>, from: usize, packet: Box<Packet>) {
+        let present = self.nodes[to].incarnation;
+        let meant = incarnation.unwrap_or(present);
+        let again = Event::Deliver { to, incarnation: Some(meant), from, packet: packet.clone() };
+        if !self.is_running(to, meant, &again) {
+            return;
+        }
+        match *packet {
+            Packet::Group { from, to: replica, message } => self.receive_group(to, from, replica, message),
+            Packet::Command { exchange, command } => self.receive_command(to, from, exchange, command),
+            Packet::CommandAnswer { exchange, answer } => self.command_answered(to, from, exchange, answer),
+            Packet::Enqueue { exchange, engine, work } => self.enqueue(to, from, exchange, engine, *work),
+            Packet::EnqueueAnswer { exchange, outcome } => self.enqueue_answered(to, exchange, outcome),
+            Packet::Release { engine, release } => {
+                let now = self.now;
+                let effects = self.nodes[to].queue(engine).release(release, now);
+                self.queue_effects(to, effects);
+            }
+            Packet::Forget { engine, call } => self.forget_queued(to, engine, call),
+            Packet::FreeProgram { engine, program } => {
+                if let Some(engine) = engine_index(&engine) {
+                    self.memory[engine].remove(&program);
+                }
+            }
+            Packet::Heartbeat { replica, is_leaving, configuration } => {
+                let heard = crate::node::Heard { replica, at: self.now, is_leaving };
+                self.nodes[to].heard.insert(from, heard);
+                if let Some(configuration) = configuration {
+                    self.offer(to, configuration);
+                }
+            }
+            Packet::Cancel { call } => self.cancel_task(to, call),
+        }
+    }
+
+    fn tick(&mut self, node: usize) {
+        let now = self.now;
+        let one = &mut self.nodes[node];
+        let candidates = one.candidates(now);
+        let alive: BTreeSet<ReplicaId> =
+            one.live(now).map(|(_, heard)| heard.replica).chain([one.replica()]).collect();
+        if let Some(shard) = one.shard.as_mut() {
+            let is_alive = |runner: sumacdrift_program::Runner| {
+                alive.contains(&ReplicaId { node: runner.node, incarnation: runner.incarnation })
+            };
+            shard.tick(now, &is_alive);
+            if !one.is_stopping {
+                shard.repair(&candidates, now);
+            } else {
+                let stays =
+                    |replica: ReplicaId| candidates.iter().any(|candidate| candidate.replica == replica);
+                shard.transfer_leadership(&stays, now);
+            }
+            if shard.is_removed() {
+                one.shard = None;
+                one.waiting.clear();
+            }
+        }
+        self.shard_outputs(node);
+        let engines: Vec<usize> = self.nodes[node].queues.keys().copied().collect();
+        for engine in engines {
+            let effects = self.nodes[node].queue(engine).tick(now);
+            self.queue_effects(node, effects);
+        }
+        self.note_leadership(node);
+        self.try_exit(node);
+    }
+
+    fn note_leadership(&mut self, node: usize) {
+        let now = self.now;
+        let is_serving = self.nodes[node].shard.as_ref().is_some_and(|shard| shard.is_serving(now));
+        if is_serving {
+            if self.last_served > Timestamp::default() {
+                let gap = now.since(self.last_served);
+                self.longest_without_leader = self.longest_without_leader.max(gap);
+            }
+            self.last_served = now;
+        }
+    }
+
+    fn heartbeat(&mut self, node: usize) {
+        let one = &self.nodes[node];
+        let packet = Packet::Heartbeat {
+            replica: one.replica(),
+            is_leaving: one.is_stopping,
+            configuration: one.in_force.current().cloned(),
+        };
+        for other in (0..NODES).filter(|other| *other != node) {
+            self.send(node, other, packet.clone());
+        }
+        self.check_generation(node);
+    }
+
+    fn poll_platform(&mut self, node: usize) {
+        if !self.platform.is_down {
+            let configuration = self.platform.configuration.clone();
+            // Two watchers; the others hear from them.
+            if node < 2 {
+                self.offer(node, configuration);
+            }
+        }
+    }
+
+    fn offer(&mut self, node: usize, configuration: SimConfiguration) {
+        let leaving = configuration.leaving.clone();
+        if !self.nodes[node].in_force.offer(configuration) {
+            return;
+        }
+        let engines: Vec<usize> = self.nodes[node].queues.keys().copied().collect();
+        for engine in engines {
+            let effects = self.nodes[node].queue(engine).set_leaving(leaving.contains(&engine));
+            self.queue_effects(node, effects);
+        }
+        // News goes out at once, not only with the next heartbeat.
+        if !is_broken(Rule::GenerationsOnlyRise) {
+            self.heartbeat(node);
+        }
+    }
+
+    fn check_generation(&mut self, node: usize) {
+        let one = &self.nodes[node];
+        let generation = one.in_force.generation();
+        let key = (node, one.incarnation);
+        let before = self.generations_seen.insert(key, generation).unwrap_or_default();
+        self.oracle.check(Guarantee::ConfigurationInForce, generation >= before, || {
+            format!("node {node} went from generation {before} to {generation}")
+        });
+        let since = self.now.since(self.platform.accepted_at);
+        let accepted = self.platform.configuration.generation;
+        if since > NEWS_GRACE && self.now > self.disturbed_until && generation > Generation(0) {
+            self.oracle.check(Guarantee::ConfigurationInForce, generation >= accepted, || {
+                format!("node {node} has generation {generation}, {accepted} was accepted {since:?} ago")
+            });
+        }
+    }
+
+    fn receive_group(
+        &mut self,
+        node: usize,
+        from: ReplicaId,
+        to: ReplicaId,
+        message: sumacdrift_replication::Message,
+    ) {
+        use sumacdrift_replication::Message;
+        let now = self.now;
+        if self.nodes[node].replica() != to {
+            return;
+        }
+        if self.nodes[node].shard.is_none() {
+            if !matches!(message, Message::AppendEntries(_) | Message::InstallSnapshot(_)) {
+                return;
+            }
+            let seed = self.random.random();
+            let shard = ProgramShard::join(ShardId(0), to, shard_settings(), seed, now);
+            self.nodes[node].shard = Some(shard);
+        }
+        if let Some(shard) = self.nodes[node].shard.as_mut() {
+            shard.receive(from, message, now);
+        }
+        self.shard_outputs(node);
+    }
+
+    /// Handles a command with the replica here and remembers who waits for the answer.
+    pub(crate) fn receive_command(&mut self, node: usize, from: usize, exchange: u64, command: Command) {
+        let now = self.now;
+        let waiter = Waiter { node: from, incarnation: self.nodes[from].incarnation, exchange };
+        let call = command_call(&command);
+        let one = &mut self.nodes[node];
+        let outcome = match one.shard.as_mut() {
+            None => Err(None),
+            Some(shard) => {
+                one.waiting.insert(call, waiter);
+                shard.command(command, now).map_err(|not_leader| not_leader.hint)
+            }
+        };
+        if let Err(hint) = outcome {
+            one.waiting.remove(&call);
+            let hint = hint.map(|replica| node_index(replica.node));
+            self.answer_command(node, waiter, CommandAnswer::NotLeader(hint));
+            return;
+        }
+        self.shard_outputs(node);
+    }
+
+    fn answer_command(&mut self, node: usize, waiter: Waiter, answer: CommandAnswer) {
+        let exchange = waiter.exchange;
+        self.send(node, waiter.node, Packet::CommandAnswer { exchange, answer });
+    }
+
+    pub(crate) fn shard_outputs(&mut self, node: usize) {
+        loop {
+            let Some(shard) = self.nodes[node].shard.as_mut() else { return };
+            let outputs = shard.take_outputs();
+            if outputs.is_empty() {
+                return;
+            }
+            for output in outputs {
+                self.shard_output(node, output);
+            }
+        }
+    }
+
+    fn shard_output(&mut self, node: usize, output: ShardOutput) {
+        match output {
+            ShardOutput::Send { to, message } => {
+                let from = self.nodes[node].replica();
+                self.send(node, node_index(to.node), Packet::Group { from, to, message });
+            }
+            ShardOutput::Reply { call, reply } => {
+                if let Some(waiter) = self.nodes[node].waiting.remove(&call) {
+                    self.answer_command(node, waiter, CommandAnswer::Reply(reply));
+                }
+            }
+            ShardOutput::Effect(effect) => self.effect(node, effect),
+            ShardOutput::BecameLeader { .. } => self.nodes[node].leader = Some(node),
+            ShardOutput::LostLeadership => {
+                self.nodes[node].leader = None;
+                let waiting = std::mem::take(&mut self.nodes[node].waiting);
+                for waiter in waiting.into_values() {
+                    self.answer_command(node, waiter, CommandAnswer::NotLeader(None));
+                }
+            }
+            ShardOutput::Undecodable => self.nodes[node].shard = None,
+        }
+    }
+
+    fn effect(&mut self, node: usize, effect: Effect) {
+        match effect {
+            Effect::FreeEngines { program, engines } => {
+                for engine in engines {
+                    let Some(index) = engine_index(&engine) else { continue };
+                    let owner = self.nodes[node].owner_of(index, self.now);
+                    let program = program.clone();
+                    self.send(node, owner, Packet::FreeProgram { engine, program });
+                }
+            }
+            Effect::Cancel { runner, call } => {
+                self.send(node, node_index(runner.node), Packet::Cancel { call });
+            }
+            Effect::Reply { .. } | Effect::EndChild { .. } | Effect::ReturnToParent { .. } => {}
+        }
+    }
+
+    /// Compares what engines hold with the programs that the leader knows.
+    fn memory_check(&mut self) {
+        self.schedule(MEMORY_CHECK, Event::MemoryCheck);
+        let now = self.now;
+        let leader = (0..NODES).find(|node| {
+            let one = &self.nodes[*node];
+            let is_able = one.is_up && !one.is_paused(now);
+            is_able && one.shard.as_ref().is_some_and(|shard| shard.is_serving(now))
+        });
+        let Some(leader) = leader else { return };
+        for engine in 0..ENGINES {
+            let programs: Vec<ProgramId> = self.memory[engine].iter().cloned().collect();
+            let call = CallId(self.random.random());
+            self.nodes[leader].waiting.remove(&call);
+            let Some(shard) = self.nodes[leader].shard.as_mut() else { return };
+            if shard.command(Command::ListGone { call, programs }, now).is_err() {
+                return;
+            }
+            for output in shard.take_outputs() {
+                match output {
+                    ShardOutput::Reply { reply: Reply::Gone(gone), .. } => {
+                        for program in gone {
+                            self.memory[engine].remove(&program);
+                        }
+                    }
+                    other => self.shard_output(leader, other),
+                }
+            }
+        }
+    }
+
+    fn caller_sends(&mut self, caller: usize) {
+        if self.callers[caller].is_done {
+            return;
+        }
+        let is_full_mode =
+            matches!(&self.callers[caller].plan, Plan::Program { mode: HistoryMode::Full, .. });
+        let is_first_try = self.callers[caller].attempt == 0 || !self.callers[caller].lies_next;
+        if is_full_mode && is_first_try && self.callers[caller].answered > 0 {
+            self.callers[caller].lies_next = self.random.random_bool(0.05);
+        }
+        let runs_ahead = !is_full_mode && self.random.random_bool(0.2);
+        self.callers[caller].attempt += 1;
+        let attempt = self.callers[caller].attempt;
+        self.schedule(CALLER_TIMEOUT, Event::CallerTimer { caller, attempt });
+        let mut requests: Vec<CallerRequest> = self.callers[caller].request(0).into_iter().collect();
+        if runs_ahead && matches!(requests.first(), Some(CallerRequest::Turn(_))) {
+            // The later turn is sent first, to see that it waits.
+            requests.extend(self.callers[caller].request(1));
+            requests.reverse();
+        }
+        for request in requests {
+            let node = self.random.random_range(0..NODES);
+            self.gateway_request(node, caller, request);
+        }
+    }
+
+    fn caller_gets(&mut self, caller: usize, turn: u32, answer: &CallerAnswer) {
+        self.check_answer(caller, turn, answer);
+        let next = self.callers[caller].take(turn, answer);
+        let pause = Duration::from_millis(self.random.random_range(5..300));
+        match next {
+            Next::Continue | Next::Again => {
+                self.callers[caller].attempt += 1;
+                self.schedule(pause, Event::CallerSends { caller });
+            }
+            Next::Ignore | Next::Done => {}
+        }
+    }
+
+    fn check_answer(&mut self, caller: usize, turn: u32, answer: &CallerAnswer) {
+        match (answer, &self.callers[caller].plan) {
+            (CallerAnswer::Turn { message, .. }, Plan::Program { program, .. }) => {
+                self.oracle.answered(program, turn, message);
+            }
+            (CallerAnswer::Refused { call, problem }, plan) => {
+                let is_wrong_mismatch = problem.code == ResultCode::HistoryMismatch
+                    && !self.callers[caller].lies_next
+                    && turn == self.callers[caller].answered;
+                let name = format!("{plan:?}");
+                self.oracle.refused(*call, problem);
+                self.oracle.check(Guarantee::HistoryKept, !is_wrong_mismatch, || {
+                    format!("{name}: the right history was refused")
+                });
+            }
+            _ => {}
+        }
+    }
+
+    /// Operators change which engine is leaving, one after the other or at the same time.
+    fn rollout(&mut self) {
+        self.schedule(ROLLOUT_INTERVAL, Event::Rollout);
+        let expected = self.platform.configuration.generation;
+        let operators = if self.races_operators { 2 } else { 1 };
+        let mut winners = 0;
+        for _ in 0..operators {
+            self.rollouts += 1;
+            let rollout = self.rollouts;
+            let is_leaving = self.random.random_bool(0.6);
+            let leaving = if is_leaving { vec![self.random.random_range(0..ENGINES)] } else { Vec::new() };
+            let generation = Generation(expected.0 + 1);
+            let configuration = SimConfiguration { generation, leaving: leaving.clone(), rollout };
+            let outcome = self.platform.write(expected, configuration, self.now);
+            let has_won = match outcome {
+                WriteOutcome::Accepted => true,
+                WriteOutcome::Conflict => false,
+                WriteOutcome::Unanswered => self.platform.read_back(rollout).unwrap_or(false),
+            };
+            winners += u32::from(has_won);
+            if has_won {
+                self.oracle.set_leaving(&leaving, self.now);
+            }
+        }
+        self.oracle.check(Guarantee::ConfigurationInForce, winners <= 1, || {
+            format!("{winners} operators won the same generation")
+        });
+    }
+
+    /// Whether a node that sends to a leaving engine may be excused for not having heard.
+    pub(crate) fn is_disturbed(&self) -> bool {
+        self.now < self.disturbed_until
+    }
+
+    fn disturb(&mut self, length: Duration) {
+        self.disturbed_until = self.disturbed_until.max(self.now + length + NEWS_GRACE);
+    }
+
+    fn fault_begins(&mut self, kind: FaultKind) {
+        let node = self.random.random_range(0..NODES);
+        let length = Duration::from_millis(self.random.random_range(300..5_000));
+        let takes_state = matches!(kind, FaultKind::Crash | FaultKind::PlannedStop);
+        if takes_state && !self.bears_loss_of(node) {
+            // What a majority alone holds may not be taken away; try again when the group is repaired.
+            if self.now < Timestamp(1_000_000) + FAULT_TIME {
+                self.schedule(Duration::from_millis(500), Event::FaultBegins(kind));
+            }
+            return;
+        }
+        self.faults.push(format!("{:.3} s {kind} node {node} for {length:?}", self.now.as_seconds() - 1.0));
+        self.disturb(length);
+        match kind {
+            FaultKind::Crash => {
+                self.crash(node);
+                return;
+            }
+            FaultKind::PlannedStop => {
+                self.begin_stop(node);
+                return;
+            }
+            FaultKind::Pause => self.nodes[node].paused_until = self.now + length,
+            FaultKind::Partition => {
+                self.network.mute.insert(node);
+                self.network.deaf.insert(node);
+            }
+            FaultKind::OneWayLoss => {
+                self.network.mute.insert(node);
+            }
+            FaultKind::Loss => self.network.is_lossy = true,
+            FaultKind::Delay => self.network.is_slow = true,
+            FaultKind::Reorder => self.network.is_reordering = true,
+            FaultKind::Duplicate => self.network.is_duplicating = true,
+            FaultKind::PlatformDown => self.platform.is_down = true,
+            FaultKind::AnswerLost => self.platform.loses_answers = true,
+            FaultKind::HungTool => self.hangs_tools = true,
+            FaultKind::CutStream => self.cuts_streams = true,
+            FaultKind::RacingOperators => self.races_operators = true,
+        }
+        self.schedule(length, Event::FaultEnds(kind, node));
+    }
+
+    fn fault_ends(&mut self, kind: FaultKind, node: usize) {
+        match kind {
+            FaultKind::Partition => {
+                self.network.mute.remove(&node);
+                self.network.deaf.remove(&node);
+            }
+            FaultKind::OneWayLoss => {
+                self.network.mute.remove(&node);
+            }
+            FaultKind::Loss => self.network.is_lossy = false,
+            FaultKind::Delay => self.network.is_slow = false,
+            FaultKind::Reorder => self.network.is_reordering = false,
+            FaultKind::Duplicate => self.network.is_duplicating = false,
+            FaultKind::PlatformDown => self.platform.is_down = false,
+            FaultKind::AnswerLost => self.platform.loses_answers = false,
+            FaultKind::HungTool => self.hangs_tools = false,
+            FaultKind::CutStream => self.cuts_streams = false,
+            FaultKind::RacingOperators => self.races_operators = false,
+            FaultKind::Crash | FaultKind::PlannedStop | FaultKind::Pause => {}
+        }
+        self.disturb(Duration::ZERO);
+    }
+
+    fn heal(&mut self) {
+        for kind in FaultKind::ALL {
+            for node in 0..NODES {
+                self.fault_ends(kind, node);
+            }
+        }
+    }
+
+    /// Whether what is committed survives the loss of a node: a majority of the latest configuration must hold
+    /// it on other nodes.
+    fn bears_loss_of(&self, node: usize) -> bool {
+        let is_stopping = self.nodes.iter().any(|one| one.is_stopping || !one.is_up);
+        if is_stopping {
+            return false;
+        }
+        let shards = self.nodes.iter().filter_map(|one| one.shard.as_ref());
+        let leading = shards.max_by_key(|shard| (shard.replica().committed(), shard.replica().term()));
+        let Some(leading) = leading else { return false };
+        let configuration = leading.replica().configuration();
+        let committed = leading.replica().committed();
+        let holds = |voter: &&ReplicaId| {
+            let index = node_index(voter.node);
+            let one = &self.nodes[index];
+            let shard = one.shard.as_ref().filter(|_| one.replica() == **voter && index != node);
+            shard.is_some_and(|shard| shard.replica().committed() + 1 >= committed)
+        };
+        let survivors = configuration.voters.iter().filter(holds).count();
+        configuration.learners.is_empty() && survivors >= configuration.majority()
+    }
+
+    fn crash(&mut self, node: usize) {
+        self.nodes[node].is_up = false;
+        let down = Duration::from_millis(self.random.random_range(100..4_000));
+        self.schedule(down, Event::Restart(node));
+    }
+
+    fn restart(&mut self, node: usize) {
+        let incarnation = match is_broken(Rule::NewIdentityAfterRestart) {
+            true => self.nodes[node].incarnation,
+            false => self.new_incarnation(),
+        };
+        let had_shard = self.nodes[node].shard.is_some();
+        self.nodes[node] = SimNode::new(node, incarnation);
+        if is_broken(Rule::NewIdentityAfterRestart) && had_shard {
+            // It claims to be the voter that it was, with a log that it no longer has.
+            let founders = (0..REPLICAS).map(|index| self.nodes[index].replica());
+            let configuration = Configuration::of_voters(founders.collect::<Vec<_>>());
+            let own = self.nodes[node].replica();
+            let shard = ProgramShard::found(ShardId(0), own, configuration, shard_settings(), 7, self.now);
+            self.nodes[node].shard = Some(shard);
+        }
+        self.start_timers(node);
+    }
+
+    fn begin_stop(&mut self, node: usize) {
+        self.nodes[node].is_stopping = true;
+        let calls: Vec<CallId> = self.nodes[node].tasks.keys().copied().collect();
+        for call in calls {
+            self.stop_watch.insert(call, node);
+        }
+        self.heartbeat(node);
+    }
+
+    /// Ends a node that is being stopped, once its calls have ended and its replica is replaced or spare.
+    fn try_exit(&mut self, node: usize) {
+        if !self.nodes[node].is_stopping {
+            return;
+        }
+        let is_drained = self.nodes[node].tasks.is_empty() || is_broken(Rule::StopFinishesCalls);
+        let is_voter = self.nodes[node].shard.as_ref().is_some_and(|shard| {
+            let own = shard.replica().configuration().is_voter(self.nodes[node].replica());
+            own && !shard.is_removed()
+        });
+        if !is_drained || (is_voter && !is_broken(Rule::StopFinishesCalls)) {
+            return;
+        }
+        let cut: Vec<CallId> = self.nodes[node].tasks.keys().copied().collect();
+        let watched: Vec<CallId> =
+            self.stop_watch.iter().filter(|(_, at)| **at == node).map(|(call, _)| *call).collect();
+        for call in watched {
+            self.stop_watch.remove(&call);
+            let is_cut = cut.contains(&call);
+            self.oracle.check(Guarantee::PlannedStopCutsNothing, !is_cut, || {
+                format!("{call} was cut by the planned stop of node {node}")
+            });
+        }
+        self.crash(node);
+    }
+
+    fn finish(mut self, options: &SimulationOptions) -> SimulationReport {
+        self.check_end();
+        let unfinished = self.callers.iter().filter(|caller| !caller.is_done).count();
+        let turns = self.callers.iter().map(|caller| u64::from(caller.answered)).sum();
+        SimulationReport {
+            seed: options.seed,
+            faults: self.faults,
+            programs: options.programs,
+            unfinished,
+            turns,
+            longest_without_leader_micros: self.longest_without_leader.as_micros() as u64,
+            events: self.processed,
+            guarantees: results(&self.oracle),
+            trace_hash: self.trace.finalize().to_hex().to_string(),
+        }
+    }
+
+    fn check_end(&mut self) {
+        let now = self.now;
+        let leading = self
+            .nodes
+            .iter()
+            .filter_map(|one| one.shard.as_ref())
+            .find(|shard| shard.is_serving(now))
+            .map(|shard| shard.state().clone());
+        for caller in self.callers.clone() {
+            let Plan::Program { program, output_budget, .. } = &caller.plan else { continue };
+            self.oracle.budget(program, *output_budget);
+            if let Some(state) = &leading {
+                self.oracle.recorded(program, caller.answered, state.program(program));
+            }
+            if caller.is_done {
+                let held = self.memory.iter().filter(|engine| engine.contains(program)).count();
+                let record = leading.as_ref().and_then(|state| state.program(program));
+                let ended = record.map(|record| record.ended);
+                self.oracle.check(Guarantee::NoMemoryForGonePrograms, held == 0, || {
+                    format!("{program} is gone and {held} engines hold memory for it; recorded {ended:?}")
+                });
+            }
+        }
+    }
+
+    /// Nodes to ask for the leader, in a fixed order for each node.
+    pub(crate) fn next_target(&mut self, node: usize, tried: usize) -> usize {
+        if let Some(leader) = self.nodes[node].leader {
+            return leader;
+        }
+        let mut order: Vec<usize> = (0..NODES).collect();
+        order.shuffle(&mut ChaCha8Rng::seed_from_u64(node as u64));
+        order[tried % NODES]
+    }
+}
+
+fn shard_settings() -> ShardSettings {
+    ShardSettings {
+        leader: LeaderSettings {
+            idle_lease: Duration::from_secs(30),
+            retention: Duration::from_secs(300),
+            runner_grace: Duration::from_secs(1),
+        },
+        repair: RepairSettings { replicas: REPLICAS, ..RepairSettings::default() },
+        ..ShardSettings::default()
+    }
+}
+
+/// The call that a command names.
+pub(crate) fn command_call(command: &Command) -> CallId {
+    match command {
+        Command::BeginTurn(begin) => begin.call,
+        Command::FinishTurn(finish) => finish.call,
+        Command::GrantChild(grant) => grant.call,
+        Command::BeginService(begin) => begin.call,
+        Command::AbandonTurn { call, .. }
+        | Command::ForgetWaiting { call, .. }
+        | Command::EndProgram { call, .. }
+        | Command::Describe { call, .. }
+        | Command::ListGone { call, .. }
+        | Command::FinishService { call, .. }
+        | Command::ReleaseService { call, .. }
+        | Command::LoseService { call, .. } => *call,
+        Command::ReturnChild { .. } => CallId(0),
+    }
+}
