Replicas that were removed and added again are told from their earlier membership

Acknowledgements of its earlier membership, and a late word that it was no member, made the leader count on entries that it no longer held; the two then exchanged refusals without end. Ruled out: loops between call runners and leaders (pauses were added there too). Now messages carry where the member was added and replies echo it; a removed replica believes it only if its log has not grown since; a silent voter is removed after its replacement votes, a departed one before.

--- a/crates/node/src/chat_runner.rs
+++ b/crates/node/src/chat_runner.rs
@@ -562,7 +562,8 @@
         let reply = self.client.program_command(&program, call, command, Duration::ZERO, give_up).await;
         match reply {
             Ok(Reply::Done) => self.finish_link(turn, link, completion).await,
-            Ok(Reply::Refused(problem)) => self.fail_link(turn, link, problem).await,
+            // The turn did run, whatever its leader says of the request to record it.
+            Ok(Reply::Refused(problem)) => self.fail_link(turn, link, problem.with_ran(Ran::Yes)).await,
             Ok(_) | Err(_) => {
                 let detail = "the answer could not be committed to the program's history";
                 let problem = Problem::unknown(ResultCode::NotCommitted, detail)
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -1,6 +1,6 @@
 //! Drives the membership protocol and answers questions about the fleet.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
@@ -12,6 +12,7 @@
 use sumacdrift_program::Runner;
 use sumacdrift_proto::OneWay;
 use sumacdrift_replication::{Candidate, ReplicaId};
+use sumacdrift_shard::FleetView;
 use sumacdrift_types::{EngineName, Generation, NodeId, ZoneName, rendezvous_order};
 use tokio::sync::mpsc;
 
@@ -20,6 +21,9 @@
 /// How often the membership protocol is given the time.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Replaced lives that are remembered.
+const MAX_REPLACED: usize = 4096;
+
 /// The fleet as this node sees it.
 pub(crate) struct Fleet {
     context: Arc<Context>,
@@ -32,6 +36,8 @@
 #[derive(Default)]
 struct View {
     directory: Directory,
+    /// Lives that a later life of the same node has replaced.
+    replaced: BTreeSet<ReplicaId>,
     owners: Mutex<HashMap<EngineName, Option<NodeId>>>,
 }
 
@@ -109,11 +115,14 @@
         view.directory.live().filter(|member| member.node != own).map(|member| member.address).collect()
     }
 
-    /// Lives that may hold replicas of program shards.
-    pub(crate) fn replica_candidates(&self) -> Vec<Candidate> {
+    /// The fleet as leaders of shards see it when they look after their replicas.
+    pub(crate) fn replica_view(&self) -> FleetView {
         let view = self.view();
         let usable = view.directory.usable(RoleSet::PROGRAMS);
-        usable.filter(|member| member.state == MemberState::Alive).map(to_candidate).collect()
+        let usable = usable.filter(|member| member.state == MemberState::Alive).map(to_candidate).collect();
+        let leaving = view.directory.iter().filter(|member| member.is_leaving).map(to_replica);
+        let departed = view.replaced.iter().copied().chain(leaving).collect();
+        FleetView { usable, departed }
     }
 
     /// Nodes that may hold replicas of a shard, the likeliest first.
@@ -149,7 +158,9 @@
         let effects = detector.take_effects();
         let is_changed = effects.iter().any(|effect| matches!(effect, Effect::Event(_)));
         if is_changed {
-            let view = View { directory: detector.directory().clone(), ..View::default() };
+            let directory = detector.directory().clone();
+            let view =
+                View { replaced: self.replaced_lives(&directory, &effects), directory, ..View::default() };
             self.context.metrics.members_live.set(view.directory.live().count() as i64);
             *self.view.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(view);
         }
@@ -164,6 +175,21 @@
         }
     }
 
+    /// Lives known to have been replaced: those of before, and those that went down and have a successor.
+    fn replaced_lives(&self, directory: &Directory, effects: &[Effect]) -> BTreeSet<ReplicaId> {
+        let mut replaced = self.view().replaced.clone();
+        for effect in effects {
+            let Effect::Event(Event::Down { node, incarnation }) = effect else { continue };
+            if directory.get(*node).is_some_and(|member| member.incarnation > *incarnation) {
+                replaced.insert(ReplicaId { node: *node, incarnation: *incarnation });
+            }
+        }
+        while replaced.len() > MAX_REPLACED {
+            replaced.pop_first();
+        }
+        replaced
+    }
+
     fn note(&self, event: Event) {
         let logger = &self.context.logger;
         match event {
@@ -185,11 +211,12 @@
     }
 }
 
+fn to_replica(member: &Member) -> ReplicaId {
+    ReplicaId { node: member.node, incarnation: member.incarnation }
+}
+
 fn to_candidate(member: &Member) -> Candidate {
-    Candidate {
-        replica: ReplicaId { node: member.node, incarnation: member.incarnation },
-        zone: member.zone.clone(),
-    }
+    Candidate { replica: to_replica(member), zone: member.zone.clone() }
 }
 
 fn choose_owner(directory: &Directory, engine: &EngineName, zone: &ZoneName) -> Option<NodeId> {
--- a/crates/node/src/shard_host.rs
+++ b/crates/node/src/shard_host.rs
@@ -164,8 +164,8 @@
 
     /// Hands all leaderships to nodes that stay. Returns the number of shards still led here.
     pub(crate) fn hand_over(&self) -> usize {
-        let candidates = self.fleet.replica_candidates();
-        let stays = |replica: ReplicaId| candidates.iter().any(|candidate| candidate.replica == replica);
+        let usable = self.fleet.replica_view().usable;
+        let stays = |replica: ReplicaId| usable.iter().any(|candidate| candidate.replica == replica);
         let mut led = 0;
         for hosted in self.all() {
             let mut hosted = lock(&hosted);
@@ -181,14 +181,14 @@
 
     /// Shards led here, and how many of them have fewer replicas than they could have.
     pub(crate) fn repair_state(&self) -> (usize, usize) {
-        let candidates = self.fleet.replica_candidates();
+        let view = self.fleet.replica_view();
         let now = self.context.now();
         let (mut led, mut unrepaired) = (0, 0);
         for hosted in self.all() {
             let hosted = lock(&hosted);
             if hosted.shard.is_serving(now) {
                 led += 1;
-                unrepaired += usize::from(hosted.shard.needs_repair(&candidates));
+                unrepaired += usize::from(hosted.shard.needs_repair(&view));
             }
         }
         (led, unrepaired)
@@ -210,7 +210,7 @@
     }
 
     fn tick(&self) {
-        let candidates = self.fleet.replica_candidates();
+        let view = self.fleet.replica_view();
         let fleet = Arc::clone(&self.fleet);
         let is_alive = move |runner| fleet.is_alive(runner);
         let mut removed = Vec::new();
@@ -219,7 +219,7 @@
             let now = self.context.now();
             hosted.shard.tick(now, &is_alive);
             if !self.context.stopping.is_cancelled() {
-                hosted.shard.repair(&candidates, now);
+                hosted.shard.repair(&view, now);
             }
             self.carry_out(&mut hosted);
             if hosted.shard.is_removed() {
--- a/crates/program/src/leader.rs
+++ b/crates/program/src/leader.rs
@@ -316,6 +316,8 @@
             step.refuse(finish.call, no_longer_wanted(Some(record)).with_ran(Ran::Yes));
             return;
         }
+        // A late copy of the call's beginning must not be refused in the finish's place.
+        self.forget_waiting(&finish.program, finish.call);
         self.last_activity.insert(finish.program.clone(), now);
         self.note(&finish.program, DecisionKind::Committed, Some(record.next_turn()), finish.reason, now);
         let committed = TurnCommitted {
--- a/crates/proto/src/replication.rs
+++ b/crates/proto/src/replication.rs
@@ -1,5 +1,7 @@
 //! Messages between replicas.
 
+use std::collections::BTreeMap;
+
 use bytes::Bytes;
 use sumacdrift_replication::{
     AppendEntries, AppendReply, Configuration, InstallSnapshot, LogEntry, Message, Payload, ReplicaId,
@@ -37,19 +39,41 @@
     pub voters: Vec<ReplicaMessage>,
     #[prost(message, repeated, tag = "2")]
     pub learners: Vec<ReplicaMessage>,
+    #[prost(message, repeated, tag = "3")]
+    pub added: Vec<AddedMessage>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct AddedMessage {
+    #[prost(message, optional, tag = "1")]
+    pub replica: Option<ReplicaMessage>,
+    #[prost(uint64, tag = "2")]
+    pub index: u64,
 }
 
 impl Wire for Configuration {
     type Message = ConfigurationMessage;
 
     fn to_wire(&self) -> ConfigurationMessage {
-        ConfigurationMessage { voters: messages(&self.voters), learners: messages(&self.learners) }
+        let added = self.added.iter();
+        ConfigurationMessage {
+            voters: messages(&self.voters),
+            learners: messages(&self.learners),
+            added: added
+                .map(|(replica, index)| AddedMessage { replica: Some(replica.to_wire()), index: *index })
+                .collect(),
+        }
     }
 
     fn from_wire(message: ConfigurationMessage) -> Result<Self, DecodeError> {
+        let mut added = BTreeMap::new();
+        for one in message.added {
+            added.insert(required_value(one.replica, "replica")?, one.index);
+        }
         Ok(Configuration {
             voters: values(message.voters)?.into_iter().collect(),
             learners: values(message.learners)?.into_iter().collect(),
+            added,
         })
     }
 }
@@ -116,8 +140,16 @@
     InstallSnapshot(InstallSnapshotMessage),
     #[prost(uint64, tag = "6")]
     TimeoutNow(u64),
-    #[prost(uint64, tag = "7")]
-    NotMember(u64),
+    #[prost(message, tag = "7")]
+    NotMember(NotMemberMessage),
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct NotMemberMessage {
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
+    #[prost(uint64, tag = "2")]
+    pub last_index: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -158,6 +190,8 @@
     pub sent_at_micros: u64,
     #[prost(message, repeated, tag = "6")]
     pub entries: Vec<LogEntryMessage>,
+    #[prost(uint64, tag = "7")]
+    pub membership: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -170,6 +204,8 @@
     pub match_index: u64,
     #[prost(uint64, tag = "4")]
     pub sent_at_micros: u64,
+    #[prost(uint64, tag = "5")]
+    pub membership: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -186,6 +222,8 @@
     pub sent_at_micros: u64,
     #[prost(bytes = "bytes", tag = "6")]
     pub data: Bytes,
+    #[prost(uint64, tag = "7")]
+    pub membership: u64,
 }
 
 impl Wire for Message {
@@ -209,6 +247,7 @@
                 term: append.term,
                 previous_index: append.previous_index,
                 previous_term: append.previous_term,
+                membership: append.membership,
                 committed: append.committed,
                 sent_at_micros: append.sent_at_micros,
                 entries: messages(&append.entries),
@@ -217,13 +256,16 @@
                 term: reply.term,
                 is_success: reply.is_success,
                 match_index: reply.match_index,
+                membership: reply.membership,
                 sent_at_micros: reply.sent_at_micros,
             }),
             Message::InstallSnapshot(snapshot) => {
                 ReplicationKind::InstallSnapshot(snapshot_message(snapshot))
             }
             Message::TimeoutNow { term } => ReplicationKind::TimeoutNow(*term),
-            Message::NotMember { term } => ReplicationKind::NotMember(*term),
+            Message::NotMember { term, last_index } => {
+                ReplicationKind::NotMember(NotMemberMessage { term: *term, last_index: *last_index })
+            }
         };
         ReplicationMessage { kind: Some(kind) }
     }
@@ -246,6 +288,7 @@
                 term: append.term,
                 previous_index: append.previous_index,
                 previous_term: append.previous_term,
+                membership: append.membership,
                 committed: append.committed,
                 sent_at_micros: append.sent_at_micros,
                 entries: values(append.entries)?,
@@ -254,6 +297,7 @@
                 term: reply.term,
                 is_success: reply.is_success,
                 match_index: reply.match_index,
+                membership: reply.membership,
                 sent_at_micros: reply.sent_at_micros,
             }),
             ReplicationKind::InstallSnapshot(snapshot) => Message::InstallSnapshot(InstallSnapshot {
@@ -261,11 +305,14 @@
                 index: snapshot.index,
                 index_term: snapshot.index_term,
                 configuration: required_value(snapshot.configuration, "configuration")?,
+                membership: snapshot.membership,
                 sent_at_micros: snapshot.sent_at_micros,
                 data: snapshot.data,
             }),
             ReplicationKind::TimeoutNow(term) => Message::TimeoutNow { term },
-            ReplicationKind::NotMember(term) => Message::NotMember { term },
+            ReplicationKind::NotMember(message) => {
+                Message::NotMember { term: message.term, last_index: message.last_index }
+            }
         })
     }
 }
@@ -276,6 +323,7 @@
         index: snapshot.index,
         index_term: snapshot.index_term,
         configuration: Some(snapshot.configuration.to_wire()),
+        membership: snapshot.membership,
         sent_at_micros: snapshot.sent_at_micros,
         data: snapshot.data.clone(),
     }
--- a/crates/replication/src/configuration.rs
+++ b/crates/replication/src/configuration.rs
@@ -1,10 +1,12 @@
 //! Who belongs to a group.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
 use sumacdrift_types::{Incarnation, NodeId};
 
+use crate::LogIndex;
+
 /// One life of one node as a member of groups.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ReplicaId {
@@ -27,6 +29,8 @@
     pub voters: BTreeSet<ReplicaId>,
     /// Replicas that receive the log and have no vote.
     pub learners: BTreeSet<ReplicaId>,
+    /// Where in the log each member was added; founders are left out.
+    pub added: BTreeMap<ReplicaId, LogIndex>,
 }
 
 /// One step of membership change. Only single steps are allowed, so that any two majorities share a replica.
@@ -43,7 +47,7 @@
 impl Configuration {
     /// A configuration of voters only.
     pub fn of_voters(voters: impl IntoIterator<Item = ReplicaId>) -> Self {
-        Self { voters: voters.into_iter().collect(), learners: BTreeSet::new() }
+        Self { voters: voters.into_iter().collect(), ..Self::default() }
     }
 
     /// Number of voters that make a majority.
@@ -66,8 +70,17 @@
         self.voters.iter().chain(&self.learners).copied()
     }
 
-    /// The configuration after one step; `None` where the step changes nothing or leaves no voter.
-    pub fn changed(&self, change: ConfigurationChange) -> Option<Configuration> {
+    /// Where in the log a member was added; 0 for a founder.
+    ///
+    /// It tells one membership of a replica from a later one: an acknowledgement from before its removal says
+    /// nothing about what it holds after it was added again.
+    pub fn added_at(&self, replica: ReplicaId) -> LogIndex {
+        self.added.get(&replica).copied().unwrap_or(0)
+    }
+
+    /// The configuration after one step at a place in the log; `None` where the step changes nothing or leaves
+    /// no voter.
+    pub fn changed(&self, change: ConfigurationChange, index: LogIndex) -> Option<Configuration> {
         let mut next = self.clone();
         match change {
             ConfigurationChange::AddLearner(replica) => {
@@ -75,6 +88,7 @@
                     return None;
                 }
                 next.learners.insert(replica);
+                next.added.insert(replica, index);
             }
             ConfigurationChange::Promote(replica) => {
                 if !next.learners.remove(&replica) {
@@ -87,6 +101,7 @@
                 if !removed {
                     return None;
                 }
+                next.added.remove(&replica);
             }
         }
         (!next.voters.is_empty()).then_some(next)
--- a/crates/replication/src/message.rs
+++ b/crates/replication/src/message.rs
@@ -26,6 +26,8 @@
     NotMember {
         /// The sender's term.
         term: Term,
+        /// End of the removed replica's log, as its request for a vote gave it.
+        last_index: LogIndex,
     },
 }
 
@@ -64,6 +66,8 @@
     pub previous_index: LogIndex,
     /// Term at `previous_index`.
     pub previous_term: Term,
+    /// Where the receiver was added to the group, as the leader sees it; comes back in the reply.
+    pub membership: LogIndex,
     /// How far the leader knows the log to be committed.
     pub committed: LogIndex,
     /// When the leader sent this, on its own clock; comes back in the reply and carries the leader's lease.
@@ -81,7 +85,9 @@
     pub is_success: bool,
     /// On success how far the follower's log equals the leader's; otherwise where to try next.
     pub match_index: LogIndex,
-    /// The leader's `sent_at_micros`.
+    /// The message's `membership`.
+    pub membership: LogIndex,
+    /// The message's `sent_at_micros`.
     pub sent_at_micros: u64,
 }
 
@@ -96,6 +102,8 @@
     pub index_term: Term,
     /// Configuration at `index`.
     pub configuration: Configuration,
+    /// Where the receiver was added to the group, as the leader sees it.
+    pub membership: LogIndex,
     /// When the leader sent this, on its own clock.
     pub sent_at_micros: u64,
     /// The state, opaque here.
@@ -111,7 +119,7 @@
             Message::AppendEntries(append) => append.term,
             Message::AppendReply(reply) => reply.term,
             Message::InstallSnapshot(snapshot) => snapshot.term,
-            Message::TimeoutNow { term } | Message::NotMember { term } => *term,
+            Message::TimeoutNow { term } | Message::NotMember { term, .. } => *term,
         }
     }
 }
--- a/crates/replication/src/progress.rs
+++ b/crates/replication/src/progress.rs
@@ -9,6 +9,8 @@
 /// What a leader knows of one follower.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Progress {
+    /// Where the follower was added; replies of an earlier membership are not about this one.
+    pub(crate) membership: LogIndex,
     /// How far the follower's log is known to equal the leader's.
     pub(crate) match_index: LogIndex,
     /// The next entry to send.
@@ -36,9 +38,12 @@
         next_index: LogIndex,
         now: Timestamp,
     ) {
-        self.by_replica.retain(|replica, _| configuration.contains(*replica));
+        self.by_replica.retain(|replica, progress| {
+            configuration.contains(*replica) && configuration.added_at(*replica) == progress.membership
+        });
         for replica in configuration.members().filter(|replica| *replica != own) {
             self.by_replica.entry(replica).or_insert(Progress {
+                membership: configuration.added_at(replica),
                 match_index: 0,
                 next_index,
                 acknowledged: now,
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -223,7 +223,7 @@
         if !self.is_established || self.log.latest_configuration_index() > self.committed {
             return Err(ProposeError::ChangePending);
         }
-        let Some(next) = self.configuration().changed(change) else {
+        let Some(next) = self.configuration().changed(change, self.log.last_index() + 1) else {
             return Err(ProposeError::NoChange);
         };
         self.log.append(self.term, Payload::Configuration(next));
@@ -264,6 +264,7 @@
             index,
             index_term,
             configuration: self.log.configuration_at(index).clone(),
+            membership: self.configuration().added_at(to),
             sent_at_micros: now.0,
             data,
         });
@@ -300,7 +301,7 @@
             Message::AppendReply(reply) => self.receive_append_reply(from, &reply, now),
             Message::InstallSnapshot(snapshot) => self.receive_snapshot(from, snapshot, now),
             Message::TimeoutNow { .. } => self.receive_timeout_now(now),
-            Message::NotMember { .. } => self.receive_not_member(),
+            Message::NotMember { last_index, .. } => self.receive_not_member(last_index),
         }
     }
 
@@ -408,10 +409,15 @@
             Message::VoteRequest(request) => {
                 Message::VoteReply(VoteReply { term, is_granted: false, is_pre_vote: request.is_pre_vote })
             }
-            Message::AppendEntries(AppendEntries { sent_at_micros, .. })
-            | Message::InstallSnapshot(InstallSnapshot { sent_at_micros, .. }) => {
-                let sent_at_micros = *sent_at_micros;
-                Message::AppendReply(AppendReply { term, is_success: false, match_index: 0, sent_at_micros })
+            Message::AppendEntries(AppendEntries { membership, sent_at_micros, .. })
+            | Message::InstallSnapshot(InstallSnapshot { membership, sent_at_micros, .. }) => {
+                Message::AppendReply(AppendReply {
+                    term,
+                    is_success: false,
+                    match_index: 0,
+                    membership: *membership,
+                    sent_at_micros: *sent_at_micros,
+                })
             }
             _ => return,
         };
@@ -425,7 +431,8 @@
 
     fn receive_vote_request(&mut self, from: ReplicaId, request: &VoteRequest, now: Timestamp) {
         if self.is_known_outsider(from, request.last_index) {
-            self.send(from, Message::NotMember { term: self.term });
+            let last_index = request.last_index;
+            self.send(from, Message::NotMember { term: self.term, last_index });
             return;
         }
         let own_end = (self.log.last_term(), self.log.last_index());
@@ -513,11 +520,12 @@
 
     fn receive_append(&mut self, from: ReplicaId, append: AppendEntries, now: Timestamp) {
         self.accept_leader(from, now);
-        let sent_at_micros = append.sent_at_micros;
+        let (membership, sent_at_micros) = (append.membership, append.sent_at_micros);
         let match_index = self.store(append);
         let is_success = match_index.is_ok();
         let match_index = match_index.unwrap_or_else(|hint| hint);
-        let reply = AppendReply { term: self.term, is_success, match_index, sent_at_micros };
+        let term = self.term;
+        let reply = AppendReply { term, is_success, match_index, membership, sent_at_micros };
         self.send(from, Message::AppendReply(reply));
     }
 
@@ -588,6 +596,9 @@
         }
         let last_index = self.log.last_index();
         let Some(progress) = self.followers.get_mut(from) else { return };
+        if progress.membership != reply.membership {
+            return;
+        }
         progress.acknowledged = progress.acknowledged.max(Timestamp(reply.sent_at_micros));
         if reply.is_success {
             progress.match_index = progress.match_index.max(reply.match_index);
@@ -598,8 +609,10 @@
             progress.next_index = next.min(last_index + 1);
         }
         let is_behind = progress.next_index <= last_index;
+        // A follower that lacks what it acknowledged can't be helped by sending the same again at once.
+        let is_stuck = !reply.is_success && reply.match_index < progress.match_index;
         self.advance_commit(now);
-        if is_behind || !reply.is_success {
+        if !is_stuck && (is_behind || !reply.is_success) {
             self.send_entries(from, now);
         }
         self.try_transfer();
@@ -644,6 +657,7 @@
             term: self.term,
             is_success: true,
             match_index: snapshot.index,
+            membership: snapshot.membership,
             sent_at_micros: snapshot.sent_at_micros,
         };
         self.send(from, Message::AppendReply(reply));
@@ -655,8 +669,9 @@
         }
     }
 
-    fn receive_not_member(&mut self) {
-        if self.role == Role::Leader {
+    fn receive_not_member(&mut self, last_index: LogIndex) {
+        // Whoever received entries since it asked was added again; its leader counts on what it holds.
+        if self.role == Role::Leader || self.log.last_index() != last_index {
             return;
         }
         self.role = Role::Removed;
@@ -721,6 +736,7 @@
             term: self.term,
             previous_index,
             previous_term,
+            membership: self.configuration().added_at(to),
             committed: self.committed,
             sent_at_micros: now.0,
             entries,
--- a/crates/shard/src/lib.rs
+++ b/crates/shard/src/lib.rs
@@ -5,5 +5,5 @@
 mod repair;
 mod replica;
 
-pub use repair::RepairSettings;
+pub use repair::{FleetView, RepairSettings};
 pub use replica::{NotLeader, ProgramShard, ShardOutput, ShardSettings};
--- a/crates/shard/src/repair.rs
+++ b/crates/shard/src/repair.rs
@@ -1,5 +1,6 @@
 //! Replacement of lost replicas, decided by the shard's leader.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use sumacdrift_replication::{Candidate, ConfigurationChange, ReplicaId, spread};
@@ -7,6 +8,22 @@
 
 use crate::ProgramShard;
 
+/// The fleet as a leader sees it when it looks after its replicas.
+#[derive(Debug, Clone, Default)]
+pub struct FleetView {
+    /// Lives that answer and stay; they may hold replicas.
+    pub usable: Vec<Candidate>,
+    /// Lives that will not come back: replaced by a later life of their node, or leaving. A life that is in
+    /// neither list is silent.
+    pub departed: BTreeSet<ReplicaId>,
+}
+
+impl FleetView {
+    fn is_usable(&self, replica: ReplicaId) -> bool {
+        self.usable.iter().any(|candidate| candidate.replica == replica)
+    }
+}
+
 /// Voters that a group keeps at least.
 const MIN_VOTERS: usize = 2;
 
@@ -29,16 +46,12 @@
 
 impl ProgramShard {
     /// Takes one step of repair, if this replica leads and one is due.
-    ///
-    /// `candidates` are the lives that may hold replicas at present; a member that is not among them is lost or
-    /// leaving. A lost voter is removed before its replacement gets a vote: while it counts, a group of four with
-    /// one lost member bears no further loss, and a group of three that was repaired bears one.
-    pub fn repair(&mut self, candidates: &[Candidate], now: Timestamp) {
+    pub fn repair(&mut self, fleet: &FleetView, now: Timestamp) {
         if now < self.next_repair || !self.replica.is_established_leader() {
             return;
         }
         self.next_repair = now + self.settings.repair.interval;
-        if let Some(change) = self.next_change(candidates) {
+        if let Some(change) = self.next_change(fleet) {
             // A change that is still pending is tried again at the next step.
             let _ = self.replica.change_configuration(change, now);
             self.run_actions(now);
@@ -46,33 +59,38 @@
     }
 
     /// Whether this replica leads a group that has fewer voters than it could have.
-    pub fn needs_repair(&self, candidates: &[Candidate]) -> bool {
-        self.replica.is_established_leader() && self.next_change(candidates).is_some()
-            || !self.replica.configuration().learners.is_empty()
+    pub fn needs_repair(&self, fleet: &FleetView) -> bool {
+        let has_learners = !self.replica.configuration().learners.is_empty();
+        self.replica.is_established_leader() && (has_learners || self.next_change(fleet).is_some())
     }
 
-    fn next_change(&self, candidates: &[Candidate]) -> Option<ConfigurationChange> {
+    /// A departed voter is removed before its replacement gets a vote: while it counts, a group of four with one
+    /// lost member bears no further loss. A silent voter is removed only after its replacement: it may come
+    /// back, and a group that shrank to two and then loses one of them could not make use of it.
+    fn next_change(&self, fleet: &FleetView) -> Option<ConfigurationChange> {
         let configuration = self.replica.configuration();
-        let is_candidate =
-            |replica: &ReplicaId| candidates.iter().any(|candidate| candidate.replica == *replica);
-        if let Some(lost) = configuration.learners.iter().find(|learner| !is_candidate(learner)) {
+        if let Some(lost) = configuration.learners.iter().find(|learner| !fleet.is_usable(**learner)) {
             return Some(ConfigurationChange::Remove(*lost));
         }
-        let present = configuration.voters.iter().filter(|voter| is_candidate(voter)).count();
-        let lost = configuration.voters.iter().find(|voter| !is_candidate(voter) && **voter != self.own);
+        let present = configuration.voters.iter().filter(|voter| fleet.is_usable(**voter)).count();
+        let others = || configuration.voters.iter().filter(|voter| **voter != self.own);
+        let departed = others().find(|voter| fleet.departed.contains(voter));
         // A group is never shrunk to a single voter: what one replica alone commits is lost with it.
-        if let Some(lost) = lost.filter(|_| present >= MIN_VOTERS) {
-            return Some(ConfigurationChange::Remove(*lost));
+        if let Some(departed) = departed.filter(|_| present >= MIN_VOTERS) {
+            return Some(ConfigurationChange::Remove(*departed));
         }
         let caught_up = self.settings.repair.caught_up_entries;
         let ready = |learner: &&ReplicaId| self.replica.is_caught_up(**learner, caught_up);
         if let Some(learner) = configuration.learners.iter().find(ready) {
             return Some(ConfigurationChange::Promote(*learner));
         }
-        if !configuration.learners.is_empty() || present >= self.settings.repair.replicas {
+        if !configuration.learners.is_empty() {
             return None;
         }
-        self.replacement(candidates).map(ConfigurationChange::AddLearner)
+        if present < self.settings.repair.replicas {
+            return self.replacement(&fleet.usable).map(ConfigurationChange::AddLearner);
+        }
+        others().find(|voter| !fleet.is_usable(**voter)).map(|silent| ConfigurationChange::Remove(*silent))
     }
 
     fn replacement(&self, candidates: &[Candidate]) -> Option<ReplicaId> {
--- a/crates/simulation/src/caller.rs
+++ b/crates/simulation/src/caller.rs
@@ -30,6 +30,8 @@
     pub(crate) is_done: bool,
     /// Whether the next request is sent with an altered history first.
     pub(crate) lies_next: bool,
+    /// The latest turn about which it sent an altered history.
+    pub(crate) lied_about: Option<u32>,
 }
 
 /// What a caller does after an answer.
@@ -47,7 +49,7 @@
 
 impl Caller {
     pub(crate) fn new(plan: Plan) -> Self {
-        Self { plan, answered: 0, attempt: 0, is_done: false, lies_next: false }
+        Self { plan, answered: 0, attempt: 0, is_done: false, lies_next: false, lied_about: None }
     }
 
     /// The request that is due, `ahead` turns after the next one.
@@ -121,7 +123,7 @@
             }
             ResultCode::HistoryMismatch | ResultCode::TurnContentDiffers if self.lies_next => {
                 self.lies_next = false;
-                Next::Again
+                if is_about_present { Next::Again } else { Next::Ignore }
             }
             ResultCode::UnknownProgram | ResultCode::ProgramEnded => self.finish(),
             _ if is_about_present => Next::Again,
--- a/crates/simulation/src/node.rs
+++ b/crates/simulation/src/node.rs
@@ -1,13 +1,13 @@
 //! A simulated node: the real state machines and what a node keeps beside them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use sumacdrift_config::InForce;
 use sumacdrift_program::Runner;
 use sumacdrift_replication::{Candidate, ReplicaId};
 use sumacdrift_scheduling::{EngineQueue, QueueSettings};
-use sumacdrift_shard::ProgramShard;
+use sumacdrift_shard::{FleetView, ProgramShard};
 use sumacdrift_types::{CallId, EngineName, Incarnation, NodeId, Timestamp, ZoneName};
 
 use crate::packet::SimConfiguration;
@@ -48,6 +48,8 @@
     pub(crate) queue_waiting: BTreeMap<CallId, Waiter>,
     pub(crate) in_force: InForce<SimConfiguration>,
     pub(crate) heard: BTreeMap<usize, Heard>,
+    /// Lives that a later one has replaced.
+    replaced: BTreeSet<ReplicaId>,
     pub(crate) leader: Option<usize>,
     pub(crate) tasks: BTreeMap<CallId, Task>,
     pub(crate) exchanges: BTreeMap<u64, CallId>,
@@ -67,6 +69,7 @@
             queue_waiting: BTreeMap::new(),
             in_force: InForce::default(),
             heard: BTreeMap::new(),
+            replaced: BTreeSet::new(),
             leader: None,
             tasks: BTreeMap::new(),
             exchanges: BTreeMap::new(),
@@ -90,11 +93,25 @@
         self.heard.iter().filter(move |(_, heard)| now.since(heard.at) < DEAD_AFTER)
     }
 
-    /// Lives that may hold replicas, as this node sees it.
-    pub(crate) fn candidates(&self, now: Timestamp) -> Vec<Candidate> {
+    /// The fleet as this node sees it.
+    pub(crate) fn fleet_view(&self, now: Timestamp) -> FleetView {
         let others = self.live(now).filter(|(_, heard)| !heard.is_leaving).map(|(_, heard)| heard.replica);
         let own = (!self.is_stopping).then_some(self.replica());
-        others.chain(own).filter_map(to_candidate).collect()
+        let usable = others.chain(own).filter_map(to_candidate).collect();
+        let leaving = self.heard.values().filter(|heard| heard.is_leaving).map(|heard| heard.replica);
+        FleetView { usable, departed: self.replaced.iter().copied().chain(leaving).collect() }
+    }
+
+    /// Notes that another node was heard of.
+    pub(crate) fn hear(&mut self, from: usize, heard: Heard) {
+        let before = self.heard.get(&from).copied();
+        if before.is_some_and(|before| before.replica.incarnation > heard.replica.incarnation) {
+            return;
+        }
+        if let Some(before) = before.filter(|before| before.replica != heard.replica) {
+            self.replaced.insert(before.replica);
+        }
+        self.heard.insert(from, heard);
     }
 
     /// The node that owns an engine, as this node sees it.
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -363,7 +363,7 @@
             }
             Packet::Heartbeat { replica, is_leaving, configuration } => {
                 let heard = crate::node::Heard { replica, at: self.now, is_leaving };
-                self.nodes[to].heard.insert(from, heard);
+                self.nodes[to].hear(from, heard);
                 if let Some(configuration) = configuration {
                     self.offer(to, configuration);
                 }
@@ -375,7 +375,7 @@
     fn tick(&mut self, node: usize) {
         let now = self.now;
         let one = &mut self.nodes[node];
-        let candidates = one.candidates(now);
+        let fleet = one.fleet_view(now);
         let alive: BTreeSet<ReplicaId> =
             one.live(now).map(|(_, heard)| heard.replica).chain([one.replica()]).collect();
         if let Some(shard) = one.shard.as_mut() {
@@ -384,10 +384,10 @@
             };
             shard.tick(now, &is_alive);
             if !one.is_stopping {
-                shard.repair(&candidates, now);
+                shard.repair(&fleet, now);
             } else {
                 let stays =
-                    |replica: ReplicaId| candidates.iter().any(|candidate| candidate.replica == replica);
+                    |replica: ReplicaId| fleet.usable.iter().any(|candidate| candidate.replica == replica);
                 shard.transfer_leadership(&stays, now);
             }
             if shard.is_removed() {
@@ -621,6 +621,9 @@
         if is_full_mode && is_first_try && self.callers[caller].answered > 0 {
             self.callers[caller].lies_next = self.random.random_bool(0.05);
         }
+        if self.callers[caller].lies_next {
+            self.callers[caller].lied_about = Some(self.callers[caller].answered);
+        }
         let runs_ahead = !is_full_mode && self.random.random_bool(0.2);
         self.callers[caller].attempt += 1;
         let attempt = self.callers[caller].attempt;
@@ -657,7 +660,7 @@
             }
             (CallerAnswer::Refused { call, problem }, plan) => {
                 let is_wrong_mismatch = problem.code == ResultCode::HistoryMismatch
-                    && !self.callers[caller].lies_next
+                    && self.callers[caller].lied_about != Some(turn)
                     && turn == self.callers[caller].answered;
                 let name = format!("{plan:?}");
                 self.oracle.refused(*call, problem);
