--- a/crates/bench/src/campaign.rs
+++ b/crates/bench/src/campaign.rs
@@ -169,6 +169,9 @@
             for fault in &failure.faults {
                 text.push_str(&format!("  fault {fault}\n"));
             }
+            for replica in &failure.replicas {
+                text.push_str(&format!("  replica {replica}\n"));
+            }
             for guarantee in failure.guarantees.iter().filter(|guarantee| guarantee.violated > 0) {
                 text.push_str(&format!("  {}: {:?}\n", guarantee.name, guarantee.examples));
             }
--- a/crates/node/src/chat_runner.rs
+++ b/crates/node/src/chat_runner.rs
@@ -209,6 +209,11 @@
                 return;
             }
             Some(Ok(Reply::Run(run))) => *run,
+            Some(Ok(Reply::Abandoned)) => {
+                let detail = "the call was given up before it began";
+                self.refuse(&turn, head, Problem::not_run(ResultCode::NotCommitted, detail));
+                return;
+            }
             Some(Ok(_)) => {
                 let detail = "the program's leader gave an answer that does not fit";
                 self.refuse(&turn, head, Problem::not_run(ResultCode::Internal, detail));
--- a/crates/program/src/effect.rs
+++ b/crates/program/src/effect.rs
@@ -61,6 +61,9 @@
     Refused(Problem),
     /// What was asked for is committed.
     Done,
+    /// The call is settled without an answer. Told from `Done`, since a leader may give a call up in the very
+    /// moment in which its node asks to record the answer.
+    Abandoned,
     /// A sub-agent's limits.
     Granted(BudgetLimits),
     /// A report on a program.
--- a/crates/program/src/leader.rs
+++ b/crates/program/src/leader.rs
@@ -190,7 +190,7 @@
             }
             Entry::TurnAbandoned(abandoned) => {
                 self.applied(&abandoned.program);
-                step.reply(abandoned.call, Reply::Done);
+                step.reply(abandoned.call, Reply::Abandoned);
                 self.admit_waiting(state, &abandoned.program, now, &mut step);
             }
             Entry::ProgramOpened(opened) => self.applied(&opened.program),
@@ -217,7 +217,7 @@
                 self.confirm_response(state, key, *call, response, &mut step);
             }
             Entry::ServiceReleased { call, .. } | Entry::ServiceUnknown { call, .. } => {
-                step.reply(*call, Reply::Done);
+                step.reply(*call, Reply::Abandoned);
             }
             Entry::ServiceForgotten { .. } => {}
         }
@@ -346,7 +346,7 @@
         if record.is_some_and(|record| record.in_flight_call(abandoned.call).is_some()) {
             self.propose(&abandoned.program.clone(), Entry::TurnAbandoned(abandoned), step);
         } else {
-            step.reply(abandoned.call, Reply::Done);
+            step.reply(abandoned.call, Reply::Abandoned);
         }
     }
 
--- a/crates/proto/src/reply.rs
+++ b/crates/proto/src/reply.rs
@@ -17,7 +17,7 @@
 
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct ReplyMessage {
-    #[prost(oneof = "ReplyKind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "ReplyKind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub kind: Option<ReplyKind>,
 }
 
@@ -43,6 +43,8 @@
     ReplayService(ServiceResponseMessage),
     #[prost(message, tag = "10")]
     Gone(ProgramsMessage),
+    #[prost(message, tag = "11")]
+    Abandoned(EmptyMessage),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -300,6 +302,7 @@
             Reply::Done => ReplyKind::Done(EmptyMessage {}),
             Reply::Granted(limits) => ReplyKind::Granted(limits.to_wire()),
             Reply::Report(report) => ReplyKind::Report(Box::new(report.to_wire())),
+            Reply::Abandoned => ReplyKind::Abandoned(EmptyMessage {}),
             Reply::Gone(programs) => ReplyKind::Gone(ProgramsMessage { programs: texts(programs) }),
             Reply::RunService => ReplyKind::RunService(EmptyMessage {}),
             Reply::ReplayService(response) => ReplyKind::ReplayService(response.to_wire()),
@@ -316,6 +319,7 @@
             ReplyKind::Done(_) => Reply::Done,
             ReplyKind::Granted(message) => Reply::Granted(Wire::from_wire(message)?),
             ReplyKind::Report(message) => Reply::Report(Box::new(ProgramReport::from_wire(*message)?)),
+            ReplyKind::Abandoned(_) => Reply::Abandoned,
             ReplyKind::Gone(message) => Reply::Gone(names(message.programs, "programs")?),
             ReplyKind::RunService(_) => Reply::RunService,
             ReplyKind::ReplayService(message) => Reply::ReplayService(Wire::from_wire(message)?),
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -161,6 +161,11 @@
         self.committed
     }
 
+    /// End of the log, committed or not.
+    pub fn last_index(&self) -> LogIndex {
+        self.log.last_index()
+    }
+
     /// Payload bytes held in the log.
     pub fn log_bytes(&self) -> usize {
         self.log.payload_bytes()
@@ -187,10 +192,11 @@
         now.since(contact) < self.settings.election_timeout.mul_f64(0.9)
     }
 
-    /// Whether a follower's log is within `entries` of the leader's.
+    /// Whether a follower's log is within `entries` of the leader's. One that has acknowledged nothing is not,
+    /// however short the log: it may not even exist.
     pub fn is_caught_up(&self, replica: ReplicaId, entries: u64) -> bool {
-        let progress = self.followers.get(replica);
-        progress.is_some_and(|progress| progress.match_index + entries >= self.log.last_index())
+        let Some(progress) = self.followers.get(replica) else { return false };
+        progress.match_index > 0 && progress.match_index + entries >= self.log.last_index()
     }
 
     /// Takes the actions that have come together.
--- a/crates/simulation/src/gateway.rs
+++ b/crates/simulation/src/gateway.rs
@@ -260,6 +260,10 @@
                 self.nodes[node].tasks.remove(&call);
             }
             (_, Reply::Refused(problem)) => self.refuse(node, call, problem),
+            (_, Reply::Abandoned) => {
+                let problem = Problem::unknown(ResultCode::NotCommitted, "the call was given up meanwhile");
+                self.refuse(node, call, problem);
+            }
             (Stage::Beginning, Reply::Run(run)) => self.place(node, call, *run),
             (Stage::Beginning, Reply::Replay(recorded)) => {
                 self.answer_turn(node, call, recorded.answer.message);
--- a/crates/simulation/src/report.rs
+++ b/crates/simulation/src/report.rs
@@ -32,6 +32,8 @@
     pub turns: u64,
     /// Longest time, in microseconds, for which no leader could answer, by shard group.
     pub longest_without_leader_micros: u64,
+    /// The replicas as they stood at the end, in words.
+    pub replicas: Vec<String>,
     /// Events processed.
     pub events: u64,
     /// The guarantees.
