--- a/crates/shard/src/replica.rs
+++ b/crates/shard/src/replica.rs
@@ -206,11 +206,19 @@
         }
         if !step.entries.is_empty() {
             let commands = step.entries.iter().map(encode_entry);
-            // Where leadership was lost meanwhile, the commands' callers are told by `LostLeadership`.
-            let _ = self.replica.propose(commands, now);
+            if self.replica.propose(commands, now).is_err() {
+                self.forget_proposals();
+            }
         }
     }
 
+    /// Begins the leader's volatile half anew where the log took no proposal, as while leadership is being handed
+    /// over: what it counts as proposed would never be applied. Callers are told to ask again.
+    fn forget_proposals(&mut self) {
+        self.leader = self.leader.is_some().then(|| ShardLeader::new(self.settings.leader));
+        self.outputs.push(ShardOutput::LostLeadership);
+    }
+
     /// Runs the replication actions until none is left; applying an entry may cause new ones.
     pub(crate) fn run_actions(&mut self, now: Timestamp) {
         let mut actions = VecDeque::from(self.replica.take_actions());
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -798,11 +798,13 @@
         if is_stopping {
             return false;
         }
-        let shards = self.nodes.iter().filter_map(|one| one.shard.as_ref());
-        let leading = shards.max_by_key(|shard| (shard.replica().committed(), shard.replica().term()));
-        let Some(leading) = leading else { return false };
-        let configuration = leading.replica().configuration();
-        let committed = leading.replica().committed();
+        let shards = || self.nodes.iter().filter_map(|one| one.shard.as_ref());
+        let committed = shards().map(|shard| shard.replica().committed()).max().unwrap_or(0);
+        // A configuration that is not committed yet is in force all the same where it stands in the log.
+        shards().all(|shard| self.bears_loss_under(shard.replica().configuration(), committed, node))
+    }
+
+    fn bears_loss_under(&self, configuration: &Configuration, committed: u64, node: usize) -> bool {
         let holds = |voter: &&ReplicaId| {
             let index = node_index(voter.node);
             let one = &self.nodes[index];
