--- a/crates/program/src/leader.rs
+++ b/crates/program/src/leader.rs
@@ -589,11 +589,15 @@
         let turns = state.programs().filter_map(|(_, record)| record.in_flight.clone());
         for in_flight in turns.collect::<Vec<_>>() {
             let accepted = *in_flight.accepted;
-            if !self.is_gone(accepted.runner, now, is_alive) || self.proposed.contains_key(&accepted.program)
-            {
+            let is_gone = self.is_gone(accepted.runner, now, is_alive);
+            let is_overdue = now >= accepted.give_up_at;
+            if self.proposed.contains_key(&accepted.program) || !(is_gone || is_overdue) {
                 continue;
             }
-            let reason = format!("node {} that ran it is gone", accepted.runner.node);
+            let reason = match is_gone {
+                true => format!("node {} that ran it is gone", accepted.runner.node),
+                false => format!("node {} did not end it in time", accepted.runner.node),
+            };
             self.note(&accepted.program, DecisionKind::Abandoned, Some(accepted.turn), reason, now);
             let abandoned = TurnAbandoned {
                 program: accepted.program,
