--- /dev/null
+++ b/crates/config/tests/files.rs
@@ -0,0 +1,55 @@
+//! Settings and bundles: the examples are valid, and every mistake is reported at once.
+
+use sumacdrift_config::{ApiKeyHash, Bundle, Settings};
+
+const SETTINGS: &str = include_str!("../../../examples/node.toml");
+const BUNDLE: &str = include_str!("../../../examples/bundle.toml");
+
+#[test]
+fn the_example_settings_are_valid() {
+    let settings = Settings::parse("node.toml", SETTINGS).expect("valid settings");
+    assert_eq!(settings.id.0, 1);
+    assert_eq!(settings.roles.len(), 3);
+}
+
+#[test]
+fn the_example_bundle_is_valid_and_knows_its_key() {
+    let bundle = Bundle::parse("bundle.toml", BUNDLE).expect("a valid bundle");
+    let tenant = bundle.tenant_of_key(&ApiKeyHash::of("example-key")).expect("the key's tenant");
+    assert_eq!(tenant.name.as_str(), "build-farm");
+    assert!(bundle.tenant_of_key(&ApiKeyHash::of("other-key")).is_none());
+    let hooks = bundle.services.values().next().expect("a service");
+    assert!(hooks.is_repeatable("POST", "/status/x"));
+    assert!(!hooks.is_repeatable("POST", "/sign"));
+    assert!(!hooks.is_repeatable("GET", "/sign"));
+}
+
+#[test]
+fn all_mistakes_of_settings_are_reported_at_once() {
+    let text = "[node]\nid = 0\nregion = \"two words\"\nroles = [\"cook\"]\ncolour = \"red\"\n\
+                [listen]\ncallers = \"localhost:80\"\npeers = \"127.0.0.1:1\"\n\
+                [fleet]\nshards = \"many\"\n[log]\nlevel = \"loud\"\n";
+    let mistakes = Settings::parse("node.toml", text).expect_err("mistakes");
+    insta::assert_snapshot!(mistakes.to_string());
+}
+
+#[test]
+fn all_mistakes_of_a_bundle_are_reported_at_once() {
+    let text = "schema = 9\ngeneration = 0\n[[pool]]\nname = \"a\"\nmodels = []\nspeed = 3\n\
+                [[pool.engine]]\nname = \"e\"\naddress = \"engine.local:1\"\nzone = \"z\"\n\
+                [[pool.engine]]\nname = \"f\"\naddress = \"127.0.0.1:1\"\nzone = \"z\"\n\
+                [[pool]]\nname = \"b\"\nmodels = [\"m\"]\n\
+                [[pool.engine]]\nname = \"f\"\naddress = \"127.0.0.1:2\"\nzone = \"z\"\n\
+                [[tenant]]\nname = \"t\"\nkey_sha256 = [\"my-secret-key\"]\npriority = \"none\"\n\
+                pools = [\"c\"]\n";
+    let mistakes = Bundle::parse("bundle.toml", text).expect_err("mistakes").to_string();
+    assert!(!mistakes.contains("my-secret-key"), "a key must not be repeated in a message");
+    insta::assert_snapshot!(mistakes);
+}
+
+#[test]
+fn a_syntax_error_has_its_line() {
+    let mistakes = Settings::parse("node.toml", "[node]\nid = = 3\n").expect_err("a mistake");
+    assert_eq!(mistakes.0.len(), 1);
+    assert_eq!(mistakes.0[0].line, 2);
+}
--- /dev/null
+++ b/crates/gateway/tests/bad_input.rs
@@ -0,0 +1,245 @@
+//! Bad input at the callers' face: a numbered code, a problem body, a true `ran`, and nothing dispatched.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use axum::Router;
+use axum::body::Body;
+use axum::http::{Request, StatusCode};
+use http_body_util::BodyExt;
+use serde_json::Value;
+use sumacdrift_config::Bundle;
+use sumacdrift_gateway::{
+    ChatCall, ChatHead, ChatItem, ChatStream, DispatchFuture, Dispatcher, GatewaySettings, ProgramCall,
+    ServiceAnswer, ServiceCall, TenantLimits, router,
+};
+use sumacdrift_program::{Page, ProgramReport};
+use sumacdrift_types::{ChatMessage, Problem, ResultCode, TurnNumber, Usage};
+use tokio::sync::mpsc;
+use tower::ServiceExt;
+
+const KEY: &str = "example-key";
+
+/// Answers every turn with one word and counts how many it got.
+struct OneWord {
+    bundle: Arc<Bundle>,
+    dispatched: AtomicUsize,
+}
+
+impl Dispatcher for OneWord {
+    fn configuration(&self) -> Option<Arc<Bundle>> {
+        Some(Arc::clone(&self.bundle))
+    }
+
+    fn check_ready(&self) -> Result<(), Problem> {
+        Ok(())
+    }
+
+    fn chat(self: Arc<Self>, call: ChatCall) -> DispatchFuture<ChatStream> {
+        self.dispatched.fetch_add(1, Ordering::Relaxed);
+        Box::pin(async move {
+            let (sender, items) = mpsc::channel(8);
+            let delta = "{\"content\":\"word\"}".to_owned();
+            let end = ChatItem::Finished { reason: "stop".to_owned(), usage: Usage::default() };
+            for item in
+                [ChatItem::Deltas(vec![delta]), ChatItem::Message(ChatMessage::assistant("word")), end]
+            {
+                sender.send(item).await.expect("the queue has room");
+            }
+            let head = ChatHead { program: call.program, turn: TurnNumber(0), is_replay: false };
+            Ok(ChatStream { head, items })
+        })
+    }
+
+    fn service(self: Arc<Self>, _: ServiceCall) -> DispatchFuture<ServiceAnswer> {
+        self.dispatched.fetch_add(1, Ordering::Relaxed);
+        Box::pin(async { Err(Problem::not_run(ResultCode::IdempotencyKeyRequired, "a key is needed")) })
+    }
+
+    fn describe(self: Arc<Self>, _: ProgramCall, _: Page) -> DispatchFuture<ProgramReport> {
+        Box::pin(async { Err(Problem::not_run(ResultCode::UnknownProgram, "no such program")) })
+    }
+
+    fn end_program(self: Arc<Self>, _: ProgramCall) -> DispatchFuture<()> {
+        Box::pin(async { Ok(()) })
+    }
+}
+
+struct Face {
+    dispatcher: Arc<OneWord>,
+    router: Router,
+}
+
+fn face() -> Face {
+    let text = include_str!("../../../examples/bundle.toml");
+    let bundle = Arc::new(Bundle::parse("bundle.toml", text).expect("the example is valid"));
+    let dispatcher = Arc::new(OneWord { bundle, dispatched: AtomicUsize::new(0) });
+    let settings = GatewaySettings { body_bytes: 2000, body_timeout: Duration::from_secs(5) };
+    let router = router(dispatcher.clone(), TenantLimits::default(), settings);
+    Face { dispatcher, router }
+}
+
+fn chat(body: &str) -> axum::http::request::Builder {
+    let _ = body;
+    Request::post("/v1/chat/completions").header("authorization", format!("Bearer {KEY}"))
+}
+
+struct Refused {
+    status: StatusCode,
+    problem: Value,
+    has_call: bool,
+}
+
+async fn refused(face: &Face, request: Request<Body>) -> Refused {
+    let response = face.router.clone().oneshot(request).await.expect("the router answers");
+    let content_type = response.headers().get("content-type").cloned().expect("a content type");
+    assert_eq!(content_type, "application/problem+json");
+    let (status, has_call) = (response.status(), response.headers().contains_key("sumacdrift-call"));
+    let bytes = response.into_body().collect().await.expect("a body").to_bytes();
+    Refused { status, problem: serde_json::from_slice(&bytes).expect("JSON"), has_call }
+}
+
+async fn assert_refused(request: Request<Body>, code: ResultCode) {
+    let face = face();
+    let refused = refused(&face, request).await;
+    assert_eq!(refused.problem["code"], code.number(), "{}", refused.problem);
+    assert_eq!(refused.status.as_u16(), code.http_status());
+    assert_eq!(refused.problem["ran"], "no");
+    assert_eq!(face.dispatcher.dispatched.load(Ordering::Relaxed), 0, "nothing may be dispatched");
+}
+
+const GOOD: &str = r#"{"model":"emulated-8b","messages":[{"role":"user","content":"hello"}]}"#;
+
+#[tokio::test]
+async fn malformed_bodies_are_refused() {
+    let bodies = [
+        "",
+        "{",
+        "[]",
+        "{\"messages\":[]}",
+        "{\"model\":7,\"messages\":[{\"role\":\"user\"}]}",
+        "{\"model\":\"emulated-8b\"}",
+        "{\"model\":\"emulated-8b\",\"messages\":[]}",
+        "{\"model\":\"emulated-8b\",\"messages\":[7]}",
+        "{\"model\":\"emulated-8b\",\"messages\":[{\"content\":\"no role\"}]}",
+        "{\"model\":\"emulated-8b\",\"messages\":[{\"role\":\"user\"}],\"stream\":\"yes\"}",
+        "{\"model\":\"emulated-8b\",\"messages\":[{\"role\":\"user\"}],\"max_tokens\":0}",
+        "{\"model\":\"emulated-8b\",\"messages\":[{\"role\":\"user\"}],\"stream_options\":3}",
+        "{\"model\":\"two words\",\"messages\":[{\"role\":\"user\"}]}",
+    ];
+    for body in bodies {
+        let request = chat(body).body(Body::from(body.to_owned())).expect("a request");
+        assert_refused(request, ResultCode::MalformedBody).await;
+    }
+}
+
+#[tokio::test]
+async fn several_answers_to_one_turn_are_refused() {
+    let body = r#"{"model":"emulated-8b","messages":[{"role":"user"}],"n":2}"#;
+    let request = chat(body).body(Body::from(body)).expect("a request");
+    assert_refused(request, ResultCode::UnsupportedParameter).await;
+}
+
+#[tokio::test]
+async fn a_body_over_the_limit_is_refused() {
+    let body = format!("{{\"model\":\"emulated-8b\",\"messages\":[],\"x\":\"{}\"}}", "a".repeat(3000));
+    let request = chat(&body).body(Body::from(body.clone())).expect("a request");
+    assert_refused(request, ResultCode::BodyTooLarge).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_body_that_never_ends_is_refused_in_time() {
+    let endless = futures::stream::pending::<Result<bytes::Bytes, std::io::Error>>();
+    let request = chat("").body(Body::from_stream(endless)).expect("a request");
+    assert_refused(request, ResultCode::RequestTooSlow).await;
+}
+
+#[tokio::test]
+async fn unknown_keys_are_refused() {
+    for authorization in ["", "Bearer wrong", "Basic example-key", "example-key"] {
+        let request = Request::post("/v1/chat/completions").header("authorization", authorization);
+        assert_refused(request.body(Body::from(GOOD)).expect("a request"), ResultCode::Unauthenticated).await;
+    }
+    let request = Request::post("/v1/chat/completions").body(Body::from(GOOD)).expect("a request");
+    assert_refused(request, ResultCode::Unauthenticated).await;
+}
+
+#[tokio::test]
+async fn malformed_headers_are_refused() {
+    let long = "x".repeat(200);
+    let cases: Vec<Vec<(&str, &str)>> = vec![
+        vec![("sumacdrift-program", "")],
+        vec![("sumacdrift-program", "two words")],
+        vec![("sumacdrift-program", &long)],
+        vec![("sumacdrift-program", "a"), ("sumacdrift-program", "b")],
+        vec![("sumacdrift-program", "a"), ("sumacdrift-turn", "-1")],
+        vec![("sumacdrift-program", "a"), ("sumacdrift-turn", "one")],
+        vec![("sumacdrift-program", "a"), ("sumacdrift-turn", "99999999999")],
+        vec![("sumacdrift-program", "a"), ("sumacdrift-parent", "a")],
+        vec![("sumacdrift-program", "a"), ("sumacdrift-history", "some")],
+        vec![("sumacdrift-program", "a"), ("sumacdrift-deadline-seconds", "0")],
+        vec![("sumacdrift-program", "a"), ("sumacdrift-deadline-seconds", "NaN")],
+        vec![("sumacdrift-turn", "0")],
+        vec![("sumacdrift-parent", "p")],
+        vec![("sumacdrift-history", "append")],
+        vec![("idempotency-key", "two words")],
+    ];
+    for headers in cases {
+        let mut request = chat(GOOD);
+        for (name, value) in &headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(Body::from(GOOD)).expect("a request");
+        assert_refused(request, ResultCode::InvalidHeader).await;
+    }
+}
+
+#[tokio::test]
+async fn unknown_paths_and_methods_are_refused() {
+    let request = Request::get("/nowhere").body(Body::empty()).expect("a request");
+    assert_refused(request, ResultCode::NotFound).await;
+    let request = Request::put("/v1/chat/completions").body(Body::empty()).expect("a request");
+    assert_refused(request, ResultCode::MethodNotAllowed).await;
+    let authorization = format!("Bearer {KEY}");
+    let request = Request::get("/services/nothing/x").header("authorization", &authorization);
+    assert_refused(request.body(Body::empty()).expect("a request"), ResultCode::NotFound).await;
+}
+
+#[tokio::test]
+async fn refusals_name_the_call() {
+    let face = face();
+    let request = chat("{").body(Body::from("{")).expect("a request");
+    assert!(refused(&face, request).await.has_call);
+}
+
+#[tokio::test]
+async fn a_whole_answer_has_the_published_form() {
+    let face = face();
+    let request = chat(GOOD).body(Body::from(GOOD)).expect("a request");
+    let response = face.router.clone().oneshot(request).await.expect("the router answers");
+    assert_eq!(response.status(), StatusCode::OK);
+    let bytes = response.into_body().collect().await.expect("a body").to_bytes();
+    let answer: Value = serde_json::from_slice(&bytes).expect("JSON");
+    assert_eq!(answer["object"], "chat.completion");
+    assert_eq!(answer["choices"][0]["message"]["content"], "word");
+    assert_eq!(answer["choices"][0]["finish_reason"], "stop");
+}
+
+#[tokio::test]
+async fn a_streamed_answer_ends_with_usage_and_done() {
+    let face = face();
+    let body = r#"{"model":"emulated-8b","stream":true,"stream_options":{"include_usage":true},
+        "messages":[{"role":"user","content":"hello"}]}"#;
+    let request = chat(body).body(Body::from(body)).expect("a request");
+    let response = face.router.clone().oneshot(request).await.expect("the router answers");
+    let bytes = response.into_body().collect().await.expect("a body").to_bytes();
+    let text = String::from_utf8(bytes.to_vec()).expect("text");
+    let events: Vec<&str> = text.split("\n\n").filter(|event| !event.is_empty()).collect();
+    assert_eq!(events.len(), 5, "{text}");
+    assert!(events[0].contains("\"role\":\"assistant\""));
+    assert!(events[1].contains("\"content\":\"word\""));
+    assert!(events[2].contains("\"finish_reason\":\"stop\""));
+    assert!(events[3].contains("\"usage\""));
+    assert_eq!(events[4], "data: [DONE]");
+}
