--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod overhead;
 mod program_run;
 mod report;
+pub mod slopes;
 mod statistics;
 mod workload;
 
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -7,7 +7,7 @@
 use slog::Logger;
 use sumacdrift_bench::campaign::{self, CampaignOptions};
 use sumacdrift_bench::demo::{self, DemoOptions};
-use sumacdrift_bench::{BenchError, overhead};
+use sumacdrift_bench::{BenchError, overhead, slopes};
 use sumacdrift_config::LogLevel;
 use sumacdrift_node::{discard_logger, json_logger};
 use sumacdrift_simulation::parse_faults;
@@ -29,6 +29,7 @@
     };
     let outcome = match matches.subcommand() {
         Some(("demo", arguments)) => runtime.block_on(run_demo(arguments)),
+        Some(("slopes", arguments)) => run_slopes(arguments),
         Some(("simulate", arguments)) => run_simulate(arguments),
         Some(("overhead", arguments)) => runtime.block_on(run_overhead(arguments)),
         _ => Ok(ExitCode::from(EXIT_FAILED)),
@@ -54,6 +55,11 @@
                 .arg(report_flag())
                 .arg(log_flag()),
         )
+        .subcommand(
+            Command::new("slopes")
+                .about("What one program, member, message and decision cost, for docs/CAPACITY.md")
+                .arg(report_flag()),
+        )
         .subcommand(
             Command::new("simulate")
                 .about("The real state machines on a virtual clock, with faults, against an oracle")
@@ -124,6 +130,13 @@
     Ok(ExitCode::SUCCESS)
 }
 
+fn run_slopes(arguments: &ArgMatches) -> Result<ExitCode, BenchError> {
+    let report = slopes::run()?;
+    print!("{}", report.table());
+    write_report(arguments, &report)?;
+    Ok(ExitCode::SUCCESS)
+}
+
 fn run_simulate(arguments: &ArgMatches) -> Result<ExitCode, BenchError> {
     let list = arguments.get_one::<String>("faults").map(String::as_str).unwrap_or("all");
     let faults = match parse_faults(list) {
--- /dev/null
+++ b/crates/bench/src/slopes.rs
@@ -0,0 +1,333 @@
+//! `sumacbench slopes`: what one program, member, message and decision cost, for `docs/CAPACITY.md`.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use serde::Serialize;
+use sumacdrift_membership::{Detector, Effect, Member, MemberState, MembershipSettings, RoleSet};
+use sumacdrift_program::{Answer, BeginTurn, BudgetLimits, Command, FinishTurn, KnownPrefix, Runner};
+use sumacdrift_proto::{GroupMessage, OneWay, Wire};
+use sumacdrift_replication::{AppendEntries, Configuration, Message, ReplicaId};
+use sumacdrift_scheduling::{EngineQueue, QueueSettings, Work, context_prefixes};
+use sumacdrift_shard::{ProgramShard, ShardSettings};
+use sumacdrift_types::{
+    CallId, ChatMessage, EngineName, HistoryMode, Incarnation, InvalidName, NodeId, ProgramId, RegionName,
+    ShardId, TenantName, Timestamp, TurnNumber, Usage, ZoneName,
+};
+
+/// Turns of the programs that are measured.
+const TURNS: [u32; 3] = [10, 100, 510];
+/// Bytes of text that a turn adds; 510 turns make about 120,000 tokens.
+const TURN_BYTES: usize = 940;
+/// Tokens of all programs together, so that each measurement takes about the same memory.
+const TOTAL_TURNS: u32 = 51_000;
+/// Sizes of fleet that are measured.
+const FLEETS: [usize; 4] = [50, 100, 200, 410];
+/// Virtual time for which membership runs.
+const MEMBERSHIP_TIME: Duration = Duration::from_secs(60);
+/// Virtual time in which a fleet comes together before it is measured.
+const WARM_UP: Duration = Duration::from_secs(240);
+/// Numbers of waiting calls with which a bid is timed.
+const QUEUES: [usize; 3] = [0, 10, 1000];
+
+/// What programs cost.
+#[derive(Debug, Clone, Serialize)]
+pub struct ProgramSlope {
+    /// Turns of each program.
+    pub turns: u32,
+    /// Resident bytes that one program adds to a replica.
+    pub resident_bytes: u64,
+    /// Bytes of its text.
+    pub text_bytes: u64,
+    /// Bytes that its entries take in the replicated log, all turns together.
+    pub log_bytes: u64,
+    /// Microseconds of processor time for a turn at the leader of a group of one: admission, commit, encoding.
+    pub micros_per_turn: f64,
+}
+
+/// What membership costs a node.
+#[derive(Debug, Clone, Serialize)]
+pub struct MembershipSlope {
+    /// Nodes.
+    pub nodes: usize,
+    /// Bytes that a node sends a second.
+    pub bytes_per_second: f64,
+    /// Messages that a node sends a second.
+    pub messages_per_second: f64,
+    /// Microseconds of processor time a second.
+    pub micros_per_second: f64,
+}
+
+/// What a bid costs.
+#[derive(Debug, Clone, Serialize)]
+pub struct BidSlope {
+    /// Calls that wait at the engine.
+    pub queued: usize,
+    /// Microseconds for a bid.
+    pub micros: f64,
+}
+
+/// All slopes.
+#[derive(Debug, Clone, Serialize)]
+pub struct SlopeReport {
+    /// Programs.
+    pub programs: Vec<ProgramSlope>,
+    /// Membership.
+    pub membership: Vec<MembershipSlope>,
+    /// Bids.
+    pub bids: Vec<BidSlope>,
+    /// Bytes of a replication heartbeat on the wire.
+    pub heartbeat_bytes: usize,
+}
+
+/// Measures everything.
+pub fn run() -> Result<SlopeReport, InvalidName> {
+    let mut kept = Vec::new();
+    let programs = TURNS.into_iter().map(|turns| measure_programs(turns, &mut kept));
+    Ok(SlopeReport {
+        programs: programs.collect::<Result<_, _>>()?,
+        membership: FLEETS.into_iter().map(measure_membership).collect::<Result<_, _>>()?,
+        bids: QUEUES.into_iter().map(measure_bids).collect::<Result<_, _>>()?,
+        heartbeat_bytes: heartbeat_bytes(),
+    })
+}
+
+fn replica(node: u32) -> ReplicaId {
+    ReplicaId { node: NodeId(node), incarnation: Incarnation(1_796_197_169_009_133) }
+}
+
+fn resident_bytes() -> u64 {
+    const PAGE_BYTES: u64 = 4096;
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split_whitespace().nth(1).and_then(|field| field.parse::<u64>().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
+
+/// Runs programs on a shard. Shards are kept, since memory that one gives back would hide what the next takes.
+fn measure_programs(turns: u32, kept: &mut Vec<ProgramShard>) -> Result<ProgramSlope, InvalidName> {
+    let resident_before = resident_bytes();
+    let own = replica(1);
+    let configuration = Configuration::of_voters([own]);
+    let mut now = Timestamp(1_000_000);
+    let mut shard = ProgramShard::found(ShardId(0), own, configuration, ShardSettings::default(), 1, now);
+    for _ in 0..100 {
+        now = now + Duration::from_millis(50);
+        shard.tick(now, &|_| true);
+    }
+    let programs = TOTAL_TURNS / turns;
+    let mut log_bytes = 0;
+    let started = Instant::now();
+    for program in 0..programs {
+        let before = shard.replica().committed();
+        run_program(&mut shard, program, turns, now)?;
+        if program == 0 {
+            log_bytes = shard.replica().log_bytes() as u64;
+        }
+        debug_assert!(shard.replica().committed() > before);
+    }
+    let micros_per_turn = started.elapsed().as_secs_f64() * 1e6 / f64::from(programs * turns);
+    let resident = resident_bytes().saturating_sub(resident_before);
+    kept.push(shard);
+    Ok(ProgramSlope {
+        turns,
+        resident_bytes: resident / u64::from(programs),
+        text_bytes: u64::from(turns) * TURN_BYTES as u64,
+        log_bytes,
+        micros_per_turn,
+    })
+}
+
+fn run_program(shard: &mut ProgramShard, number: u32, turns: u32, now: Timestamp) -> Result<(), InvalidName> {
+    let program = ProgramId::new(&format!("program-{number}"))?;
+    let tenant = TenantName::new("tenant")?;
+    let engine = EngineName::new("engine-0")?;
+    let half = "x".repeat(TURN_BYTES / 2);
+    for turn in 0..turns {
+        let call = CallId(u128::from(number) << 32 | u128::from(turn));
+        let text = format!("{{\"content\":\"{number}/{turn} {half}\",\"role\":\"user\"}}");
+        let begin = BeginTurn {
+            call,
+            program: program.clone(),
+            tenant: tenant.clone(),
+            parent: None,
+            turn: Some(TurnNumber(turn)),
+            key: None,
+            mode: HistoryMode::Append,
+            known_prefix: KnownPrefix::default(),
+            messages: vec![ChatMessage::from_canonical(text)],
+            wanted_output: 256,
+            limits: BudgetLimits {
+                turns: u32::MAX,
+                input_tokens: u64::MAX / 2,
+                output_tokens: u64::MAX / 2,
+                seconds: u64::MAX / 2,
+                sub_agents: 0,
+            },
+            runner: Runner { node: NodeId(1), incarnation: Incarnation(1) },
+            wait_until: now,
+            run_limit: Duration::from_secs(60),
+        };
+        let finish = FinishTurn {
+            program: program.clone(),
+            call,
+            answer: Answer {
+                message: ChatMessage::assistant(&format!("{number}/{turn} {half}")),
+                finish_reason: "stop".to_owned(),
+            },
+            usage: Usage { prompt_tokens: 1, cached_tokens: 0, output_tokens: 117 },
+            engine: engine.clone(),
+            other_engines: Vec::new(),
+            reason: String::new(),
+        };
+        for command in [Command::BeginTurn(Box::new(begin)), Command::FinishTurn(Box::new(finish))] {
+            // A group of one leads from its first election on, so nothing is refused here.
+            let _ = shard.command(command, now);
+            shard.take_outputs();
+        }
+    }
+    Ok(())
+}
+
+fn measure_membership(nodes: usize) -> Result<MembershipSlope, InvalidName> {
+    let mut detectors = Vec::with_capacity(nodes);
+    for number in 0..nodes {
+        let own = member(number)?;
+        let seeds = vec![address(0)];
+        detectors.push(Detector::new(own, seeds, MembershipSettings::default(), number as u64));
+    }
+    let mut now = Timestamp(1_000_000);
+    let step = Duration::from_millis(50);
+    let warm_up = run_membership(&mut detectors, &mut now, step, WARM_UP);
+    let started = Instant::now();
+    let steady = run_membership(&mut detectors, &mut now, step, MEMBERSHIP_TIME);
+    let seconds = MEMBERSHIP_TIME.as_secs_f64() * nodes as f64;
+    debug_assert!(warm_up.messages > 0);
+    Ok(MembershipSlope {
+        nodes,
+        bytes_per_second: steady.bytes as f64 / seconds,
+        messages_per_second: steady.messages as f64 / seconds,
+        micros_per_second: started.elapsed().as_secs_f64() * 1e6 / seconds,
+    })
+}
+
+#[derive(Default)]
+struct Sent {
+    messages: u64,
+    bytes: u64,
+}
+
+/// Lets a fleet of detectors talk over a network that delivers at once and loses nothing.
+fn run_membership(detectors: &mut [Detector], now: &mut Timestamp, step: Duration, length: Duration) -> Sent {
+    let end = *now + length;
+    let mut sent = Sent::default();
+    while *now < end {
+        *now = *now + step;
+        let mut pending = Vec::new();
+        for detector in detectors.iter_mut() {
+            detector.tick(*now);
+            pending.extend(detector.take_effects());
+        }
+        while let Some(effect) = pending.pop() {
+            let Effect::Send { to, envelope } = effect else { continue };
+            let message = OneWay::Membership(envelope.clone());
+            sent.messages += 1;
+            sent.bytes += message.encode().len() as u64 + FRAME_BYTES;
+            let number = usize::from(to.port()) - FIRST_PORT;
+            if let Some(detector) = detectors.get_mut(number) {
+                detector.receive(*envelope, *now);
+                pending.extend(detector.take_effects());
+            }
+        }
+    }
+    sent
+}
+
+/// Length and frame around a message.
+const FRAME_BYTES: u64 = 8;
+/// Port of the first hollow node.
+const FIRST_PORT: usize = 7000;
+
+fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], (FIRST_PORT + number) as u16))
+}
+
+fn member(number: usize) -> Result<Member, InvalidName> {
+    Ok(Member {
+        node: NodeId(number as u32 + 1),
+        incarnation: Incarnation(1_796_197_169_009_133),
+        refutation: 0,
+        state: MemberState::Alive,
+        is_leaving: false,
+        address: address(number),
+        region: RegionName::new(&format!("region-{}", number % 4))?,
+        zone: ZoneName::new(&format!("zone-{}", number % 9))?,
+        roles: RoleSet::PROGRAMS.with(RoleSet::ENGINES),
+    })
+}
+
+fn measure_bids(queued: usize) -> Result<BidSlope, InvalidName> {
+    const BIDS: u32 = 2_000;
+    let engine = EngineName::new("engine-0")?;
+    let settings = QueueSettings { max_queued: 10_000, ..QueueSettings::default() };
+    let mut queue = EngineQueue::new(engine, settings);
+    let now = Timestamp(1_000_000);
+    let running = settings.max_running;
+    for number in 0..queued + running {
+        let program = ProgramId::new(&format!("program-{number}"))?;
+        let messages = [ChatMessage::assistant(&format!("context of {program}"))];
+        let work = Work {
+            call: CallId(number as u128),
+            program,
+            tenant: TenantName::new("tenant")?,
+            rank: 0,
+            prefixes: context_prefixes(&messages),
+            max_output_tokens: 100,
+            attained_tokens: 0,
+            deadline: None,
+        };
+        queue.enqueue(work, now);
+    }
+    let prefixes = context_prefixes(&[ChatMessage::assistant("another")]);
+    let started = Instant::now();
+    let offered = (0..BIDS).filter(|_| queue.bid(&prefixes, now).is_some()).count();
+    let micros = started.elapsed().as_secs_f64() * 1e6 / offered.max(1) as f64;
+    Ok(BidSlope { queued, micros })
+}
+
+fn heartbeat_bytes() -> usize {
+    let message = Message::AppendEntries(AppendEntries {
+        term: 7,
+        previous_index: 1_000_000,
+        previous_term: 7,
+        membership: 0,
+        committed: 1_000_000,
+        sent_at_micros: 1_796_197_169_009_133,
+        entries: Vec::new(),
+    });
+    let group = GroupMessage { shard: ShardId(255), from: replica(410), to: replica(409), message };
+    OneWay::Group(Box::new(group)).encode().len() + FRAME_BYTES as usize
+}
+
+impl SlopeReport {
+    /// The report as a table for a person.
+    pub fn table(&self) -> String {
+        let mut table = String::new();
+        for one in &self.programs {
+            table.push_str(&format!(
+                "program of {:>3} turns: {:>8} bytes resident, {:>8} of text, {:>8} in the log, {:.1} us a turn\n",
+                one.turns, one.resident_bytes, one.text_bytes, one.log_bytes, one.micros_per_turn
+            ));
+        }
+        for one in &self.membership {
+            table.push_str(&format!(
+                "membership of {:>3} nodes: {:.0} bytes/s, {:.2} messages/s, {:.0} us of processor time a second\n",
+                one.nodes, one.bytes_per_second, one.messages_per_second, one.micros_per_second
+            ));
+        }
+        for one in &self.bids {
+            table.push_str(&format!("bid with {:>4} waiting: {:.2} us\n", one.queued, one.micros));
+        }
+        table.push_str(&format!("replication heartbeat: {} bytes\n", self.heartbeat_bytes));
+        table
+    }
+}
