--- a/crates/emulator/src/engine_http.rs
+++ b/crates/emulator/src/engine_http.rs
@@ -18,8 +18,8 @@
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
+use sumacdrift_transport::listen_tcp;
 use sumacdrift_types::{EngineName, ProgramId, Timestamp, TokenCount, Usage};
-use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -102,7 +102,7 @@
         held: HeldBlocks,
         origin: Instant,
     ) -> io::Result<Self> {
-        let listener = TcpListener::bind(at).await?;
+        let listener = listen_tcp(at)?;
         let address = listener.local_addr()?;
         let inner = Inner {
             model: EngineModel::new(settings, held),
--- a/crates/emulator/src/object_http.rs
+++ b/crates/emulator/src/object_http.rs
@@ -14,8 +14,8 @@
 use axum::{Json, Router};
 use serde::Deserialize;
 use serde_json::json;
+use sumacdrift_transport::listen_tcp;
 use sumacdrift_types::Timestamp;
-use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -50,7 +50,7 @@
 impl ObjectServer {
     /// Starts an empty object API.
     pub async fn start(at: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind(at).await?;
+        let listener = listen_tcp(at)?;
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
             store: Mutex::default(),
--- a/crates/emulator/src/tool_service.rs
+++ b/crates/emulator/src/tool_service.rs
@@ -10,7 +10,7 @@
 use axum::http::{HeaderMap, Method, StatusCode, Uri};
 use axum::response::{IntoResponse, Response};
 use serde_json::json;
-use tokio::net::TcpListener;
+use sumacdrift_transport::listen_tcp;
 use tokio_util::sync::CancellationToken;
 
 /// One request that the service carried out.
@@ -54,7 +54,7 @@
 impl ToolServer {
     /// Starts a service.
     pub async fn start(at: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind(at).await?;
+        let listener = listen_tcp(at)?;
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared::default());
         let stop = CancellationToken::new();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -12,7 +12,7 @@
 use sumacdrift_membership::{Member, MemberState, RoleSet};
 use sumacdrift_platform::ObjectClient;
 use sumacdrift_replication::ReplicaId;
-use sumacdrift_transport::{Network, TcpNetwork, TrafficCounters, Transport};
+use sumacdrift_transport::{Network, TcpNetwork, TrafficCounters, Transport, listen_tcp};
 use sumacdrift_types::{Generation, Incarnation};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -119,8 +119,8 @@
 impl Node {
     /// Starts a node. It is ready when its configuration is in force and it belongs to a fleet.
     pub async fn start(settings: Settings, options: StartOptions) -> Result<Node, StartError> {
-        let callers = listen(settings.listen.callers).await?;
-        let admin_listener = listen(settings.listen.admin).await?;
+        let callers = listen(settings.listen.callers)?;
+        let admin_listener = listen(settings.listen.admin)?;
         let peer_address = settings.listen.peers;
         let acceptor = options.network.listen(peer_address).await;
         let acceptor = acceptor.map_err(|error| StartError::Listen { address: peer_address, error })?;
@@ -371,8 +371,8 @@
     }
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
-    TcpListener::bind(address).await.map_err(|error| StartError::Listen { address, error })
+fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
+    listen_tcp(address).map_err(|error| StartError::Listen { address, error })
 }
 
 fn local_address(listener: &TcpListener, asked: SocketAddr) -> SocketAddr {
--- a/crates/transport/src/network.rs
+++ b/crates/transport/src/network.rs
@@ -6,7 +6,7 @@
 use std::pin::Pin;
 
 use tokio::io::{AsyncRead, AsyncWrite};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 /// A byte stream in both directions.
 pub trait Stream: AsyncRead + AsyncWrite + Send + Unpin {}
@@ -53,13 +53,26 @@
 
     fn listen(&self, at: SocketAddr) -> BoxedFuture<'_, io::Result<Box<dyn Acceptor>>> {
         Box::pin(async move {
-            let listener = TcpListener::bind(at).await?;
+            let listener = listen_tcp(at)?;
             let address = listener.local_addr()?;
             Ok(Box::new(TcpAcceptor { listener, address }) as Box<dyn Acceptor>)
         })
     }
 }
 
+/// Connections that may wait to be accepted. The default of 128 overflows when a few hundred callers connect at
+/// once, and each refused one then waits a second before it tries again.
+const BACKLOG: u32 = 4096;
+
+/// Listens on a TCP address, with room for a burst of connections.
+pub fn listen_tcp(at: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    // A node that restarts must get its address back while old connections linger.
+    socket.set_reuseaddr(true)?;
+    socket.bind(at)?;
+    socket.listen(BACKLOG)
+}
+
 struct TcpAcceptor {
     listener: TcpListener,
     address: SocketAddr,
