--- a/crates/bench/src/campaign.rs
+++ b/crates/bench/src/campaign.rs
@@ -5,7 +5,8 @@
 use std::sync::{Mutex, PoisonError};
 
 use serde::Serialize;
-use sumacdrift_simulation::{FaultKind, GuaranteeResult, SimulationOptions, SimulationReport, simulate};
+use sumacdrift_guarantees::GuaranteeResult;
+use sumacdrift_simulation::{FaultKind, SimulationOptions, SimulationReport, simulate};
 
 /// Failing runs that are kept whole.
 const KEPT_FAILURES: usize = 5;
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -14,4 +14,4 @@
 
 pub use caller::{Caller, ChatOutcome, ChatRequest, Refusal, ServiceOutcome};
 pub use fleet::{BenchError, Fleet, FleetPlan, RunningNode};
-pub use report::{DemoReport, GuaranteeResult};
+pub use report::DemoReport;
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -3,22 +3,10 @@
 use std::collections::BTreeMap;
 
 use serde::Serialize;
+use sumacdrift_guarantees::GuaranteeResult;
 
 use crate::statistics::Percentiles;
 
-/// One guarantee in a report.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
-pub struct GuaranteeResult {
-    /// Name.
-    pub name: String,
-    /// How often it was checked.
-    pub checked: u64,
-    /// How often it was violated.
-    pub violated: u64,
-    /// The first violations, in words.
-    pub examples: Vec<String>,
-}
-
 /// What a demo run showed.
 #[derive(Debug, Clone, Serialize)]
 pub struct DemoReport {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -41,6 +41,8 @@
 const LEAVE_TIME: Duration = Duration::from_millis(300);
 /// How long a planned stop tries to hand over the shards that it leads.
 const HAND_OVER_TIME: Duration = Duration::from_secs(5);
+/// How long a planned stop waits to be taken out of its groups.
+const LEAVE_GROUPS_TIME: Duration = Duration::from_secs(4);
 /// Pause between two tries to hand over.
 const HAND_OVER_PAUSE: Duration = Duration::from_millis(100);
 
@@ -185,12 +187,23 @@
         let connections_ended = (&mut self.gateway).await.unwrap_or(false);
         // Shards may have come to be led here again while calls finished.
         self.hand_over().await;
+        self.leave_groups().await;
         self.context.stopped.cancel();
         let is_clean = calls_ended && connections_ended;
         info!(self.context.logger, "node stopped"; "every_call_finished" => is_clean);
         is_clean
     }
 
+    /// Waits, within bounds, until the other nodes have taken this one's replicas out of their groups, so that
+    /// the groups bear the next loss at once.
+    async fn leave_groups(&self) {
+        let deadline = tokio::time::Instant::now() + LEAVE_GROUPS_TIME;
+        let has_peers = !self.fleet.live_peers().is_empty();
+        while has_peers && self.host.votes() > 0 && tokio::time::Instant::now() < deadline {
+            tokio::time::sleep(HAND_OVER_PAUSE).await;
+        }
+    }
+
     async fn hand_over(&self) {
         let deadline = tokio::time::Instant::now() + HAND_OVER_TIME;
         while self.host.hand_over() > 0 && tokio::time::Instant::now() < deadline {
--- a/crates/node/src/peer_handler.rs
+++ b/crates/node/src/peer_handler.rs
@@ -16,7 +16,7 @@
 use crate::engine_owner::EngineOwner;
 use crate::fleet::Fleet;
 use crate::founding::FoundingState;
-use crate::shard_client::{ShardClient, call_of};
+use crate::shard_client::ShardClient;
 use crate::shard_host::{HostReply, ShardHost};
 
 /// Hands messages of other nodes to the parts that they are for.
@@ -61,7 +61,7 @@
 
 impl PeerHandler {
     async fn shard_request(&self, request: ShardRequest) -> Response {
-        let call = call_of(&request.command);
+        let call = request.command.call();
         match self.client.ask_here(request.shard, call, &request.command).await {
             HostReply::Reply(reply) => Response::Shard(Box::new(reply)),
             HostReply::NotLeader(hint) => {
--- a/crates/node/src/shard_client.rs
+++ b/crates/node/src/shard_client.rs
@@ -265,22 +265,3 @@
 pub(crate) fn has_reply(command: &Command) -> bool {
     !matches!(command, Command::ForgetWaiting { .. } | Command::ReturnChild { .. })
 }
-
-/// The call that a command names, by which its answer is found.
-pub(crate) fn call_of(command: &Command) -> CallId {
-    match command {
-        Command::BeginTurn(begin) => begin.call,
-        Command::FinishTurn(finish) => finish.call,
-        Command::GrantChild(grant) => grant.call,
-        Command::BeginService(begin) => begin.call,
-        Command::AbandonTurn { call, .. }
-        | Command::ForgetWaiting { call, .. }
-        | Command::EndProgram { call, .. }
-        | Command::Describe { call, .. }
-        | Command::ListGone { call, .. }
-        | Command::FinishService { call, .. }
-        | Command::ReleaseService { call, .. }
-        | Command::LoseService { call, .. } => *call,
-        Command::ReturnChild { .. } => CallId(0),
-    }
-}
--- a/crates/node/src/shard_host.rs
+++ b/crates/node/src/shard_host.rs
@@ -179,6 +179,16 @@
         led
     }
 
+    /// Shards in which a replica here still votes.
+    pub(crate) fn votes(&self) -> usize {
+        let own = self.context.own;
+        let is_voter = |hosted: &Arc<Mutex<Hosted>>| {
+            let hosted = lock(hosted);
+            hosted.shard.replica().configuration().is_voter(own) && !hosted.shard.is_removed()
+        };
+        self.all().iter().filter(|hosted| is_voter(hosted)).count()
+    }
+
     /// Shards led here, and how many of them have fewer replicas than they could have.
     pub(crate) fn repair_state(&self) -> (usize, usize) {
         let view = self.fleet.replica_view();
--- a/crates/program/src/command.rs
+++ b/crates/program/src/command.rs
@@ -110,6 +110,27 @@
     },
 }
 
+impl Command {
+    /// The call that the command names, by which its answer is found; 0 where it has no answer.
+    pub fn call(&self) -> CallId {
+        match self {
+            Command::BeginTurn(begin) => begin.call,
+            Command::FinishTurn(finish) => finish.call,
+            Command::GrantChild(grant) => grant.call,
+            Command::BeginService(begin) => begin.call,
+            Command::AbandonTurn { call, .. }
+            | Command::ForgetWaiting { call, .. }
+            | Command::EndProgram { call, .. }
+            | Command::Describe { call, .. }
+            | Command::ListGone { call, .. }
+            | Command::FinishService { call, .. }
+            | Command::ReleaseService { call, .. }
+            | Command::LoseService { call, .. } => *call,
+            Command::ReturnChild { .. } => CallId(0),
+        }
+    }
+}
+
 /// A request to admit a turn.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct BeginTurn {
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -17,6 +17,5 @@
 mod world;
 
 pub use faults::{FaultKind, UnknownFault, parse_faults};
-pub use oracle::Guarantee;
-pub use report::{GuaranteeResult, SimulationReport};
+pub use report::SimulationReport;
 pub use world::{SimulationOptions, simulate};
--- a/crates/simulation/src/oracle.rs
+++ b/crates/simulation/src/oracle.rs
@@ -6,80 +6,17 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use sumacdrift_guarantees::{Guarantee, Tallies};
 use sumacdrift_program::Program;
 use sumacdrift_types::{CallId, ChatMessage, PrefixDigest, Problem, ProgramId, Ran, Timestamp};
 
 /// A leaving engine may still get calls for this long.
 const LEAVING_GRACE: Duration = Duration::from_secs(3);
 
-/// The brief's ten guarantees.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Guarantee {
-    /// The calls of one program are served in their order.
-    CallsInOrder,
-    /// A program's history is never lost and never mixed with another's.
-    HistoryKept,
-    /// A program's budget holds.
-    BudgetHolds,
-    /// No engine memory stays held for programs that are gone.
-    NoMemoryForGonePrograms,
-    /// Every caller gets the whole answer to its own request.
-    WholeAnswers,
-    /// A refusal that says "not run" is true.
-    NotRunIsTrue,
-    /// A request that may not be repeated runs at most once.
-    AtMostOnce,
-    /// A leaving back end gets no new work after a few seconds.
-    NoWorkForLeaving,
-    /// A planned stop cuts off no request.
-    PlannedStopCutsNothing,
-    /// An accepted configuration is in force everywhere within seconds and never reverts.
-    ConfigurationInForce,
-}
-
-impl Guarantee {
-    /// All of them.
-    pub const ALL: [Guarantee; 10] = [
-        Guarantee::CallsInOrder,
-        Guarantee::HistoryKept,
-        Guarantee::BudgetHolds,
-        Guarantee::NoMemoryForGonePrograms,
-        Guarantee::WholeAnswers,
-        Guarantee::NotRunIsTrue,
-        Guarantee::AtMostOnce,
-        Guarantee::NoWorkForLeaving,
-        Guarantee::PlannedStopCutsNothing,
-        Guarantee::ConfigurationInForce,
-    ];
-
-    /// The name used in reports.
-    pub fn name(self) -> &'static str {
-        match self {
-            Guarantee::CallsInOrder => "calls_in_order",
-            Guarantee::HistoryKept => "history_never_lost_or_mixed",
-            Guarantee::BudgetHolds => "budget_holds",
-            Guarantee::NoMemoryForGonePrograms => "no_engine_memory_for_gone_programs",
-            Guarantee::WholeAnswers => "whole_answer_to_own_request",
-            Guarantee::NotRunIsTrue => "not_run_is_true",
-            Guarantee::AtMostOnce => "unrepeatable_runs_at_most_once",
-            Guarantee::NoWorkForLeaving => "leaving_back_end_gets_no_new_work",
-            Guarantee::PlannedStopCutsNothing => "planned_stop_cuts_nothing",
-            Guarantee::ConfigurationInForce => "configuration_in_force_and_never_reverts",
-        }
-    }
-}
-
-/// Checks and violations of one guarantee.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct Tally {
-    pub(crate) checked: u64,
-    pub(crate) violations: Vec<String>,
-}
-
-/// One call that reached an engine or a service.
+/// What callers sent, what ran and what was answered.
 #[derive(Debug, Default)]
 pub(crate) struct Oracle {
-    pub(crate) tallies: BTreeMap<Guarantee, Tally>,
+    pub(crate) tallies: Tallies,
     /// Calls that reached a back end.
     ran: BTreeSet<CallId>,
     /// Calls of which somebody was told that they did not run.
@@ -94,11 +31,7 @@
 
 impl Oracle {
     pub(crate) fn check(&mut self, guarantee: Guarantee, holds: bool, describe: impl FnOnce() -> String) {
-        let tally = self.tallies.entry(guarantee).or_default();
-        tally.checked += 1;
-        if !holds {
-            tally.violations.push(describe());
-        }
+        self.tallies.check(guarantee, holds, describe);
     }
 
     /// An engine received a prompt of a program.
--- a/crates/simulation/src/report.rs
+++ b/crates/simulation/src/report.rs
@@ -1,21 +1,7 @@
 //! The report of a run. It holds no wall-clock time, so the same seed gives the same bytes on any machine.
 
 use serde::Serialize;
-
-use crate::oracle::{Guarantee, Oracle};
-
-/// One guarantee in a report.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
-pub struct GuaranteeResult {
-    /// Name.
-    pub name: String,
-    /// How often it was checked.
-    pub checked: u64,
-    /// How often it was violated.
-    pub violated: u64,
-    /// The first violations, in words.
-    pub examples: Vec<String>,
-}
+use sumacdrift_guarantees::GuaranteeResult;
 
 /// What a run showed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
@@ -54,16 +40,3 @@
         violated.map(|guarantee| guarantee.name.as_str()).collect()
     }
 }
-
-pub(crate) fn results(oracle: &Oracle) -> Vec<GuaranteeResult> {
-    let result = |guarantee: Guarantee| {
-        let tally = oracle.tallies.get(&guarantee).cloned().unwrap_or_default();
-        GuaranteeResult {
-            name: guarantee.name().to_owned(),
-            checked: tally.checked,
-            violated: tally.violations.len() as u64,
-            examples: tally.violations.into_iter().take(2).collect(),
-        }
-    };
-    Guarantee::ALL.into_iter().map(result).collect()
-}
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -6,6 +6,7 @@
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use sumacdrift_guarantees::Guarantee;
 use sumacdrift_mutants::{Rule, is_broken};
 use sumacdrift_program::{Command, Effect, LeaderSettings, Reply};
 use sumacdrift_replication::{Configuration, ReplicaId};
@@ -18,10 +19,10 @@
 use crate::faults::FaultKind;
 use crate::network::Network;
 use crate::node::{SimNode, Waiter, engine_index, node_index};
-use crate::oracle::{Guarantee, Oracle};
+use crate::oracle::Oracle;
 use crate::packet::{CallerAnswer, CallerRequest, CommandAnswer, Packet, SimConfiguration};
 use crate::platform::{Platform, WriteOutcome};
-use crate::report::{SimulationReport, results};
+use crate::report::SimulationReport;
 
 /// Nodes of a simulated fleet, each in a zone of its own.
 const NODES: usize = 4;
@@ -512,7 +513,7 @@
     pub(crate) fn receive_command(&mut self, node: usize, from: usize, exchange: u64, command: Command) {
         let now = self.now;
         let waiter = Waiter { node: from, incarnation: self.nodes[from].incarnation, exchange };
-        let call = command_call(&command);
+        let call = command.call();
         let one = &mut self.nodes[node];
         let outcome = match one.shard.as_mut() {
             None => Err(None),
@@ -889,7 +890,7 @@
             longest_without_leader_micros: self.longest_without_leader.as_micros() as u64,
             replicas: self.nodes.iter().map(describe_replica).collect(),
             events: self.processed,
-            guarantees: results(&self.oracle),
+            guarantees: self.oracle.tallies.results(),
             trace_hash: self.trace.finalize().to_hex().to_string(),
         }
     }
@@ -959,22 +960,3 @@
         ..ShardSettings::default()
     }
 }
-
-/// The call that a command names.
-pub(crate) fn command_call(command: &Command) -> CallId {
-    match command {
-        Command::BeginTurn(begin) => begin.call,
-        Command::FinishTurn(finish) => finish.call,
-        Command::GrantChild(grant) => grant.call,
-        Command::BeginService(begin) => begin.call,
-        Command::AbandonTurn { call, .. }
-        | Command::ForgetWaiting { call, .. }
-        | Command::EndProgram { call, .. }
-        | Command::Describe { call, .. }
-        | Command::ListGone { call, .. }
-        | Command::FinishService { call, .. }
-        | Command::ReleaseService { call, .. }
-        | Command::LoseService { call, .. } => *call,
-        Command::ReturnChild { .. } => CallId(0),
-    }
-}
