--- a/crates/bench/tests/fleet.rs
+++ b/crates/bench/tests/fleet.rs
@@ -99,6 +99,19 @@
     fleet.stop().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_foreign_client_library_sees_nothing_of_retries() {
+    let mut fleet = fleet(1, 2).await;
+    for engine in &fleet.engines {
+        engine.set_faults(|faults| faults.refuse.push_back(503));
+    }
+    let content = "retried [[tokens=8]]";
+    let answer = openai(&fleet, KEY).chat().create(openai_request(MODEL, content)).await.expect("an answer");
+    let expected = answer_text(&Prompt::from_messages(&[user(content)]), 8);
+    assert_eq!(answer.choices[0].message.content.as_deref(), Some(expected.as_str()));
+    fleet.stop().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_foreign_client_library_understands_errors() {
     let mut fleet = fleet(1, 1).await;
