--- a/crates/bench/tests/fleet.rs
+++ b/crates/bench/tests/fleet.rs
@@ -260,3 +260,52 @@
     assert_eq!(answer, answer_text(&Prompt::from_messages(&messages), 4));
     fleet.stop().await;
 }
+
+/// Begins a long answer, reads its beginning and breaks off.
+async fn break_off(fleet: &Fleet, program: Option<&str>) {
+    let body = json!({
+        "model": MODEL,
+        "stream": true,
+        "max_tokens": 400,
+        "messages": [user("long [[tokens=400]]")],
+    });
+    let mut request = http::Request::post(format!("http://{}/v1/chat/completions", fleet.addresses[0]))
+        .header("authorization", format!("Bearer {KEY}"));
+    if let Some(program) = program {
+        request = request.header("sumacdrift-program", program).header("sumacdrift-turn", 0);
+    }
+    let request = request.body(http_body_util::Full::new(body.to_string().into())).expect("a request");
+    let client = sumacdrift_http_client::HttpClient::new();
+    let response = client.send(request, Duration::from_secs(20)).await.expect("an answer begins");
+    let mut body = response.into_body();
+    sumacdrift_http_client::next_piece(&mut body).await.expect("a piece");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_of_its_own_is_cancelled_when_its_caller_leaves() {
+    let engine_settings = EngineSettings::default();
+    let plan = FleetPlan { nodes: 1, engines: 1, engine_settings, shards: 1 };
+    let mut fleet = Fleet::start(plan, discard_logger()).await.expect("the fleet starts");
+    break_off(&fleet, None).await;
+    let idle = async {
+        while fleet.engines[0].load().running > 0 {
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(30), idle).await.expect("the engine becomes idle");
+    assert!(fleet.trace.runs()[0].finished.is_none(), "the answer was cancelled, not completed");
+    fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_programs_turn_is_recorded_though_its_caller_leaves() {
+    let mut fleet = fleet(1, 1).await;
+    break_off(&fleet, Some("left")).await;
+    let messages = vec![user("long [[tokens=400]]")];
+    let request = ChatRequest { max_tokens: Some(400), ..turn("left", 0, messages.clone()) };
+    let (text, is_replay) = text_of(Caller::default().chat(fleet.addresses[0], &request).await);
+    assert!(is_replay);
+    assert_eq!(text, answer_text(&Prompt::from_messages(&messages), 400));
+    assert_eq!(fleet.trace.runs().len(), 1, "the engine ran once");
+    fleet.stop().await;
+}
--- a/crates/ctl/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Work in progress.
