--- a/crates/bench/tests/fleet.rs
+++ b/crates/bench/tests/fleet.rs
@@ -205,7 +205,10 @@
 async fn an_unreachable_engine_means_not_run() {
     let mut fleet = fleet(1, 1).await;
     fleet.engines[0].stop();
-    tokio::task::yield_now().await;
+    // The engine's listener is gone once connections to it fail.
+    while tokio::net::TcpStream::connect(fleet.engines[0].address()).await.is_ok() {
+        tokio::task::yield_now().await;
+    }
     let request = turn("unreachable", 0, vec![user("x")]);
     let refusal = refusal_of(Caller::default().chat(fleet.addresses[0], &request).await);
     assert!(fleet.trace.runs().is_empty());
