--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -10,13 +10,7 @@
 use serde_json::{Value, json};
 use sumacdrift_membership::MemberState;
 
-use crate::calls::RunningCalls;
-use crate::configuration::ConfigurationStore;
-use crate::context::Context;
-use crate::engine_owner::EngineOwner;
-use crate::fleet::Fleet;
-use crate::shard_client::ShardClient;
-use crate::shard_host::ShardHost;
+use crate::parts::Parts;
 
 /// Content type of Prometheus' text format.
 const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
@@ -24,13 +18,7 @@
 /// What the operators' face shows.
 #[derive(Clone)]
 pub(crate) struct Admin {
-    pub(crate) context: Arc<Context>,
-    pub(crate) fleet: Arc<Fleet>,
-    pub(crate) host: Arc<ShardHost>,
-    pub(crate) client: Arc<ShardClient>,
-    pub(crate) owner: Arc<EngineOwner>,
-    pub(crate) configuration: Arc<ConfigurationStore>,
-    pub(crate) calls: Arc<RunningCalls>,
+    pub(crate) parts: Arc<Parts>,
 }
 
 /// The operators' routes.
@@ -46,13 +34,13 @@
 impl Admin {
     /// What keeps the node from taking calls, if anything does.
     fn obstacle(&self) -> Option<&'static str> {
-        if self.context.stopping.is_cancelled() {
+        if self.parts.context.stopping.is_cancelled() {
             return Some("the node is being stopped");
         }
-        if self.configuration.current().is_none() {
+        if self.parts.configuration.current().is_none() {
             return Some("no configuration is in force");
         }
-        if !self.client.is_ready() {
+        if !self.parts.client.is_ready() {
             return Some("the node does not belong to a fleet yet");
         }
         None
@@ -67,8 +55,8 @@
 }
 
 async fn metrics(State(admin): State<Admin>) -> Response {
-    let traffic = admin.context.transport.counters().totals();
-    let metrics = &admin.context.metrics;
+    let traffic = admin.parts.context.transport.counters().totals();
+    let metrics = &admin.parts.context.metrics;
     metrics.peer_sent_bytes.set(traffic.sent_bytes as i64);
     metrics.peer_received_bytes.set(traffic.received_bytes as i64);
     metrics.peer_sent_messages.set(traffic.sent_messages as i64);
@@ -76,14 +64,16 @@
 }
 
 async fn status(State(admin): State<Admin>) -> Json<Value> {
-    let members: Vec<Value> = admin.fleet.members().iter().map(member_json).collect();
+    let members: Vec<Value> = admin.parts.fleet.members().iter().map(member_json).collect();
     let shards: Vec<Value> = admin
+        .parts
         .host
         .roles()
         .into_iter()
         .map(|(shard, is_leader, term)| json!({"shard": shard.0, "leads": is_leader, "term": term}))
         .collect();
     let engines: Vec<Value> = admin
+        .parts
         .owner
         .loads()
         .into_iter()
@@ -93,13 +83,13 @@
         })
         .collect();
     Json(json!({
-        "node": admin.context.own.node.0,
-        "incarnation": admin.context.own.incarnation.0,
-        "zone": admin.context.settings.zone,
-        "region": admin.context.settings.region,
+        "node": admin.parts.context.own.node.0,
+        "incarnation": admin.parts.context.own.incarnation.0,
+        "zone": admin.parts.context.settings.zone,
+        "region": admin.parts.context.settings.region,
         "obstacle": admin.obstacle(),
-        "generation": admin.configuration.generation().0,
-        "calls_running": admin.calls.count(),
+        "generation": admin.parts.configuration.generation().0,
+        "calls_running": admin.parts.calls.count(),
         "members": members,
         "shards": shards,
         "engines": engines,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 mod memory_check;
 mod metrics;
 mod node;
+mod parts;
 mod peer_handler;
 mod service_runner;
 mod shard_client;
--- a/crates/node/src/memory_check.rs
+++ b/crates/node/src/memory_check.rs
@@ -12,22 +12,14 @@
 use sumacdrift_types::{EngineName, ProgramId};
 
 use crate::chat_runner::NO_PROGRAM;
-use crate::configuration::ConfigurationStore;
-use crate::context::Context;
-use crate::engine_owner::EngineOwner;
-use crate::fleet::Fleet;
-use crate::shard_client::ShardClient;
+use crate::parts::Parts;
 
 /// How long leaders are asked for one engine.
 const ASK_TIME: Duration = Duration::from_secs(5);
 
 /// Compares what engines hold with what programs there are.
 pub(crate) struct MemoryCheck {
-    pub(crate) context: Arc<Context>,
-    pub(crate) fleet: Arc<Fleet>,
-    pub(crate) configuration: Arc<ConfigurationStore>,
-    pub(crate) client: Arc<ShardClient>,
-    pub(crate) owner: Arc<EngineOwner>,
+    pub(crate) parts: Arc<Parts>,
     pub(crate) engines: EngineClient,
 }
 
@@ -36,8 +28,8 @@
     pub(crate) async fn run(self) {
         loop {
             tokio::select! {
-                () = self.context.stopped.cancelled() => return,
-                () = tokio::time::sleep(self.context.settings.fleet.memory_check) => {}
+                () = self.parts.context.stopped.cancelled() => return,
+                () = tokio::time::sleep(self.parts.context.settings.fleet.memory_check) => {}
             }
             for engine in self.owned_engines() {
                 self.check(&engine).await;
@@ -46,24 +38,24 @@
     }
 
     fn owned_engines(&self) -> Vec<EngineName> {
-        let Some(bundle) = self.configuration.current() else { return Vec::new() };
-        let own = Some(self.context.own.node);
+        let Some(bundle) = self.parts.configuration.current() else { return Vec::new() };
+        let own = Some(self.parts.context.own.node);
         let engines = bundle.engines().map(|(_, engine)| engine);
-        let owned = engines.filter(|engine| self.fleet.owner_of(&engine.name, &engine.zone) == own);
+        let owned = engines.filter(|engine| self.parts.fleet.owner_of(&engine.name, &engine.zone) == own);
         owned.map(|engine| engine.name.clone()).collect()
     }
 
     async fn check(&self, engine: &EngineName) {
-        let Some(address) = self.configuration.address_of(engine) else { return };
+        let Some(address) = self.parts.configuration.address_of(engine) else { return };
         let Ok(mut held) = self.engines.list_programs(address).await else { return };
         // Calls without program share their contexts, and their memory ends only by eviction.
         held.retain(|program| program.as_str() != NO_PROGRAM);
-        let give_up = self.context.now() + ASK_TIME;
-        let gone: Vec<ProgramId> = self.client.list_gone(held, give_up).await;
+        let give_up = self.parts.context.now() + ASK_TIME;
+        let gone: Vec<ProgramId> = self.parts.client.list_gone(held, give_up).await;
         for program in gone {
-            info!(self.context.logger, "engine held memory for a program that is gone";
+            info!(self.parts.context.logger, "engine held memory for a program that is gone";
                 "engine" => %engine, "program" => %program);
-            self.owner.free_program(engine, &program);
+            self.parts.owner.free_program(engine, &program);
         }
     }
 }
