A call whose engine's owner stops is placed again; the bench starts nodes again on freed addresses

Cause: a call waiting in the queue of a node that stopped was refused with 5003 although nothing had been sent; it is now placed again, up to five times. The demo failed once when a stopped node's address was not free yet and then panicked while it reported that; stopped and killed nodes now start again by the same patient step.

--- a/crates/bench/src/demo.rs
+++ b/crates/bench/src/demo.rs
@@ -158,7 +158,7 @@
     tokio::time::sleep_until(at(0.3)).await;
     let last = options.nodes - 1;
     planned_stop(fleet, context, last).await;
-    fleet.start_node(last).await?;
+    start_again(fleet, last).await?;
     fleet.wait_until_ready().await?;
     check_generations(fleet, context, generation);
 
@@ -190,7 +190,11 @@
     if let Some(node) = fleet.nodes[number].take() {
         node.kill();
     }
-    // The dead process' addresses must be free again before the new one can listen on them.
+    start_again(fleet, number).await
+}
+
+/// Starts a node on its old addresses, which must be free again first.
+async fn start_again(fleet: &mut Fleet, number: usize) -> Result<(), BenchError> {
     let mut tries = 0;
     loop {
         tokio::time::sleep(Duration::from_millis(500)).await;
@@ -210,7 +214,7 @@
         let mut is_everywhere = true;
         for (number, node) in fleet.nodes.iter().enumerate() {
             let Some(node) = node else { continue };
-            let present = node.generation().0;
+            let present = node.generation();
             let before = highest.insert(number, present).unwrap_or(0);
             context.checks.check(Guarantee::ConfigurationInForce, present >= before, || {
                 format!("node {} went back from generation {before} to {present}", number + 1)
@@ -232,7 +236,7 @@
 fn check_generations(fleet: &Fleet, context: &RunContext, generation: u64) {
     for (number, node) in fleet.nodes.iter().enumerate() {
         let Some(node) = node else { continue };
-        let present = node.generation().0;
+        let present = node.generation();
         context.checks.check(Guarantee::ConfigurationInForce, present >= generation, || {
             format!("node {} is ready with generation {present}, not {generation}", number + 1)
         });
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -79,8 +79,8 @@
 
 /// A node with a runtime of its own, so that it can be ended as a process is: all tasks and sockets at once.
 pub struct RunningNode {
-    node: Node,
-    runtime: Runtime,
+    node: Option<Node>,
+    runtime: Option<Runtime>,
 }
 
 impl RunningNode {
@@ -89,27 +89,39 @@
             tokio::runtime::Builder::new_multi_thread().worker_threads(NODE_THREADS).enable_all().build()?;
         let started = runtime.spawn(Node::start(settings, StartOptions::with_logger(logger))).await;
         let node = started.map_err(std::io::Error::other)??;
-        Ok(Self { node, runtime })
+        Ok(Self { node: Some(node), runtime: Some(runtime) })
     }
 
     /// Stops the node as planned; whether every call finished.
-    pub async fn stop(self) -> bool {
-        let is_clean = self.node.stop().await;
-        self.runtime.shutdown_background();
-        is_clean
+    pub async fn stop(mut self) -> bool {
+        match self.node.take() {
+            Some(node) => node.stop().await,
+            None => false,
+        }
     }
 
     /// Ends the node as a crash does.
     pub fn kill(self) {
-        self.runtime.shutdown_background();
+        drop(self);
     }
-}
 
-impl std::ops::Deref for RunningNode {
-    type Target = Node;
+    /// The generation of the configuration in force on the node.
+    pub fn generation(&self) -> u64 {
+        self.node().map_or(0, |node| node.generation().0)
+    }
 
-    fn deref(&self) -> &Node {
-        &self.node
+    /// The node itself, until it is stopped.
+    fn node(&self) -> Option<&Node> {
+        self.node.as_ref()
+    }
+}
+
+impl Drop for RunningNode {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            // A runtime may not be waited for inside another one.
+            runtime.shutdown_background();
+        }
     }
 }
 
@@ -177,7 +189,7 @@
         let text = self.settings_text(number);
         let settings = Settings::parse("bench", &text)?;
         let node = RunningNode::start(settings, self.logger.clone()).await?;
-        let addresses = node.addresses();
+        let Some(addresses) = node.node().map(Node::addresses) else { return Ok(()) };
         if number == self.nodes.len() {
             self.nodes.push(Some(node));
             self.addresses.push(addresses.callers);
@@ -200,7 +212,7 @@
     /// Waits until every running node is ready.
     pub async fn wait_until_ready(&self) -> Result<(), BenchError> {
         let deadline = Instant::now() + READY_TIMEOUT;
-        while !self.nodes.iter().flatten().all(|node| node.is_ready()) {
+        while !self.nodes.iter().flatten().all(|one| one.node().is_some_and(Node::is_ready)) {
             if Instant::now() > deadline {
                 return Err(BenchError::NotReady(READY_TIMEOUT));
             }
@@ -213,7 +225,8 @@
     pub async fn wait_until_repaired(&self) -> Result<(), BenchError> {
         let deadline = Instant::now() + READY_TIMEOUT;
         loop {
-            let summaries: Vec<_> = self.nodes.iter().flatten().map(|node| node.shards()).collect();
+            let summaries: Vec<_> =
+                self.nodes.iter().flatten().filter_map(RunningNode::node).map(Node::shards).collect();
             let led: usize = summaries.iter().map(|summary| summary.led).sum();
             let unrepaired: usize = summaries.iter().map(|summary| summary.unrepaired).sum();
             if led >= self.plan.shards as usize && unrepaired == 0 {
--- a/crates/node/src/chat_runner.rs
+++ b/crates/node/src/chat_runner.rs
@@ -38,6 +38,10 @@
 const GIVE_UP_SLACK: Duration = Duration::from_secs(20);
 /// Cap on generated tokens where the caller names none.
 const DEFAULT_OUTPUT_TOKENS: TokenCount = 4096;
+/// How often a call is placed whose engine's owner stops or dies.
+const PLACE_TRIES: u32 = 5;
+/// Pause between two tries to place a call.
+const PLACE_PAUSE: Duration = Duration::from_millis(300);
 /// Retries that may be saved up.
 const RETRY_BUDGET_MAXIMUM: f64 = 20.0;
 /// Name under which engines see calls that belong to no program.
@@ -366,8 +370,7 @@
         for attempt in 1.. {
             let work = self.work(turn, run, &prefixes);
             let preferred: Vec<EngineName> = run.last_engine.iter().cloned().collect();
-            let queue_time = turn.deadline.since(self.context.now());
-            let grant = self.router.place(&turn.pool, &work, &preferred, &failed, queue_time).await?;
+            let grant = self.place(turn, &work, &preferred, &failed).await?;
             debug!(self.context.logger, "call is placed"; "call" => %turn.call.call,
                 "engine" => %grant.engine, "attempt" => attempt, "reason" => &grant.reason);
             request.max_tokens = run.output_tokens.saturating_sub(progress.generated).max(1);
@@ -384,6 +387,27 @@
         Err(Problem::unknown(ResultCode::Internal, "attempts never end here"))
     }
 
+    /// Finds an engine. Where the node that queues for it stops or dies, another one takes over within moments;
+    /// nothing was sent, so the call is simply placed again.
+    async fn place(
+        &self,
+        turn: &Turn,
+        work: &Work,
+        preferred: &[EngineName],
+        failed: &[EngineName],
+    ) -> Result<Grant, Problem> {
+        let mut tries = 1;
+        loop {
+            let queue_time = turn.deadline.since(self.context.now());
+            let placed = self.router.place(&turn.pool, work, preferred, failed, queue_time).await;
+            match placed {
+                Err(problem) if is_lost_owner(&problem) && tries < PLACE_TRIES => tries += 1,
+                outcome => return outcome,
+            }
+            tokio::time::sleep(PLACE_PAUSE).await;
+        }
+    }
+
     fn engine_request(&self, turn: &Turn, run: &RunTurn, messages: Vec<ChatMessage>) -> EngineRequest {
         EngineRequest {
             call: turn.call.call,
@@ -718,6 +742,11 @@
     message.canonical().to_owned()
 }
 
+/// Whether a call could not be queued because the node that queues for the engine stops or died.
+fn is_lost_owner(problem: &Problem) -> bool {
+    matches!(problem.code, ResultCode::PeerUnreachable | ResultCode::NodeStopping)
+}
+
 fn to_problem(error: &EngineError) -> Problem {
     let code = match error {
         EngineError::Unreachable(_) => ResultCode::BackEndUnreachable,
