--- a/crates/emulator/src/engine_http.rs
+++ b/crates/emulator/src/engine_http.rs
@@ -24,6 +24,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::server::spawn_server;
 use crate::text::BLOCK_TOKENS;
 use crate::{
     BlockHash, EngineEvent, EngineModel, EngineRun, EngineSettings, HeldBlocks, LoadReport, Prompt,
@@ -121,17 +122,7 @@
         let stop = CancellationToken::new();
         tokio::spawn(drive(Arc::clone(&shared), stop.clone()));
         let router = router(Arc::clone(&shared));
-        let stopped = stop.clone();
-        tokio::spawn(async move {
-            let listener = axum::serve::ListenerExt::tap_io(listener, |stream| {
-                let _ = stream.set_nodelay(true);
-            });
-            let server = axum::serve(listener, router);
-            tokio::select! {
-                () = stopped.cancelled() => {}
-                _ = server => {}
-            }
-        });
+        spawn_server(listener, router, stop.clone());
         Ok(Self { shared, address, stop })
     }
 
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -11,6 +11,7 @@
 mod machine_list;
 mod object_http;
 mod object_store;
+mod server;
 mod text;
 mod tool_service;
 mod trace;
--- a/crates/emulator/src/object_http.rs
+++ b/crates/emulator/src/object_http.rs
@@ -20,6 +20,8 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::server::spawn_server;
+
 use crate::{MachineEntry, MachineList, MachineState, ObjectFaults, ObjectStore, StoreError, StoredObject};
 
 /// How long a watch waits for a change.
@@ -66,13 +68,7 @@
             .route("/machines", get(machines))
             .with_state(Arc::clone(&shared));
         let stop = CancellationToken::new();
-        let stopped = stop.clone();
-        tokio::spawn(async move {
-            tokio::select! {
-                () = stopped.cancelled() => {}
-                _ = axum::serve(listener, router) => {}
-            }
-        });
+        spawn_server(listener, router, stop.clone());
         Ok(Self { shared, address, stop })
     }
 
--- a/crates/emulator/src/tool_service.rs
+++ b/crates/emulator/src/tool_service.rs
@@ -13,6 +13,8 @@
 use sumacdrift_transport::listen_tcp;
 use tokio_util::sync::CancellationToken;
 
+use crate::server::spawn_server;
+
 /// One request that the service carried out.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ToolExecution {
@@ -59,13 +61,7 @@
         let shared = Arc::new(Shared::default());
         let stop = CancellationToken::new();
         let router = Router::new().fallback(execute).with_state(Arc::clone(&shared));
-        let stopped = stop.clone();
-        tokio::spawn(async move {
-            tokio::select! {
-                () = stopped.cancelled() => {}
-                _ = axum::serve(listener, router) => {}
-            }
-        });
+        spawn_server(listener, router, stop.clone());
         Ok(Self { shared, address, stop })
     }
 
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -1,6 +1,7 @@
 //! What every part of a node shares.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use slog::Logger;
 use sumacdrift_config::Settings;
@@ -9,6 +10,7 @@
 use sumacdrift_replication::ReplicaId;
 use sumacdrift_transport::Transport;
 use sumacdrift_types::Timestamp;
+use tokio::time::MissedTickBehavior;
 use tokio_util::sync::CancellationToken;
 
 use crate::clock::Clock;
@@ -41,6 +43,19 @@
         Runner { node: self.own.node, incarnation: self.own.incarnation }
     }
 
+    /// Calls `tick` again and again until the node stops. A late tick puts off the following ones instead of
+    /// being followed by a burst.
+    pub(crate) async fn every(&self, period: Duration, mut tick: impl FnMut()) {
+        let mut interval = tokio::time::interval(period);
+        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                () = self.stopped.cancelled() => return,
+                _ = interval.tick() => tick(),
+            }
+        }
+    }
+
     /// A random seed for a state machine.
     pub(crate) fn seed(&self) -> u64 {
         rand::random()
--- a/crates/node/src/engine_owner.rs
+++ b/crates/node/src/engine_owner.rs
@@ -132,15 +132,7 @@
 
     /// Lets time pass until the node stops.
     pub(crate) async fn run(self: Arc<Self>) {
-        let mut interval = tokio::time::interval(TICK);
-        interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        loop {
-            tokio::select! {
-                () = self.context.stopped.cancelled() => return,
-                _ = interval.tick() => {}
-            }
-            self.tick();
-        }
+        self.context.every(TICK, || self.tick()).await;
     }
 
     /// Adopts a new configuration: other limits, leaving engines, engines that are gone.
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -57,18 +57,13 @@
 
     /// Lets time pass until the node stops.
     pub(crate) async fn run(self: Arc<Self>) {
-        let mut interval = tokio::time::interval(TICK);
-        interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        loop {
-            tokio::select! {
-                () = self.context.stopped.cancelled() => return,
-                _ = interval.tick() => {}
-            }
+        let tick = || {
             let now = self.context.now();
             let mut detector = self.lock();
             detector.tick(now);
             self.carry_out(detector);
-        }
+        };
+        self.context.every(TICK, tick).await;
     }
 
     /// Takes a message of the membership protocol.
--- a/crates/node/src/shard_host.rs
+++ b/crates/node/src/shard_host.rs
@@ -146,20 +146,15 @@
 
     /// Lets time pass until the node stops.
     pub(crate) async fn run(self: Arc<Self>) {
-        let mut interval = tokio::time::interval(TICK);
-        interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut ticks = 0_u32;
-        loop {
-            tokio::select! {
-                () = self.context.stopped.cancelled() => return,
-                _ = interval.tick() => {}
-            }
+        let tick = || {
             self.tick();
             ticks = ticks.wrapping_add(1);
             if ticks.is_multiple_of(GAUGE_TICKS) {
                 self.set_gauges();
             }
-        }
+        };
+        self.context.every(TICK, tick).await;
     }
 
     /// Hands all leaderships to nodes that stay. Returns the number of shards still led here.
