--- /dev/null
+++ b/crates/edge/src/attempt.rs
@@ -0,0 +1,187 @@
+//! One attempt at an engine: choosing it, sending the call, judging the head of the answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Uri, request, response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use sumacdrift_calls::{CallHead, CallMachine, EngineId, Failure, Next};
+use sumacdrift_routing::{Outcome, Placed, PlacementRequest, Selected};
+use sumacdrift_types::Timestamp;
+
+use crate::dialect::{AnswerKind, Dialect, EngineAttempt};
+use crate::edge::Edge;
+use crate::engine_pool::{SendError, UsedConnection};
+use crate::headers::forwardable;
+
+/// What is sent to engines, the same for every attempt.
+pub(crate) struct Forwarded {
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+impl Forwarded {
+    /// The caller's request with the body that engines get.
+    pub(crate) fn new(head: &request::Parts, body: Bytes) -> Self {
+        let path = head.uri.path_and_query().cloned();
+        let uri = path.map_or_else(|| head.uri.clone(), Uri::from);
+        Self { method: head.method.clone(), uri, headers: forwardable(&head.headers), body }
+    }
+}
+
+/// Everything that stands for the whole of a call.
+pub(crate) struct CallContext<D: Dialect> {
+    pub(crate) edge: Arc<Edge<D>>,
+    pub(crate) head: CallHead,
+    pub(crate) selected: Selected,
+    pub(crate) forwarded: Forwarded,
+    pub(crate) accepted: Timestamp,
+}
+
+/// An engine's answer that may be passed on.
+pub(crate) struct Answered<D: Dialect> {
+    pub(crate) head: response::Parts,
+    pub(crate) body: Incoming,
+    pub(crate) run: EngineRun<D>,
+}
+
+/// A call under way at an engine; counted there until this is ended or dropped.
+pub(crate) struct EngineRun<D: Dialect> {
+    edge: Arc<Edge<D>>,
+    pub(crate) engine: EngineId,
+    connection: Option<UsedConnection>,
+    outcome: Outcome,
+}
+
+impl<D: Dialect> EngineRun<D> {
+    fn begin(edge: &Arc<Edge<D>>, engine: &EngineId) -> Self {
+        edge.book().sent(engine, edge.clock.now());
+        Self { edge: Arc::clone(edge), engine: engine.clone(), connection: None, outcome: Outcome::Sound }
+    }
+
+    /// The answer was read to its end.
+    pub(crate) fn finish(mut self) {
+        if let Some(connection) = self.connection.take() {
+            connection.release();
+        }
+    }
+
+    /// The call failed here.
+    pub(crate) fn fail(mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl<D: Dialect> Drop for EngineRun<D> {
+    fn drop(&mut self) {
+        self.edge.engine_ended(&self.engine, self.outcome);
+    }
+}
+
+/// Tries engines until one answers or the call is to be given up.
+pub(crate) async fn find_answer<D: Dialect>(
+    call: &CallContext<D>,
+    machine: &mut CallMachine,
+    first: Next,
+) -> Result<Answered<D>, Next> {
+    let mut next = first;
+    loop {
+        let (avoid, only) = match next {
+            Next::Try { avoid, only } => (avoid, only),
+            end => return Err(end),
+        };
+        let Some(placed) = choose(call, &avoid, only.as_ref()) else {
+            return Err(machine.no_engine());
+        };
+        match try_engine(call, machine, &placed).await {
+            Ok(answered) => return Ok(answered),
+            Err(failure) => {
+                let now = call.edge.clock.now();
+                next = machine.failed(&placed.engine, failure, now);
+                call.report_failure(&placed, failure, &next);
+            }
+        }
+    }
+}
+
+fn choose<D: Dialect>(call: &CallContext<D>, avoid: &[EngineId], only: Option<&EngineId>) -> Option<Placed> {
+    let line = call.head.program.as_ref().and_then(|program| program.line.as_deref());
+    let is_turn = call.selected.route.rules.kind.is_stream();
+    let affinity = if is_turn { line } else { call.head.affinity.as_deref() };
+    let request = PlacementRequest {
+        service: &call.selected.service.name,
+        zone: &call.edge.settings.zone,
+        affinity: affinity.filter(|_| call.selected.route.is_sticky),
+        avoid,
+        only,
+        tie: rand::random(),
+    };
+    call.edge.book().choose(&request, call.edge.clock.now())
+}
+
+async fn try_engine<D: Dialect>(
+    call: &CallContext<D>,
+    machine: &CallMachine,
+    placed: &Placed,
+) -> Result<Answered<D>, Failure> {
+    let edge = &call.edge;
+    let mut run = EngineRun::begin(edge, &placed.engine);
+    let request = engine_request(call, machine, placed);
+    let deadline = edge.clock.instant(machine.deadline());
+    let sending = edge.pool.send(&placed.engine, placed.address, request);
+    let answer = match tokio::time::timeout_at(deadline, sending).await {
+        Err(_) => {
+            run.fail(Outcome::Faulty);
+            return Err(Failure::Lost);
+        }
+        Ok(Err(SendError::NotSent)) => {
+            run.fail(Outcome::Unreachable);
+            return Err(Failure::NotSent);
+        }
+        Ok(Err(SendError::Lost)) => {
+            run.fail(Outcome::Faulty);
+            return Err(Failure::Lost);
+        }
+        Ok(Ok(answer)) => answer,
+    };
+    run.connection = Some(answer.connection);
+    let failure = match edge.dialect.read_answer(&answer.head, &call.head) {
+        AnswerKind::Genuine => {
+            return Ok(Answered { head: answer.head, body: answer.body, run });
+        }
+        AnswerKind::NotRun { retry_after } => Failure::Rejected { retry_after },
+        AnswerKind::WrongEngine => Failure::WrongEngine,
+        AnswerKind::Foreign => Failure::Lost,
+        AnswerKind::Spoiled => Failure::Spoiled,
+    };
+    run.fail(match failure {
+        Failure::Rejected { .. } => Outcome::Busy,
+        Failure::WrongEngine => Outcome::Unreachable,
+        _ => Outcome::Faulty,
+    });
+    Err(failure)
+}
+
+fn engine_request<D: Dialect>(
+    call: &CallContext<D>,
+    machine: &CallMachine,
+    placed: &Placed,
+) -> Request<Full<Bytes>> {
+    let now = call.edge.clock.now();
+    let attempt = EngineAttempt {
+        engine: &placed.engine,
+        time_left: machine.deadline().since(now).max(Duration::from_millis(1)),
+        resume_after: machine.resume_after(),
+        urgency: None,
+    };
+    let headers = call.edge.dialect.engine_headers(call.forwarded.headers.clone(), &attempt);
+    let mut request = Request::new(Full::new(call.forwarded.body.clone()));
+    *request.method_mut() = call.forwarded.method.clone();
+    *request.uri_mut() = call.forwarded.uri.clone();
+    *request.headers_mut() = headers;
+    request
+}
--- /dev/null
+++ b/crates/edge/src/call.rs
@@ -0,0 +1,170 @@
+//! The path of one call: reading it, finding its route, asking the ledger, running it, answering.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use bytes::{Bytes, BytesMut};
+use http::header::{CONNECTION, HOST, HeaderValue};
+use http::{Request, Response, request};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use slog::info;
+use sumacdrift_calls::{CallHead, CallMachine, Next};
+use sumacdrift_routing::Selected;
+use sumacdrift_storage::LedgerError;
+use sumacdrift_types::{Ran, ResultCode, Timestamp};
+
+use crate::answers::{EdgeBody, problem_answer};
+use crate::attempt::{CallContext, Forwarded};
+use crate::dialect::Dialect;
+use crate::edge::Edge;
+use crate::plain::run_plain;
+use crate::stream::run_stream;
+use crate::turn::{OpenTurn, code_of};
+
+/// When a caller is told to come back after a refusal that has nothing to do with engines.
+const COME_BACK_AFTER: std::time::Duration = std::time::Duration::from_millis(200);
+
+/// Answers one request.
+pub(crate) async fn serve_call<D: Dialect>(
+    edge: Arc<Edge<D>>,
+    request: Request<Incoming>,
+) -> Result<Response<EdgeBody>, Infallible> {
+    let mut answer = take_call(&edge, request).await;
+    if edge.is_stopping() {
+        answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(answer)
+}
+
+async fn take_call<D: Dialect>(edge: &Arc<Edge<D>>, request: Request<Incoming>) -> Response<EdgeBody> {
+    let accepted = edge.clock.now();
+    let (parts, body) = request.into_parts();
+    let head = match edge.dialect.read_call(&parts) {
+        Ok(head) => head,
+        Err(bad) => {
+            info!(edge.logger, "bad call"; "event" => "bad_call", "code" => bad.code.number(),
+                "detail" => &bad.detail);
+            return refusal(edge, bad.code);
+        }
+    };
+    let Some(limits) = edge.limits() else {
+        return early(edge, &head, ResultCode::NoConfiguration);
+    };
+    let host = host_of(&parts);
+    let Some(selected) = edge.routes().select(host, parts.uri.path()) else {
+        info!(edge.logger, "no route"; "event" => "no_route", "call" => &head.id, "host" => host,
+            "path" => parts.uri.path(), "version" => edge.routes().table().map(|table| table.version));
+        return refusal(edge, ResultCode::NotFound);
+    };
+    let machine = CallMachine::new(selected.route.rules.clone(), head.time_left, accepted);
+    let gathering = gather(body, limits.body_bytes);
+    let deadline = edge.clock.instant(machine.deadline());
+    let body = match tokio::time::timeout_at(deadline, gathering).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(code)) => return early(edge, &head, code),
+        Err(_) => return early(edge, &head, ResultCode::RequestTooSlow),
+    };
+    let incoming = Accepted { parts, head, selected, machine, body, accepted };
+    run_call(edge, incoming).await
+}
+
+/// A call that was read whole.
+struct Accepted {
+    parts: request::Parts,
+    head: CallHead,
+    selected: Selected,
+    machine: CallMachine,
+    body: Bytes,
+    accepted: Timestamp,
+}
+
+async fn run_call<D: Dialect>(edge: &Arc<Edge<D>>, incoming: Accepted) -> Response<EdgeBody> {
+    let Accepted { parts, head, selected, mut machine, body, accepted } = incoming;
+    if !selected.route.rules.kind.is_stream() {
+        let forwarded = Forwarded::new(&parts, body);
+        let call = CallContext { edge: Arc::clone(edge), head, selected, forwarded, accepted };
+        return match run_plain(&call, &mut machine).await {
+            Ok(answer) => answer,
+            Err(next) => give_up(&call, &machine, &next),
+        };
+    }
+    let (turn, body) = match begin_turn(edge, &head, &selected, body).await {
+        Ok(begun) => begun,
+        Err(error) => {
+            info!(edge.logger, "turn refused"; "event" => "turn_refused", "call" => &head.id,
+                "reason" => %error, "program" => head.program.as_ref().map(|program| &program.program),
+                "budget" => head.program.as_ref().and_then(|program| program.token_budget),
+                "previous" => &head.previous, "epoch" => edge.ledger.group().epoch);
+            return refusal(edge, code_of(error));
+        }
+    };
+    let forwarded = Forwarded::new(&parts, body);
+    let call = CallContext { edge: Arc::clone(edge), head, selected, forwarded, accepted };
+    match run_stream(call, machine, turn).await {
+        Ok(answer) => answer,
+        Err((call, machine, next)) => give_up(&call, &machine, &next),
+    }
+}
+
+/// Begins a turn of a program; calls without a program go on without.
+async fn begin_turn<D: Dialect>(
+    edge: &Arc<Edge<D>>,
+    head: &CallHead,
+    selected: &Selected,
+    body: Bytes,
+) -> Result<(Option<OpenTurn>, Bytes), LedgerError> {
+    let Some(program) = &head.program else { return Ok((None, body)) };
+    let is_counted = program.token_budget.is_some() || selected.route.is_retained;
+    if !is_counted {
+        return Ok((None, body));
+    }
+    let (turn, admission) =
+        OpenTurn::begin(&edge.ledger, &edge.logger, head, program, selected, &body).await?;
+    let prompt = if selected.route.is_retained { admission.chain.into_prompt(&body) } else { body };
+    Ok((Some(turn), prompt))
+}
+
+fn give_up<D: Dialect>(call: &CallContext<D>, machine: &CallMachine, next: &Next) -> Response<EdgeBody> {
+    let (what, code, ran, retry_after) = match next {
+        Next::Refuse { code, retry_after } => ("refused", *code, Ran::No, Some(*retry_after)),
+        Next::Fail { code } | Next::BreakOff { code } => ("failed", *code, Ran::Unknown, None),
+        Next::Try { .. } => ("failed", ResultCode::Internal, Ran::Unknown, None),
+    };
+    call.report_given_up(machine, what, code);
+    let status = match ran {
+        Ran::No => call.edge.dialect.status(ResultCode::Overloaded),
+        _ => call.edge.dialect.status(code),
+    };
+    problem_answer(status, code, ran, retry_after)
+}
+
+fn early<D: Dialect>(edge: &Edge<D>, head: &CallHead, code: ResultCode) -> Response<EdgeBody> {
+    info!(edge.logger, "call refused"; "event" => "refused", "call" => &head.id, "code" => code.number(),
+        "title" => code.title());
+    refusal(edge, code)
+}
+
+fn refusal<D: Dialect>(edge: &Edge<D>, code: ResultCode) -> Response<EdgeBody> {
+    let status = edge.dialect.status(code);
+    let retry_after = (status.as_u16() == 503).then_some(COME_BACK_AFTER);
+    problem_answer(status, code, Ran::No, retry_after)
+}
+
+fn host_of(parts: &request::Parts) -> &str {
+    let named = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
+    named.or_else(|| parts.uri.host()).unwrap_or_default()
+}
+
+async fn gather(mut body: Incoming, max_bytes: usize) -> Result<Bytes, ResultCode> {
+    let mut gathered = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| ResultCode::MalformedBody)?;
+        let Ok(data) = frame.into_data() else { continue };
+        if gathered.len() + data.len() > max_bytes {
+            return Err(ResultCode::BodyTooLarge);
+        }
+        gathered.extend_from_slice(&data);
+    }
+    Ok(gathered.freeze())
+}
--- /dev/null
+++ b/crates/edge/src/connections.rs
@@ -0,0 +1,51 @@
+//! Connections of callers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Request;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::call::serve_call;
+use crate::dialect::Dialect;
+use crate::edge::Edge;
+
+/// Limits before a configuration is in force.
+const DEFAULT_IDLE: Duration = Duration::from_secs(15);
+const DEFAULT_HEADER_BYTES: usize = 16 << 10;
+/// The least buffer that the HTTP library takes.
+const MIN_BUFFER_BYTES: usize = 8 << 10;
+
+/// Serves a caller's connection; `close` ends it between two requests.
+pub(crate) fn serve_connection<D: Dialect>(
+    edge: &Arc<Edge<D>>,
+    stream: TcpStream,
+    close: CancellationToken,
+    tasks: &TaskTracker,
+) {
+    let limits = edge.limits();
+    let idle = limits.map_or(DEFAULT_IDLE, |limits| limits.idle_time);
+    let header_bytes = limits.map_or(DEFAULT_HEADER_BYTES, |limits| limits.header_bytes);
+    let edge = Arc::clone(edge);
+    let service = service_fn(move |request: Request<Incoming>| serve_call(Arc::clone(&edge), request));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(header_bytes.max(MIN_BUFFER_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    tasks.spawn(async move {
+        tokio::pin!(connection);
+        tokio::select! {
+            _ = connection.as_mut() => return,
+            () = close.cancelled() => connection.as_mut().graceful_shutdown(),
+        }
+        // An error here is a caller that broke off or broke the protocol; it has been answered or is gone.
+        let _ = connection.await;
+    });
+}
--- /dev/null
+++ b/crates/edge/src/edge.rs
@@ -0,0 +1,161 @@
+//! What all calls of an edge share.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use slog::{Logger, info};
+use sumacdrift_calls::EngineId;
+use sumacdrift_routing::{CallerLimits, EngineBook, EngineSpec, Outcome, RouteTable, Routes};
+use sumacdrift_scheduling::HealthSettings;
+use sumacdrift_storage::LedgerClient;
+
+use crate::clock::Clock;
+use crate::dialect::Dialect;
+use crate::engine_pool::EnginePool;
+
+/// How long an engine that is gone is remembered.
+const FORGET_ENGINE_AFTER: Duration = Duration::from_secs(30);
+/// Failures in a row after which an engine is avoided.
+const FAILURES_TO_AVOID: u32 = 2;
+/// First time for which an engine is avoided.
+const FIRST_AVOIDANCE: Duration = Duration::from_millis(500);
+/// Longest time for which an engine is avoided.
+const LONGEST_AVOIDANCE: Duration = Duration::from_secs(4);
+/// Time over which an engine that recovered gets its full share.
+const SLOW_START: Duration = Duration::from_secs(1);
+
+/// Settings of an edge.
+#[derive(Debug, Clone)]
+pub struct EdgeSettings {
+    /// The node's zone.
+    pub zone: String,
+}
+
+/// What an edge is made of.
+pub struct EdgeParts<D> {
+    /// Settings.
+    pub settings: EdgeSettings,
+    /// The wire format.
+    pub dialect: D,
+    /// The ledger.
+    pub ledger: Arc<LedgerClient>,
+    /// Where decisions are logged.
+    pub logger: Logger,
+}
+
+/// The state that all calls of an edge share.
+pub struct Edge<D> {
+    pub(crate) settings: EdgeSettings,
+    pub(crate) dialect: D,
+    pub(crate) ledger: Arc<LedgerClient>,
+    pub(crate) logger: Logger,
+    pub(crate) clock: Clock,
+    pub(crate) pool: Arc<EnginePool>,
+    routes: Mutex<Routes>,
+    book: Mutex<EngineBook>,
+    is_stopping: AtomicBool,
+}
+
+impl<D: Dialect> Edge<D> {
+    /// An edge that knows no configuration and no engines.
+    pub fn new(parts: EdgeParts<D>) -> Arc<Self> {
+        let health = HealthSettings {
+            failures_to_open: FAILURES_TO_AVOID,
+            first_pause: FIRST_AVOIDANCE,
+            max_pause: LONGEST_AVOIDANCE,
+            slow_start: SLOW_START,
+        };
+        Arc::new(Self {
+            settings: parts.settings,
+            dialect: parts.dialect,
+            ledger: parts.ledger,
+            logger: parts.logger,
+            clock: Clock::default(),
+            pool: Arc::default(),
+            routes: Mutex::default(),
+            book: Mutex::new(EngineBook::new(health)),
+            is_stopping: AtomicBool::new(false),
+        })
+    }
+
+    /// Puts a configuration in force if it is newer.
+    pub fn apply(&self, table: RouteTable, source: &'static str) -> bool {
+        let (version, routes) = (table.version, table.routes());
+        let is_newer = self.routes().apply(table);
+        if is_newer {
+            info!(self.logger, "configuration in force"; "event" => "configuration", "version" => version,
+                "routes" => routes, "source" => source);
+        }
+        is_newer
+    }
+
+    /// Takes in the whole list of engines.
+    pub fn set_engines(&self, specs: Vec<EngineSpec>, source: &'static str) {
+        let now = self.clock.now();
+        info!(self.logger, "engines listed"; "event" => "engines_listed", "engines" => specs.len(),
+            "source" => source);
+        let mut book = self.book();
+        book.replace_all(specs, now);
+        book.forget_gone(now, FORGET_ENGINE_AFTER);
+    }
+
+    /// Takes in one engine.
+    pub fn upsert_engine(&self, spec: EngineSpec) {
+        let (id, is_leaving) = (spec.id.clone(), spec.is_leaving);
+        if self.book().upsert(spec, self.clock.now()) {
+            info!(self.logger, "engine changed"; "event" => "engine_changed", "engine" => %id,
+                "leaving" => is_leaving);
+        }
+    }
+
+    /// An engine has left the directory.
+    pub fn remove_engine(&self, id: &EngineId) {
+        if self.book().remove(id, self.clock.now()) {
+            info!(self.logger, "engine gone"; "event" => "engine_gone", "engine" => %id);
+        }
+    }
+
+    /// Closes connections that are no longer of use.
+    pub fn sweep(&self) {
+        let book = self.book();
+        self.pool.sweep(|engine| book.spec(engine).is_some());
+    }
+
+    /// Limits for callers, once a configuration is in force.
+    pub fn limits(&self) -> Option<CallerLimits> {
+        self.routes().table().map(|table| table.limits)
+    }
+
+    /// Whether the edge takes new callers.
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.routes().table().is_some()
+    }
+
+    /// Takes no new callers from now on.
+    pub fn begin_stop(&self) {
+        self.is_stopping.store(true, Ordering::Release);
+    }
+
+    /// Whether the edge is stopping.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn routes(&self) -> MutexGuard<'_, Routes> {
+        self.routes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn book(&self) -> MutexGuard<'_, EngineBook> {
+        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A call at an engine ended.
+    pub(crate) fn engine_ended(&self, engine: &EngineId, outcome: Outcome) {
+        let is_avoided = self.book().ended(engine, outcome, self.clock.now());
+        if is_avoided {
+            info!(self.logger, "engine avoided"; "event" => "engine_avoided", "engine" => %engine,
+                "outcome" => ?outcome);
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/engine_pool.rs
@@ -0,0 +1,175 @@
+//! Connections to engines. One connection carries one request at a time; a resting one is used again only while the
+//! engine surely keeps it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use sumacdrift_calls::EngineId;
+use sumacdrift_transport::tune;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use crate::headers::{keep_alive_seconds, says_close};
+
+/// Time for a new connection; engines answer within milliseconds.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// How long a connection may rest where the engine does not say how long it keeps one.
+const DEFAULT_REST: Duration = Duration::from_millis(900);
+/// How much sooner than the engine a resting connection is given up.
+const REST_MARGIN: Duration = Duration::from_millis(700);
+/// Time for a resting connection to show that it is alive.
+const READY_TIMEOUT: Duration = Duration::from_millis(20);
+
+type Sender = SendRequest<Full<Bytes>>;
+
+/// A request could not be sent, or no answer came.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum SendError {
+    /// No byte was sent.
+    NotSent,
+    /// It may have been received.
+    Lost,
+}
+
+struct Resting {
+    sender: Sender,
+    until: Instant,
+}
+
+/// Counters of the pool.
+#[derive(Debug, Default)]
+pub(crate) struct PoolCounters {
+    pub(crate) opened: AtomicU64,
+    pub(crate) reused: AtomicU64,
+}
+
+/// Connections to engines, by engine.
+#[derive(Default)]
+pub(crate) struct EnginePool {
+    resting: Mutex<HashMap<EngineId, Vec<Resting>>>,
+    pub(crate) counters: PoolCounters,
+}
+
+/// An engine's answer: its head, its body, and the connection that it comes on.
+pub(crate) struct PoolAnswer {
+    pub(crate) head: response::Parts,
+    pub(crate) body: Incoming,
+    pub(crate) connection: UsedConnection,
+}
+
+/// A connection that carries an answer. Dropping it closes the connection, which tells the engine to stop.
+pub(crate) struct UsedConnection {
+    sender: Sender,
+    engine: EngineId,
+    pool: Arc<EnginePool>,
+    rest: Option<Duration>,
+}
+
+impl UsedConnection {
+    /// The answer was read to its end; the connection may serve again.
+    pub(crate) fn release(self) {
+        let Some(rest) = self.rest else { return };
+        let resting = Resting { sender: self.sender, until: Instant::now() + rest };
+        let mut pool = self.pool.resting.lock().unwrap_or_else(PoisonError::into_inner);
+        pool.entry(self.engine).or_default().push(resting);
+    }
+}
+
+impl EnginePool {
+    /// Sends a request and waits for the head of the answer.
+    pub(crate) async fn send(
+        self: &Arc<Self>,
+        engine: &EngineId,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<PoolAnswer, SendError> {
+        let mut request = request;
+        while let Some(mut sender) = self.take(engine) {
+            if !matches!(tokio::time::timeout(READY_TIMEOUT, sender.ready()).await, Ok(Ok(()))) {
+                continue;
+            }
+            match sender.try_send_request(request).await {
+                Ok(answer) => {
+                    self.counters.reused.fetch_add(1, Ordering::Relaxed);
+                    return Ok(self.answer(engine, sender, answer));
+                }
+                Err(mut error) => match error.take_message() {
+                    Some(unsent) => request = unsent,
+                    None => return Err(SendError::Lost),
+                },
+            }
+        }
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, connect(address)).await;
+        let Ok(Some(mut sender)) = connecting else { return Err(SendError::NotSent) };
+        self.counters.opened.fetch_add(1, Ordering::Relaxed);
+        match sender.try_send_request(request).await {
+            Ok(answer) => Ok(self.answer(engine, sender, answer)),
+            Err(mut error) => {
+                let is_unsent = error.take_message().is_some();
+                Err(if is_unsent { SendError::NotSent } else { SendError::Lost })
+            }
+        }
+    }
+
+    /// Closes connections that have rested too long, and those of engines that are gone.
+    pub(crate) fn sweep(&self, is_known: impl Fn(&EngineId) -> bool) {
+        let now = Instant::now();
+        let mut pool = self.resting.lock().unwrap_or_else(PoisonError::into_inner);
+        pool.retain(|engine, resting| {
+            resting.retain(|connection| connection.until > now && !connection.sender.is_closed());
+            !resting.is_empty() && is_known(engine)
+        });
+    }
+
+    fn take(&self, engine: &EngineId) -> Option<Sender> {
+        let now = Instant::now();
+        let mut pool = self.resting.lock().unwrap_or_else(PoisonError::into_inner);
+        let resting = pool.get_mut(engine)?;
+        // The one used last has the longest time left.
+        while let Some(connection) = resting.pop() {
+            if connection.until > now && !connection.sender.is_closed() {
+                return Some(connection.sender);
+            }
+        }
+        None
+    }
+
+    fn answer(
+        self: &Arc<Self>,
+        engine: &EngineId,
+        sender: Sender,
+        answer: http::Response<Incoming>,
+    ) -> PoolAnswer {
+        let (head, body) = answer.into_parts();
+        let rest = if says_close(&head.headers) {
+            None
+        } else {
+            match keep_alive_seconds(&head.headers) {
+                Some(seconds) => Duration::from_secs(seconds).checked_sub(REST_MARGIN),
+                None => Some(DEFAULT_REST),
+            }
+        };
+        let connection = UsedConnection { sender, engine: engine.clone(), pool: Arc::clone(self), rest };
+        PoolAnswer { head, body, connection }
+    }
+}
+
+async fn connect(address: SocketAddr) -> Option<Sender> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    tune(&stream).ok()?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(async move {
+        // Ends when the sender is dropped or the engine closes; how requests fared is told to their senders.
+        let _ = connection.await;
+    });
+    Some(sender)
+}
--- /dev/null
+++ b/crates/edge/src/lib.rs
@@ -0,0 +1,27 @@
+//! The edge: takes calls from callers, asks the ledger, chooses engines, forwards and relays.
+//!
+//! How calls look on the wire stands behind the [`Dialect`] port. What becomes of a call is decided by
+//! [`sumacdrift_calls::CallMachine`], which engine serves it by [`sumacdrift_routing::EngineBook`], and whether a turn
+//! may run by the ledger; this crate does what they say.
+
+mod answers;
+mod attempt;
+mod call;
+mod clock;
+mod connections;
+mod dialect;
+mod edge;
+mod engine_pool;
+mod headers;
+mod listener;
+mod plain;
+mod report;
+mod stream;
+mod turn;
+
+pub use answers::{EdgeBody, RelayError, problem_answer};
+pub use clock::Clock;
+pub use dialect::{AnswerKind, BadCall, Dialect, EngineAttempt};
+pub use edge::{Edge, EdgeParts, EdgeSettings};
+pub use headers::forwardable;
+pub use listener::{Listeners, StopTimes, serve_listeners};
--- /dev/null
+++ b/crates/edge/src/listener.rs
@@ -0,0 +1,120 @@
+//! Listening for callers and for the question whether this edge is ready, and a stop that cuts nothing.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use sumacdrift_transport::tune;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::connections::serve_connection;
+use crate::dialect::Dialect;
+use crate::edge::Edge;
+
+/// Pause after a failed accept, which running out of descriptors causes.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Time for a head on the readiness address.
+const READY_HEADER_TIME: Duration = Duration::from_secs(10);
+
+/// Addresses that an edge listens on.
+pub struct Listeners {
+    /// For callers.
+    pub callers: TcpListener,
+    /// For the question whether the edge is ready.
+    pub ready: TcpListener,
+    /// Path of that question.
+    pub ready_path: &'static str,
+}
+
+/// Times of a stop.
+#[derive(Debug, Clone, Copy)]
+pub struct StopTimes {
+    /// How long callers are still accepted after the edge has said that it is not ready.
+    pub accept_for: Duration,
+    /// How long answers under way may take after that.
+    pub finish_within: Duration,
+}
+
+/// Serves until `stop` is cancelled, then lets everything under way finish. Returns whether it did.
+pub async fn serve_listeners<D: Dialect>(
+    edge: Arc<Edge<D>>,
+    listeners: Listeners,
+    times: StopTimes,
+    stop: CancellationToken,
+) -> bool {
+    let close = CancellationToken::new();
+    let tasks = TaskTracker::new();
+    let ready = serve_ready(Arc::clone(&edge), listeners.ready, listeners.ready_path);
+    let ready = tokio::spawn(ready);
+    let accepting = accept_callers(&edge, &listeners.callers, &close, &tasks);
+    tokio::select! {
+        () = accepting => {}
+        () = stop_accepting(&edge, times, &stop) => {}
+    }
+    drop(listeners.callers);
+    close.cancel();
+    tasks.close();
+    let has_finished = tokio::time::timeout(times.finish_within, tasks.wait()).await.is_ok();
+    ready.abort();
+    has_finished
+}
+
+async fn stop_accepting<D: Dialect>(edge: &Edge<D>, times: StopTimes, stop: &CancellationToken) {
+    stop.cancelled().await;
+    edge.begin_stop();
+    tokio::time::sleep(times.accept_for).await;
+}
+
+async fn accept_callers<D: Dialect>(
+    edge: &Arc<Edge<D>>,
+    listener: &TcpListener,
+    close: &CancellationToken,
+    tasks: &TaskTracker,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) if tune(&stream).is_ok() => {
+                serve_connection(edge, stream, close.clone(), tasks);
+            }
+            Ok(_) => {}
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn serve_ready<D: Dialect>(edge: Arc<Edge<D>>, listener: TcpListener, path: &'static str) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => answer_ready(Arc::clone(&edge), stream, path),
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+fn answer_ready<D: Dialect>(edge: Arc<Edge<D>>, stream: TcpStream, path: &'static str) {
+    let service = service_fn(move |request: Request<Incoming>| {
+        let status = match (request.uri().path() == path, edge.is_ready()) {
+            (false, _) => StatusCode::NOT_FOUND,
+            (true, true) => StatusCode::OK,
+            (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        let mut answer = Response::new(Full::new(Bytes::new()));
+        *answer.status_mut() = status;
+        std::future::ready(Ok::<_, Infallible>(answer))
+    });
+    tokio::spawn(
+        http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(READY_HEADER_TIME)
+            .serve_connection(TokioIo::new(stream), service),
+    );
+}
--- /dev/null
+++ b/crates/edge/src/plain.rs
@@ -0,0 +1,82 @@
+//! Calls whose answer is passed on as a whole.
+
+use bytes::{Bytes, BytesMut};
+use http::{Response, response};
+use hyper::body::Incoming;
+use sumacdrift_calls::{CallMachine, Failure, Next};
+use sumacdrift_routing::Outcome;
+
+use crate::answers::{EdgeBody, whole_body};
+use crate::attempt::{Answered, CallContext, find_answer};
+use crate::dialect::Dialect;
+use crate::headers::forwardable;
+
+/// Largest answer that is gathered.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+
+/// Runs a call until it has an answer or is given up.
+pub(crate) async fn run_plain<D: Dialect>(
+    call: &CallContext<D>,
+    machine: &mut CallMachine,
+) -> Result<Response<EdgeBody>, Next> {
+    let mut next = machine.begin(call.edge.clock.now());
+    loop {
+        let answered = find_answer(call, machine, next).await?;
+        let engine = answered.run.engine.clone();
+        match gather(call, machine, answered).await {
+            Ok((head, bytes)) => {
+                call.report_served(machine, head.status.as_u16(), engine.as_str());
+                return Ok(pass_on(&head, whole_body(bytes)));
+            }
+            Err(failure) => next = machine.failed(&engine, failure, call.edge.clock.now()),
+        }
+    }
+}
+
+/// The engine's answer with another body.
+pub(crate) fn pass_on(head: &response::Parts, body: EdgeBody) -> Response<EdgeBody> {
+    let mut answer = Response::new(body);
+    *answer.status_mut() = head.status;
+    *answer.headers_mut() = forwardable(&head.headers);
+    answer
+}
+
+async fn gather<D: Dialect>(
+    call: &CallContext<D>,
+    machine: &CallMachine,
+    answered: Answered<D>,
+) -> Result<(response::Parts, Bytes), Failure> {
+    let deadline = call.edge.clock.instant(machine.deadline());
+    let gathering = tokio::time::timeout_at(deadline, gather_body(answered.body)).await;
+    match gathering {
+        Ok(Some(bytes)) => {
+            answered.run.finish();
+            Ok((answered.head, bytes))
+        }
+        Ok(None) | Err(_) => {
+            answered.run.fail(Outcome::Faulty);
+            Err(Failure::Lost)
+        }
+    }
+}
+
+async fn gather_body(mut body: Incoming) -> Option<Bytes> {
+    use http_body_util::BodyExt;
+    let mut first = Bytes::new();
+    let mut more = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.ok()?.into_data() else { continue };
+        if first.is_empty() {
+            first = data;
+            continue;
+        }
+        if more.is_empty() {
+            more.extend_from_slice(&first);
+        }
+        more.extend_from_slice(&data);
+        if more.len() > MAX_ANSWER_BYTES {
+            return None;
+        }
+    }
+    Some(if more.is_empty() { first } else { more.freeze() })
+}
--- /dev/null
+++ b/crates/edge/src/report.rs
@@ -0,0 +1,40 @@
+//! One line for each decision about a call.
+
+use slog::{debug, info};
+use sumacdrift_calls::{CallMachine, Failure, Next};
+use sumacdrift_routing::Placed;
+use sumacdrift_types::ResultCode;
+
+use crate::attempt::CallContext;
+use crate::dialect::Dialect;
+
+impl<D: Dialect> CallContext<D> {
+    /// An attempt failed, and this is what follows.
+    pub(crate) fn report_failure(&self, placed: &Placed, failure: Failure, next: &Next) {
+        info!(self.edge.logger, "attempt failed"; "event" => "attempt_failed", "call" => &self.head.id,
+            "engine" => %placed.engine, "failure" => ?failure, "next" => ?next,
+            "candidates" => placed.candidates, "in_flight" => placed.in_flight,
+            "age_ms" => self.age_millis());
+    }
+
+    /// The call was answered by an engine to its end.
+    pub(crate) fn report_served(&self, machine: &CallMachine, status: u16, engine: &str) {
+        debug!(self.edge.logger, "served"; "event" => "served", "call" => &self.head.id, "engine" => engine,
+            "status" => status, "events" => machine.events(), "misses" => machine.misses(),
+            "age_ms" => self.age_millis(), "version" => self.selected.version);
+    }
+
+    /// The call was refused, failed or broken off.
+    pub(crate) fn report_given_up(&self, machine: &CallMachine, what: &str, code: ResultCode) {
+        info!(self.edge.logger, "call given up"; "event" => "given_up", "call" => &self.head.id, "what" => what,
+            "code" => code.number(), "title" => code.title(), "runs" => machine.runs(),
+            "misses" => machine.misses(), "events" => machine.events(), "age_ms" => self.age_millis(),
+            "route" => &*self.selected.route.name, "service" => &*self.selected.service.name,
+            "version" => self.selected.version);
+    }
+
+    pub(crate) fn age_millis(&self) -> u64 {
+        let age = self.edge.clock.now().since(self.accepted);
+        u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/lib.rs
@@ -0,0 +1,29 @@
+//! The program ledger: what programs have spent, and the turns whose content is kept.
+//!
+//! Records only ever add knowledge, and merging them in any order gives the same state. So a group of replicas needs
+//! no leader: a record holds once a majority has it on disk, and every majority meets every other in at least one
+//! replica. A replica that lost its disk has no vote until it has read the records of so many others that none can
+//! be missing. Which replicas form the group is decided elsewhere, by compare-and-set; groups are numbered by epoch,
+//! and a replica serves only requests of its own epoch. See `docs/design/platform.md`.
+//!
+//! Nothing here reads a clock, a socket or a disk.
+
+mod account;
+mod begin;
+mod chain;
+mod group;
+mod message;
+mod replica;
+mod state;
+
+pub use account::ProgramAccount;
+pub use begin::{BeginDecision, BeginQuorum};
+pub use chain::{ChainAssembly, ChainStep};
+pub use group::{Group, Member};
+pub use message::{
+    Begin, BeginVote, ChainReply, ChainRequest, End, GroupMessage, KnownTurn, LedgerReply, LedgerRequest,
+    MemberMessage, Page, PageRequest, Push, Record, RecordKind, ReplyKind, RequestKind, RetainedTurn,
+    Standing, StatusReply, TurnBegun, TurnEnded,
+};
+pub use replica::{Replica, ReplicaSettings, Step};
+pub use state::LedgerState;
--- /dev/null
+++ b/crates/ledger/src/replica.rs
@@ -0,0 +1,283 @@
+//! One replica: takes requests, says what must be made durable and what to answer then.
+
+use std::collections::BTreeSet;
+
+use sumacdrift_mutants::{Rule, is_broken};
+
+use crate::group::Group;
+use crate::message::{
+    Begin, End, LedgerReply, LedgerRequest, Page, PageRequest, Push, Record, RecordKind, ReplyKind,
+    RequestKind, Standing, StatusReply,
+};
+use crate::state::LedgerState;
+
+/// Epoch of the first group.
+pub(crate) const FOUNDING_EPOCH: u64 = 1;
+
+/// What a replica is told at its start.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReplicaSettings {
+    /// Name of the node.
+    pub node: String,
+    /// Whether this is the first start of the whole system, when empty is all there is to know.
+    pub is_first_start: bool,
+}
+
+/// What to do about a request: make the records durable, then answer.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Step {
+    /// Records to make durable, in this order.
+    pub commit: Vec<Record>,
+    /// The answer, which may be given only once they are.
+    pub reply: LedgerReply,
+}
+
+/// A replica of the ledger.
+#[derive(Debug, Clone)]
+pub struct Replica {
+    settings: ReplicaSettings,
+    state: LedgerState,
+    group: Group,
+    complete_since: Option<u64>,
+    caught_up_with: BTreeSet<String>,
+}
+
+impl Replica {
+    /// A replica that knows nothing yet; replay its journal next, then call [`Replica::started`].
+    pub fn new(settings: ReplicaSettings) -> Self {
+        Self {
+            settings,
+            state: LedgerState::default(),
+            group: Group::default(),
+            complete_since: None,
+            caught_up_with: BTreeSet::new(),
+        }
+    }
+
+    /// Takes in a record of the replica's own journal.
+    pub fn replay(&mut self, record: &Record) {
+        match &record.kind {
+            Some(RecordKind::Group(message)) => {
+                if let Some(group) = Group::from_message(message) {
+                    self.adopt(group);
+                }
+            }
+            Some(RecordKind::Standing(standing)) => {
+                self.complete_since = Some(standing.joined);
+            }
+            _ => self.state.merge(record),
+        }
+    }
+
+    /// Ends the replay; returns records to make durable.
+    pub fn started(&mut self) -> Vec<Record> {
+        if self.settings.is_first_start && self.complete_since.is_none() {
+            return vec![self.complete(FOUNDING_EPOCH)];
+        }
+        Vec::new()
+    }
+
+    /// The group that the replica knows.
+    pub fn group(&self) -> &Group {
+        &self.group
+    }
+
+    /// What the replica knows of programs.
+    pub fn state(&self) -> &LedgerState {
+        &self.state
+    }
+
+    /// Whether the replica's records are complete and it is a member.
+    pub fn is_voting(&self) -> bool {
+        let member = self.group.member(&self.settings.node);
+        member.is_some_and(|member| {
+            self.complete_since == Some(member.joined) || is_broken(Rule::LedgerVoteNeedsRecords)
+        })
+    }
+
+    /// Whether the replica holds what it acknowledged as a founding member, and so may found a group.
+    pub fn may_found(&self) -> bool {
+        self.complete_since == Some(FOUNDING_EPOCH)
+    }
+
+    /// Whether the replica belongs to the group that it knows.
+    pub fn is_member(&self) -> bool {
+        self.group.member(&self.settings.node).is_some()
+    }
+
+    /// Answers a request at a time of day in milliseconds.
+    pub fn handle(&mut self, request: LedgerRequest, now: u64) -> Step {
+        match request.kind {
+            Some(RequestKind::Begin(begin)) => self.begin(request.epoch, begin, now),
+            Some(RequestKind::End(end)) => self.end(request.epoch, end, now),
+            Some(RequestKind::Chain(chain)) => answer(ReplyKind::Chain(self.state.chain(&chain.turn))),
+            Some(RequestKind::Page(page)) => self.page(page, now),
+            Some(RequestKind::Push(push)) => self.push(push, now),
+            Some(RequestKind::Install(group)) => {
+                let commit = Group::from_message(&group).and_then(|group| self.install(group));
+                Step { commit: commit.into_iter().collect(), reply: reply(ReplyKind::Done(true)) }
+            }
+            Some(RequestKind::Status(_)) => answer(ReplyKind::Status(self.status())),
+            None => answer(ReplyKind::Failed("the request is empty".to_owned())),
+        }
+    }
+
+    /// Adopts a newer group; returns the record to make durable.
+    pub fn install(&mut self, group: Group) -> Option<Record> {
+        if group.epoch <= self.group.epoch {
+            return None;
+        }
+        let record = group_record(&group);
+        self.adopt(group);
+        Some(record)
+    }
+
+    /// Other members whose records must still be read before this replica may vote.
+    pub fn sources_left(&self) -> usize {
+        if self.is_voting() {
+            return 0;
+        }
+        let read = self.caught_up_with.iter().filter(|node| self.group.member(node).is_some()).count();
+        self.group.sources_to_catch_up().saturating_sub(read)
+    }
+
+    /// Takes in a page of another member; returns the records to make durable.
+    pub fn take_page(&mut self, page: Page, now: u64) -> Vec<Record> {
+        let records = page.records.into_iter().map(|record| Record {
+            expiry_millis: record.expiry_millis.saturating_add(now),
+            kind: record.kind,
+        });
+        let records: Vec<Record> = records.collect();
+        records.iter().for_each(|record| self.state.merge(record));
+        records
+    }
+
+    /// Notes that all records of a member were read at an epoch, and are durable. Returns the record that makes the
+    /// replica a voter, once enough members were read.
+    pub fn source_read(&mut self, node: &str, epoch: u64) -> Option<Record> {
+        let joined = self.group.member(&self.settings.node).map(|member| member.joined)?;
+        let is_this_epoch = epoch == self.group.epoch || is_broken(Rule::LedgerReadsThisEpoch);
+        if !is_this_epoch || self.is_voting() {
+            return None;
+        }
+        self.caught_up_with.insert(node.to_owned());
+        (self.sources_left() == 0).then(|| self.complete(joined))
+    }
+
+    /// Forgets what has expired by a time of day.
+    pub fn expire(&mut self, now: u64) {
+        self.state.expire(now);
+    }
+
+    /// Everything that must be written again before older segments of the journal may go.
+    pub fn snapshot(&self, now: u64) -> Vec<Record> {
+        let mut records = vec![group_record(&self.group)];
+        records.extend(self.complete_since.map(standing_record));
+        let mut after = String::new();
+        loop {
+            let page = self.state.page(&after, now);
+            let stamped = page.records.into_iter().map(|record| Record {
+                expiry_millis: record.expiry_millis.saturating_add(now),
+                kind: record.kind,
+            });
+            records.extend(stamped);
+            if page.next.is_empty() {
+                return records;
+            }
+            after = page.next;
+        }
+    }
+
+    fn complete(&mut self, joined: u64) -> Record {
+        self.complete_since = Some(joined);
+        standing_record(joined)
+    }
+
+    fn adopt(&mut self, group: Group) {
+        if group.epoch > self.group.epoch {
+            self.group = group;
+            // What was read under an earlier group may lack what was acknowledged since.
+            if !is_broken(Rule::LedgerReadsThisEpoch) {
+                self.caught_up_with.clear();
+            }
+        }
+    }
+
+    fn begin(&mut self, epoch: u64, begin: Begin, now: u64) -> Step {
+        let Some(turn) = begin.turn else { return answer(ReplyKind::Failed("no turn".to_owned())) };
+        if !self.is_own_epoch(epoch) {
+            return self.wrong_epoch();
+        }
+        let vote = self.state.vote(&turn, begin.budget_tokens, &begin.previous, begin.wants_chain);
+        let expires = self.state.begin(&turn, now);
+        let record = Record { kind: Some(RecordKind::Begun(turn)), expiry_millis: expires };
+        let kind = if self.is_voting() { ReplyKind::Vote(vote) } else { ReplyKind::NotVoting(true) };
+        Step { commit: durable(record), reply: reply(kind) }
+    }
+
+    fn end(&mut self, epoch: u64, end: End, now: u64) -> Step {
+        let Some(turn) = end.turn else { return answer(ReplyKind::Failed("no turn".to_owned())) };
+        if !self.is_own_epoch(epoch) {
+            return self.wrong_epoch();
+        }
+        let expires = self.state.end(&turn, now);
+        let record = Record { kind: Some(RecordKind::Ended(turn)), expiry_millis: expires };
+        let kind = if self.is_voting() { ReplyKind::Done(true) } else { ReplyKind::NotVoting(true) };
+        Step { commit: durable(record), reply: reply(kind) }
+    }
+
+    fn page(&mut self, request: PageRequest, now: u64) -> Step {
+        let newer = request.group.as_ref().and_then(Group::from_message);
+        let commit = newer.and_then(|group| self.install(group));
+        let kind = if self.is_voting() || is_broken(Rule::LedgerPagesAreComplete) {
+            ReplyKind::Page(self.state.page(&request.after, now))
+        } else {
+            ReplyKind::NotVoting(true)
+        };
+        Step { commit: commit.into_iter().collect(), reply: reply(kind) }
+    }
+
+    fn push(&mut self, push: Push, now: u64) -> Step {
+        let newer = push.group.as_ref().and_then(Group::from_message);
+        let mut commit: Vec<Record> = newer.and_then(|group| self.install(group)).into_iter().collect();
+        commit.extend(self.take_page(Page { records: push.records, next: String::new() }, now));
+        Step { commit, reply: reply(ReplyKind::Done(true)) }
+    }
+
+    fn is_own_epoch(&self, epoch: u64) -> bool {
+        epoch == self.group.epoch || is_broken(Rule::LedgerServesOwnEpoch)
+    }
+
+    fn wrong_epoch(&self) -> Step {
+        answer(ReplyKind::WrongEpoch(self.group.to_message()))
+    }
+
+    fn status(&self) -> StatusReply {
+        StatusReply {
+            node: self.settings.node.clone(),
+            is_voting: self.is_voting(),
+            may_found: self.may_found(),
+            group: (self.group.epoch > 0).then(|| self.group.to_message()),
+        }
+    }
+}
+
+fn reply(kind: ReplyKind) -> LedgerReply {
+    LedgerReply { kind: Some(kind) }
+}
+
+fn durable(record: Record) -> Vec<Record> {
+    if is_broken(Rule::LedgerCommitsBeforeReply) { Vec::new() } else { vec![record] }
+}
+
+fn answer(kind: ReplyKind) -> Step {
+    Step { commit: Vec::new(), reply: reply(kind) }
+}
+
+fn group_record(group: &Group) -> Record {
+    Record { kind: Some(RecordKind::Group(group.to_message())), expiry_millis: 0 }
+}
+
+fn standing_record(joined: u64) -> Record {
+    Record { kind: Some(RecordKind::Standing(Standing { joined })), expiry_millis: 0 }
+}
--- /dev/null
+++ b/crates/ledger/tests/replica.rs
@@ -0,0 +1,216 @@
+//! Single rules of replicas, votes and chains.
+
+use bytes::Bytes;
+use sumacdrift_ledger::{
+    Begin, BeginDecision, BeginQuorum, BeginVote, ChainAssembly, ChainReply, ChainStep, End, Group,
+    KnownTurn, LedgerRequest, LedgerState, Member, PageRequest, Replica, ReplicaSettings, ReplyKind,
+    RequestKind, RetainedTurn, TurnBegun, TurnEnded,
+};
+
+const NOW: u64 = 1_000;
+
+fn member(node: &str, joined: u64) -> Member {
+    Member { node: node.to_owned(), address: ([127, 0, 0, 1], 1).into(), zone: String::new(), joined }
+}
+
+fn group(epoch: u64, nodes: &[(&str, u64)]) -> Group {
+    Group { epoch, members: nodes.iter().map(|(node, joined)| member(node, *joined)).collect() }
+}
+
+fn replica(node: &str, is_first_start: bool) -> Replica {
+    let mut replica = Replica::new(ReplicaSettings { node: node.to_owned(), is_first_start });
+    replica.started();
+    replica
+}
+
+fn begun(turn: &str) -> TurnBegun {
+    TurnBegun { program: "p".to_owned(), turn: turn.to_owned(), most_tokens: 100, retention_millis: 60_000 }
+}
+
+fn ended(turn: &str, tokens: u64) -> TurnEnded {
+    let (program, turn) = ("p".to_owned(), turn.to_owned());
+    TurnEnded { program, turn, tokens, retention_millis: 60_000, retained: None }
+}
+
+fn begin(replica: &mut Replica, epoch: u64, turn: &str) -> Option<ReplyKind> {
+    let begin = Begin { turn: Some(begun(turn)), budget_tokens: 250, ..Begin::default() };
+    replica.handle(LedgerRequest { epoch, kind: Some(RequestKind::Begin(begin)) }, NOW).reply.kind
+}
+
+fn vote(known: &[(&str, u64, bool)], fits: bool) -> BeginVote {
+    let known = known.iter().map(|(turn, tokens, has_ended)| KnownTurn {
+        turn: (*turn).to_owned(),
+        tokens: *tokens,
+        has_ended: *has_ended,
+    });
+    BeginVote { known: known.collect(), fits, knows_previous: true, chain: None }
+}
+
+#[test]
+fn a_founder_votes_and_a_machine_without_records_does_not() {
+    let founders = group(1, &[("a", 1), ("b", 1), ("c", 1)]);
+    let mut founder = replica("a", true);
+    founder.install(founders.clone());
+    assert!(matches!(begin(&mut founder, 1, "t"), Some(ReplyKind::Vote(_))));
+    let mut wiped = replica("a", false);
+    wiped.install(founders);
+    assert!(matches!(begin(&mut wiped, 1, "t"), Some(ReplyKind::NotVoting(_))));
+    assert_eq!(wiped.sources_left(), 2);
+}
+
+#[test]
+fn a_spare_machine_of_the_first_start_does_not_vote_when_it_joins_later() {
+    let mut spare = replica("d", true);
+    spare.install(group(1, &[("a", 1), ("b", 1), ("c", 1)]));
+    spare.install(group(2, &[("a", 1), ("b", 1), ("d", 2)]));
+    assert!(!spare.is_voting());
+    assert!(spare.source_read("a", 2).is_none());
+    assert!(spare.source_read("b", 2).is_some());
+    assert!(spare.is_voting());
+}
+
+#[test]
+fn what_was_read_under_an_earlier_group_does_not_count() {
+    let mut joining = replica("d", false);
+    joining.install(group(2, &[("a", 1), ("b", 1), ("d", 2)]));
+    assert!(joining.source_read("a", 2).is_none());
+    joining.install(group(3, &[("a", 1), ("c", 3), ("d", 2)]));
+    assert!(joining.source_read("b", 2).is_none());
+    assert!(joining.source_read("a", 3).is_none());
+    assert!(joining.source_read("c", 3).is_some());
+}
+
+#[test]
+fn a_machine_that_left_and_joined_again_reads_the_others_first() {
+    let mut back = replica("a", true);
+    back.install(group(1, &[("a", 1), ("b", 1), ("c", 1)]));
+    assert!(back.is_voting());
+    // The group without it was never seen here.
+    back.install(group(3, &[("a", 3), ("b", 1), ("c", 1)]));
+    assert!(!back.is_voting());
+}
+
+#[test]
+fn requests_of_another_epoch_are_not_served() {
+    let mut replica = replica("a", true);
+    replica.install(group(4, &[("a", 1), ("b", 1), ("c", 1)]));
+    for epoch in [3, 5] {
+        assert!(
+            matches!(begin(&mut replica, epoch, "t"), Some(ReplyKind::WrongEpoch(group)) if group.epoch == 4)
+        );
+    }
+    assert!(replica.state().is_empty());
+}
+
+#[test]
+fn a_replica_that_is_not_complete_hands_no_pages_out() {
+    let mut wiped = replica("a", false);
+    let members = group(1, &[("a", 1), ("b", 1)]);
+    let request = PageRequest { after: String::new(), group: Some(members.to_message()) };
+    let step = wiped.handle(LedgerRequest { epoch: 1, kind: Some(RequestKind::Page(request)) }, NOW);
+    assert!(matches!(step.reply.kind, Some(ReplyKind::NotVoting(_))));
+    assert_eq!(wiped.group().epoch, 1);
+}
+
+#[test]
+fn a_turn_counts_its_most_until_its_end_is_known() {
+    let mut replica = replica("a", true);
+    replica.install(group(1, &[("a", 1)]));
+    begin(&mut replica, 1, "one");
+    begin(&mut replica, 1, "two");
+    assert!(matches!(begin(&mut replica, 1, "three"), Some(ReplyKind::Vote(vote)) if !vote.fits));
+    let end = End { turn: Some(ended("one", 10)) };
+    replica.handle(LedgerRequest { epoch: 1, kind: Some(RequestKind::End(end)) }, NOW);
+    assert!(matches!(begin(&mut replica, 1, "three"), Some(ReplyKind::Vote(vote)) if vote.fits));
+}
+
+#[test]
+fn a_begin_that_arrives_behind_its_end_does_not_open_the_turn_again() {
+    let mut state = LedgerState::default();
+    state.end(&ended("one", 10), NOW);
+    state.begin(&begun("one"), NOW);
+    let vote = state.vote(&begun("two"), 150, "", false);
+    assert!(vote.fits);
+    assert_eq!(vote.known[0].tokens, 10);
+}
+
+#[test]
+fn what_voters_know_together_counts() {
+    let mut quorum = BeginQuorum::new(2, 250, 100);
+    assert_eq!(quorum.vote(vote(&[("one", 100, false)], true)), BeginDecision::Pending);
+    assert_eq!(quorum.vote(vote(&[("two", 100, false)], true)), BeginDecision::BudgetSpent);
+}
+
+#[test]
+fn a_known_end_goes_before_a_reservation() {
+    let mut quorum = BeginQuorum::new(2, 250, 100);
+    quorum.vote(vote(&[("one", 100, false), ("two", 100, false)], true));
+    assert_eq!(quorum.vote(vote(&[("one", 5, true)], true)), BeginDecision::Admitted);
+    assert_eq!(quorum.counted_tokens(), 105);
+}
+
+#[test]
+fn a_turn_is_unknown_only_if_a_majority_does_not_know_it() {
+    let unknown = BeginVote { knows_previous: false, ..vote(&[], true) };
+    let mut quorum = BeginQuorum::new(2, 0, 100);
+    quorum.vote(unknown.clone());
+    assert_eq!(quorum.clone().vote(unknown), BeginDecision::UnknownPrevious);
+    assert_eq!(quorum.vote(vote(&[], true)), BeginDecision::Admitted);
+}
+
+#[test]
+fn pages_carry_everything_once() {
+    let mut state = LedgerState::default();
+    for number in 0..300 {
+        let content = RetainedTurn {
+            previous: String::new(),
+            input: Bytes::from(vec![1; 4_000]),
+            output: Bytes::from(format!("{number}")),
+        };
+        let turn = TurnEnded { retained: Some(content), ..ended(&format!("t{number}"), number) };
+        state.begin(&begun(&turn.turn), NOW);
+        state.end(&turn, NOW);
+    }
+    let mut copy = LedgerState::default();
+    let mut after = String::new();
+    let mut pages = 0;
+    loop {
+        let page = state.page(&after, NOW);
+        pages += 1;
+        for mut record in page.records {
+            record.expiry_millis += NOW;
+            copy.merge(&record);
+        }
+        if page.next.is_empty() {
+            break;
+        }
+        after = page.next;
+    }
+    assert!(pages > 3);
+    assert_eq!(copy, state);
+}
+
+#[test]
+fn a_chain_is_put_together_from_several_replicas() {
+    let turn = |previous: &str, text: &str| RetainedTurn {
+        previous: previous.to_owned(),
+        input: Bytes::from(format!("<{text}>")),
+        output: Bytes::from(format!("{text}\n")),
+    };
+    let mut chain = ChainAssembly::default();
+    let first = ChainReply { turns: vec![turn("two", "three")], missing: "two".to_owned() };
+    assert_eq!(chain.add(first), ChainStep::Missing("two".to_owned()));
+    let second = ChainReply { turns: vec![turn("one", "two"), turn("", "one")], missing: String::new() };
+    assert_eq!(chain.add(second), ChainStep::Whole);
+    assert_eq!(&chain.into_prompt(b"<new>")[..], b"<one>one\n<two>two\n<three>three\n<new>");
+}
+
+#[test]
+fn records_are_kept_for_longer_than_asked_and_then_forgotten() {
+    let mut state = LedgerState::default();
+    state.begin(&begun("one"), NOW);
+    state.expire(NOW + 60_000);
+    assert_eq!(state.programs(), 1);
+    state.expire(NOW + 120_001);
+    assert!(state.is_empty());
+}
--- /dev/null
+++ b/crates/ledger/tests/world/mod.rs
@@ -0,0 +1,378 @@
+//! Replicas, callers' nodes and a network that loses and reorders messages; one random choice a step.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bytes::Bytes;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use sumacdrift_ledger::{
+    Begin, BeginDecision, BeginQuorum, End, Group, LedgerReply, LedgerRequest, Member, PageRequest, Record,
+    Replica, ReplicaSettings, ReplyKind, RequestKind, RetainedTurn, TurnBegun, TurnEnded,
+};
+
+pub const BUDGET: u64 = 1_000;
+pub const MOST: u64 = 100;
+const PROGRAMS: usize = 6;
+/// Turns of one program that run at the same time; the bound on budgets holds for up to five.
+const MAX_CONCURRENT: usize = 5;
+/// Steps during which no more than one disk is lost at a time.
+const CAREFUL_STEPS: usize = 1_300;
+const RETENTION: u64 = 1_000_000_000;
+const NOW: u64 = 1_000;
+
+struct Machine {
+    replica: Replica,
+    disk: Vec<Record>,
+    is_up: bool,
+    /// Operations that were open when its disk was lost; it reads others only after they have ended.
+    waits_for: BTreeSet<u64>,
+    reading: Option<(String, String, u64)>,
+}
+
+#[derive(Clone)]
+enum Phase {
+    Beginning(BeginQuorum),
+    Ending { done: BTreeSet<String> },
+}
+
+struct Operation {
+    program: String,
+    turn: String,
+    previous: String,
+    /// The group that the caller's node knows, which may be an old one.
+    group: Group,
+    phase: Phase,
+    tokens: u64,
+    voted: BTreeSet<String>,
+}
+
+struct Message {
+    operation: u64,
+    to: String,
+    request: LedgerRequest,
+}
+
+/// Everything that happens in one run.
+pub struct World {
+    random: ChaCha8Rng,
+    machines: BTreeMap<String, Machine>,
+    group: Group,
+    earlier_group: Group,
+    steps: usize,
+    operations: BTreeMap<u64, Operation>,
+    messages: Vec<Message>,
+    next: u64,
+    handed: BTreeMap<String, u64>,
+    committed: BTreeMap<String, RetainedTurn>,
+    pub wipes: usize,
+    pub replacements: usize,
+    pub refusals: usize,
+}
+
+fn member(node: &str) -> Member {
+    Member { node: node.to_owned(), address: ([127, 0, 0, 1], 1).into(), zone: String::new(), joined: 0 }
+}
+
+impl World {
+    pub fn new(seed: u64) -> Self {
+        let mut group = Group::default();
+        for node in ["a", "b", "c"] {
+            group = group.with(member(node));
+        }
+        group.epoch = 1;
+        group.members.iter_mut().for_each(|member| member.joined = 1);
+        let mut world = Self {
+            random: ChaCha8Rng::seed_from_u64(seed),
+            machines: BTreeMap::new(),
+            earlier_group: group.clone(),
+            group,
+            steps: 0,
+            operations: BTreeMap::new(),
+            messages: Vec::new(),
+            next: 0,
+            handed: BTreeMap::new(),
+            committed: BTreeMap::new(),
+            wipes: 0,
+            replacements: 0,
+            refusals: 0,
+        };
+        for node in ["a", "b", "c", "spare"] {
+            world.start_machine(node, Vec::new(), true);
+        }
+        let group = world.group.clone();
+        for machine in world.machines.values_mut() {
+            machine.disk.extend(machine.replica.install(group.clone()));
+        }
+        world
+    }
+
+    fn start_machine(&mut self, node: &str, disk: Vec<Record>, is_first_start: bool) {
+        let mut replica = Replica::new(ReplicaSettings { node: node.to_owned(), is_first_start });
+        disk.iter().for_each(|record| replica.replay(record));
+        let mut disk = disk;
+        disk.extend(replica.started());
+        let machine = Machine { replica, disk, is_up: true, waits_for: BTreeSet::new(), reading: None };
+        self.machines.insert(node.to_owned(), machine);
+    }
+
+    /// One random step.
+    pub fn step(&mut self) {
+        self.steps += 1;
+        match self.random.random_range(0..100) {
+            0..12 => self.begin_turn(),
+            12..72 => self.deliver(),
+            72..80 => self.abandon(),
+            80..82 => self.wipe(),
+            82..84 => self.restart(),
+            84..86 => self.replace(),
+            _ => self.catch_up(),
+        }
+        self.check();
+    }
+
+    fn begin_turn(&mut self) {
+        let program = format!("p{}", self.random.random_range(0..PROGRAMS));
+        let open = self.operations.values().filter(|operation| operation.program == program).count();
+        if open >= MAX_CONCURRENT {
+            return;
+        }
+        self.next += 1;
+        let turn = format!("t{}", self.next);
+        let known: Vec<String> = self.committed.keys().cloned().collect();
+        let previous = known.choose(&mut self.random).cloned().unwrap_or_default();
+        let begin = Begin {
+            turn: Some(TurnBegun {
+                program: program.clone(),
+                turn: turn.clone(),
+                most_tokens: MOST,
+                retention_millis: RETENTION,
+            }),
+            budget_tokens: BUDGET,
+            previous: previous.clone(),
+            wants_chain: false,
+        };
+        let group = self.known_group();
+        let quorum = BeginQuorum::new(group.majority(), BUDGET, MOST);
+        let operation = Operation {
+            program,
+            turn,
+            previous,
+            group,
+            phase: Phase::Beginning(quorum),
+            tokens: 0,
+            voted: BTreeSet::new(),
+        };
+        self.operations.insert(self.next, operation);
+        self.send_all(self.next, RequestKind::Begin(begin));
+    }
+
+    /// What a caller's node knows of the group: mostly the newest one.
+    fn known_group(&mut self) -> Group {
+        if self.random.random_bool(0.2) { self.earlier_group.clone() } else { self.group.clone() }
+    }
+
+    fn send_all(&mut self, operation: u64, kind: RequestKind) {
+        let group = self.operations[&operation].group.clone();
+        let epoch = group.epoch;
+        for member in &group.members {
+            if self.random.random_bool(0.1) {
+                continue;
+            }
+            let request = LedgerRequest { epoch, kind: Some(kind.clone()) };
+            self.messages.push(Message { operation, to: member.node.clone(), request });
+        }
+    }
+
+    fn deliver(&mut self) {
+        if self.messages.is_empty() {
+            return;
+        }
+        let position = self.random.random_range(0..self.messages.len());
+        let Message { operation, to, request } = self.messages.swap_remove(position);
+        let Some(reply) = self.ask(&to, request) else { return };
+        if self.random.random_bool(0.05) {
+            return;
+        }
+        self.take_reply(operation, &to, reply);
+    }
+
+    fn ask(&mut self, node: &str, request: LedgerRequest) -> Option<LedgerReply> {
+        let machine = self.machines.get_mut(node).filter(|machine| machine.is_up)?;
+        let step = machine.replica.handle(request, NOW);
+        machine.disk.extend(step.commit);
+        Some(step.reply)
+    }
+
+    fn take_reply(&mut self, id: u64, from: &str, reply: LedgerReply) {
+        let Some(mut operation) = self.operations.remove(&id) else { return };
+        if !operation.voted.insert(from.to_owned()) {
+            self.operations.insert(id, operation);
+            return;
+        }
+        match (&mut operation.phase, reply.kind) {
+            (Phase::Beginning(quorum), Some(ReplyKind::Vote(vote))) => match quorum.vote(vote) {
+                BeginDecision::Pending => {}
+                BeginDecision::Admitted => return self.run(id, operation),
+                BeginDecision::BudgetSpent => {
+                    self.refusals += 1;
+                    return;
+                }
+                BeginDecision::UnknownPrevious => {
+                    assert!(!self.committed.contains_key(&operation.previous), "a committed turn is unknown");
+                    return;
+                }
+            },
+            (Phase::Ending { done }, Some(ReplyKind::Done(_))) => {
+                done.insert(from.to_owned());
+                if done.len() >= operation.group.majority() {
+                    self.commit(&operation);
+                    return;
+                }
+            }
+            _ => {}
+        }
+        self.operations.insert(id, operation);
+    }
+
+    /// An admitted turn runs: tokens are handed out, then its end is sent.
+    fn run(&mut self, id: u64, mut operation: Operation) {
+        operation.tokens = self.random.random_range(0..=MOST);
+        *self.handed.entry(operation.program.clone()).or_default() += operation.tokens;
+        let end = End {
+            turn: Some(TurnEnded {
+                program: operation.program.clone(),
+                turn: operation.turn.clone(),
+                tokens: operation.tokens,
+                retention_millis: RETENTION,
+                retained: Some(content(&operation)),
+            }),
+        };
+        operation.phase = Phase::Ending { done: BTreeSet::new() };
+        operation.voted.clear();
+        operation.group = self.known_group();
+        self.operations.insert(id, operation);
+        self.send_all(id, RequestKind::End(end));
+    }
+
+    fn commit(&mut self, operation: &Operation) {
+        self.committed.insert(operation.turn.clone(), content(operation));
+    }
+
+    /// A caller's node gives up, or dies.
+    fn abandon(&mut self) {
+        let ids: Vec<u64> = self.operations.keys().copied().collect();
+        if let Some(id) = ids.choose(&mut self.random) {
+            self.operations.remove(id);
+        }
+    }
+
+    fn all_vote(&self) -> bool {
+        self.group.members.iter().all(|member| self.machines[&member.node].replica.is_voting())
+    }
+
+    /// A member loses its disk. While the run is young, only if the group is whole; later even if that means that
+    /// the group can never vote again.
+    fn wipe(&mut self) {
+        if !self.all_vote() && self.steps < CAREFUL_STEPS {
+            return;
+        }
+        let Some(node) = self.group.members.choose(&mut self.random).map(|member| member.node.clone()) else {
+            return;
+        };
+        self.wipes += 1;
+        self.start_machine(&node, Vec::new(), false);
+        let open = self.operations.keys().copied().collect();
+        self.machines.get_mut(&node).expect("a machine").waits_for = open;
+    }
+
+    /// A machine stops and starts again with its disk.
+    fn restart(&mut self) {
+        let nodes: Vec<String> = self.machines.keys().cloned().collect();
+        let Some(node) = nodes.choose(&mut self.random) else { return };
+        let machine = self.machines.remove(node).expect("a machine");
+        self.start_machine(node, machine.disk, false);
+        self.machines.get_mut(node).expect("a machine").waits_for = machine.waits_for;
+    }
+
+    /// The machine that is not a member takes a member's place; the member keeps running without knowing it.
+    fn replace(&mut self) {
+        if !self.all_vote() {
+            return;
+        }
+        let spare = self.machines.keys().find(|node| self.group.member(node).is_none()).cloned();
+        let lost = self.group.members.choose(&mut self.random).map(|member| member.node.clone());
+        let (Some(spare), Some(lost)) = (spare, lost) else { return };
+        let next = Group { epoch: self.group.epoch, ..self.group.without(&lost) }.with(member(&spare));
+        self.earlier_group = std::mem::replace(&mut self.group, next);
+        self.replacements += 1;
+        let machine = self.machines.get_mut(&spare).expect("a machine");
+        machine.disk.extend(machine.replica.install(self.group.clone()));
+        machine.waits_for = self.operations.keys().copied().collect();
+    }
+
+    /// A member that does not vote reads a page of another one.
+    fn catch_up(&mut self) {
+        let open: BTreeSet<u64> = self.operations.keys().copied().collect();
+        let group = self.group.clone();
+        let waiting = group.members.iter().map(|member| member.node.clone()).find(|node| {
+            let machine = &self.machines[node];
+            !machine.replica.is_voting() && machine.waits_for.is_disjoint(&open)
+        });
+        let Some(node) = waiting else { return };
+        let machine = self.machines.get_mut(&node).expect("a machine");
+        machine.disk.extend(machine.replica.install(group.clone()));
+        let others: Vec<String> =
+            group.members.iter().map(|member| member.node.clone()).filter(|other| *other != node).collect();
+        let reading = machine.reading.take().filter(|(_, _, epoch)| *epoch == group.epoch);
+        let (source, after, epoch) = reading.unwrap_or_else(|| {
+            let source = others.choose(&mut self.random).cloned().unwrap_or_default();
+            (source, String::new(), group.epoch)
+        });
+        let request = PageRequest { after, group: Some(group.to_message()) };
+        let request = LedgerRequest { epoch, kind: Some(RequestKind::Page(request)) };
+        let Some(ReplyKind::Page(page)) = self.ask(&source, request).and_then(|reply| reply.kind) else {
+            return;
+        };
+        let next = page.next.clone();
+        let machine = self.machines.get_mut(&node).expect("a machine");
+        let records = machine.replica.take_page(page, NOW);
+        machine.disk.extend(records);
+        if next.is_empty() {
+            machine.disk.extend(machine.replica.source_read(&source, epoch));
+        } else {
+            machine.reading = Some((source, next, epoch));
+        }
+    }
+
+    fn check(&self) {
+        for (program, handed) in &self.handed {
+            assert!(*handed <= BUDGET + MOST, "{program} was handed {handed} tokens of {BUDGET}");
+        }
+        let voters: Vec<&Machine> = self
+            .group
+            .members
+            .iter()
+            .map(|member| &self.machines[&member.node])
+            .filter(|machine| {
+                machine.replica.is_voting() && machine.replica.group().epoch == self.group.epoch
+            })
+            .collect();
+        for (turn, content) in &self.committed {
+            let without = voters.iter().filter(|voter| {
+                let chain = voter.replica.state().chain(turn);
+                chain.turns.first() != Some(content)
+            });
+            let without = without.count();
+            assert!(without < self.group.majority(), "{without} voters lack the committed turn {turn}");
+        }
+    }
+}
+
+fn content(operation: &Operation) -> RetainedTurn {
+    RetainedTurn {
+        previous: operation.previous.clone(),
+        input: Bytes::from(format!("input of {}", operation.turn)),
+        output: Bytes::from(format!("output of {}, {} tokens", operation.turn, operation.tokens)),
+    }
+}
--- a/crates/mutants/src/lib.rs
+++ b/crates/mutants/src/lib.rs
@@ -36,10 +36,35 @@
     StopFinishesCalls,
     /// An answer goes to the call that asked for it.
     AnswerToOwnCall,
+    /// A ledger replica without its records does not vote.
+    LedgerVoteNeedsRecords,
+    /// A ledger replica reads so many others that no record can be missing.
+    LedgerReadsEnough,
+    /// A ledger replica hands out pages only if its records are complete.
+    LedgerPagesAreComplete,
+    /// A ledger replica serves its own epoch only.
+    LedgerServesOwnEpoch,
+    /// What was read under an earlier group of the ledger does not count.
+    LedgerReadsThisEpoch,
+    /// A turn of which only the begin is known counts with its most.
+    LedgerOpenTurnsCount,
+    /// A ledger replica keeps what it acknowledged.
+    LedgerCommitsBeforeReply,
 }
 
 impl Rule {
-    /// All rules.
+    /// Rules of the program ledger, which has a simulation of its own.
+    pub const LEDGER: [Rule; 7] = [
+        Rule::LedgerVoteNeedsRecords,
+        Rule::LedgerReadsEnough,
+        Rule::LedgerPagesAreComplete,
+        Rule::LedgerServesOwnEpoch,
+        Rule::LedgerReadsThisEpoch,
+        Rule::LedgerOpenTurnsCount,
+        Rule::LedgerCommitsBeforeReply,
+    ];
+
+    /// Rules of the node, which the fleet's simulation checks.
     pub const ALL: [Rule; 15] = [
         Rule::MajorityBeforeAcknowledgement,
         Rule::NewIdentityAfterRestart,
--- a/crates/node/src/peer_handler.rs
+++ b/crates/node/src/peer_handler.rs
@@ -25,6 +25,10 @@
                 Request::Shard(request) => self.shard_request(*request).await,
                 Request::Engine(request) => self.engine_request(request).await,
                 Request::Fleet(request) => Response::Fleet(self.fleet_request(request)),
+                Request::Ledger(_) => Response::Failed(Problem::not_run(
+                    ResultCode::NotFound,
+                    "this node keeps no ledger replica",
+                )),
             }
         })
     }
--- a/crates/proto/src/request.rs
+++ b/crates/proto/src/request.rs
@@ -1,5 +1,6 @@
 //! Requests, responses and one-way messages between nodes.
 
+use bytes::Bytes;
 use sumacdrift_membership::Envelope;
 use sumacdrift_program::{Command, Reply, Runner};
 use sumacdrift_replication::{Message, ReplicaId};
@@ -24,6 +25,8 @@
     Engine(EngineRequest),
     /// About the fleet itself.
     Fleet(FleetRequest),
+    /// To a replica of the program ledger; the bytes are a message of the ledger crate.
+    Ledger(Bytes),
 }
 
 /// A command for a shard's leader.
@@ -99,6 +102,8 @@
     Engine(EngineReply),
     /// About the fleet.
     Fleet(FleetReply),
+    /// From a replica of the program ledger; the bytes are a message of the ledger crate.
+    Ledger(Bytes),
     /// The request could not be handled at all.
     Failed(Problem),
 }
@@ -194,7 +199,7 @@
 
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct RequestMessage {
-    #[prost(oneof = "RequestKind", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "RequestKind", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub kind: Option<RequestKind>,
 }
 
@@ -212,6 +217,8 @@
     Found(FoundingMessage),
     #[prost(message, tag = "6")]
     FetchBundle(EmptyMessage),
+    #[prost(bytes = "bytes", tag = "7")]
+    Ledger(Bytes),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -271,7 +278,7 @@
 
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct ResponseMessage {
-    #[prost(oneof = "ResponseKind", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "ResponseKind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
     pub kind: Option<ResponseKind>,
 }
 
@@ -293,6 +300,8 @@
     Bundle(BundleMessage),
     #[prost(message, tag = "8")]
     Failed(ProblemMessage),
+    #[prost(bytes = "bytes", tag = "9")]
+    Ledger(Bytes),
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
@@ -438,6 +447,7 @@
             Request::Fleet(FleetRequest::Hello) => RequestKind::Hello(EmptyMessage {}),
             Request::Fleet(FleetRequest::Found(founding)) => RequestKind::Found(founding.to_wire()),
             Request::Fleet(FleetRequest::FetchBundle) => RequestKind::FetchBundle(EmptyMessage {}),
+            Request::Ledger(bytes) => RequestKind::Ledger(bytes.clone()),
         };
         RequestMessage { kind: Some(kind) }
     }
@@ -459,6 +469,7 @@
             RequestKind::Hello(_) => Request::Fleet(FleetRequest::Hello),
             RequestKind::Found(message) => Request::Fleet(FleetRequest::Found(Wire::from_wire(message)?)),
             RequestKind::FetchBundle(_) => Request::Fleet(FleetRequest::FetchBundle),
+            RequestKind::Ledger(bytes) => Request::Ledger(bytes),
         })
     }
 }
@@ -485,6 +496,7 @@
                 ResponseKind::Bundle(BundleMessage { generation: generation.0, text: text.clone() })
             }
             Response::Failed(problem) => ResponseKind::Failed(problem.to_wire()),
+            Response::Ledger(bytes) => ResponseKind::Ledger(bytes.clone()),
         };
         ResponseMessage { kind: Some(kind) }
     }
@@ -505,6 +517,7 @@
                 text: message.text,
             }),
             ResponseKind::Failed(message) => Response::Failed(Problem::from_wire(message)?),
+            ResponseKind::Ledger(bytes) => Response::Ledger(bytes),
         })
     }
 }
--- /dev/null
+++ b/crates/routing/tests/routes.rs
@@ -0,0 +1,75 @@
+//! Routes: the longest prefix wins, versions only rise, shares are kept.
+
+use std::time::Duration;
+
+use sumacdrift_calls::{CallKind, CallRules};
+use sumacdrift_routing::{CallerLimits, Route, RouteTable, Routes, ServiceSpec, WeightedService};
+
+const LIMITS: CallerLimits = CallerLimits {
+    header_bytes: 16 << 10,
+    body_bytes: 1 << 20,
+    header_time: Duration::from_secs(3),
+    idle_time: Duration::from_secs(15),
+};
+
+fn route(name: &str, prefix: &str, services: &[(&str, u32)]) -> Route {
+    let part =
+        |(service, weight): &(&str, u32)| WeightedService { service: (*service).into(), weight: *weight };
+    Route {
+        name: name.into(),
+        host: "Host.Example".to_owned(),
+        prefix: prefix.to_owned(),
+        services: services.iter().map(part).collect(),
+        rules: CallRules {
+            kind: CallKind::Repeatable,
+            max_engines: 1,
+            timeout: Duration::from_secs(1),
+            aim: Duration::from_millis(100),
+            priority: 0,
+        },
+        is_sticky: false,
+        is_retained: false,
+        retention: Duration::ZERO,
+    }
+}
+
+fn table(version: u64, routes: Vec<Route>) -> RouteTable {
+    let service = ServiceSpec { name: "s".into(), max_connections: 10, tokens_per_event: 0 };
+    RouteTable::new(version, routes, vec![service], LIMITS)
+}
+
+#[test]
+fn the_longest_prefix_wins_whatever_the_order() {
+    let routes = vec![route("short", "/a/", &[("s", 1)]), route("long", "/a/b/", &[("s", 1)])];
+    let table = table(1, routes);
+    let found = |path| table.find("host.example:8080", path).map(|route| route.name.to_string());
+    assert_eq!(found("/a/b/c").as_deref(), Some("long"));
+    assert_eq!(found("/a/bc").as_deref(), Some("short"));
+    assert_eq!(found("/a"), None);
+    assert!(table.find("other.example", "/a/").is_none());
+    assert!(table.find("HOST.example", "/a/").is_some());
+}
+
+#[test]
+fn an_older_version_never_replaces_a_newer_one() {
+    let mut routes = Routes::default();
+    assert!(routes.apply(table(5, vec![route("new", "/new/", &[("s", 1)])])));
+    assert!(!routes.apply(table(5, Vec::new())));
+    assert!(!routes.apply(table(3, vec![route("old", "/old/", &[("s", 1)])])));
+    assert!(routes.select("host.example", "/new/x").is_some());
+    assert!(routes.select("host.example", "/old/x").is_none());
+}
+
+#[test]
+fn each_service_gets_its_share_over_any_hundred_calls() {
+    let mut routes = Routes::default();
+    routes.apply(table(1, vec![route("split", "/", &[("a", 90), ("b", 10)])]));
+    let served: Vec<String> = (0..1000)
+        .filter_map(|_| routes.select("host.example", "/x"))
+        .map(|selected| selected.service.name.to_string())
+        .collect();
+    for window in served.windows(100) {
+        let share = window.iter().filter(|service| *service == "b").count();
+        assert!((8..=12).contains(&share), "{share} of 100");
+    }
+}
--- /dev/null
+++ b/crates/storage/src/host.rs
@@ -0,0 +1,197 @@
+//! One replica with its journal, answering other nodes.
+
+use std::future::Future;
+use std::path::PathBuf;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use bytes::Bytes;
+use prost::Message;
+use slog::{Logger, error, info};
+use sumacdrift_journal::{FolderDisk, Journal, JournalError, JournalFailure, JournalSettings, JournalWriter};
+use sumacdrift_ledger::{LedgerReply, LedgerRequest, Record, Replica, ReplicaSettings, ReplyKind};
+use sumacdrift_proto::{OneWay, Request, Response};
+use sumacdrift_transport::Handler;
+use sumacdrift_types::{Problem, ResultCode};
+use tokio::sync::oneshot;
+
+use crate::clock::wall_millis;
+
+/// Bytes written since the last snapshot that call for another one, at the least.
+const SNAPSHOT_AFTER_BYTES: u64 = 48 << 20;
+/// Bytes written since the last snapshot, as a multiple of its size, that call for another one.
+const SNAPSHOT_GROWTH: u64 = 2;
+
+/// Settings of a replica on this node.
+#[derive(Debug, Clone)]
+pub struct HostSettings {
+    /// The replica.
+    pub replica: ReplicaSettings,
+    /// Folder of the journal.
+    pub folder: PathBuf,
+    /// Bytes that the journal may take.
+    pub capacity_bytes: u64,
+}
+
+/// The replica could not be opened.
+#[derive(Debug, thiserror::Error)]
+pub enum OpenError {
+    /// The folder can't be used.
+    #[error("the folder of the journal can't be used: {0}")]
+    Folder(#[from] std::io::Error),
+    /// The journal can't be read.
+    #[error("the journal can't be read: {0}")]
+    Journal(#[from] JournalError),
+    /// A first record could not be made durable.
+    #[error("the first records could not be written: {0}")]
+    FirstRecords(JournalFailure),
+}
+
+#[derive(Debug, Default)]
+struct SnapshotMeter {
+    since_snapshot: AtomicU64,
+    last_snapshot: AtomicU64,
+}
+
+/// A replica with its journal.
+pub struct ReplicaHost {
+    replica: Mutex<Replica>,
+    writer: JournalWriter,
+    meter: SnapshotMeter,
+    logger: Logger,
+}
+
+impl ReplicaHost {
+    /// Replays the journal.
+    pub async fn open(settings: HostSettings, logger: Logger) -> Result<Arc<Self>, OpenError> {
+        let mut replica = Replica::new(settings.replica);
+        let disk = FolderDisk::open(settings.folder)?;
+        let limits = JournalSettings { capacity_bytes: settings.capacity_bytes };
+        let mut records = 0_u64;
+        let mut unreadable = 0_u64;
+        let (journal, torn_bytes) = Journal::open(disk, limits, |bytes| match Record::decode(bytes) {
+            Ok(record) => {
+                records += 1;
+                replica.replay(&record);
+            }
+            Err(_) => unreadable += 1,
+        })?;
+        let first = replica.started();
+        replica.expire(wall_millis());
+        info!(logger, "journal replayed"; "event" => "journal_replayed", "records" => records,
+            "unreadable" => unreadable, "torn_bytes" => torn_bytes, "programs" => replica.state().programs(),
+            "voting" => replica.is_voting(), "epoch" => replica.group().epoch);
+        let host = Arc::new(Self {
+            replica: Mutex::new(replica),
+            writer: JournalWriter::start(journal),
+            meter: SnapshotMeter::default(),
+            logger,
+        });
+        host.commit(first).await.map_err(OpenError::FirstRecords)?;
+        Ok(host)
+    }
+
+    /// The replica.
+    pub(crate) fn replica(&self) -> MutexGuard<'_, Replica> {
+        self.replica.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether the replica votes.
+    pub fn is_voting(&self) -> bool {
+        self.replica().is_voting()
+    }
+
+    /// The logger.
+    pub(crate) fn logger(&self) -> &Logger {
+        &self.logger
+    }
+
+    /// Makes records durable.
+    pub(crate) async fn commit(&self, records: Vec<Record>) -> Result<(), JournalFailure> {
+        let Some(done) = self.queue(records) else { return Ok(()) };
+        done.await.unwrap_or_else(|_| Err("the writer has stopped".to_owned()))
+    }
+
+    /// Queues records; the receiver tells when the last one is durable. `None` where there are no records.
+    fn queue(&self, records: Vec<Record>) -> Option<oneshot::Receiver<Result<(), JournalFailure>>> {
+        let last = records.len().checked_sub(1)?;
+        let (sender, receiver) = oneshot::channel();
+        let mut sender = Some(sender);
+        for (position, record) in records.into_iter().enumerate() {
+            let bytes = Bytes::from(record.encode_to_vec());
+            self.meter.since_snapshot.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+            let sender = if position == last { sender.take() } else { None };
+            let committed = Box::new(move |outcome| {
+                if let Some(sender) = sender {
+                    let _ = sender.send(outcome);
+                }
+            });
+            // A writer that has stopped drops the sender, which the receiver reports.
+            let _ = self.writer.commit(bytes, committed);
+        }
+        Some(receiver)
+    }
+
+    /// Forgets what has expired, and begins a new segment with what is left if the journal has grown enough.
+    pub async fn tidy(&self) {
+        self.replica().expire(wall_millis());
+        let grown = self.meter.since_snapshot.load(Ordering::Relaxed);
+        let last = self.meter.last_snapshot.load(Ordering::Relaxed);
+        if grown >= SNAPSHOT_AFTER_BYTES.max(last * SNAPSHOT_GROWTH) {
+            self.snapshot().await;
+        }
+    }
+
+    async fn snapshot(&self) {
+        let (sender, receiver) = oneshot::channel();
+        let begun = Box::new(move |number| {
+            let _ = sender.send(number);
+        });
+        if self.writer.begin_segment(begun).is_err() {
+            return;
+        }
+        let Ok(Some(number)) = receiver.await else { return };
+        let records = self.replica().snapshot(wall_millis());
+        self.meter.since_snapshot.store(0, Ordering::Relaxed);
+        if let Err(failure) = self.commit(records).await {
+            error!(self.logger, "snapshot failed"; "event" => "snapshot_failed", "error" => failure);
+            return;
+        }
+        let written = self.meter.since_snapshot.swap(0, Ordering::Relaxed);
+        self.meter.last_snapshot.store(written, Ordering::Relaxed);
+        let _ = self.writer.remove_below(number);
+        info!(self.logger, "snapshot written"; "event" => "snapshot", "bytes" => written, "segment" => number);
+    }
+
+    async fn answer(&self, bytes: Bytes) -> LedgerReply {
+        let Ok(request) = LedgerRequest::decode(bytes) else {
+            return LedgerReply { kind: Some(ReplyKind::Failed("unreadable request".to_owned())) };
+        };
+        let step = self.replica().handle(request, wall_millis());
+        match self.commit(step.commit).await {
+            Ok(()) => step.reply,
+            Err(failure) => {
+                error!(self.logger, "record not durable"; "event" => "commit_failed", "error" => &failure);
+                LedgerReply { kind: Some(ReplyKind::Failed(failure)) }
+            }
+        }
+    }
+}
+
+impl Handler for ReplicaHost {
+    fn request(self: Arc<Self>, request: Request) -> Pin<Box<dyn Future<Output = Response> + Send>> {
+        Box::pin(async move {
+            match request {
+                Request::Ledger(bytes) => {
+                    Response::Ledger(Bytes::from(self.answer(bytes).await.encode_to_vec()))
+                }
+                _ => {
+                    Response::Failed(Problem::not_run(ResultCode::NotFound, "only a ledger replica is here"))
+                }
+            }
+        })
+    }
+
+    fn one_way(&self, _message: OneWay) {}
+}
--- /dev/null
+++ b/crates/storage/src/lib.rs
@@ -0,0 +1,23 @@
+//! The program ledger over the network: replicas on nodes with a disk, and the client that other nodes use.
+//!
+//! A replica answers once its records are durable ([`ReplicaHost`]); [`Upkeep`] founds the group, joins it, catches
+//! up and leaves it. [`LedgerClient`] asks all members at once and goes on with a majority. Where groups are agreed
+//! on stands behind the [`GroupDirectory`] port.
+
+mod catch_up;
+mod client;
+mod clock;
+mod directory;
+mod host;
+mod leave;
+mod rpc;
+mod upkeep;
+
+pub use client::{Admission, BeginTurn, LedgerClient, LedgerError, LedgerTimeouts};
+pub use clock::wall_millis;
+pub use directory::{
+    DirectoryError, DirectoryFuture, DirectoryView, GroupDirectory, Registration, Retirement, Revision,
+    StoredGroup,
+};
+pub use host::{HostSettings, OpenError, ReplicaHost};
+pub use upkeep::{Upkeep, UpkeepSettings};
--- a/crates/transport/src/network.rs
+++ b/crates/transport/src/network.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -45,8 +46,7 @@
     fn connect(&self, to: SocketAddr) -> BoxedFuture<'_, io::Result<BoxedStream>> {
         Box::pin(async move {
             let stream = TcpStream::connect(to).await?;
-            // Small frames must not wait for each other's acknowledgement.
-            stream.set_nodelay(true)?;
+            tune(&stream)?;
             Ok(Box::new(stream) as BoxedStream)
         })
     }
@@ -60,6 +60,22 @@
     }
 }
 
+/// How long sent bytes may stay unacknowledged before the connection counts as broken. A peer without power says
+/// nothing; without this limit a connection to it would hang for minutes.
+pub const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(1500);
+/// How long a connection may be silent before the peer is probed, and the time between probes.
+pub const PROBE_AFTER: Duration = Duration::from_secs(1);
+
+/// Sends small pieces at once and notices a peer that fell silent.
+pub fn tune(stream: &TcpStream) -> io::Result<()> {
+    // Small frames must not wait for each other's acknowledgement.
+    stream.set_nodelay(true)?;
+    let socket = socket2::SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))?;
+    let probes = socket2::TcpKeepalive::new().with_time(PROBE_AFTER).with_interval(PROBE_AFTER);
+    socket.set_tcp_keepalive(&probes)
+}
+
 /// Connections that may wait to be accepted. The default of 128 overflows when a few hundred callers connect at
 /// once, and each refused one then waits a second before it tries again.
 const BACKLOG: u32 = 4096;
@@ -82,7 +98,7 @@
     fn accept(&mut self) -> BoxedFuture<'_, io::Result<BoxedStream>> {
         Box::pin(async move {
             let (stream, _) = self.listener.accept().await?;
-            stream.set_nodelay(true)?;
+            tune(&stream)?;
             Ok(Box::new(stream) as BoxedStream)
         })
     }
--- a/crates/types/src/result_code.rs
+++ b/crates/types/src/result_code.rs
@@ -85,6 +85,8 @@
     OutcomeUnknown = 3009, 409, "Outcome of an earlier run is unknown";
     /// The parent program does not exist, has ended, or has no share left to give.
     ParentUnavailable = 3010, 409, "Parent program unavailable";
+    /// There is no committed turn of that name that a later one could go on from.
+    UnknownPreviousTurn = 3011, 404, "Unknown earlier turn";
     /// The queue for the pool is full or too slow for the call's deadline.
     Overloaded = 4001, 503, "Overloaded";
     /// No engine of the pool can be used.
@@ -113,6 +115,8 @@
     NotCommitted = 5004, 503, "Change was not committed";
     /// A defect in the system itself.
     Internal = 5005, 500, "Internal error";
+    /// No majority of the program ledger's replicas answered in time.
+    LedgerUnavailable = 5006, 503, "Program ledger unavailable";
     /// No configuration is in force on this node yet.
     NoConfiguration = 6001, 503, "No configuration in force";
 }
