--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -8,8 +8,8 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use sumacdrift_calls::{CallHead, CallMachine, EngineId, Failure, Next};
-use sumacdrift_routing::{Outcome, Placed, PlacementRequest, Selected};
-use sumacdrift_types::Timestamp;
+use sumacdrift_routing::{Outcome, Placed, PlacementRequest, Selected, UrgencyFacts, urgency};
+use sumacdrift_types::{Timestamp, stable_hash};
 
 use crate::dialect::{AnswerKind, Dialect, EngineAttempt};
 use crate::edge::Edge;
@@ -166,6 +166,19 @@
     Err(failure)
 }
 
+/// Urgency of a program's turn; other calls have the engine's usual one.
+fn urgency_of<D: Dialect>(call: &CallContext<D>) -> Option<u8> {
+    let route = &call.selected.route;
+    let program = call.head.program.as_ref().filter(|_| route.rules.kind.is_stream())?;
+    let passed = call.edge.clock.now().since(call.accepted);
+    Some(urgency(&UrgencyFacts {
+        priority: route.rules.priority,
+        program_hash: stable_hash(&[program.program.as_bytes()]),
+        program_time_left: program.time_left.map(|left| left.saturating_sub(passed)),
+        usual_time: call.edge.usual_times().of(&route.name),
+    }))
+}
+
 fn engine_request<D: Dialect>(
     call: &CallContext<D>,
     machine: &CallMachine,
@@ -176,7 +189,7 @@
         engine: &placed.engine,
         time_left: machine.deadline().since(now).max(Duration::from_millis(1)),
         resume_after: machine.resume_after(),
-        urgency: None,
+        urgency: urgency_of(call),
     };
     let headers = call.edge.dialect.engine_headers(call.forwarded.headers.clone(), &attempt);
     let mut request = Request::new(Full::new(call.forwarded.body.clone()));
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -13,6 +13,7 @@
 use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::engine_pool::EnginePool;
+use crate::usual_times::UsualTimes;
 
 /// How long an engine that is gone is remembered.
 const FORGET_ENGINE_AFTER: Duration = Duration::from_secs(30);
@@ -54,6 +55,7 @@
     pub(crate) pool: Arc<EnginePool>,
     routes: Mutex<Routes>,
     book: Mutex<EngineBook>,
+    usual_times: Mutex<UsualTimes>,
     is_stopping: AtomicBool,
 }
 
@@ -75,6 +77,7 @@
             pool: Arc::default(),
             routes: Mutex::default(),
             book: Mutex::new(EngineBook::new(health)),
+            usual_times: Mutex::default(),
             is_stopping: AtomicBool::new(false),
         })
     }
@@ -146,6 +149,10 @@
         self.routes.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn usual_times(&self) -> MutexGuard<'_, UsualTimes> {
+        self.usual_times.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn book(&self) -> MutexGuard<'_, EngineBook> {
         self.book.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -18,6 +18,7 @@
 mod report;
 mod stream;
 mod turn;
+mod usual_times;
 
 pub use answers::{EdgeBody, RelayError, problem_answer};
 pub use clock::Clock;
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -181,6 +181,8 @@
         {
             return Some(Err(self.break_off(code_of(error))));
         }
+        let taken = self.call.edge.clock.now().since(self.call.accepted);
+        self.call.edge.usual_times().observe(&self.call.selected.route.name, taken);
         let engine = engine.map(|engine| engine.to_string()).unwrap_or_default();
         self.call.report_served(&self.machine, StatusCode::OK.as_u16(), &engine);
         None
--- a/crates/http-client/src/lib.rs
+++ b/crates/http-client/src/lib.rs
@@ -14,10 +14,15 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
 /// How long opening a connection may take.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long an unused connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// How long a connection may be silent before the peer is probed, and the time between probes.
+const PROBE_AFTER: Duration = Duration::from_secs(1);
+/// Probes without an answer after which a connection counts as broken.
+const PROBES: u32 = 3;
+
 /// An outgoing request failed.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum HttpError {
@@ -53,6 +58,10 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        // A peer that lost its power says nothing; probes notice it while an answer is waited for.
+        connector.set_keepalive(Some(PROBE_AFTER));
+        connector.set_keepalive_interval(Some(PROBE_AFTER));
+        connector.set_keepalive_retries(Some(PROBES));
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
