A copy of the directory for edges that start while the store is down; engines may report again after an outage

Cause 2: when the store came back it listed 2 of 14 engines, and all calls went to these (45 calls without an engine at 36.0 to 36.7 s). After an outage of a second or more, engines that are missing stay in use for 1.7 s. Now the votes are asked for again, in rounds, up to 0.9 s before the call's deadline. Votes of an older round don't count.

Tests: after_an_outage_of_the_directory..., a_short_failure_of_the_directory..., only_a_newer_copy_replaces_a_copy.

--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -25,6 +25,9 @@
 /// When a caller is told to come back after a refusal that has nothing to do with engines.
 const COME_BACK_AFTER: std::time::Duration = std::time::Duration::from_millis(200);
 
+/// Time of a call that is kept for its run while the ledger is waited for.
+const RUN_RESERVE: std::time::Duration = std::time::Duration::from_millis(900);
+
 /// Answers one request.
 pub(crate) async fn serve_call<D: Dialect>(
     edge: Arc<Edge<D>>,
@@ -89,7 +92,7 @@
             Err(next) => give_up(&call, &machine, &next),
         };
     }
-    let (turn, body) = match begin_turn(edge, &head, &selected, body).await {
+    let (turn, body) = match begin_turn(edge, &head, &selected, body, machine.deadline()).await {
         Ok(begun) => begun,
         Err(error) => {
             info!(edge.logger, "turn refused"; "event" => "turn_refused", "call" => &head.id,
@@ -113,14 +116,16 @@
     head: &CallHead,
     selected: &Selected,
     body: Bytes,
+    deadline: Timestamp,
 ) -> Result<(Option<OpenTurn>, Bytes), LedgerError> {
     let Some(program) = &head.program else { return Ok((None, body)) };
     let is_counted = program.token_budget.is_some() || selected.route.is_retained;
     if !is_counted {
         return Ok((None, body));
     }
+    let until = edge.clock.instant(deadline - RUN_RESERVE);
     let (turn, admission) =
-        OpenTurn::begin(&edge.ledger, &edge.logger, head, program, selected, &body).await?;
+        OpenTurn::begin(&edge.ledger, &edge.logger, head, program, selected, &body, until).await?;
     let prompt = if selected.route.is_retained { admission.chain.into_prompt(&body) } else { body };
     Ok((Some(turn), prompt))
 }
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -93,13 +93,13 @@
         is_newer
     }
 
-    /// Takes in the whole list of engines.
-    pub fn set_engines(&self, specs: Vec<EngineSpec>, source: &'static str) {
+    /// Takes in the whole list of engines, after the directory was out of reach for a time.
+    pub fn set_engines(&self, specs: Vec<EngineSpec>, outage: Duration, source: &'static str) {
         let now = self.clock.now();
         info!(self.logger, "engines listed"; "event" => "engines_listed", "engines" => specs.len(),
-            "source" => source);
+            "source" => source, "outage_ms" => outage.as_millis() as u64);
         let mut book = self.book();
-        book.replace_all(specs, now);
+        book.replace_all(specs, outage, now);
         book.forget_gone(now, FORGET_ENGINE_AFTER);
     }
 
--- a/crates/edge/src/turn.rs
+++ b/crates/edge/src/turn.rs
@@ -10,6 +10,7 @@
 use sumacdrift_routing::Selected;
 use sumacdrift_storage::{Admission, BeginTurn, LedgerClient, LedgerError};
 use sumacdrift_types::ResultCode;
+use tokio::time::Instant;
 
 /// Retention where the route names none: long enough for any program that still runs.
 const DEFAULT_RETENTION: Duration = Duration::from_secs(60);
@@ -47,6 +48,7 @@
         program: &ProgramHead,
         selected: &Selected,
         input: &Bytes,
+        until: Instant,
     ) -> Result<(Self, Admission), LedgerError> {
         let route = &selected.route;
         let retention = if route.retention.is_zero() { DEFAULT_RETENTION } else { route.retention };
@@ -78,7 +80,7 @@
             previous,
         };
         // If this is dropped while it waits, `open` ends the turn.
-        let admission = ledger.begin(begin).await?;
+        let admission = ledger.begin(begin, until).await?;
         Ok((open, admission))
     }
 
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -23,7 +23,7 @@
 pub use message::{
     Begin, BeginVote, ChainReply, ChainRequest, End, GroupMessage, KnownTurn, LedgerReply, LedgerRequest,
     MemberMessage, Page, PageRequest, Push, Record, RecordKind, ReplyKind, RequestKind, RetainedTurn,
-    Standing, StatusReply, TurnBegun, TurnEnded,
+    Standing, StatusReply, StoredCopy, TurnBegun, TurnEnded,
 };
 pub use replica::{Replica, ReplicaSettings, Step};
 pub use state::LedgerState;
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -57,7 +57,7 @@
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Record {
     /// The entry.
-    #[prost(oneof = "RecordKind", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "RecordKind", tags = "1, 2, 3, 4, 5")]
     pub kind: Option<RecordKind>,
     /// Milliseconds left to keep it, where it travels; time of day of its expiry, where it lies in a journal.
     #[prost(uint64, tag = "15")]
@@ -79,6 +79,9 @@
     /// The replica's records are complete.
     #[prost(message, tag = "4")]
     Standing(Standing),
+    /// The newest copy of what another system holds.
+    #[prost(message, tag = "5")]
+    Copy(StoredCopy),
 }
 
 /// The replica holds every record that it ever acknowledged as the member that joined at this epoch.
@@ -89,6 +92,17 @@
     pub joined: u64,
 }
 
+/// A copy of what another system holds, for nodes that start while it is down. Its content means nothing here.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct StoredCopy {
+    /// Rises with each change; 0 where there is no copy.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// The content.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub content: Bytes,
+}
+
 /// A member of a group.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct MemberMessage {
@@ -124,7 +138,7 @@
     #[prost(uint64, tag = "1")]
     pub epoch: u64,
     /// What is asked.
-    #[prost(oneof = "RequestKind", tags = "2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "RequestKind", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub kind: Option<RequestKind>,
 }
 
@@ -152,6 +166,12 @@
     /// Who are you, and which group do you know?
     #[prost(bool, tag = "8")]
     Status(bool),
+    /// Keep this copy if it is newer.
+    #[prost(message, tag = "9")]
+    Keep(StoredCopy),
+    /// The newest copy.
+    #[prost(bool, tag = "10")]
+    Fetch(bool),
 }
 
 /// May a turn begin?
@@ -213,7 +233,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct LedgerReply {
     /// The answer.
-    #[prost(oneof = "ReplyKind", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "ReplyKind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
     pub kind: Option<ReplyKind>,
 }
 
@@ -244,6 +264,9 @@
     /// The record could not be made durable.
     #[prost(string, tag = "8")]
     Failed(String),
+    /// The newest copy.
+    #[prost(message, tag = "9")]
+    Copy(StoredCopy),
 }
 
 /// What a replica knows of a program at the begin of one of its turns.
--- a/crates/ledger/src/replica.rs
+++ b/crates/ledger/src/replica.rs
@@ -7,7 +7,7 @@
 use crate::group::Group;
 use crate::message::{
     Begin, End, LedgerReply, LedgerRequest, Page, PageRequest, Push, Record, RecordKind, ReplyKind,
-    RequestKind, Standing, StatusReply,
+    RequestKind, Standing, StatusReply, StoredCopy,
 };
 use crate::state::LedgerState;
 
@@ -117,6 +117,8 @@
                 let commit = Group::from_message(&group).and_then(|group| self.install(group));
                 Step { commit: commit.into_iter().collect(), reply: reply(ReplyKind::Done(true)) }
             }
+            Some(RequestKind::Keep(copy)) => self.keep(copy),
+            Some(RequestKind::Fetch(_)) => answer(ReplyKind::Copy(self.state.copy().clone())),
             Some(RequestKind::Status(_)) => answer(ReplyKind::Status(self.status())),
             None => answer(ReplyKind::Failed("the request is empty".to_owned())),
         }
@@ -226,6 +228,13 @@
         Step { commit: durable(record), reply: reply(kind) }
     }
 
+    fn keep(&mut self, copy: StoredCopy) -> Step {
+        let is_newer = self.state.keep(&copy);
+        let record = Record { kind: Some(RecordKind::Copy(copy)), expiry_millis: 0 };
+        let commit = if is_newer { vec![record] } else { Vec::new() };
+        Step { commit, reply: reply(ReplyKind::Done(true)) }
+    }
+
     fn page(&mut self, request: PageRequest, now: u64) -> Step {
         let newer = request.group.as_ref().and_then(Group::from_message);
         let commit = newer.and_then(|group| self.install(group));
--- a/crates/ledger/src/state.rs
+++ b/crates/ledger/src/state.rs
@@ -4,7 +4,9 @@
 use std::ops::Bound;
 
 use crate::account::ProgramAccount;
-use crate::message::{BeginVote, ChainReply, Page, Record, RecordKind, RetainedTurn, TurnBegun, TurnEnded};
+use crate::message::{
+    BeginVote, ChainReply, Page, Record, RecordKind, RetainedTurn, StoredCopy, TurnBegun, TurnEnded,
+};
 
 /// Content that a page may carry before it ends.
 const PAGE_BYTES: usize = 256 << 10;
@@ -30,6 +32,7 @@
 pub struct LedgerState {
     programs: BTreeMap<String, ProgramAccount>,
     kept: BTreeMap<String, Kept>,
+    copy: StoredCopy,
 }
 
 impl LedgerState {
@@ -67,10 +70,27 @@
         match &record.kind {
             Some(RecordKind::Begun(turn)) => self.begin_until(turn, record.expiry_millis),
             Some(RecordKind::Ended(turn)) => self.end_until(turn, record.expiry_millis),
+            Some(RecordKind::Copy(copy)) => {
+                self.keep(copy);
+            }
             Some(RecordKind::Group(_) | RecordKind::Standing(_)) | None => {}
         }
     }
 
+    /// Keeps a copy if it is newer; returns whether it is.
+    pub fn keep(&mut self, copy: &StoredCopy) -> bool {
+        let is_newer = copy.number > self.copy.number;
+        if is_newer {
+            self.copy = copy.clone();
+        }
+        is_newer
+    }
+
+    /// The newest copy.
+    pub fn copy(&self) -> &StoredCopy {
+        &self.copy
+    }
+
     fn begin_until(&mut self, turn: &TurnBegun, expires: u64) {
         let account = self.account(&turn.program, expires);
         account.begin(&turn.turn, turn.most_tokens);
@@ -130,6 +150,9 @@
         let mut page = PageBuilder { page: Page::default(), bytes: 0 };
         let (section, key) = after.split_at(after.len().min(1));
         let is_in_turns = section == TURN_CURSOR;
+        if after.is_empty() && self.copy.number > 0 {
+            page.add(RecordKind::Copy(self.copy.clone()), 0, self.copy.content.len());
+        }
         if !is_in_turns && self.program_records(key, now, &mut page) {
             return page.page;
         }
--- a/crates/routing/src/book.rs
+++ b/crates/routing/src/book.rs
@@ -14,6 +14,11 @@
 /// How long an engine that left the directory may still be used where no other is left.
 const LAST_RESORT_TIME: Duration = Duration::from_millis(1200);
 
+/// Outages of the directory shorter than this leave no engine out that is there.
+const SHORTEST_OUTAGE: Duration = Duration::from_secs(1);
+/// Time that engines take to report again after an outage of the directory.
+const REPORT_AGAIN_TIME: Duration = Duration::from_millis(1700);
+
 /// An engine as the directory describes it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EngineSpec {
@@ -87,8 +92,8 @@
 }
 
 impl Entry {
-    fn is_usable(&self) -> bool {
-        self.unusable_since.is_none()
+    fn is_usable(&self, now: Timestamp) -> bool {
+        self.unusable_since.is_none_or(|since| since > now)
     }
 }
 
@@ -134,17 +139,22 @@
     /// The directory no longer has an engine.
     pub fn remove(&mut self, id: &EngineId, now: Timestamp) -> bool {
         let Some(entry) = self.engines.get_mut(id) else { return false };
-        let was_usable = entry.is_usable();
-        entry.unusable_since.get_or_insert(now);
+        let was_usable = entry.is_usable(now);
+        entry.unusable_since = Some(entry.unusable_since.map_or(now, |since| since.min(now)));
         was_usable
     }
 
     /// Makes the whole directory known: engines that are not in it are gone.
-    pub fn replace_all(&mut self, specs: Vec<EngineSpec>, now: Timestamp) {
-        let gone: Vec<EngineId> =
-            self.engines.keys().filter(|id| !specs.iter().any(|spec| spec.id == **id)).cloned().collect();
-        for id in gone {
-            self.remove(&id, now);
+    ///
+    /// After an outage of the directory engines may be missing only because they could not report meanwhile. They
+    /// stay in use for the time that an engine takes to report again.
+    pub fn replace_all(&mut self, specs: Vec<EngineSpec>, outage: Duration, now: Timestamp) {
+        let grace = if outage >= SHORTEST_OUTAGE { REPORT_AGAIN_TIME } else { Duration::ZERO };
+        for (id, entry) in &mut self.engines {
+            if !specs.iter().any(|spec| spec.id == *id) {
+                let gone = now + grace;
+                entry.unusable_since = Some(entry.unusable_since.map_or(gone, |since| since.min(gone)));
+            }
         }
         for spec in specs {
             self.upsert(spec, now);
@@ -160,8 +170,8 @@
     }
 
     /// Engines of a service that take new work.
-    pub fn usable(&self, service: &str) -> usize {
-        self.engines.values().filter(|entry| &*entry.spec.service == service && entry.is_usable()).count()
+    pub fn usable(&self, service: &str, now: Timestamp) -> usize {
+        self.engines.values().filter(|entry| &*entry.spec.service == service && entry.is_usable(now)).count()
     }
 
     /// The service of an engine.
@@ -175,14 +185,14 @@
             self.engines.values().filter(|entry| &*entry.spec.service == request.service).collect();
         let may = |entry: &&&Entry| request.only.is_none_or(|only| entry.spec.id == *only);
         let fresh = |entry: &&&Entry| !request.avoid.contains(&entry.spec.id);
-        let fit = |entry: &&&Entry| entry.is_usable() && entry.health.allowed(entry.spec.slots, now) > 0;
+        let fit = |entry: &&&Entry| entry.is_usable(now) && entry.health.allowed(entry.spec.slots, now) > 0;
         let just_gone =
             |entry: &&&Entry| entry.unusable_since.is_none_or(|since| now.since(since) < LAST_RESORT_TIME);
         let mut candidates: Vec<&Entry> =
             of_service.iter().filter(may).filter(fresh).filter(fit).copied().collect();
         if candidates.is_empty() {
             candidates =
-                of_service.iter().filter(may).filter(fresh).filter(|e| e.is_usable()).copied().collect();
+                of_service.iter().filter(may).filter(fresh).filter(|e| e.is_usable(now)).copied().collect();
         }
         if candidates.is_empty() {
             candidates = of_service.iter().filter(may).filter(fresh).filter(just_gone).copied().collect();
--- a/crates/routing/tests/engines.rs
+++ b/crates/routing/tests/engines.rs
@@ -73,7 +73,7 @@
     let late = EngineSpec { report: 3, ..spec("a", "z1") };
     assert!(!book.upsert(late, NOW));
     assert_eq!(chosen(&book, &request(None, &[]), NOW).as_deref(), Some("b"));
-    assert_eq!(book.usable("s"), 1);
+    assert_eq!(book.usable("s", NOW), 1);
 }
 
 #[test]
@@ -96,7 +96,7 @@
     let mut book = book(&[("a", "z1"), ("b", "z1")]);
     book.remove(&EngineId::new("a"), NOW);
     assert!(book.upsert(EngineSpec { report: 2, ..spec("a", "z1") }, NOW));
-    assert_eq!(book.usable("s"), 2);
+    assert_eq!(book.usable("s", NOW), 2);
 }
 
 #[test]
@@ -115,8 +115,28 @@
 #[test]
 fn a_list_without_an_engine_means_that_it_is_gone() {
     let mut book = book(&[("a", "z1"), ("b", "z1")]);
-    book.replace_all(vec![spec("b", "z1")], NOW);
-    assert_eq!(book.usable("s"), 1);
+    book.replace_all(vec![spec("b", "z1")], Duration::ZERO, NOW);
+    assert_eq!(book.usable("s", NOW), 1);
     book.forget_gone(NOW + Duration::from_secs(60), Duration::from_secs(30));
     assert!(book.spec(&EngineId::new("a")).is_none());
 }
+
+/// Flood trouble-1: when the store came back with 2 of 14 engines, all calls went to these until the others had
+/// reported again.
+#[test]
+fn after_an_outage_of_the_directory_engines_have_time_to_report_again() {
+    let mut book = book(&[("a", "z1"), ("b", "z1"), ("c", "z1")]);
+    book.replace_all(vec![spec("b", "z1")], Duration::from_secs(4), NOW);
+    assert_eq!(book.usable("s", NOW), 3);
+    book.upsert(EngineSpec { report: 2, ..spec("a", "z1") }, NOW + Duration::from_secs(1));
+    assert_eq!(book.usable("s", NOW + Duration::from_secs(2)), 2);
+    assert!(book.remove(&EngineId::new("a"), NOW + Duration::from_secs(2)));
+    assert_eq!(book.usable("s", NOW + Duration::from_secs(2)), 1);
+}
+
+#[test]
+fn a_short_failure_of_the_directory_gives_no_time_to_engines_that_are_gone() {
+    let mut book = book(&[("a", "z1"), ("b", "z1")]);
+    book.replace_all(vec![spec("b", "z1")], Duration::from_millis(200), NOW);
+    assert_eq!(book.usable("s", NOW), 1);
+}
--- a/crates/storage/src/client.rs
+++ b/crates/storage/src/client.rs
@@ -8,7 +8,7 @@
 use slog::{Logger, info};
 use sumacdrift_ledger::{
     Begin, BeginDecision, BeginQuorum, ChainAssembly, ChainReply, ChainRequest, ChainStep, End, Group,
-    GroupMessage, Member, ReplyKind, RequestKind, TurnBegun, TurnEnded,
+    GroupMessage, Member, ReplyKind, RequestKind, StoredCopy, TurnBegun, TurnEnded,
 };
 use sumacdrift_transport::Transport;
 use tokio::sync::mpsc;
@@ -18,6 +18,8 @@
 
 /// Pause before a member that gave no usable answer is asked again.
 const ASK_AGAIN_AFTER: Duration = Duration::from_millis(60);
+/// Pause before all members are asked for their votes again.
+const ROUND_PAUSE: Duration = Duration::from_millis(20);
 /// How long a member's answer is waited for before it is asked again.
 const MEMBER_TIMEOUT: Duration = Duration::from_millis(700);
 /// How long an address that may be a replica is waited for.
@@ -26,7 +28,8 @@
 /// How long the group is waited for.
 #[derive(Debug, Clone, Copy)]
 pub struct LedgerTimeouts {
-    /// For a turn's begin. Votes older than this don't count, see `QUIET_BEFORE_CATCH_UP`.
+    /// For the votes on a turn's begin. Older ones don't count, see `QUIET_BEFORE_CATCH_UP`; if there is more time,
+    /// all are asked for again.
     pub begin: Duration,
     /// For a turn's end.
     pub end: Duration,
@@ -122,20 +125,55 @@
         }
     }
 
-    /// Asks whether a turn may run.
-    pub async fn begin(&self, begin: BeginTurn) -> Result<Admission, LedgerError> {
-        let deadline = Instant::now() + self.timeouts.begin;
+    /// Asks whether a turn may run, again and again until there is an answer or `until` has come.
+    pub async fn begin(&self, begin: BeginTurn, until: Instant) -> Result<Admission, LedgerError> {
         loop {
             let group = self.group();
-            let decided = self.begin_in(&group, &begin, deadline).await;
-            if let Some(outcome) = decided {
-                return outcome;
+            let deadline = until.min(Instant::now() + self.timeouts.begin);
+            let outcome = self.begin_in(&group, &begin, deadline).await;
+            match outcome {
+                Some(Err(LedgerError::Unavailable)) | None if Instant::now() < until => {
+                    tokio::time::sleep_until(until.min(Instant::now() + ROUND_PAUSE)).await;
+                }
+                Some(outcome) => return outcome,
+                None => return Err(LedgerError::Unavailable),
             }
-            // There is a newer group: ask that one.
-            if Instant::now() >= deadline {
-                return Err(LedgerError::Unavailable);
+        }
+    }
+
+    /// Hands a copy to the nearest replica that answers.
+    pub async fn keep_copy(&self, copy: StoredCopy) -> bool {
+        let group = self.group();
+        let nearest = nearest(&group, &self.zone).map(|member| member.node.clone());
+        let mut members: Vec<&Member> = group.members.iter().collect();
+        members.sort_by_key(|member| Some(&member.node) != nearest.as_ref());
+        for member in members {
+            let request = encode(group.epoch, RequestKind::Keep(copy.clone()));
+            let reply = ask(&self.transport, member.address, request, MEMBER_TIMEOUT).await;
+            if matches!(reply, Some(ReplyKind::Done(_))) {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// The newest copy that replicas at these addresses hold.
+    pub async fn fetch_copy(&self, addresses: &[SocketAddr]) -> Option<StoredCopy> {
+        let request = encode(0, RequestKind::Fetch(true));
+        let asked = addresses.iter().map(|address| {
+            let (transport, address, request) = (Arc::clone(&self.transport), *address, request.clone());
+            tokio::spawn(async move { ask(&transport, address, request, SEED_TIMEOUT).await })
+        });
+        let asked: Vec<_> = asked.collect();
+        let mut newest: Option<StoredCopy> = None;
+        for answer in asked {
+            if let Ok(Some(ReplyKind::Copy(copy))) = answer.await
+                && copy.number > newest.as_ref().map_or(0, |newest| newest.number)
+            {
+                newest = Some(copy);
             }
         }
+        newest
     }
 
     async fn begin_in(
