--- a/crates/calls/src/machine.rs
+++ b/crates/calls/src/machine.rs
@@ -16,6 +16,9 @@
 /// What a refused caller is told to wait where no engine said anything.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// Time of a call that is kept for its run while its admission is waited for, where there is that much.
+const RUN_RESERVE: Duration = Duration::from_millis(900);
+
 /// How an attempt at an engine failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Failure {
@@ -48,8 +51,10 @@
 pub enum Next {
     /// Send the call to an engine.
     Try {
-        /// Engines that should not be chosen again.
+        /// Engines that turned the call away and must not be chosen again.
         avoid: Vec<EngineId>,
+        /// Engines that failed it, to be chosen again only if there is no other.
+        rather_not: Vec<EngineId>,
         /// The only engine that may be chosen, where no further one may run the call.
         only: Option<EngineId>,
     },
@@ -117,6 +122,12 @@
         self.deadline
     }
 
+    /// Until when the call's admission may be waited for, so that time is left for its run.
+    pub fn admission_deadline(&self, now: Timestamp) -> Timestamp {
+        let left = self.deadline.since(now);
+        self.deadline - RUN_RESERVE.min(left / 2)
+    }
+
     /// What the caller has been given.
     pub fn stage(&self) -> Stage {
         self.stage
@@ -227,12 +238,12 @@
     /// Another engine, or the last one again where no further engine may run the call.
     fn another_try(&self) -> Next {
         if self.may_have_run.len() < self.rules.max_engines {
-            let avoid = self.turned_away.iter().chain(&self.may_have_run).cloned().collect();
-            return Next::Try { avoid, only: None };
+            let (avoid, rather_not) = (self.turned_away.clone(), self.may_have_run.clone());
+            return Next::Try { avoid, rather_not, only: None };
         }
         match self.may_have_run.last() {
             Some(last) if !self.turned_away.contains(last) => {
-                Next::Try { avoid: Vec::new(), only: Some(last.clone()) }
+                Next::Try { avoid: Vec::new(), rather_not: Vec::new(), only: Some(last.clone()) }
             }
             _ => self.give_up(ResultCode::BackEndCut),
         }
--- a/crates/calls/tests/machine.rs
+++ b/crates/calls/tests/machine.rs
@@ -25,7 +25,9 @@
 
 fn avoided(next: &Next) -> Vec<&str> {
     match next {
-        Next::Try { avoid, only: None } => avoid.iter().map(EngineId::as_str).collect(),
+        Next::Try { avoid, rather_not, only: None } => {
+            avoid.iter().chain(rather_not).map(EngineId::as_str).collect()
+        }
         other => panic!("expected another engine, found {other:?}"),
     }
 }
@@ -73,7 +75,7 @@
     let mut machine = machine(CallKind::Repeatable, 2);
     assert_eq!(avoided(&machine.failed(&engine("a"), Failure::Lost, START)), ["a"]);
     let next = machine.failed(&engine("b"), Failure::Lost, START);
-    assert_eq!(next, Next::Try { avoid: Vec::new(), only: Some(engine("b")) });
+    assert_eq!(next, Next::Try { avoid: Vec::new(), rather_not: Vec::new(), only: Some(engine("b")) });
 }
 
 #[test]
@@ -82,7 +84,7 @@
     machine.head_given();
     machine.event_given(Some("4".to_owned()));
     let next = machine.failed(&engine("a"), Failure::Lost, START);
-    assert_eq!(next, Next::Try { avoid: Vec::new(), only: Some(engine("a")) });
+    assert_eq!(next, Next::Try { avoid: Vec::new(), rather_not: Vec::new(), only: Some(engine("a")) });
     assert_eq!(machine.resume_after(), Some("4"));
 }
 
@@ -127,3 +129,14 @@
         }
     }
 }
+
+/// Farm incident inc-3113: a turn with less than 0.9 s left was refused at once, as if the ledger had not answered.
+#[test]
+fn a_call_with_little_time_still_waits_for_its_admission() {
+    let machine = machine(CallKind::Once, 1);
+    assert_eq!(machine.admission_deadline(START), START + Duration::from_millis(1_100));
+    let late = START + Duration::from_millis(1_600);
+    assert_eq!(machine.admission_deadline(late), START + Duration::from_millis(1_800));
+    let over = START + Duration::from_secs(3);
+    assert_eq!(machine.admission_deadline(over), machine.deadline());
+}
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -90,11 +90,8 @@
 ) -> Result<Answered<D>, Next> {
     let mut next = first;
     loop {
-        let (avoid, only) = match next {
-            Next::Try { avoid, only } => (avoid, only),
-            end => return Err(end),
-        };
-        let Some(placed) = choose(call, &avoid, only.as_ref()) else {
+        let Next::Try { avoid, rather_not, only } = next else { return Err(next) };
+        let Some(placed) = choose(call, &avoid, &rather_not, only.as_ref()) else {
             return Err(machine.no_engine());
         };
         match try_engine(call, machine, &placed).await {
@@ -108,7 +105,12 @@
     }
 }
 
-fn choose<D: Dialect>(call: &CallContext<D>, avoid: &[EngineId], only: Option<&EngineId>) -> Option<Placed> {
+fn choose<D: Dialect>(
+    call: &CallContext<D>,
+    avoid: &[EngineId],
+    rather_not: &[EngineId],
+    only: Option<&EngineId>,
+) -> Option<Placed> {
     let line = call.head.program.as_ref().and_then(|program| program.line.as_deref());
     let is_turn = call.selected.route.rules.kind.is_stream();
     let affinity = if is_turn { line } else { call.head.affinity.as_deref() };
@@ -117,6 +119,7 @@
         zone: &call.edge.settings.zone,
         affinity: affinity.filter(|_| call.selected.route.is_sticky),
         avoid,
+        rather_not,
         only,
         tie: rand::random(),
     };
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -25,9 +25,6 @@
 /// When a caller is told to come back after a refusal that has nothing to do with engines.
 const COME_BACK_AFTER: std::time::Duration = std::time::Duration::from_millis(200);
 
-/// Time of a call that is kept for its run while the ledger is waited for.
-const RUN_RESERVE: std::time::Duration = std::time::Duration::from_millis(900);
-
 /// Answers one request.
 pub(crate) async fn serve_call<D: Dialect>(
     edge: Arc<Edge<D>>,
@@ -92,16 +89,17 @@
             Err(next) => give_up(&call, &machine, &next),
         };
     }
-    let (turn, body) = match begin_turn(edge, &head, &selected, body, machine.deadline()).await {
-        Ok(begun) => begun,
-        Err(error) => {
-            info!(edge.logger, "turn refused"; "event" => "turn_refused", "call" => &head.id,
+    let (turn, body) =
+        match begin_turn(edge, &head, &selected, body, machine.admission_deadline(edge.clock.now())).await {
+            Ok(begun) => begun,
+            Err(error) => {
+                info!(edge.logger, "turn refused"; "event" => "turn_refused", "call" => &head.id,
                 "reason" => %error, "program" => head.program.as_ref().map(|program| &program.program),
                 "budget" => head.program.as_ref().and_then(|program| program.token_budget),
                 "previous" => &head.previous, "epoch" => edge.ledger.group().epoch);
-            return refusal(edge, code_of(error));
-        }
-    };
+                return refusal(edge, code_of(error));
+            }
+        };
     let forwarded = Forwarded::new(&parts, body);
     let call = CallContext { edge: Arc::clone(edge), head, selected, forwarded, accepted };
     match run_stream(call, machine, turn).await {
@@ -116,14 +114,14 @@
     head: &CallHead,
     selected: &Selected,
     body: Bytes,
-    deadline: Timestamp,
+    until: Timestamp,
 ) -> Result<(Option<OpenTurn>, Bytes), LedgerError> {
     let Some(program) = &head.program else { return Ok((None, body)) };
     let is_counted = program.token_budget.is_some() || selected.route.is_retained;
     if !is_counted {
         return Ok((None, body));
     }
-    let until = edge.clock.instant(deadline - RUN_RESERVE);
+    let until = edge.clock.instant(until);
     let (turn, admission) =
         OpenTurn::begin(&edge.ledger, &edge.logger, head, program, selected, &body, until).await?;
     let prompt = if selected.route.is_retained { admission.chain.into_prompt(&body) } else { body };
--- a/crates/routing/src/book.rs
+++ b/crates/routing/src/book.rs
@@ -47,8 +47,10 @@
     pub zone: &'a str,
     /// What the call is about.
     pub affinity: Option<&'a str>,
-    /// Engines that should not be chosen.
+    /// Engines that must not be chosen.
     pub avoid: &'a [EngineId],
+    /// Engines to be chosen only if there is no other.
+    pub rather_not: &'a [EngineId],
     /// The only engine that may be chosen.
     pub only: Option<&'a EngineId>,
     /// A number drawn for this choice, from 0 to 1.
@@ -181,23 +183,28 @@
 
     /// The engine of least cost.
     pub fn choose(&self, request: &PlacementRequest<'_>, now: Timestamp) -> Option<Placed> {
-        let of_service: Vec<&Entry> =
-            self.engines.values().filter(|entry| &*entry.spec.service == request.service).collect();
-        let may = |entry: &&&Entry| request.only.is_none_or(|only| entry.spec.id == *only);
-        let fresh = |entry: &&&Entry| !request.avoid.contains(&entry.spec.id);
-        let fit = |entry: &&&Entry| entry.is_usable(now) && entry.health.allowed(entry.spec.slots, now) > 0;
-        let just_gone =
-            |entry: &&&Entry| entry.unusable_since.is_none_or(|since| now.since(since) < LAST_RESORT_TIME);
-        let mut candidates: Vec<&Entry> =
-            of_service.iter().filter(may).filter(fresh).filter(fit).copied().collect();
-        if candidates.is_empty() {
-            candidates =
-                of_service.iter().filter(may).filter(fresh).filter(|e| e.is_usable(now)).copied().collect();
-        }
-        if candidates.is_empty() {
-            candidates = of_service.iter().filter(may).filter(fresh).filter(just_gone).copied().collect();
-        }
-        cheapest(&candidates, request)
+        let may = |entry: &&Entry| {
+            let is_service = &*entry.spec.service == request.service;
+            let is_only = request.only.is_none_or(|only| entry.spec.id == *only);
+            is_service && is_only && !request.avoid.contains(&entry.spec.id)
+        };
+        let candidates: Vec<&Entry> = self.engines.values().filter(may).collect();
+        let is_fresh = |entry: &Entry| !request.rather_not.contains(&entry.spec.id);
+        let is_usable = |entry: &Entry| entry.is_usable(now);
+        let is_sound = |entry: &Entry| entry.health.allowed(entry.spec.slots, now) > 0;
+        let is_just_gone =
+            |entry: &Entry| entry.unusable_since.is_none_or(|since| now.since(since) < LAST_RESORT_TIME);
+        // From the best to the last resort.
+        let tiers: [&dyn Fn(&Entry) -> bool; 4] = [
+            &|entry| is_fresh(entry) && is_usable(entry) && is_sound(entry),
+            &|entry| is_fresh(entry) && is_usable(entry),
+            &|entry| is_usable(entry),
+            &|entry| is_just_gone(entry),
+        ];
+        tiers.iter().find_map(|tier| {
+            let fit: Vec<&Entry> = candidates.iter().copied().filter(|entry| tier(entry)).collect();
+            cheapest(&fit, request)
+        })
     }
 
     /// A call goes to an engine.
--- a/crates/routing/tests/engines.rs
+++ b/crates/routing/tests/engines.rs
@@ -30,7 +30,7 @@
 }
 
 fn request<'a>(affinity: Option<&'a str>, avoid: &'a [EngineId]) -> PlacementRequest<'a> {
-    PlacementRequest { service: "s", zone: "z1", affinity, avoid, only: None, tie: 0.3 }
+    PlacementRequest { service: "s", zone: "z1", affinity, avoid, rather_not: &[], only: None, tie: 0.3 }
 }
 
 fn chosen(book: &EngineBook, request: &PlacementRequest<'_>, now: Timestamp) -> Option<String> {
@@ -140,3 +140,14 @@
     book.replace_all(vec![spec("b", "z1")], Duration::from_millis(200), NOW);
     assert_eq!(book.usable("s", NOW), 1);
 }
+
+#[test]
+fn an_engine_that_failed_a_call_is_chosen_again_only_if_there_is_no_other() {
+    let book = book(&[("a", "z1"), ("b", "z2")]);
+    let failed = [EngineId::new("a")];
+    let again = PlacementRequest { rather_not: &failed, ..request(None, &[]) };
+    assert_eq!(chosen(&book, &again, NOW).as_deref(), Some("b"));
+    let other = [EngineId::new("b")];
+    let alone = PlacementRequest { rather_not: &failed, ..request(None, &other) };
+    assert_eq!(chosen(&book, &alone, NOW).as_deref(), Some("a"));
+}
