--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -18,6 +18,7 @@
 use crate::attempt::{CallContext, Forwarded};
 use crate::dialect::Dialect;
 use crate::edge::Edge;
+use crate::metrics::seconds;
 use crate::plain::run_plain;
 use crate::stream::run_stream;
 use crate::turn::{OpenTurn, code_of};
@@ -30,6 +31,7 @@
     edge: Arc<Edge<D>>,
     request: Request<Incoming>,
 ) -> Result<Response<EdgeBody>, Infallible> {
+    edge.metrics.calls.inc();
     let mut answer = take_call(&edge, request).await;
     if edge.is_stopping() {
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -89,17 +91,20 @@
             Err(next) => give_up(&call, &machine, &next),
         };
     }
-    let (turn, body) =
-        match begin_turn(edge, &head, &selected, body, machine.admission_deadline(edge.clock.now())).await {
-            Ok(begun) => begun,
-            Err(error) => {
-                info!(edge.logger, "turn refused"; "event" => "turn_refused", "call" => &head.id,
+    let asked = edge.clock.now();
+    let begun = begin_turn(edge, &head, &selected, body, machine.admission_deadline(asked)).await;
+    edge.metrics.ledger_seconds.observe(seconds(edge.clock.now().since(asked)));
+    let (turn, body) = match begun {
+        Ok(begun) => begun,
+        Err(error) => {
+            info!(edge.logger, "turn refused"; "event" => "turn_refused", "call" => &head.id,
                 "reason" => %error, "program" => head.program.as_ref().map(|program| &program.program),
                 "budget" => head.program.as_ref().and_then(|program| program.token_budget),
                 "previous" => &head.previous, "epoch" => edge.ledger.group().epoch);
-                return refusal(edge, code_of(error));
-            }
-        };
+            edge.metrics.gave_up(code_of(error));
+            return refusal(edge, code_of(error));
+        }
+    };
     let forwarded = Forwarded::new(&parts, body);
     let call = CallContext { edge: Arc::clone(edge), head, selected, forwarded, accepted };
     match run_stream(call, machine, turn).await {
@@ -143,6 +148,7 @@
 }
 
 fn early<D: Dialect>(edge: &Edge<D>, head: &CallHead, code: ResultCode) -> Response<EdgeBody> {
+    edge.metrics.gave_up(code);
     info!(edge.logger, "call refused"; "event" => "refused", "call" => &head.id, "code" => code.number(),
         "title" => code.title());
     refusal(edge, code)
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -13,6 +13,7 @@
 use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::engine_pool::EnginePool;
+use crate::metrics::EdgeMetrics;
 use crate::usual_times::UsualTimes;
 
 /// How long an engine that is gone is remembered.
@@ -53,6 +54,7 @@
     pub(crate) logger: Logger,
     pub(crate) clock: Clock,
     pub(crate) pool: Arc<EnginePool>,
+    pub(crate) metrics: EdgeMetrics,
     routes: Mutex<Routes>,
     book: Mutex<EngineBook>,
     usual_times: Mutex<UsualTimes>,
@@ -75,6 +77,7 @@
             logger: parts.logger,
             clock: Clock::default(),
             pool: Arc::default(),
+            metrics: EdgeMetrics::default(),
             routes: Mutex::default(),
             book: Mutex::new(EngineBook::new(health)),
             usual_times: Mutex::default(),
@@ -87,6 +90,7 @@
         let (version, routes) = (table.version, table.routes());
         let is_newer = self.routes().apply(table);
         if is_newer {
+            self.metrics.configuration.set(i64::try_from(version).unwrap_or(i64::MAX));
             info!(self.logger, "configuration in force"; "event" => "configuration", "version" => version,
                 "routes" => routes, "source" => source);
         }
@@ -125,6 +129,11 @@
         self.pool.sweep(|engine| book.spec(engine).is_some());
     }
 
+    /// Counters and histograms.
+    pub fn metrics(&self) -> &EdgeMetrics {
+        &self.metrics
+    }
+
     /// Limits for callers, once a configuration is in force.
     pub fn limits(&self) -> Option<CallerLimits> {
         self.routes().table().map(|table| table.limits)
--- /dev/null
+++ b/crates/edge/src/metrics.rs
@@ -0,0 +1,105 @@
+//! Counters and histograms of an edge.
+
+use std::time::Duration;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+use sumacdrift_telemetry::time_histogram;
+use sumacdrift_types::ResultCode;
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CodeLabel {
+    code: u32,
+}
+
+/// Metrics of an edge.
+pub struct EdgeMetrics {
+    pub(crate) calls: Counter,
+    pub(crate) served: Counter,
+    pub(crate) events: Counter,
+    pub(crate) failed_attempts: Counter,
+    pub(crate) resumptions: Counter,
+    pub(crate) under_way: Gauge,
+    pub(crate) configuration: Gauge,
+    pub(crate) ledger_seconds: Histogram,
+    pub(crate) first_event_seconds: Histogram,
+    pub(crate) stream_seconds: Histogram,
+    pub(crate) plain_seconds: Histogram,
+    given_up: Family<CodeLabel, Counter>,
+}
+
+impl Default for EdgeMetrics {
+    fn default() -> Self {
+        Self {
+            calls: Counter::default(),
+            served: Counter::default(),
+            events: Counter::default(),
+            failed_attempts: Counter::default(),
+            resumptions: Counter::default(),
+            under_way: Gauge::default(),
+            configuration: Gauge::default(),
+            ledger_seconds: time_histogram(),
+            first_event_seconds: time_histogram(),
+            stream_seconds: time_histogram(),
+            plain_seconds: time_histogram(),
+            given_up: Family::default(),
+        }
+    }
+}
+
+impl EdgeMetrics {
+    /// Makes the metrics known under their names.
+    pub fn register(&self, registry: &mut Registry) {
+        let registry = registry.sub_registry_with_prefix("sumacdrift_edge");
+        registry.register("calls", "Calls taken from callers", self.calls.clone());
+        registry.register("served", "Calls answered by an engine to the end", self.served.clone());
+        registry.register("events", "Events of streams given to callers", self.events.clone());
+        registry.register("failed_attempts", "Attempts that an engine failed", self.failed_attempts.clone());
+        registry.register("resumptions", "Streams taken up again", self.resumptions.clone());
+        registry.register("under_way", "Calls under way", self.under_way.clone());
+        registry.register("configuration", "Version of the configuration", self.configuration.clone());
+        let times = [
+            ("ledger_seconds", "From a turn's begin to the ledger's answer", &self.ledger_seconds),
+            ("first_event_seconds", "From a stream's call to its first event", &self.first_event_seconds),
+            ("stream_seconds", "From a stream's call to its end", &self.stream_seconds),
+            ("plain_seconds", "From a plain call to its answer", &self.plain_seconds),
+        ];
+        for (name, help, histogram) in times {
+            registry.register(name, help, histogram.clone());
+        }
+        registry.register(
+            "given_up",
+            "Calls refused, failed or broken off, by result code",
+            self.given_up.clone(),
+        );
+    }
+
+    pub(crate) fn gave_up(&self, code: ResultCode) {
+        self.given_up.get_or_create(&CodeLabel { code: code.number() }).inc();
+    }
+}
+
+/// Counts a call as under way until it is dropped.
+pub(crate) struct UnderWay(Gauge);
+
+impl UnderWay {
+    pub(crate) fn begin(gauge: &Gauge) -> Self {
+        gauge.inc();
+        Self(gauge.clone())
+    }
+}
+
+impl Drop for UnderWay {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
+/// A time as histograms take it.
+pub(crate) fn seconds(time: Duration) -> f64 {
+    time.as_secs_f64()
+}
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -10,6 +10,7 @@
 use crate::attempt::{Answered, CallContext, find_answer};
 use crate::dialect::Dialect;
 use crate::headers::forwardable;
+use crate::metrics::{UnderWay, seconds};
 
 /// Largest answer that is gathered.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
@@ -19,12 +20,15 @@
     call: &CallContext<D>,
     machine: &mut CallMachine,
 ) -> Result<Response<EdgeBody>, Next> {
+    let _under_way = UnderWay::begin(&call.edge.metrics.under_way);
     let mut next = machine.begin(call.edge.clock.now());
     loop {
         let answered = find_answer(call, machine, next).await?;
         let engine = answered.run.engine.clone();
         match gather(call, machine, answered).await {
             Ok((head, bytes)) => {
+                let taken = call.edge.clock.now().since(call.accepted);
+                call.edge.metrics.plain_seconds.observe(seconds(taken));
                 call.report_served(machine, head.status.as_u16(), engine.as_str());
                 return Ok(pass_on(&head, whole_body(bytes)));
             }
--- a/crates/edge/src/report.rs
+++ b/crates/edge/src/report.rs
@@ -1,6 +1,6 @@
 //! One line for each decision about a call.
 
-use slog::{debug, info};
+use slog::info;
 use sumacdrift_calls::{CallMachine, Failure, Next};
 use sumacdrift_routing::Placed;
 use sumacdrift_types::ResultCode;
@@ -11,6 +11,7 @@
 impl<D: Dialect> CallContext<D> {
     /// An attempt failed, and this is what follows.
     pub(crate) fn report_failure(&self, placed: &Placed, failure: Failure, next: &Next) {
+        self.edge.metrics.failed_attempts.inc();
         info!(self.edge.logger, "attempt failed"; "event" => "attempt_failed", "call" => &self.head.id,
             "engine" => %placed.engine, "failure" => ?failure, "next" => ?next,
             "candidates" => placed.candidates, "in_flight" => placed.in_flight,
@@ -19,13 +20,17 @@
 
     /// The call was answered by an engine to its end.
     pub(crate) fn report_served(&self, machine: &CallMachine, status: u16, engine: &str) {
-        debug!(self.edge.logger, "served"; "event" => "served", "call" => &self.head.id, "engine" => engine,
+        self.edge.metrics.served.inc();
+        let program = self.head.program.as_ref().map_or("", |program| &program.program);
+        info!(self.edge.logger, "served"; "event" => "served", "call" => &self.head.id, "engine" => engine,
             "status" => status, "events" => machine.events(), "misses" => machine.misses(),
-            "age_ms" => self.age_millis(), "version" => self.selected.version);
+            "age_ms" => self.age_millis(), "version" => self.selected.version, "program" => program,
+            "route" => &*self.selected.route.name);
     }
 
     /// The call was refused, failed or broken off.
     pub(crate) fn report_given_up(&self, machine: &CallMachine, what: &str, code: ResultCode) {
+        self.edge.metrics.gave_up(code);
         info!(self.edge.logger, "call given up"; "event" => "given_up", "call" => &self.head.id, "what" => what,
             "code" => code.number(), "title" => code.title(), "runs" => machine.runs(),
             "misses" => machine.misses(), "events" => machine.events(), "age_ms" => self.age_millis(),
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -13,6 +13,7 @@
 use crate::answers::{EdgeBody, RelayError};
 use crate::attempt::{Answered, CallContext, EngineRun, find_answer};
 use crate::dialect::Dialect;
+use crate::metrics::{UnderWay, seconds};
 use crate::plain::pass_on;
 use crate::turn::{OpenTurn, code_of};
 
@@ -34,6 +35,8 @@
     machine.head_given();
     let mut relay = Relay::new(call, machine, turn, answered);
     let first = relay.next_piece().await;
+    let waited = relay.call.edge.clock.now().since(relay.call.accepted);
+    relay.call.edge.metrics.first_event_seconds.observe(seconds(waited));
     let pieces = futures::stream::unfold((relay, first), |(mut relay, ready)| async move {
         let piece = match ready {
             Some(piece) => Some(piece),
@@ -84,6 +87,7 @@
     splitter: EventSplitter,
     ready: VecDeque<StreamEvent>,
     is_over: bool,
+    _under_way: UnderWay,
 }
 
 impl<D: Dialect> Relay<D> {
@@ -93,7 +97,9 @@
         turn: Option<OpenTurn>,
         answered: Answered<D>,
     ) -> Self {
+        let under_way = UnderWay::begin(&call.edge.metrics.under_way);
         Self {
+            _under_way: under_way,
             call,
             machine,
             turn,
@@ -145,6 +151,7 @@
         if let Some(turn) = &mut self.turn {
             turn.hand_out(event);
         }
+        self.call.edge.metrics.events.inc();
         self.machine.event_given(event.id.clone());
     }
 
@@ -183,6 +190,7 @@
         }
         let taken = self.call.edge.clock.now().since(self.call.accepted);
         self.call.edge.usual_times().observe(&self.call.selected.route.name, taken);
+        self.call.edge.metrics.stream_seconds.observe(seconds(taken));
         let engine = engine.map(|engine| engine.to_string()).unwrap_or_default();
         self.call.report_served(&self.machine, StatusCode::OK.as_u16(), &engine);
         None
@@ -201,6 +209,7 @@
             "next" => ?next, "age_ms" => self.call.age_millis());
         match find_answer(&self.call, &mut self.machine, next).await {
             Ok(answered) if answered.head.status == StatusCode::OK => {
+                self.call.edge.metrics.resumptions.inc();
                 self.source = Some((answered.body, answered.run));
                 None
             }
--- a/crates/storage/src/host.rs
+++ b/crates/storage/src/host.rs
@@ -7,14 +7,20 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::Bytes;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
 use prost::Message;
 use slog::{Logger, error, info};
 use sumacdrift_journal::{FolderDisk, Journal, JournalError, JournalFailure, JournalSettings, JournalWriter};
 use sumacdrift_ledger::{LedgerReply, LedgerRequest, Record, Replica, ReplicaSettings, ReplyKind};
 use sumacdrift_proto::{OneWay, Request, Response};
+use sumacdrift_telemetry::time_histogram;
 use sumacdrift_transport::Handler;
 use sumacdrift_types::{Problem, ResultCode};
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 use crate::clock::wall_millis;
 
@@ -54,11 +60,51 @@
     last_snapshot: AtomicU64,
 }
 
+/// Metrics of a replica.
+pub struct HostMetrics {
+    requests: Counter,
+    commits: Counter,
+    commit_seconds: Histogram,
+    is_voting: Gauge,
+    programs: Gauge,
+    kept_turns: Gauge,
+    epoch: Gauge,
+}
+
+impl Default for HostMetrics {
+    fn default() -> Self {
+        Self {
+            requests: Counter::default(),
+            commits: Counter::default(),
+            commit_seconds: time_histogram(),
+            is_voting: Gauge::default(),
+            programs: Gauge::default(),
+            kept_turns: Gauge::default(),
+            epoch: Gauge::default(),
+        }
+    }
+}
+
+impl HostMetrics {
+    /// Makes the metrics known under their names.
+    pub fn register(&self, registry: &mut Registry) {
+        let registry = registry.sub_registry_with_prefix("sumacdrift_ledger");
+        registry.register("requests", "Requests of other nodes", self.requests.clone());
+        registry.register("commits", "Batches of records made durable", self.commits.clone());
+        registry.register("commit_seconds", "Time until records are durable", self.commit_seconds.clone());
+        registry.register("voting", "Whether the replica votes", self.is_voting.clone());
+        registry.register("programs", "Programs known", self.programs.clone());
+        registry.register("kept_turns", "Turns whose content is kept", self.kept_turns.clone());
+        registry.register("epoch", "Epoch of the group", self.epoch.clone());
+    }
+}
+
 /// A replica with its journal.
 pub struct ReplicaHost {
     replica: Mutex<Replica>,
     writer: JournalWriter,
     meter: SnapshotMeter,
+    metrics: HostMetrics,
     logger: Logger,
 }
 
@@ -86,6 +132,7 @@
             replica: Mutex::new(replica),
             writer: JournalWriter::start(journal),
             meter: SnapshotMeter::default(),
+            metrics: HostMetrics::default(),
             logger,
         });
         host.commit(first).await.map_err(OpenError::FirstRecords)?;
@@ -102,6 +149,21 @@
         self.replica().is_voting()
     }
 
+    /// Counters and histograms.
+    pub fn metrics(&self) -> &HostMetrics {
+        &self.metrics
+    }
+
+    /// Brings the gauges up to date.
+    pub(crate) fn observe(&self) {
+        let replica = self.replica();
+        let number = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        self.metrics.is_voting.set(i64::from(replica.is_voting()));
+        self.metrics.programs.set(number(replica.state().programs()));
+        self.metrics.kept_turns.set(number(replica.state().kept_turns()));
+        self.metrics.epoch.set(i64::try_from(replica.group().epoch).unwrap_or(i64::MAX));
+    }
+
     /// The logger.
     pub(crate) fn logger(&self) -> &Logger {
         &self.logger
@@ -110,7 +172,11 @@
     /// Makes records durable.
     pub(crate) async fn commit(&self, records: Vec<Record>) -> Result<(), JournalFailure> {
         let Some(done) = self.queue(records) else { return Ok(()) };
-        done.await.unwrap_or_else(|_| Err("the writer has stopped".to_owned()))
+        let begun = Instant::now();
+        let outcome = done.await.unwrap_or_else(|_| Err("the writer has stopped".to_owned()));
+        self.metrics.commits.inc();
+        self.metrics.commit_seconds.observe(begun.elapsed().as_secs_f64());
+        outcome
     }
 
     /// Queues records; the receiver tells when the last one is durable. `None` where there are no records.
@@ -168,6 +234,7 @@
         let Ok(request) = LedgerRequest::decode(bytes) else {
             return LedgerReply { kind: Some(ReplyKind::Failed("unreadable request".to_owned())) };
         };
+        self.metrics.requests.inc();
         let step = self.replica().handle(request, wall_millis());
         match self.commit(step.commit).await {
             Ok(()) => step.reply,
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -19,5 +19,5 @@
     DirectoryError, DirectoryFuture, DirectoryView, GroupDirectory, Registration, Retirement, Revision,
     StoredGroup,
 };
-pub use host::{HostSettings, OpenError, ReplicaHost};
+pub use host::{HostMetrics, HostSettings, OpenError, ReplicaHost};
 pub use upkeep::{Upkeep, UpkeepSettings};
--- a/crates/storage/src/upkeep.rs
+++ b/crates/storage/src/upkeep.rs
@@ -83,6 +83,7 @@
         loop {
             let seen = view.borrow_and_update().clone();
             self.round(&seen).await;
+            self.host.observe();
             if self.tidied.elapsed() >= TIDY_EVERY {
                 self.tidied = Instant::now();
                 self.host.tidy().await;
