--- a/crates/calls/src/machine.rs
+++ b/crates/calls/src/machine.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use sumacdrift_types::{ResultCode, Timestamp};
+use sumacdrift_mutants::{Rule, is_broken};
+use sumacdrift_types::{Ran, ResultCode, Timestamp};
 
 use crate::head::EngineId;
 use crate::rules::CallRules;
@@ -83,7 +84,9 @@
     rules: CallRules,
     deadline: Timestamp,
     stage: Stage,
+    under_way: Option<EngineId>,
     may_have_run: Vec<EngineId>,
+    may_resume: bool,
     turned_away: Vec<EngineId>,
     unsent: usize,
     rejections: usize,
@@ -101,7 +104,9 @@
             rules,
             deadline: now + held,
             stage: Stage::Waiting,
+            under_way: None,
             may_have_run: Vec::new(),
+            may_resume: true,
             turned_away: Vec::new(),
             unsent: 0,
             rejections: 0,
@@ -158,6 +163,22 @@
         if now >= self.deadline { self.expired() } else { self.another_try() }
     }
 
+    /// The call is being sent to an engine, which may run it from now on.
+    pub fn sent(&mut self, engine: &EngineId) {
+        self.under_way = Some(engine.clone());
+    }
+
+    /// What can be said of whether the call has run, unless it was answered.
+    pub fn ran(&self) -> Ran {
+        let is_unsent = self.may_have_run.is_empty() && self.under_way.is_none();
+        if is_unsent || is_broken(Rule::SentIsNeverNotRun) { Ran::No } else { Ran::Unknown }
+    }
+
+    /// What the caller was given can't be followed by another engine's answer.
+    pub fn forbid_resumption(&mut self) {
+        self.may_resume = false;
+    }
+
     /// The head of a stream was given to the caller.
     pub fn head_given(&mut self) {
         self.stage = Stage::Streaming;
@@ -200,6 +221,7 @@
     }
 
     fn note(&mut self, engine: &EngineId, failure: Failure) {
+        self.under_way = None;
         match failure {
             Failure::NotSent => {
                 self.unsent += 1;
@@ -223,7 +245,7 @@
     }
 
     fn after_a_run(&mut self, code: ResultCode) -> Next {
-        if !self.rules.kind.may_run_again() {
+        if !self.rules.kind.may_run_again() || !self.may_resume {
             return self.give_up(code);
         }
         self.resumptions += 1;
@@ -242,7 +264,7 @@
             return Next::Try { avoid, rather_not, only: None };
         }
         match self.may_have_run.last() {
-            Some(last) if !self.turned_away.contains(last) => {
+            Some(last) if self.rules.returns_to_last && !self.turned_away.contains(last) => {
                 Next::Try { avoid: Vec::new(), rather_not: Vec::new(), only: Some(last.clone()) }
             }
             _ => self.give_up(ResultCode::BackEndCut),
@@ -253,7 +275,7 @@
         if self.stage == Stage::Streaming {
             return Next::BreakOff { code };
         }
-        if self.may_have_run.is_empty() {
+        if self.ran() == Ran::No {
             let retry_after = self.retry_after.unwrap_or(DEFAULT_RETRY_AFTER);
             return Next::Refuse { code, retry_after };
         }
--- a/crates/calls/src/rules.rs
+++ b/crates/calls/src/rules.rs
@@ -35,6 +35,8 @@
     pub kind: CallKind,
     /// Most engines that may run it.
     pub max_engines: usize,
+    /// Whether the last engine may run it again where no further one may.
+    pub returns_to_last: bool,
     /// Longest time that it is held.
     pub timeout: Duration,
     /// Time within which an answer (a stream's first event) should come.
--- a/crates/calls/tests/machine.rs
+++ b/crates/calls/tests/machine.rs
@@ -12,6 +12,7 @@
     let rules = CallRules {
         kind,
         max_engines,
+        returns_to_last: true,
         timeout: Duration::from_secs(3),
         aim: Duration::from_millis(200),
         priority: 0,
@@ -140,3 +141,21 @@
     let over = START + Duration::from_secs(3);
     assert_eq!(machine.admission_deadline(over), machine.deadline());
 }
+
+#[test]
+fn a_call_under_way_is_not_declared_as_not_run() {
+    let mut machine = machine(CallKind::Once, 1);
+    machine.sent(&engine("a"));
+    assert!(matches!(machine.expired(), Next::Fail { .. }));
+    machine.failed(&engine("a"), REJECTED, START);
+    assert!(matches!(machine.expired(), Next::Refuse { .. }));
+}
+
+#[test]
+fn an_answer_that_cannot_be_followed_by_another_is_broken_off() {
+    let mut machine = machine(CallKind::Stream { resumable: true }, 3);
+    machine.head_given();
+    machine.event_given(Some("1".to_owned()));
+    machine.forbid_resumption();
+    assert!(matches!(machine.failed(&engine("a"), Failure::Lost, START), Next::BreakOff { .. }));
+}
--- a/crates/config/src/bundle_reader.rs
+++ b/crates/config/src/bundle_reader.rs
@@ -13,6 +13,8 @@
 };
 use crate::document::Table;
 
+/// Time after a pool's deadline at which a granted call that was never released is taken for lost.
+const GRANT_LEASE_SLACK: Duration = Duration::from_secs(15);
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(300);
 const DEFAULT_STALL_TIMEOUT: Duration = Duration::from_secs(60);
 const DEFAULT_SERVICE_DEADLINE: Duration = Duration::from_secs(30);
@@ -84,6 +86,8 @@
     let weights = table.table("weights", read_weights);
     let deadline = table.seconds_or("deadline_seconds", DEFAULT_DEADLINE);
     let stall_timeout = table.seconds_or("stall_timeout_seconds", DEFAULT_STALL_TIMEOUT);
+    // A call that was granted and never released has ended by its deadline, whatever became of its node.
+    let queue = QueueSettings { grant_lease: deadline + GRANT_LEASE_SLACK, ..queue };
     Some(Pool { name: name?, models, engines, queue, weights, deadline, stall_timeout })
 }
 
--- a/crates/config/tests/files.rs
+++ b/crates/config/tests/files.rs
@@ -53,3 +53,13 @@
     assert_eq!(mistakes.0.len(), 1);
     assert_eq!(mistakes.0[0].line, 2);
 }
+
+/// Simulation seed 5859: slots of calls whose release was lost stayed taken for ten minutes, whatever the calls' time.
+#[test]
+fn a_grant_that_is_never_released_is_taken_back_after_the_pools_deadline() {
+    let bundle = Bundle::parse("bundle.toml", BUNDLE).expect("a valid bundle");
+    for pool in bundle.pools.values() {
+        let slack = pool.queue.grant_lease.checked_sub(pool.deadline).expect("a lease beyond the deadline");
+        assert!(slack <= std::time::Duration::from_secs(60), "{slack:?}");
+    }
+}
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -94,6 +94,7 @@
         let Some(placed) = choose(call, &avoid, &rather_not, only.as_ref()) else {
             return Err(machine.no_engine());
         };
+        machine.sent(&placed.engine);
         match try_engine(call, machine, &placed).await {
             Ok(answered) => return Ok(answered),
             Err(failure) => {
--- a/crates/ledger/src/begin.rs
+++ b/crates/ledger/src/begin.rs
@@ -75,6 +75,11 @@
         self.chain.take()
     }
 
+    /// Votes so far.
+    pub fn votes(&self) -> usize {
+        self.votes
+    }
+
     /// Tokens of all other turns, by everything the voters know.
     pub fn counted_tokens(&self) -> u64 {
         self.known.values().map(|turn| turn.tokens).sum()
--- a/crates/node/src/chat_runner.rs
+++ b/crates/node/src/chat_runner.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use slog::{debug, info};
+use sumacdrift_calls::{CallKind, CallMachine, CallRules, EngineId, Failure, Next};
 use sumacdrift_config::{Bundle, Pool, PoolLookup, Tenant};
 use sumacdrift_engine_client::{
     AnswerBuilder, EngineClient, EngineError, EngineRequest, EngineStream, StreamItem,
@@ -85,13 +86,16 @@
     engines: Vec<EngineName>,
 }
 
+/// How long a call is held at the most; the turn's own deadline comes first.
+const LONGEST_CALL: Duration = Duration::from_secs(24 * 3600);
+
 /// The state of a turn over several attempts.
 struct Progress {
     answer: AnswerBuilder,
     generated: TokenCount,
     usage: Usage,
     tried: Vec<EngineName>,
-    was_sent: bool,
+    machine: CallMachine,
     first_token: Option<Timestamp>,
 }
 
@@ -321,7 +325,7 @@
             generated: 0,
             usage: Usage::default(),
             tried: Vec::new(),
-            was_sent: false,
+            machine: CallMachine::new(rules_of(turn), None, self.context.now()),
             first_token: None,
         };
         let attempts = self.attempts(turn, run, link, &mut progress);
@@ -343,14 +347,11 @@
                     reason: grant.reason,
                 })
             }
-            Err(problem) => {
-                let ran = if progress.was_sent { Ran::Unknown } else { Ran::No };
-                Err(Incomplete {
-                    problem: problem.with_ran(ran),
-                    output_tokens: progress.generated,
-                    engines: progress.tried,
-                })
-            }
+            Err(problem) => Err(Incomplete {
+                problem: problem.with_ran(progress.machine.ran()),
+                output_tokens: progress.generated,
+                engines: progress.tried,
+            }),
         }
     }
 
@@ -382,7 +383,7 @@
             info!(self.context.logger, "engine failed a call"; "call" => %turn.call.call,
                 "engine" => %grant.engine, "attempt" => attempt, "error" => error.to_string());
             failed.push(grant.engine.clone());
-            self.may_retry(turn, attempt, progress, &error)?;
+            self.may_retry(turn, &grant.engine, progress, &error)?;
         }
         Err(Problem::unknown(ResultCode::Internal, "attempts never end here"))
     }
@@ -447,7 +448,7 @@
         let sent = self.context.now();
         let generated_before = progress.generated;
         // From here on the engine may have seen the request, unless the connection could not be opened.
-        progress.was_sent = true;
+        progress.machine.sent(&engine_id(&grant.engine));
         progress.tried.push(grant.engine.clone());
         let started = self.engines.start(grant.address, request, turn.pool.stall_timeout).await;
         let mut stream = match started {
@@ -455,7 +456,6 @@
             Err(error) => {
                 if matches!(error, EngineError::Unreachable(_)) {
                     progress.tried.pop();
-                    progress.was_sent = !progress.tried.is_empty();
                 }
                 release.fault(&error);
                 return Err(error);
@@ -546,16 +546,19 @@
     fn may_retry(
         &self,
         turn: &Turn,
-        attempt: u32,
-        progress: &Progress,
+        engine: &EngineName,
+        progress: &mut Progress,
         error: &EngineError,
     ) -> Result<(), Problem> {
         let problem = to_problem(error);
-        let is_hopeless = !error.is_engine_fault() || !progress.answer.is_resumable();
-        if is_hopeless || attempt >= turn.bundle.retry.max_attempts {
-            return Err(problem);
+        if !error.is_engine_fault() || !progress.answer.is_resumable() {
+            progress.machine.forbid_resumption();
         }
         let now = self.context.now();
+        let next = progress.machine.failed(&engine_id(engine), failure_of(error), now);
+        if !matches!(next, Next::Try { .. }) {
+            return Err(problem);
+        }
         if !self.with_retry_budget(turn, |budget| budget.try_retry(now)) {
             let detail = format!("{problem}; the retry budget of pool {} is used up", turn.pool.name);
             return Err(Problem::unknown(ResultCode::RetryBudgetExhausted, detail)
@@ -747,6 +750,30 @@
     matches!(problem.code, ResultCode::PeerUnreachable | ResultCode::NodeStopping)
 }
 
+fn engine_id(engine: &EngineName) -> EngineId {
+    EngineId::new(engine.as_str())
+}
+
+/// What the bundle allows for a turn: a broken answer goes on at another engine after the text that came.
+fn rules_of(turn: &Turn) -> CallRules {
+    CallRules {
+        kind: CallKind::Stream { resumable: true },
+        max_engines: turn.bundle.retry.max_attempts as usize,
+        returns_to_last: false,
+        timeout: LONGEST_CALL,
+        aim: LONGEST_CALL,
+        priority: 0,
+    }
+}
+
+fn failure_of(error: &EngineError) -> Failure {
+    match error {
+        EngineError::Unreachable(_) => Failure::NotSent,
+        EngineError::Refused { .. } | EngineError::Garbage => Failure::Spoiled,
+        EngineError::Cut(_) | EngineError::Stalled => Failure::Lost,
+    }
+}
+
 fn to_problem(error: &EngineError) -> Problem {
     let code = match error {
         EngineError::Unreachable(_) => ResultCode::BackEndUnreachable,
--- a/crates/node/src/service_runner.rs
+++ b/crates/node/src/service_runner.rs
@@ -9,11 +9,12 @@
 use http_body_util::Full;
 use rand::seq::SliceRandom;
 use slog::{info, warn};
+use sumacdrift_calls::{CallKind, CallMachine, CallRules, EngineId, Failure, Next};
 use sumacdrift_config::{Service, ServiceBackEnd};
 use sumacdrift_gateway::{ServiceAnswer, ServiceBody, ServiceCall};
 use sumacdrift_http_client::{HttpClient, HttpError, next_piece};
 use sumacdrift_program::{BeginService, Command, LedgerKey, Reply, ServiceResponse};
-use sumacdrift_types::{Problem, ResultCode, Timestamp};
+use sumacdrift_types::{Problem, Ran, ResultCode, Timestamp};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::calls::RunningCalls;
@@ -29,6 +30,8 @@
 const LEDGER_TIME: Duration = Duration::from_secs(15);
 /// Added to a call's time before the ledger gives its outcome up.
 const GIVE_UP_SLACK: Duration = Duration::from_secs(30);
+/// How long a call is held at the most; each attempt has the service's own deadline.
+const LONGEST_CALL: Duration = Duration::from_secs(3600);
 /// Bytes of a digest over a request.
 const DIGEST_BYTES: usize = 16;
 
@@ -82,14 +85,44 @@
     /// A call that may be repeated: tries back ends until one answers, and passes the answer on as it comes.
     async fn run_repeatable(&self, call: &ServiceCall, service: &Service) -> Result<ServiceAnswer, Problem> {
         let mut last = no_back_end(call);
+        let mut machine = self.machine(CallKind::Repeatable, service);
         for back_end in self.back_ends(service) {
             let request = to_request(call, back_end.address)?;
+            machine.sent(&back_end_id(&back_end));
             match self.http.send(request, service.deadline).await {
                 Ok(response) => return Ok(self.pass_on(call, response)),
-                Err(error) => last = to_problem(&error),
+                Err(error) => {
+                    last = to_problem(&error);
+                    if !self.may_go_on(&mut machine, &back_end, &error) {
+                        break;
+                    }
+                }
             }
         }
-        Err(last)
+        Err(last.with_ran(machine.ran()))
+    }
+
+    fn machine(&self, kind: CallKind, service: &Service) -> CallMachine {
+        let rules = CallRules {
+            kind,
+            max_engines: service.back_ends.len(),
+            returns_to_last: false,
+            timeout: LONGEST_CALL,
+            aim: service.deadline,
+            priority: 0,
+        };
+        CallMachine::new(rules, None, self.context.now())
+    }
+
+    /// Whether another back end may be tried.
+    fn may_go_on(&self, machine: &mut CallMachine, back_end: &ServiceBackEnd, error: &HttpError) -> bool {
+        let failure = match error {
+            HttpError::NotSent(_) => Failure::NotSent,
+            HttpError::Broken(_) | HttpError::TimedOut => Failure::Lost,
+            HttpError::TooLarge(_) => Failure::Spoiled,
+        };
+        let next = machine.failed(&back_end_id(back_end), failure, self.context.now());
+        matches!(next, Next::Try { .. })
     }
 
     fn pass_on(&self, call: &ServiceCall, response: http::Response<hyper::body::Incoming>) -> ServiceAnswer {
@@ -182,12 +215,18 @@
         key: LedgerKey,
     ) -> Result<ServiceAnswer, Problem> {
         let mut last = no_back_end(&call);
+        let mut machine = self.machine(CallKind::Once, &service);
         for back_end in self.back_ends(&service) {
             let request = to_request(&call, back_end.address)?;
+            machine.sent(&back_end_id(&back_end));
             match self.http.fetch(request, service.deadline, MAX_RECORDED_BYTES).await {
                 Ok(response) => return self.record(&call, &key, response).await,
-                // Nothing was sent, so another back end may still be tried.
-                Err(error @ HttpError::NotSent(_)) => last = to_problem(&error),
+                // Only where nothing was sent may another back end still be tried.
+                Err(error) if self.may_go_on(&mut machine, &back_end, &error) => last = to_problem(&error),
+                Err(error) if machine.ran() == Ran::No => {
+                    last = to_problem(&error);
+                    break;
+                }
                 Err(error) => {
                     let command = Command::LoseService { key: key.clone(), call: call.call };
                     self.settle(&key, &call, command).await;
@@ -281,6 +320,10 @@
     }
 }
 
+fn back_end_id(back_end: &ServiceBackEnd) -> EngineId {
+    EngineId::new(&back_end.address.to_string())
+}
+
 fn to_problem(error: &HttpError) -> Problem {
     match error {
         HttpError::NotSent(_) => Problem::not_run(ResultCode::BackEndUnreachable, error.to_string())
--- a/crates/routing/tests/routes.rs
+++ b/crates/routing/tests/routes.rs
@@ -23,6 +23,7 @@
         rules: CallRules {
             kind: CallKind::Repeatable,
             max_engines: 1,
+            returns_to_last: true,
             timeout: Duration::from_secs(1),
             aim: Duration::from_millis(100),
             priority: 0,
--- a/crates/simulation/src/gateway.rs
+++ b/crates/simulation/src/gateway.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use rand::Rng;
+use sumacdrift_calls::{CallKind, CallMachine, CallRules, EngineId, Failure, Next};
 use sumacdrift_mutants::{Rule, is_broken};
 use sumacdrift_program::{
     Answer, BeginService, BeginTurn, BudgetLimits, Command, FinishTurn, KnownPrefix, Reply, RunTurn,
@@ -10,7 +11,7 @@
 };
 use sumacdrift_scheduling::{FinishedWork, QueueEffect, Release, Work, context_prefixes};
 use sumacdrift_types::{
-    CallId, ChatMessage, HistoryMode, Incarnation, Problem, Ran, ResultCode, TenantName, Timestamp, Usage,
+    CallId, ChatMessage, HistoryMode, Incarnation, Problem, ResultCode, TenantName, Timestamp, Usage,
 };
 
 use crate::node::{Waiter, engine_name};
@@ -32,7 +33,9 @@
 /// How long a service's answer is waited for.
 const SERVICE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Attempts at engines.
-const MAX_ATTEMPTS: u32 = 3;
+const MAX_ENGINES: usize = 3;
+/// How long a call is held at the most; the simulation ends calls in its own ways long before.
+const CALL_TIME: Duration = Duration::from_secs(3600);
 
 impl World {
     /// A caller's request reaches a gateway.
@@ -59,6 +62,7 @@
             self.tell_caller(caller, turn, CallerAnswer::Refused { call, problem });
             return;
         }
+        let machine = CallMachine::new(rules_of(&request), None, self.now);
         let task = Task {
             call,
             caller,
@@ -68,8 +72,7 @@
             command: None,
             next_target: 0,
             give_up: Timestamp::default(),
-            was_sent: false,
-            attempts: 0,
+            machine,
             generated: 0,
             engines: Vec::new(),
         };
@@ -330,17 +333,17 @@
         let Some(task) = self.nodes[node].tasks.get(&call).cloned() else { return };
         let Stage::Queueing { run, engine, owner } = task.stage else { return };
         self.send(node, owner, Packet::Forget { engine, call });
-        self.next_attempt(node, call, *run);
+        self.next_attempt(node, call, *run, engine, Failure::NotSent);
     }
 
-    fn next_attempt(&mut self, node: usize, call: CallId, run: RunTurn) {
+    fn next_attempt(&mut self, node: usize, call: CallId, run: RunTurn, engine: usize, failure: Failure) {
+        let now = self.now;
         let Some(task) = self.nodes[node].tasks.get_mut(&call) else { return };
-        task.attempts += 1;
-        if task.attempts < MAX_ATTEMPTS {
+        if let Next::Try { .. } = task.machine.failed(&engine_id(engine), failure, now) {
             self.place(node, call, run);
             return;
         }
-        let ran = if task.was_sent && !is_broken(Rule::SentIsNeverNotRun) { Ran::Unknown } else { Ran::No };
+        let ran = task.machine.ran();
         let problem = Problem::not_run(ResultCode::BackEndCut, "all attempts failed").with_ran(ran);
         let task = task.clone();
         self.refuse(node, call, problem);
@@ -398,7 +401,7 @@
         let Stage::Queueing { run, engine, owner } = task.stage.clone() else { return };
         match outcome {
             Ok(()) => self.run_on_engine(node, task, *run, engine, owner),
-            Err(_) => self.next_attempt(node, call, *run),
+            Err(_) => self.next_attempt(node, call, *run, engine, Failure::NotSent),
         }
     }
 
@@ -412,7 +415,8 @@
         self.memory[engine].insert(request.program.clone());
         let tokens = run.output_tokens.min(request.wanted_output);
         self.oracle.engine_generated(&request.program, tokens);
-        task.was_sent = true;
+        task.machine.sent(&engine_id(engine));
+        task.machine.head_given();
         task.generated += tokens;
         task.engines.push(engine);
         task.exchange = self.next_exchange;
@@ -446,9 +450,9 @@
             rest.output_tokens = rest.output_tokens.saturating_sub(tokens);
             let is_used_up = rest.output_tokens == 0;
             if let Some(task) = self.nodes[node].tasks.get_mut(&call).filter(|_| is_used_up) {
-                task.attempts = MAX_ATTEMPTS;
+                task.machine.forbid_resumption();
             }
-            self.next_attempt(node, call, rest);
+            self.next_attempt(node, call, rest, engine, Failure::Lost);
             return;
         }
         let message = engine_answer(&prompt(&run, &request));
@@ -472,7 +476,7 @@
         let incarnation = self.nodes[node].incarnation;
         if let Some(task) = self.nodes[node].tasks.get_mut(&call) {
             task.stage = Stage::RunningService;
-            task.was_sent = true;
+            task.machine.sent(&EngineId::new(SERVICE));
         }
         let is_hung = self.hangs_tools && self.random.random_bool(0.6);
         let way = Duration::from_millis(self.random.random_range(1..30));
@@ -500,7 +504,11 @@
         let CallerRequest::Service { key, .. } = &task.request else { return };
         let Some(key) = ledger_key(key) else { return };
         if is_lost {
-            let problem = Problem::unknown(ResultCode::BackEndCut, "the service's answer is lost");
+            let mut machine = task.machine.clone();
+            let next = machine.failed(&EngineId::new(SERVICE), Failure::Lost, self.now);
+            debug_assert!(matches!(next, Next::Fail { .. }), "a call that runs once is never tried again");
+            let problem = Problem::not_run(ResultCode::BackEndCut, "the service's answer is lost");
+            let problem = problem.with_ran(machine.ran());
             self.refuse(node, call, problem);
             self.settle(node, task, Command::LoseService { key, call });
             return;
@@ -568,3 +576,26 @@
 fn tenant() -> TenantName {
     TenantName::new("tenant").unwrap_or_else(|_| unreachable!("a valid constant"))
 }
+
+/// The back end of service calls, as their state machine knows it.
+const SERVICE: &str = "service";
+
+fn engine_id(engine: usize) -> EngineId {
+    EngineId::new(&format!("engine-{engine}"))
+}
+
+/// What the configuration allows for a request.
+fn rules_of(request: &CallerRequest) -> CallRules {
+    let kind = match request {
+        CallerRequest::Turn(_) => CallKind::Stream { resumable: true },
+        _ => CallKind::Once,
+    };
+    CallRules {
+        kind,
+        max_engines: MAX_ENGINES,
+        returns_to_last: false,
+        timeout: CALL_TIME,
+        aim: CALL_TIME,
+        priority: 0,
+    }
+}
--- a/crates/simulation/src/node.rs
+++ b/crates/simulation/src/node.rs
@@ -17,6 +17,9 @@
 const DEAD_AFTER: Duration = Duration::from_millis(2500);
 /// Calls that an engine runs at a time.
 const ENGINE_SLOTS: usize = 4;
+/// A granted call that is not released for this long is taken for lost; calls here end within seconds. With the
+/// default of ten minutes, slots whose release was lost stayed taken to the end of a run (seed 5859).
+const GRANT_LEASE: Duration = Duration::from_secs(15);
 
 /// Who waits for the answer to a command or for a grant.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -129,7 +132,11 @@
     pub(crate) fn queue(&mut self, engine: usize) -> &mut EngineQueue {
         let is_leaving = self.in_force.current().is_some_and(|present| present.leaving.contains(&engine));
         self.queues.entry(engine).or_insert_with(|| {
-            let settings = QueueSettings { max_running: ENGINE_SLOTS, ..QueueSettings::default() };
+            let settings = QueueSettings {
+                max_running: ENGINE_SLOTS,
+                grant_lease: GRANT_LEASE,
+                ..QueueSettings::default()
+            };
             let mut queue = EngineQueue::new(engine_name(engine), settings);
             queue.set_leaving(is_leaving);
             queue
--- a/crates/simulation/src/task.rs
+++ b/crates/simulation/src/task.rs
@@ -1,5 +1,6 @@
 //! A call that a simulated node runs: the steps that the node's call runners take, as a state machine.
 
+use sumacdrift_calls::CallMachine;
 use sumacdrift_program::{Command, LedgerKey, RunTurn};
 use sumacdrift_types::{CallId, ChatMessage, Timestamp};
 
@@ -21,10 +22,8 @@
     pub(crate) next_target: usize,
     /// When sending the present command is given up.
     pub(crate) give_up: Timestamp,
-    /// Whether a back end may have seen the call.
-    pub(crate) was_sent: bool,
-    /// Attempts at engines so far.
-    pub(crate) attempts: u32,
+    /// What becomes of the call where a back end fails it.
+    pub(crate) machine: CallMachine,
     /// Tokens that engines generated for it so far.
     pub(crate) generated: u64,
     /// Engines that may hold memory.
--- a/crates/storage/src/client.rs
+++ b/crates/storage/src/client.rs
@@ -205,8 +205,14 @@
             };
             match decision {
                 BeginDecision::Pending => {}
-                BeginDecision::BudgetSpent => return Some(Err(LedgerError::BudgetSpent)),
-                BeginDecision::UnknownPrevious => return Some(Err(LedgerError::UnknownPrevious)),
+                BeginDecision::BudgetSpent => {
+                    self.report_refusal(group, begin, &quorum, "budget");
+                    return Some(Err(LedgerError::BudgetSpent));
+                }
+                BeginDecision::UnknownPrevious => {
+                    self.report_refusal(group, begin, &quorum, "previous turn");
+                    return Some(Err(LedgerError::UnknownPrevious));
+                }
                 BeginDecision::Admitted => {
                     return Some(self.admitted(group, begin, quorum, deadline).await);
                 }
@@ -214,6 +220,14 @@
         }
     }
 
+    /// Says what decided a refusal.
+    fn report_refusal(&self, group: &Group, begin: &BeginTurn, quorum: &BeginQuorum, why: &'static str) {
+        info!(self.logger, "ledger refused a turn"; "event" => "ledger_refusal", "call" => &begin.turn.turn,
+            "program" => &begin.turn.program, "why" => why, "counted_tokens" => quorum.counted_tokens(),
+            "most_tokens" => begin.turn.most_tokens, "budget_tokens" => begin.budget_tokens,
+            "votes" => quorum.votes(), "epoch" => group.epoch);
+    }
+
     async fn admitted(
         &self,
         group: &Group,
