--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -14,6 +14,8 @@
 
 pub use counters::{TrafficCounters, TrafficTotals};
 pub use memory::MemoryNetwork;
-pub use network::{Acceptor, BoxedFuture, BoxedStream, Network, Stream, TcpNetwork, listen_tcp, tune};
+pub use network::{
+    Acceptor, BoxedFuture, BoxedStream, Network, Stream, TcpNetwork, WatchfulTcpNetwork, listen_tcp, tune,
+};
 pub use server::{Handler, serve};
 pub use transport::{Transport, TransportError};
--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -16,7 +16,7 @@
 /// Frames that may wait for a connection; one-way messages beyond that are dropped.
 const QUEUE_FRAMES: usize = 4096;
 /// How long opening a connection may take.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
 type Waiting = HashMap<u64, oneshot::Sender<Result<Response, TransportError>>>;
 
--- a/crates/transport/src/network.rs
+++ b/crates/transport/src/network.rs
@@ -44,22 +44,52 @@
 
 impl Network for TcpNetwork {
     fn connect(&self, to: SocketAddr) -> BoxedFuture<'_, io::Result<BoxedStream>> {
-        Box::pin(async move {
-            let stream = TcpStream::connect(to).await?;
-            tune(&stream)?;
-            Ok(Box::new(stream) as BoxedStream)
-        })
+        Box::pin(async move { connect(to, send_at_once).await })
     }
 
     fn listen(&self, at: SocketAddr) -> BoxedFuture<'_, io::Result<Box<dyn Acceptor>>> {
-        Box::pin(async move {
-            let listener = listen_tcp(at)?;
-            let address = listener.local_addr()?;
-            Ok(Box::new(TcpAcceptor { listener, address }) as Box<dyn Acceptor>)
-        })
+        Box::pin(async move { accept_with(at, send_at_once) })
+    }
+}
+
+/// TCP between nodes that are milliseconds apart: a peer that fell silent is noticed within seconds, and a connection
+/// that does not come up is given up soon.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct WatchfulTcpNetwork;
+
+/// Time for a connection between nodes that are milliseconds apart.
+const NEAR_CONNECT_TIME: Duration = Duration::from_millis(300);
+
+impl Network for WatchfulTcpNetwork {
+    fn connect(&self, to: SocketAddr) -> BoxedFuture<'_, io::Result<BoxedStream>> {
+        Box::pin(async move { tokio::time::timeout(NEAR_CONNECT_TIME, connect(to, tune)).await? })
+    }
+
+    fn listen(&self, at: SocketAddr) -> BoxedFuture<'_, io::Result<Box<dyn Acceptor>>> {
+        Box::pin(async move { accept_with(at, tune) })
     }
 }
 
+/// Sets a new connection's options.
+type Prepare = fn(&TcpStream) -> io::Result<()>;
+
+/// Small frames must not wait for each other's acknowledgement.
+fn send_at_once(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)
+}
+
+async fn connect(to: SocketAddr, prepare: Prepare) -> io::Result<BoxedStream> {
+    let stream = TcpStream::connect(to).await?;
+    prepare(&stream)?;
+    Ok(Box::new(stream) as BoxedStream)
+}
+
+fn accept_with(at: SocketAddr, prepare: Prepare) -> io::Result<Box<dyn Acceptor>> {
+    let listener = listen_tcp(at)?;
+    let address = listener.local_addr()?;
+    Ok(Box::new(TcpAcceptor { listener, address, prepare }) as Box<dyn Acceptor>)
+}
+
 /// How long sent bytes may stay unacknowledged before the connection counts as broken. A peer without power says
 /// nothing; without this limit a connection to it would hang for minutes.
 pub const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(1500);
@@ -68,8 +98,7 @@
 
 /// Sends small pieces at once and notices a peer that fell silent.
 pub fn tune(stream: &TcpStream) -> io::Result<()> {
-    // Small frames must not wait for each other's acknowledgement.
-    stream.set_nodelay(true)?;
+    send_at_once(stream)?;
     let socket = socket2::SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))?;
     let probes = socket2::TcpKeepalive::new().with_time(PROBE_AFTER).with_interval(PROBE_AFTER);
@@ -92,13 +121,14 @@
 struct TcpAcceptor {
     listener: TcpListener,
     address: SocketAddr,
+    prepare: Prepare,
 }
 
 impl Acceptor for TcpAcceptor {
     fn accept(&mut self) -> BoxedFuture<'_, io::Result<BoxedStream>> {
         Box::pin(async move {
             let (stream, _) = self.listener.accept().await?;
-            tune(&stream)?;
+            (self.prepare)(&stream)?;
             Ok(Box::new(stream) as BoxedStream)
         })
     }
