--- a/crates/node/src/chat_runner.rs
+++ b/crates/node/src/chat_runner.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use slog::{debug, info};
-use sumacdrift_calls::{CallKind, CallMachine, CallRules, EngineId, Failure, Next};
+use sumacdrift_calls::{CallMachine, Next};
 use sumacdrift_config::{Bundle, Pool, PoolLookup, Tenant};
 use sumacdrift_engine_client::{
     AnswerBuilder, EngineClient, EngineError, EngineRequest, EngineStream, StreamItem,
@@ -26,6 +26,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::calls::RunningCalls;
+use crate::chat_attempts::{engine_id, failure_of, rules_of, to_problem};
 use crate::configuration::ConfigurationStore;
 use crate::context::Context;
 use crate::engine_router::{EngineRouter, Grant};
@@ -86,9 +87,6 @@
     engines: Vec<EngineName>,
 }
 
-/// How long a call is held at the most; the turn's own deadline comes first.
-const LONGEST_CALL: Duration = Duration::from_secs(24 * 3600);
-
 /// The state of a turn over several attempts.
 struct Progress {
     answer: AnswerBuilder,
@@ -325,7 +323,7 @@
             generated: 0,
             usage: Usage::default(),
             tried: Vec::new(),
-            machine: CallMachine::new(rules_of(turn), None, self.context.now()),
+            machine: CallMachine::new(rules_of(turn.bundle.retry.max_attempts), None, self.context.now()),
             first_token: None,
         };
         let attempts = self.attempts(turn, run, link, &mut progress);
@@ -750,40 +748,6 @@
     matches!(problem.code, ResultCode::PeerUnreachable | ResultCode::NodeStopping)
 }
 
-fn engine_id(engine: &EngineName) -> EngineId {
-    EngineId::new(engine.as_str())
-}
-
-/// What the bundle allows for a turn: a broken answer goes on at another engine after the text that came.
-fn rules_of(turn: &Turn) -> CallRules {
-    CallRules {
-        kind: CallKind::Stream { resumable: true },
-        max_engines: turn.bundle.retry.max_attempts as usize,
-        returns_to_last: false,
-        timeout: LONGEST_CALL,
-        aim: LONGEST_CALL,
-        priority: 0,
-    }
-}
-
-fn failure_of(error: &EngineError) -> Failure {
-    match error {
-        EngineError::Unreachable(_) => Failure::NotSent,
-        EngineError::Refused { .. } | EngineError::Garbage => Failure::Spoiled,
-        EngineError::Cut(_) | EngineError::Stalled => Failure::Lost,
-    }
-}
-
-fn to_problem(error: &EngineError) -> Problem {
-    let code = match error {
-        EngineError::Unreachable(_) => ResultCode::BackEndUnreachable,
-        EngineError::Refused { .. } => ResultCode::BackEndRefused,
-        EngineError::Cut(_) | EngineError::Stalled => ResultCode::BackEndCut,
-        EngineError::Garbage => ResultCode::BackEndGarbage,
-    };
-    Problem::unknown(code, error.to_string())
-}
-
 fn cancelled() -> Problem {
     Problem::unknown(ResultCode::Cancelled, "the program was ended while the call was under way")
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod admin;
 mod calls;
+mod chat_attempts;
 mod chat_runner;
 mod clock;
 mod configuration;
--- a/crates/simulation/src/gateway.rs
+++ b/crates/simulation/src/gateway.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use rand::Rng;
-use sumacdrift_calls::{CallKind, CallMachine, CallRules, EngineId, Failure, Next};
+use sumacdrift_calls::{CallMachine, EngineId, Failure, Next};
 use sumacdrift_mutants::{Rule, is_broken};
 use sumacdrift_program::{
     Answer, BeginService, BeginTurn, BudgetLimits, Command, FinishTurn, KnownPrefix, Reply, RunTurn,
@@ -14,6 +14,7 @@
     CallId, ChatMessage, HistoryMode, Incarnation, Problem, ResultCode, TenantName, Timestamp, Usage,
 };
 
+use crate::call_rules::{SERVICE, engine_id, rules_of};
 use crate::node::{Waiter, engine_name};
 use crate::oracle::engine_answer;
 use crate::packet::{CallerAnswer, CallerRequest, CommandAnswer, Packet, TurnRequest};
@@ -32,10 +33,6 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// How long a service's answer is waited for.
 const SERVICE_TIMEOUT: Duration = Duration::from_secs(2);
-/// Attempts at engines.
-const MAX_ENGINES: usize = 3;
-/// How long a call is held at the most; the simulation ends calls in its own ways long before.
-const CALL_TIME: Duration = Duration::from_secs(3600);
 
 impl World {
     /// A caller's request reaches a gateway.
@@ -576,26 +573,3 @@
 fn tenant() -> TenantName {
     TenantName::new("tenant").unwrap_or_else(|_| unreachable!("a valid constant"))
 }
-
-/// The back end of service calls, as their state machine knows it.
-const SERVICE: &str = "service";
-
-fn engine_id(engine: usize) -> EngineId {
-    EngineId::new(&format!("engine-{engine}"))
-}
-
-/// What the configuration allows for a request.
-fn rules_of(request: &CallerRequest) -> CallRules {
-    let kind = match request {
-        CallerRequest::Turn(_) => CallKind::Stream { resumable: true },
-        _ => CallKind::Once,
-    };
-    CallRules {
-        kind,
-        max_engines: MAX_ENGINES,
-        returns_to_last: false,
-        timeout: CALL_TIME,
-        aim: CALL_TIME,
-        priority: 0,
-    }
-}
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -4,6 +4,7 @@
 //! `config` crates; the network, the engines, the services, the platform and the callers are simple models. An
 //! oracle that knows only what callers sent, what ran and what was answered checks the brief's ten guarantees.
 
+mod call_rules;
 mod caller;
 mod faults;
 mod gateway;
