--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -11,5 +11,5 @@
 
 pub use events::{EventSplitter, StreamEvent};
 pub use head::{CallHead, EngineId, ProgramHead, PromptPart, TokenUsage};
-pub use machine::{CallMachine, Failure, Next, Stage};
+pub use machine::{CallMachine, Failure, Next};
 pub use rules::{CallKind, CallRules};
--- a/crates/calls/src/machine.rs
+++ b/crates/calls/src/machine.rs
@@ -40,7 +40,7 @@
 
 /// What has been given to the caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Stage {
+enum Stage {
     /// Nothing.
     Waiting,
     /// The head of a stream and maybe events.
@@ -117,11 +117,6 @@
         }
     }
 
-    /// What the configuration allows.
-    pub fn rules(&self) -> &CallRules {
-        &self.rules
-    }
-
     /// When the call is given up.
     pub fn deadline(&self) -> Timestamp {
         self.deadline
@@ -133,11 +128,6 @@
         self.deadline - RUN_RESERVE.min(left / 2)
     }
 
-    /// What the caller has been given.
-    pub fn stage(&self) -> Stage {
-        self.stage
-    }
-
     /// Events given to the caller.
     pub fn events(&self) -> u64 {
         self.events
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -3,13 +3,13 @@
 use std::convert::Infallible;
 use std::sync::Arc;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::header::{CONNECTION, HOST, HeaderValue};
 use http::{Request, Response, request};
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use slog::info;
 use sumacdrift_calls::{CallHead, CallMachine, Next};
+use sumacdrift_http_client::{HttpError, gather};
 use sumacdrift_routing::Selected;
 use sumacdrift_storage::LedgerError;
 use sumacdrift_types::{Ran, ResultCode, Timestamp};
@@ -18,7 +18,6 @@
 use crate::attempt::{CallContext, Forwarded};
 use crate::dialect::Dialect;
 use crate::edge::Edge;
-use crate::metrics::seconds;
 use crate::plain::run_plain;
 use crate::stream::run_stream;
 use crate::turn::{OpenTurn, code_of};
@@ -64,7 +63,8 @@
     let deadline = edge.clock.instant(machine.deadline());
     let body = match tokio::time::timeout_at(deadline, gathering).await {
         Ok(Ok(body)) => body,
-        Ok(Err(code)) => return early(edge, &head, code),
+        Ok(Err(HttpError::TooLarge(_))) => return early(edge, &head, ResultCode::BodyTooLarge),
+        Ok(Err(_)) => return early(edge, &head, ResultCode::MalformedBody),
         Err(_) => return early(edge, &head, ResultCode::RequestTooSlow),
     };
     let incoming = Accepted { parts, head, selected, machine, body, accepted };
@@ -93,7 +93,7 @@
     }
     let asked = edge.clock.now();
     let begun = begin_turn(edge, &head, &selected, body, machine.admission_deadline(asked)).await;
-    edge.metrics.ledger_seconds.observe(seconds(edge.clock.now().since(asked)));
+    edge.metrics.ledger_seconds.observe(edge.clock.now().since(asked).as_secs_f64());
     let (turn, body) = match begun {
         Ok(begun) => begun,
         Err(error) => {
@@ -164,16 +164,3 @@
     let named = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
     named.or_else(|| parts.uri.host()).unwrap_or_default()
 }
-
-async fn gather(mut body: Incoming, max_bytes: usize) -> Result<Bytes, ResultCode> {
-    let mut gathered = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| ResultCode::MalformedBody)?;
-        let Ok(data) = frame.into_data() else { continue };
-        if gathered.len() + data.len() > max_bytes {
-            return Err(ResultCode::BodyTooLarge);
-        }
-        gathered.extend_from_slice(&data);
-    }
-    Ok(gathered.freeze())
-}
--- a/crates/edge/src/engine_pool.rs
+++ b/crates/edge/src/engine_pool.rs
@@ -3,7 +3,6 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -45,18 +44,10 @@
     until: Instant,
 }
 
-/// Counters of the pool.
-#[derive(Debug, Default)]
-pub(crate) struct PoolCounters {
-    pub(crate) opened: AtomicU64,
-    pub(crate) reused: AtomicU64,
-}
-
 /// Connections to engines, by engine.
 #[derive(Default)]
 pub(crate) struct EnginePool {
     resting: Mutex<HashMap<EngineId, Vec<Resting>>>,
-    pub(crate) counters: PoolCounters,
 }
 
 /// An engine's answer: its head, its body, and the connection that it comes on.
@@ -98,10 +89,7 @@
                 continue;
             }
             match sender.try_send_request(request).await {
-                Ok(answer) => {
-                    self.counters.reused.fetch_add(1, Ordering::Relaxed);
-                    return Ok(self.answer(engine, sender, answer));
-                }
+                Ok(answer) => return Ok(self.answer(engine, sender, answer)),
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
                     None => return Err(SendError::Lost),
@@ -110,7 +98,6 @@
         }
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, connect(address)).await;
         let Ok(Some(mut sender)) = connecting else { return Err(SendError::NotSent) };
-        self.counters.opened.fetch_add(1, Ordering::Relaxed);
         match sender.try_send_request(request).await {
             Ok(answer) => Ok(self.answer(engine, sender, answer)),
             Err(mut error) => {
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -1,7 +1,5 @@
 //! Counters and histograms of an edge.
 
-use std::time::Duration;
-
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -98,8 +96,3 @@
         self.0.dec();
     }
 }
-
-/// A time as histograms take it.
-pub(crate) fn seconds(time: Duration) -> f64 {
-    time.as_secs_f64()
-}
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -1,16 +1,16 @@
 //! Calls whose answer is passed on as a whole.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{Response, response};
-use hyper::body::Incoming;
 use sumacdrift_calls::{CallMachine, Failure, Next};
+use sumacdrift_http_client::gather as gather_body;
 use sumacdrift_routing::Outcome;
 
 use crate::answers::{EdgeBody, whole_body};
 use crate::attempt::{Answered, CallContext, find_answer};
 use crate::dialect::Dialect;
 use crate::headers::forwardable;
-use crate::metrics::{UnderWay, seconds};
+use crate::metrics::UnderWay;
 
 /// Largest answer that is gathered.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
@@ -28,7 +28,7 @@
         match gather(call, machine, answered).await {
             Ok((head, bytes)) => {
                 let taken = call.edge.clock.now().since(call.accepted);
-                call.edge.metrics.plain_seconds.observe(seconds(taken));
+                call.edge.metrics.plain_seconds.observe(taken.as_secs_f64());
                 call.report_served(machine, head.status.as_u16(), engine.as_str());
                 return Ok(pass_on(&head, whole_body(bytes)));
             }
@@ -45,42 +45,22 @@
     answer
 }
 
-async fn gather<D: Dialect>(
+/// The whole answer of an engine, before the call's deadline.
+pub(crate) async fn gather<D: Dialect>(
     call: &CallContext<D>,
     machine: &CallMachine,
     answered: Answered<D>,
 ) -> Result<(response::Parts, Bytes), Failure> {
     let deadline = call.edge.clock.instant(machine.deadline());
-    let gathering = tokio::time::timeout_at(deadline, gather_body(answered.body)).await;
+    let gathering = tokio::time::timeout_at(deadline, gather_body(answered.body, MAX_ANSWER_BYTES)).await;
     match gathering {
-        Ok(Some(bytes)) => {
+        Ok(Ok(bytes)) => {
             answered.run.finish();
             Ok((answered.head, bytes))
         }
-        Ok(None) | Err(_) => {
+        Ok(Err(_)) | Err(_) => {
             answered.run.fail(Outcome::Faulty);
             Err(Failure::Lost)
         }
     }
 }
-
-async fn gather_body(mut body: Incoming) -> Option<Bytes> {
-    use http_body_util::BodyExt;
-    let mut first = Bytes::new();
-    let mut more = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.ok()?.into_data() else { continue };
-        if first.is_empty() {
-            first = data;
-            continue;
-        }
-        if more.is_empty() {
-            more.extend_from_slice(&first);
-        }
-        more.extend_from_slice(&data);
-        if more.len() > MAX_ANSWER_BYTES {
-            return None;
-        }
-    }
-    Some(if more.is_empty() { first } else { more.freeze() })
-}
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -10,11 +10,11 @@
 use sumacdrift_routing::Outcome;
 use sumacdrift_types::ResultCode;
 
-use crate::answers::{EdgeBody, RelayError};
+use crate::answers::{EdgeBody, RelayError, whole_body};
 use crate::attempt::{Answered, CallContext, EngineRun, find_answer};
 use crate::dialect::Dialect;
-use crate::metrics::{UnderWay, seconds};
-use crate::plain::pass_on;
+use crate::metrics::UnderWay;
+use crate::plain::{gather, pass_on};
 use crate::turn::{OpenTurn, code_of};
 
 /// Runs a stream up to its first event, so that its head and that event travel together.
@@ -28,15 +28,15 @@
         Ok(answered) => answered,
         Err(next) => return Err((call, machine, next)),
     };
-    let head = answered.head.clone();
-    if head.status != StatusCode::OK {
-        return Ok(pass_failure_on(call, machine, answered).await);
+    if answered.head.status != StatusCode::OK {
+        return pass_failure_on(call, machine, answered).await;
     }
+    let head = answered.head.clone();
     machine.head_given();
     let mut relay = Relay::new(call, machine, turn, answered);
     let first = relay.next_piece().await;
     let waited = relay.call.edge.clock.now().since(relay.call.accepted);
-    relay.call.edge.metrics.first_event_seconds.observe(seconds(waited));
+    relay.call.edge.metrics.first_event_seconds.observe(waited.as_secs_f64());
     let pieces = futures::stream::unfold((relay, first), |(mut relay, ready)| async move {
         let piece = match ready {
             Some(piece) => Some(piece),
@@ -52,27 +52,14 @@
     call: CallContext<D>,
     machine: CallMachine,
     answered: Answered<D>,
-) -> Response<EdgeBody> {
-    let deadline = call.edge.clock.instant(machine.deadline());
-    let head = answered.head;
-    let gathered = tokio::time::timeout_at(deadline, answered.body.collect()).await;
-    match gathered {
-        Ok(Ok(body)) => {
-            let engine = answered.run.engine.clone();
-            answered.run.finish();
+) -> Result<Response<EdgeBody>, (CallContext<D>, CallMachine, Next)> {
+    let engine = answered.run.engine.clone();
+    match gather(&call, &machine, answered).await {
+        Ok((head, bytes)) => {
             call.report_served(&machine, head.status.as_u16(), engine.as_str());
-            pass_on(&head, crate::answers::whole_body(body.to_bytes()))
-        }
-        _ => {
-            answered.run.fail(Outcome::Faulty);
-            call.report_given_up(&machine, "failed", ResultCode::BackEndCut);
-            crate::answers::problem_answer(
-                call.edge.dialect.status(ResultCode::BackEndCut),
-                ResultCode::BackEndCut,
-                sumacdrift_types::Ran::Unknown,
-                None,
-            )
+            Ok(pass_on(&head, whole_body(bytes)))
         }
+        Err(_) => Err((call, machine, Next::Fail { code: ResultCode::BackEndCut })),
     }
 }
 
@@ -190,7 +177,7 @@
         }
         let taken = self.call.edge.clock.now().since(self.call.accepted);
         self.call.edge.usual_times().observe(&self.call.selected.route.name, taken);
-        self.call.edge.metrics.stream_seconds.observe(seconds(taken));
+        self.call.edge.metrics.stream_seconds.observe(taken.as_secs_f64());
         let engine = engine.map(|engine| engine.to_string()).unwrap_or_default();
         self.call.report_served(&self.machine, StatusCode::OK.as_u16(), &engine);
         None
--- a/crates/http-client/src/lib.rs
+++ b/crates/http-client/src/lib.rs
@@ -117,15 +117,24 @@
     }
 }
 
-async fn gather(mut body: Incoming, max_bytes: usize) -> Result<Bytes, HttpError> {
+/// A whole body of at most `max_bytes`. One that comes in a single piece is not copied.
+pub async fn gather(mut body: Incoming, max_bytes: usize) -> Result<Bytes, HttpError> {
+    let mut first = Bytes::new();
     let mut gathered = BytesMut::new();
     while let Some(piece) = next_piece(&mut body).await? {
-        if gathered.len() + piece.len() > max_bytes {
+        if first.len().max(gathered.len()) + piece.len() > max_bytes {
             return Err(HttpError::TooLarge(max_bytes));
         }
+        if first.is_empty() {
+            first = piece;
+            continue;
+        }
+        if gathered.is_empty() {
+            gathered.extend_from_slice(&first);
+        }
         gathered.extend_from_slice(&piece);
     }
-    Ok(gathered.freeze())
+    Ok(if gathered.is_empty() { first } else { gathered.freeze() })
 }
 
 fn describe(error: &hyper_util::client::legacy::Error) -> String {
--- a/crates/ledger/src/group.rs
+++ b/crates/ledger/src/group.rs
@@ -28,7 +28,16 @@
     pub members: Vec<Member>,
 }
 
+/// Epoch of the first group.
+pub(crate) const FOUNDING_EPOCH: u64 = 1;
+
 impl Group {
+    /// The first group.
+    pub fn founded(members: Vec<Member>) -> Group {
+        let founders = members.into_iter().map(|member| Member { joined: FOUNDING_EPOCH, ..member });
+        Group { epoch: FOUNDING_EPOCH, members: sorted(founders.collect()) }
+    }
+
     /// Members that must have a record before it holds.
     pub fn majority(&self) -> usize {
         self.members.len() / 2 + 1
@@ -53,10 +62,15 @@
     pub fn with(&self, member: Member) -> Group {
         let mut next = self.without(&member.node);
         next.members.push(Member { joined: next.epoch, ..member });
-        next.members.sort_by(|left, right| left.node.cmp(&right.node));
+        next.members = sorted(next.members);
         next
     }
 
+    /// The next group, with one member in the place of another.
+    pub fn replacing(&self, lost: &str, member: Member) -> Group {
+        Group { epoch: self.epoch, ..self.without(lost) }.with(member)
+    }
+
     /// The next group, without a member.
     pub fn without(&self, node: &str) -> Group {
         let members = self.members.iter().filter(|member| member.node != node).cloned().collect();
@@ -84,3 +98,8 @@
         Some(Group { epoch: message.epoch, members: members.collect::<Option<Vec<_>>>()? })
     }
 }
+
+fn sorted(mut members: Vec<Member>) -> Vec<Member> {
+    members.sort_by(|left, right| left.node.cmp(&right.node));
+    members
+}
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -64,6 +64,13 @@
     pub expiry_millis: u64,
 }
 
+impl Record {
+    /// The record as it lies in a journal, of one that travelled and arrived at a time of day.
+    pub(crate) fn arrived(self, now: u64) -> Record {
+        Record { expiry_millis: self.expiry_millis.saturating_add(now), kind: self.kind }
+    }
+}
+
 /// What an entry says.
 #[derive(Clone, PartialEq, Eq, prost::Oneof)]
 pub enum RecordKind {
--- a/crates/ledger/src/replica.rs
+++ b/crates/ledger/src/replica.rs
@@ -4,16 +4,13 @@
 
 use sumacdrift_mutants::{Rule, is_broken};
 
-use crate::group::Group;
+use crate::group::{FOUNDING_EPOCH, Group};
 use crate::message::{
     Begin, End, LedgerReply, LedgerRequest, Page, PageRequest, Push, Record, RecordKind, ReplyKind,
     RequestKind, Standing, StatusReply, StoredCopy,
 };
 use crate::state::LedgerState;
 
-/// Epoch of the first group.
-pub(crate) const FOUNDING_EPOCH: u64 = 1;
-
 /// What a replica is told at its start.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReplicaSettings {
@@ -145,11 +142,7 @@
 
     /// Takes in a page of another member; returns the records to make durable.
     pub fn take_page(&mut self, page: Page, now: u64) -> Vec<Record> {
-        let records = page.records.into_iter().map(|record| Record {
-            expiry_millis: record.expiry_millis.saturating_add(now),
-            kind: record.kind,
-        });
-        let records: Vec<Record> = records.collect();
+        let records: Vec<Record> = page.records.into_iter().map(|record| record.arrived(now)).collect();
         records.iter().for_each(|record| self.state.merge(record));
         records
     }
@@ -178,11 +171,7 @@
         let mut after = String::new();
         loop {
             let page = self.state.page(&after, now);
-            let stamped = page.records.into_iter().map(|record| Record {
-                expiry_millis: record.expiry_millis.saturating_add(now),
-                kind: record.kind,
-            });
-            records.extend(stamped);
+            records.extend(page.records.into_iter().map(|record| record.arrived(now)));
             if page.next.is_empty() {
                 return records;
             }
--- a/crates/ledger/tests/world/mod.rs
+++ b/crates/ledger/tests/world/mod.rs
@@ -76,12 +76,7 @@
 
 impl World {
     pub fn new(seed: u64) -> Self {
-        let mut group = Group::default();
-        for node in ["a", "b", "c"] {
-            group = group.with(member(node));
-        }
-        group.epoch = 1;
-        group.members.iter_mut().for_each(|member| member.joined = 1);
+        let group = Group::founded(["a", "b", "c"].map(member).to_vec());
         let mut world = Self {
             random: ChaCha8Rng::seed_from_u64(seed),
             machines: BTreeMap::new(),
@@ -303,7 +298,7 @@
         let spare = self.machines.keys().find(|node| self.group.member(node).is_none()).cloned();
         let lost = self.group.members.choose(&mut self.random).map(|member| member.node.clone());
         let (Some(spare), Some(lost)) = (spare, lost) else { return };
-        let next = Group { epoch: self.group.epoch, ..self.group.without(&lost) }.with(member(&spare));
+        let next = self.group.replacing(&lost, member(&spare));
         self.earlier_group = std::mem::replace(&mut self.group, next);
         self.replacements += 1;
         let machine = self.machines.get_mut(&spare).expect("a machine");
--- a/crates/routing/src/book.rs
+++ b/crates/routing/src/book.rs
@@ -7,9 +7,10 @@
 
 use sumacdrift_calls::EngineId;
 use sumacdrift_scheduling::{Health, HealthSettings};
-use sumacdrift_types::{Timestamp, stable_hash};
+use sumacdrift_types::{Timestamp, rendezvous_order};
 
 use crate::placement::{PlacementFacts, placement_cost};
+use crate::routes::GOLDEN_STEP;
 
 /// How long an engine that left the directory may still be used where no other is left.
 const LAST_RESORT_TIME: Duration = Duration::from_millis(1200);
@@ -233,7 +234,6 @@
     let ranks = request.affinity.map(|key| affinity_ranks(candidates, key, request.zone));
     let facts = |position: usize, entry: &Entry| PlacementFacts {
         in_flight: entry.in_flight,
-        slots: entry.spec.slots,
         is_in_zone: &*entry.spec.zone == request.zone,
         affinity_rank: ranks.as_ref().map(|ranks| ranks[position]),
         tie: tie_of(request.tie, position),
@@ -255,15 +255,13 @@
 /// Position of each candidate in the order of preference for a key: engines of the own zone first, each group by
 /// rendezvous hashing, so that nodes of a zone agree without a word.
 fn affinity_ranks(candidates: &[&Entry], key: &str, zone: &str) -> Vec<usize> {
-    let weight = |entry: &Entry| stable_hash(&[key.as_bytes(), entry.spec.id.as_str().as_bytes()]);
-    let mut order: Vec<(bool, u64, usize)> = candidates
-        .iter()
-        .enumerate()
-        .map(|(position, entry)| (&*entry.spec.zone != zone, !weight(entry), position))
-        .collect();
-    order.sort_unstable();
+    let positions: Vec<usize> = (0..candidates.len()).collect();
+    let name = |position: &usize| candidates[*position].spec.id.as_str().as_bytes().to_vec();
+    let mut order = rendezvous_order(key.as_bytes(), &positions, name);
+    // The sort is stable: within a zone the order stays.
+    order.sort_by_key(|position| &*candidates[*position].spec.zone != zone);
     let mut ranks = vec![0; candidates.len()];
-    for (rank, (_, _, position)) in order.into_iter().enumerate() {
+    for (rank, position) in order.into_iter().enumerate() {
         ranks[position] = rank;
     }
     ranks
@@ -271,6 +269,5 @@
 
 /// A different number for each candidate from the one that was drawn.
 fn tie_of(drawn: f64, position: usize) -> f64 {
-    const SPREAD: f64 = 0.618_033_988_749_895;
-    (drawn + position as f64 * SPREAD).fract()
+    (drawn + position as f64 * GOLDEN_STEP).fract()
 }
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -5,8 +5,6 @@
 pub struct PlacementFacts {
     /// Calls of this node under way there.
     pub in_flight: usize,
-    /// Calls that the engine works on at once.
-    pub slots: usize,
     /// Whether it stands in the node's zone.
     pub is_in_zone: bool,
     /// Position in the order of preference for what the call is about; 0 is where its cache most likely is. `None`
@@ -27,7 +25,7 @@
 /// Weight of the tie breaker.
 const TIE_COST: f64 = 0.4;
 
-/// The cost of a call at an engine; the least is best. Its unit is one call under way at an engine of one slot's share.
+/// The cost of a call at an engine; the least is best. Its unit is one call under way.
 pub fn placement_cost(facts: &PlacementFacts) -> f64 {
     let load = facts.in_flight as f64 * IN_FLIGHT_COST;
     let zone = if facts.is_in_zone { 0.0 } else { ZONE_COST };
--- a/crates/routing/src/routes.rs
+++ b/crates/routing/src/routes.rs
@@ -6,7 +6,7 @@
 use crate::table::{Route, RouteTable, ServiceSpec};
 
 /// The fractional part of the golden ratio: its multiples fill an interval more evenly than chance.
-const GOLDEN_STEP: f64 = 0.618_033_988_749_895;
+pub(crate) const GOLDEN_STEP: f64 = 0.618_033_988_749_895;
 
 /// The route and service of a call.
 #[derive(Debug, Clone)]
--- a/crates/storage/src/client.rs
+++ b/crates/storage/src/client.rs
@@ -85,7 +85,7 @@
 /// Asks the ledger's group.
 pub struct LedgerClient {
     transport: Arc<Transport>,
-    group: Mutex<Group>,
+    group: Mutex<Arc<Group>>,
     zone: String,
     timeouts: LedgerTimeouts,
     logger: Logger,
@@ -98,8 +98,8 @@
     }
 
     /// The group that the client knows.
-    pub fn group(&self) -> Group {
-        self.group.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    pub fn group(&self) -> Arc<Group> {
+        Arc::clone(&self.group.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
     /// Adopts a group if it is newer.
@@ -108,7 +108,7 @@
         if group.epoch > known.epoch {
             info!(self.logger, "ledger group adopted"; "event" => "group_adopted", "epoch" => group.epoch,
                 "members" => group.members.len());
-            *known = group;
+            *known = Arc::new(group);
         }
     }
 
@@ -178,19 +178,20 @@
 
     async fn begin_in(
         &self,
-        group: &Group,
+        group: &Arc<Group>,
         begin: &BeginTurn,
         deadline: Instant,
     ) -> Option<Result<Admission, LedgerError>> {
         let nearest = nearest(group, &self.zone).map(|member| member.node.clone());
         let request_for = |member: &Member| {
             let wants_chain = begin.needs_chain && Some(&member.node) == nearest.as_ref();
-            RequestKind::Begin(Begin {
+            let request = Begin {
                 turn: Some(begin.turn.clone()),
                 budget_tokens: begin.budget_tokens,
                 previous: begin.previous.clone(),
                 wants_chain,
-            })
+            };
+            encode(group.epoch, RequestKind::Begin(request))
         };
         let mut answers = self.ask_all(group, request_for, deadline);
         let mut quorum = BeginQuorum::new(group.majority(), begin.budget_tokens, begin.turn.most_tokens);
@@ -230,7 +231,7 @@
 
     async fn admitted(
         &self,
-        group: &Group,
+        group: &Arc<Group>,
         begin: &BeginTurn,
         mut quorum: BeginQuorum,
         deadline: Instant,
@@ -248,7 +249,7 @@
     /// Asks further members for the turns that are missing.
     async fn complete_chain(
         &self,
-        group: &Group,
+        group: &Arc<Group>,
         first: ChainReply,
         deadline: Instant,
     ) -> Result<ChainAssembly, LedgerError> {
@@ -258,14 +259,14 @@
             if Instant::now() >= deadline {
                 return Err(LedgerError::Unavailable);
             }
-            let request = RequestKind::Chain(ChainRequest { turn: turn.clone() });
+            let request = encode(group.epoch, RequestKind::Chain(ChainRequest { turn }));
             let found = self.find_turn(group, request, deadline).await;
             step = chain.add(found.ok_or(LedgerError::Unavailable)?);
         }
         Ok(chain)
     }
 
-    async fn find_turn(&self, group: &Group, request: RequestKind, deadline: Instant) -> Option<ChainReply> {
+    async fn find_turn(&self, group: &Arc<Group>, request: Bytes, deadline: Instant) -> Option<ChainReply> {
         let mut answers = self.ask_all(group, |_| request.clone(), deadline);
         while let Some(answer) = next_answer(&mut answers, deadline).await {
             if let Some(ReplyKind::Chain(chain)) = answer
@@ -293,11 +294,11 @@
 
     async fn end_in(
         &self,
-        group: &Group,
+        group: &Arc<Group>,
         turn: &TurnEnded,
         deadline: Instant,
     ) -> Option<Result<(), LedgerError>> {
-        let request = RequestKind::End(End { turn: Some(turn.clone()) });
+        let request = encode(group.epoch, RequestKind::End(End { turn: Some(turn.clone()) }));
         let mut answers = self.ask_all(group, |_| request.clone(), deadline);
         let mut durable = 0;
         while let Some(answer) = next_answer(&mut answers, deadline).await {
@@ -327,8 +328,8 @@
     /// answers are no longer waited for, so that every member that can be reached has the record.
     fn ask_all(
         &self,
-        group: &Group,
-        request_for: impl Fn(&Member) -> RequestKind,
+        group: &Arc<Group>,
+        request_for: impl Fn(&Member) -> Bytes,
         deadline: Instant,
     ) -> mpsc::Receiver<Answer> {
         let (sender, answers) = mpsc::channel(group.members.len().max(1));
@@ -336,8 +337,8 @@
             let task = MemberTask {
                 transport: Arc::clone(&self.transport),
                 member: member.clone(),
-                group: group.clone(),
-                request: encode(group.epoch, request_for(member)),
+                group: Arc::clone(group),
+                request: request_for(member),
                 deadline,
             };
             let sender = sender.clone();
@@ -353,7 +354,7 @@
 struct MemberTask {
     transport: Arc<Transport>,
     member: Member,
-    group: Group,
+    group: Arc<Group>,
     request: Bytes,
     deadline: Instant,
 }
--- a/crates/storage/src/upkeep.rs
+++ b/crates/storage/src/upkeep.rs
@@ -52,7 +52,7 @@
     tidied: Instant,
     is_registered: bool,
     answered: HashMap<String, Instant>,
-    retirement_reported: Option<bool>,
+    is_retirement_reported: bool,
 }
 
 impl Upkeep {
@@ -73,7 +73,7 @@
             tidied: started,
             is_registered: false,
             answered: HashMap::new(),
-            retirement_reported: None,
+            is_retirement_reported: false,
         }
     }
 
@@ -155,13 +155,7 @@
         if !is_first && self.started.elapsed() < FOUNDING_WAIT * 2 {
             return;
         }
-        let members = spread_over_zones(&founders);
-        let mut group = Group::default();
-        for member in members {
-            group = Group { epoch: 0, ..group.with(member) };
-        }
-        group.epoch = 1;
-        group.members.iter_mut().for_each(|member| member.joined = 1);
+        let group = Group::founded(spread_over_zones(&founders));
         self.replace_group(group, None, "founded").await;
     }
 
@@ -205,8 +199,7 @@
         if let [lost] = lost[..]
             && silent == 1
         {
-            let next = Group { epoch: stored.group.epoch, ..stored.group.without(&lost.node) };
-            let next = next.with(self.settings.own.clone());
+            let next = stored.group.replacing(&lost.node, self.settings.own.clone());
             info!(self.host.logger(), "member lost"; "event" => "member_lost", "member" => &lost.node);
             self.replace_group(next, Some(stored.revision), "replaced a lost member").await;
         }
@@ -215,9 +208,9 @@
     /// Leaves the group, then hands everything over.
     async fn leave(&mut self, stored: &StoredGroup) {
         let own = self.settings.own.node.clone();
-        if self.retirement_reported.is_none() {
+        if !self.is_retirement_reported {
             let reported = self.directory.report_retirement(own.clone(), false).await;
-            self.retirement_reported = reported.is_ok().then_some(false);
+            self.is_retirement_reported = reported.is_ok();
         }
         if stored.group.member(&own).is_some() {
             if stored.group.members.len() > 1 {
