The ledger's group has as many members as the losses to be borne ask

Cause: on the grown sites two machines with a disk may be lost at once, and the group had three members everywhere.

Change: GroupPolicy (ledger, plain functions): twice the tolerated losses and one more member; a lost member's place is taken after 6 s instead of 3 and only if enough members vote for the new one to read everything; several machines that want the same change hesitate by zone and by lot.

--- a/crates/ledger/src/begin.rs
+++ b/crates/ledger/src/begin.rs
@@ -22,7 +22,7 @@
 /// A turn is admitted when a majority recorded it, each by itself found that it fits, and it also fits what they
 /// know together. Every turn admitted before is known to at least one of the majority. Of turns that begin at the
 /// same time each pair has met at some replica, so at least one of them has counted the other; with up to five at a
-/// time the budget is overrun by less than one turn.
+/// time (four, where there are five replicas) the budget is overrun by at most one turn.
 #[derive(Debug, Clone)]
 pub struct BeginQuorum {
     majority: usize,
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -13,6 +13,7 @@
 mod chain;
 mod group;
 mod message;
+mod plan;
 mod replica;
 mod state;
 
@@ -25,5 +26,6 @@
     MemberMessage, Page, PageRequest, Push, Record, RecordKind, ReplyKind, RequestKind, RetainedTurn,
     Standing, StatusReply, StoredCopy, TurnBegun, TurnEnded,
 };
+pub use plan::{ChangeReason, GroupPolicy, MemberWatch, PlaceStep};
 pub use replica::{Replica, ReplicaSettings, Step};
 pub use state::LedgerState;
--- a/crates/storage/src/upkeep.rs
+++ b/crates/storage/src/upkeep.rs
@@ -3,13 +3,15 @@
 //! Every change of the group is a compare-and-set at the [`GroupDirectory`]; what is done here only decides which
 //! change to ask for.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use slog::{info, warn};
-use sumacdrift_ledger::{Group, Member, ReplyKind, RequestKind};
+use sumacdrift_ledger::{
+    ChangeReason, Group, GroupPolicy, Member, MemberWatch, PlaceStep, ReplyKind, RequestKind,
+};
 use sumacdrift_transport::Transport;
+use sumacdrift_types::Timestamp;
 use tokio::time::Instant;
 
 use crate::catch_up::catch_up;
@@ -18,15 +20,16 @@
 use crate::leave::hand_over;
 use crate::rpc::{ask, encode};
 
-/// Replicas in a group where there are enough machines. Three, even where there are four: of an even number, a
-/// split into halves leaves no majority.
-const GROUP_SIZE: usize = 3;
 /// How often the group is looked at.
 const ROUND: Duration = Duration::from_millis(250);
 /// How long founding waits for more machines.
 const FOUNDING_WAIT: Duration = Duration::from_secs(2);
-/// A member that answered nothing for this long gives its place to a spare machine.
-const MEMBER_LOST_AFTER: Duration = Duration::from_secs(3);
+/// How often a machine that is no member asks whether the members are there.
+const WATCH_EVERY: Duration = Duration::from_secs(1);
+/// Longest time drawn before a machine asks for a change that others may want too.
+const LONGEST_HESITATION: Duration = Duration::from_millis(200);
+/// How much later a machine asks for each member that its zone has.
+const ZONE_HESITATION: Duration = Duration::from_millis(200);
 /// Time for an answer about who a member is.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(400);
 /// A replica that is not complete reads others only after this time, so that no request that an earlier life took
@@ -40,6 +43,8 @@
 pub struct UpkeepSettings {
     /// This replica.
     pub own: Member,
+    /// How large the group is.
+    pub policy: GroupPolicy,
 }
 
 /// The upkeep of one replica.
@@ -51,7 +56,9 @@
     started: Instant,
     tidied: Instant,
     is_registered: bool,
-    answered: HashMap<String, Instant>,
+    watch: MemberWatch,
+    watched: Option<Instant>,
+    wanted_since: Option<Instant>,
     is_retirement_reported: bool,
 }
 
@@ -72,7 +79,9 @@
             started,
             tidied: started,
             is_registered: false,
-            answered: HashMap::new(),
+            watch: MemberWatch::default(),
+            watched: None,
+            wanted_since: None,
             is_retirement_reported: false,
         }
     }
@@ -144,9 +153,8 @@
             .filter(|registration| registration.may_found)
             .map(|registration| &registration.member)
             .collect();
-        let has_enough = founders.len() >= GROUP_SIZE;
         let has_waited = self.started.elapsed() >= FOUNDING_WAIT && !founders.is_empty();
-        if !has_enough && !has_waited {
+        if founders.len() < self.settings.policy.size() && !has_waited {
             return;
         }
         let first = founders.iter().map(|member| &member.node).min();
@@ -155,7 +163,7 @@
         if !is_first && self.started.elapsed() < FOUNDING_WAIT * 2 {
             return;
         }
-        let group = Group::founded(spread_over_zones(&founders));
+        let group = self.settings.policy.founding_group(&founders);
         self.replace_group(group, None, "founded").await;
     }
 
@@ -168,43 +176,48 @@
             }
             return;
         }
-        match stored.group.member(&own.node) {
-            Some(member) if member.address == own.address => {}
-            Some(_) => self.replace_group(stored.group.with(own), Some(stored.revision), "moved").await,
-            None if stored.group.members.len() < GROUP_SIZE => {
-                self.replace_group(stored.group.with(own), Some(stored.revision), "joined").await;
+        if stored.group.member(&own.node).is_none() {
+            self.watch_members(&stored.group).await;
+        }
+        let step = self.settings.policy.place_step(&stored.group, &own, &self.watch, self.now());
+        match step {
+            PlaceStep::Stay => self.wanted_since = None,
+            PlaceStep::Change { group, reason } => {
+                let wanted_since = *self.wanted_since.get_or_insert_with(Instant::now);
+                if wanted_since.elapsed() >= hesitation(&stored.group, &own, reason) {
+                    self.wanted_since = None;
+                    self.replace_group(group, Some(stored.revision), reason.name()).await;
+                }
             }
-            None => self.take_lost_place(stored).await,
         }
     }
 
-    /// Takes the place of a member that has answered nothing for long, if all the others answer.
-    async fn take_lost_place(&mut self, stored: &StoredGroup) {
-        let now = Instant::now();
-        for member in &stored.group.members {
-            let request = encode(stored.group.epoch, RequestKind::Status(true));
-            let reply = ask(&self.transport, member.address, request, STATUS_TIMEOUT).await;
-            let is_same = matches!(&reply, Some(ReplyKind::Status(status)) if status.node == member.node);
-            if is_same || !self.answered.contains_key(&member.node) {
-                self.answered.insert(member.node.clone(), now);
-            }
+    /// Asks all members whether they are there.
+    async fn watch_members(&mut self, group: &Group) {
+        if self.watched.is_some_and(|watched| watched.elapsed() < WATCH_EVERY) {
+            return;
         }
-        let is_lost = |member: &&Member| {
-            let answered = self.answered.get(&member.node);
-            answered.is_none_or(|answered| now.duration_since(*answered) >= MEMBER_LOST_AFTER)
-        };
-        let is_silent = |member: &&Member| self.answered.get(&member.node) != Some(&now);
-        let lost: Vec<&Member> = stored.group.members.iter().filter(is_lost).collect();
-        let silent = stored.group.members.iter().filter(is_silent).count();
-        if let [lost] = lost[..]
-            && silent == 1
-        {
-            let next = stored.group.replacing(&lost.node, self.settings.own.clone());
-            info!(self.host.logger(), "member lost"; "event" => "member_lost", "member" => &lost.node);
-            self.replace_group(next, Some(stored.revision), "replaced a lost member").await;
+        self.watched = Some(Instant::now());
+        let asked = group.members.iter().map(|member| {
+            let request = encode(group.epoch, RequestKind::Status(true));
+            ask(&self.transport, member.address, request, STATUS_TIMEOUT)
+        });
+        let replies = futures::future::join_all(asked).await;
+        let now = self.now();
+        for (member, reply) in group.members.iter().zip(replies) {
+            match reply {
+                Some(ReplyKind::Status(status)) if status.node == member.node => {
+                    self.watch.answered(&member.node, status.is_voting, now);
+                }
+                _ => self.watch.silent(&member.node, now),
+            }
         }
     }
 
+    fn now(&self) -> Timestamp {
+        Timestamp::default() + self.started.elapsed()
+    }
+
     /// Leaves the group, then hands everything over.
     async fn leave(&mut self, stored: &StoredGroup) {
         let own = self.settings.own.node.clone();
@@ -244,19 +257,15 @@
     }
 }
 
-/// Up to [`GROUP_SIZE`] members, of as many zones as there are; equal on every node that sees the same members.
-fn spread_over_zones(members: &[&Member]) -> Vec<Member> {
-    let mut sorted: Vec<&Member> = members.to_vec();
-    sorted.sort_by(|left, right| left.node.cmp(&right.node));
-    let mut chosen: Vec<Member> = Vec::new();
-    while chosen.len() < GROUP_SIZE.min(sorted.len()) {
-        let is_left = |member: &&&Member| !chosen.iter().any(|other| other.node == member.node);
-        let in_zone = |zone: &str| chosen.iter().filter(|other| other.zone == zone).count();
-        let next = sorted.iter().filter(is_left).min_by_key(|member| in_zone(&member.zone));
-        let Some(next) = next else { break };
-        chosen.push((*next).clone());
+/// How long a machine waits before it changes the group, so that several that want the same do not all ask for it, and
+/// machines of zones with fewer members come first.
+fn hesitation(group: &Group, own: &Member, reason: ChangeReason) -> Duration {
+    if reason == ChangeReason::Moved {
+        return Duration::ZERO;
     }
-    chosen
+    let in_zone = group.members.iter().filter(|member| member.zone == own.zone).count();
+    let zones_turn = ZONE_HESITATION * u32::try_from(in_zone).unwrap_or(u32::MAX);
+    zones_turn + LONGEST_HESITATION.mul_f64(rand::random())
 }
 
 fn members_text(group: &Group) -> String {
