Few nodes follow the store and pass on what they learn; the ledger asks a majority first

Cause 1: every edge followed the store with two watches of 5 s. Now only the members of the ledger's group follow it; each keeps a feed with positions (crate dissemination), every edge follows the feed of one member, leaves it within 1.3 s when it dies or loses the store, and follows the store itself where no feed answers.

Cause 2: every record went to all members. Now as many members are asked as make a majority, the own zone's first, the others by the program's name; the rest when those take more than 20 ms, fail or disagree; who was late is asked last for a second. Chains are fetched from one member at a time.

--- /dev/null
+++ b/crates/dissemination/src/message.rs
@@ -0,0 +1,95 @@
+//! What feeds and followers tell each other, and the form in which a feed outlasts its process. All are protocol
+//! buffers.
+
+use bytes::Bytes;
+
+/// What an item is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum ItemKind {
+    /// The configuration.
+    Configuration = 0,
+    /// An engine.
+    Engine = 1,
+}
+
+/// An object of the outside store. Its content means nothing here.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Item {
+    /// What it is.
+    #[prost(enumeration = "ItemKind", tag = "1")]
+    pub kind: i32,
+    /// Name within its kind.
+    #[prost(string, tag = "2")]
+    pub name: String,
+    /// Content.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub content: Bytes,
+    /// The store's revision at its last change.
+    #[prost(uint64, tag = "4")]
+    pub revision: u64,
+}
+
+impl Item {
+    /// An item.
+    pub fn new(kind: ItemKind, name: &str, content: Bytes, revision: u64) -> Self {
+        Self { kind: kind as i32, name: name.to_owned(), content, revision }
+    }
+}
+
+/// A change of an item.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct ItemChange {
+    /// The item; without content where it is gone.
+    #[prost(message, optional, tag = "1")]
+    pub item: Option<Item>,
+    /// Whether it is gone.
+    #[prost(bool, tag = "2")]
+    pub is_gone: bool,
+}
+
+/// A follower asks for changes.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct FollowRequest {
+    /// Life of the feed that `after` belongs to; 0 where the follower has nothing.
+    #[prost(uint64, tag = "1")]
+    pub life: u64,
+    /// Position up to which the follower knows everything.
+    #[prost(uint64, tag = "2")]
+    pub after: u64,
+    /// How long the answer may wait for a change, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub wait_millis: u64,
+}
+
+/// The answer of a feed.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Changes {
+    /// Life of the feed.
+    #[prost(uint64, tag = "1")]
+    pub life: u64,
+    /// Position up to which the follower knows everything now.
+    #[prost(uint64, tag = "2")]
+    pub at: u64,
+    /// Whether the changes are everything there is: what is not among them is gone.
+    #[prost(bool, tag = "3")]
+    pub is_whole: bool,
+    /// How long the store was out of reach before the feed listed it, in milliseconds, where that was only just now:
+    /// engines may be missing only because they could not report meanwhile.
+    #[prost(uint64, tag = "4")]
+    pub outage_millis: u64,
+    /// Whether the feed hears from the store.
+    #[prost(bool, tag = "5")]
+    pub is_current: bool,
+    /// The changes.
+    #[prost(message, repeated, tag = "6")]
+    pub changes: Vec<ItemChange>,
+}
+
+/// Everything a feed holds, for its next life.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Snapshot {
+    /// The items.
+    #[prost(message, repeated, tag = "1")]
+    pub items: Vec<Item>,
+}
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -145,7 +145,7 @@
     #[prost(uint64, tag = "1")]
     pub epoch: u64,
     /// What is asked.
-    #[prost(oneof = "RequestKind", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "RequestKind", tags = "2, 3, 4, 5, 6, 7, 8")]
     pub kind: Option<RequestKind>,
 }
 
@@ -173,12 +173,6 @@
     /// Who are you, and which group do you know?
     #[prost(bool, tag = "8")]
     Status(bool),
-    /// Keep this copy if it is newer.
-    #[prost(message, tag = "9")]
-    Keep(StoredCopy),
-    /// The newest copy.
-    #[prost(bool, tag = "10")]
-    Fetch(bool),
 }
 
 /// May a turn begin?
@@ -240,7 +234,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct LedgerReply {
     /// The answer.
-    #[prost(oneof = "ReplyKind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "ReplyKind", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
     pub kind: Option<ReplyKind>,
 }
 
@@ -271,9 +265,6 @@
     /// The record could not be made durable.
     #[prost(string, tag = "8")]
     Failed(String),
-    /// The newest copy.
-    #[prost(message, tag = "9")]
-    Copy(StoredCopy),
 }
 
 /// What a replica knows of a program at the begin of one of its turns.
--- a/crates/ledger/src/replica.rs
+++ b/crates/ledger/src/replica.rs
@@ -114,8 +114,6 @@
                 let commit = Group::from_message(&group).and_then(|group| self.install(group));
                 Step { commit: commit.into_iter().collect(), reply: reply(ReplyKind::Done(true)) }
             }
-            Some(RequestKind::Keep(copy)) => self.keep(copy),
-            Some(RequestKind::Fetch(_)) => answer(ReplyKind::Copy(self.state.copy().clone())),
             Some(RequestKind::Status(_)) => answer(ReplyKind::Status(self.status())),
             None => answer(ReplyKind::Failed("the request is empty".to_owned())),
         }
@@ -159,6 +157,12 @@
         (self.sources_left() == 0).then(|| self.complete(joined))
     }
 
+    /// Keeps a copy of what another system holds if it is newer; returns the record to make durable.
+    pub fn keep(&mut self, copy: StoredCopy) -> Option<Record> {
+        let is_newer = self.state.keep(&copy);
+        is_newer.then_some(Record { kind: Some(RecordKind::Copy(copy)), expiry_millis: 0 })
+    }
+
     /// Forgets what has expired by a time of day.
     pub fn expire(&mut self, now: u64) {
         self.state.expire(now);
@@ -217,13 +221,6 @@
         Step { commit: durable(record), reply: reply(kind) }
     }
 
-    fn keep(&mut self, copy: StoredCopy) -> Step {
-        let is_newer = self.state.keep(&copy);
-        let record = Record { kind: Some(RecordKind::Copy(copy)), expiry_millis: 0 };
-        let commit = if is_newer { vec![record] } else { Vec::new() };
-        Step { commit, reply: reply(ReplyKind::Done(true)) }
-    }
-
     fn page(&mut self, request: PageRequest, now: u64) -> Step {
         let newer = request.group.as_ref().and_then(Group::from_message);
         let commit = newer.and_then(|group| self.install(group));
--- a/crates/ledger/tests/replica.rs
+++ b/crates/ledger/tests/replica.rs
@@ -220,9 +220,8 @@
     let mut replica = replica("a", false);
     let mut keep = |number: u64, text: &'static str| {
         let copy = sumacdrift_ledger::StoredCopy { number, content: Bytes::from_static(text.as_bytes()) };
-        replica.handle(LedgerRequest { epoch: 0, kind: Some(RequestKind::Keep(copy)) }, NOW).commit.len()
+        replica.keep(copy).into_iter().count()
     };
     assert_eq!((keep(5, "five"), keep(4, "four"), keep(5, "other")), (1, 0, 0));
-    let fetched = replica.handle(LedgerRequest { epoch: 9, kind: Some(RequestKind::Fetch(true)) }, NOW);
-    assert!(matches!(fetched.reply.kind, Some(ReplyKind::Copy(copy)) if &copy.content[..] == b"five"));
+    assert_eq!(&replica.state().copy().content[..], b"five");
 }
--- a/crates/proto/src/request.rs
+++ b/crates/proto/src/request.rs
@@ -27,6 +27,9 @@
     Fleet(FleetRequest),
     /// To a replica of the program ledger; the bytes are a message of the ledger crate.
     Ledger(Bytes),
+    /// To a node that passes on what it learns from an outside store; the bytes are a message of the dissemination
+    /// crate.
+    Follow(Bytes),
 }
 
 /// A command for a shard's leader.
@@ -104,6 +107,8 @@
     Fleet(FleetReply),
     /// From a replica of the program ledger; the bytes are a message of the ledger crate.
     Ledger(Bytes),
+    /// What was learned from an outside store; the bytes are a message of the dissemination crate.
+    Changes(Bytes),
     /// The request could not be handled at all.
     Failed(Problem),
 }
@@ -199,7 +204,7 @@
 
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct RequestMessage {
-    #[prost(oneof = "RequestKind", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "RequestKind", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
     pub kind: Option<RequestKind>,
 }
 
@@ -219,6 +224,8 @@
     FetchBundle(EmptyMessage),
     #[prost(bytes = "bytes", tag = "7")]
     Ledger(Bytes),
+    #[prost(bytes = "bytes", tag = "8")]
+    Follow(Bytes),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -278,7 +285,7 @@
 
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct ResponseMessage {
-    #[prost(oneof = "ResponseKind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "ResponseKind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub kind: Option<ResponseKind>,
 }
 
@@ -302,6 +309,8 @@
     Failed(ProblemMessage),
     #[prost(bytes = "bytes", tag = "9")]
     Ledger(Bytes),
+    #[prost(bytes = "bytes", tag = "10")]
+    Changes(Bytes),
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
@@ -448,6 +457,7 @@
             Request::Fleet(FleetRequest::Found(founding)) => RequestKind::Found(founding.to_wire()),
             Request::Fleet(FleetRequest::FetchBundle) => RequestKind::FetchBundle(EmptyMessage {}),
             Request::Ledger(bytes) => RequestKind::Ledger(bytes.clone()),
+            Request::Follow(bytes) => RequestKind::Follow(bytes.clone()),
         };
         RequestMessage { kind: Some(kind) }
     }
@@ -470,6 +480,7 @@
             RequestKind::Found(message) => Request::Fleet(FleetRequest::Found(Wire::from_wire(message)?)),
             RequestKind::FetchBundle(_) => Request::Fleet(FleetRequest::FetchBundle),
             RequestKind::Ledger(bytes) => Request::Ledger(bytes),
+            RequestKind::Follow(bytes) => Request::Follow(bytes),
         })
     }
 }
@@ -497,6 +508,7 @@
             }
             Response::Failed(problem) => ResponseKind::Failed(problem.to_wire()),
             Response::Ledger(bytes) => ResponseKind::Ledger(bytes.clone()),
+            Response::Changes(bytes) => ResponseKind::Changes(bytes.clone()),
         };
         ResponseMessage { kind: Some(kind) }
     }
@@ -518,6 +530,7 @@
             }),
             ResponseKind::Failed(message) => Response::Failed(Problem::from_wire(message)?),
             ResponseKind::Ledger(bytes) => Response::Ledger(bytes),
+            ResponseKind::Changes(bytes) => Response::Changes(bytes),
         })
     }
 }
--- /dev/null
+++ b/crates/storage/src/asking.rs
@@ -0,0 +1,159 @@
+//! One question to the group: as many members as are needed at first, the others when those are late or of no use.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use sumacdrift_ledger::{Group, Member, ReplyKind, RequestKind};
+use sumacdrift_transport::Transport;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::client::LedgerClient;
+use crate::rpc::{ask, encode};
+
+/// Pause before a member that gave no usable answer is asked again.
+const ASK_AGAIN_AFTER: Duration = Duration::from_millis(60);
+/// How long a member's answer is waited for before it is asked again.
+pub(crate) const MEMBER_TIMEOUT: Duration = Duration::from_millis(700);
+/// How long the members that were asked first may take before the others are asked too. A good answer takes a trip
+/// between zones and a sync, a few milliseconds together.
+const HEDGE_AFTER: Duration = Duration::from_millis(20);
+
+/// A member's answer, for good or after a failed attempt that is repeated.
+type Told = (usize, Option<ReplyKind>);
+
+/// One question to the group.
+pub(crate) struct Asking<'a> {
+    client: &'a LedgerClient,
+    group: Arc<Group>,
+    order: Vec<Member>,
+    asked: usize,
+    is_settled: Vec<bool>,
+    hedge_at: Instant,
+    deadline: Instant,
+    sender: mpsc::Sender<Told>,
+    answers: mpsc::Receiver<Told>,
+}
+
+impl<'a> Asking<'a> {
+    /// A question to members in this order, which nobody was asked yet.
+    pub(crate) fn new(
+        client: &'a LedgerClient,
+        group: Arc<Group>,
+        order: Vec<Member>,
+        deadline: Instant,
+    ) -> Self {
+        let (sender, answers) = mpsc::channel(order.len().max(1) * 2);
+        let is_settled = vec![false; order.len()];
+        let hedge_at = Instant::now() + HEDGE_AFTER;
+        Self { client, group, order, asked: 0, is_settled, hedge_at, deadline, sender, answers }
+    }
+
+    /// Who is asked first.
+    pub(crate) fn first(&self) -> Option<&Member> {
+        self.order.first()
+    }
+
+    /// Asks so many members.
+    pub(crate) fn begin(&mut self, members: usize, request_for: &impl Fn(&Member) -> Bytes) {
+        for _ in 0..members {
+            self.ask_one_more(request_for);
+        }
+    }
+
+    /// The next answer; `None` when all have answered for good or the time is over.
+    ///
+    /// Where no further answer can come from those that were asked, or they take long, others are asked.
+    pub(crate) async fn next(&mut self, request_for: &impl Fn(&Member) -> Bytes) -> Option<ReplyKind> {
+        loop {
+            if self.is_settled[..self.asked].iter().all(|settled| *settled) && !self.ask_one_more(request_for)
+            {
+                return None;
+            }
+            let may_hedge = self.asked < self.order.len();
+            let until = if may_hedge { self.hedge_at.min(self.deadline) } else { self.deadline };
+            match tokio::time::timeout_at(until, self.answers.recv()).await {
+                Ok(Some((position, Some(reply)))) => {
+                    self.is_settled[position] = true;
+                    return Some(reply);
+                }
+                Ok(Some((position, None))) => {
+                    self.suspect(position);
+                    self.ask_one_more(request_for);
+                }
+                Ok(None) => return None,
+                Err(_) if may_hedge && self.hedge_at < self.deadline => self.hedge(request_for),
+                Err(_) => return None,
+            }
+        }
+    }
+
+    /// Those asked so far are late: the others are asked too.
+    fn hedge(&mut self, request_for: &impl Fn(&Member) -> Bytes) {
+        for position in 0..self.asked {
+            if !self.is_settled[position] {
+                self.suspect(position);
+            }
+        }
+        while self.ask_one_more(request_for) {}
+    }
+
+    fn suspect(&self, position: usize) {
+        self.client.suspects().suspect(&self.order[position].node, Instant::now());
+    }
+
+    /// Asks the next member, again and again until it answers or the time is over. It goes on being asked when its
+    /// answer is no longer waited for, so that a member that is a moment late has the record too.
+    fn ask_one_more(&mut self, request_for: &impl Fn(&Member) -> Bytes) -> bool {
+        let Some(member) = self.order.get(self.asked) else { return false };
+        let task = MemberTask {
+            transport: Arc::clone(self.client.transport()),
+            member: member.clone(),
+            group: Arc::clone(&self.group),
+            request: request_for(member),
+            deadline: self.deadline,
+        };
+        let (position, sender) = (self.asked, self.sender.clone());
+        self.asked += 1;
+        tokio::spawn(async move {
+            let reply = task.run(|| drop(sender.try_send((position, None)))).await;
+            let _ = sender.send((position, reply)).await;
+        });
+        true
+    }
+}
+
+struct MemberTask {
+    transport: Arc<Transport>,
+    member: Member,
+    group: Arc<Group>,
+    request: Bytes,
+    deadline: Instant,
+}
+
+impl MemberTask {
+    /// The member's answer. `failed` is told of the first attempt that was of no use.
+    async fn run(self, failed: impl FnOnce()) -> Option<ReplyKind> {
+        let mut failed = Some(failed);
+        loop {
+            let reply = ask(&self.transport, self.member.address, self.request.clone(), MEMBER_TIMEOUT).await;
+            let is_behind =
+                matches!(&reply, Some(ReplyKind::WrongEpoch(other)) if other.epoch < self.group.epoch);
+            let is_useless = matches!(reply, None | Some(ReplyKind::NotVoting(_) | ReplyKind::Failed(_)));
+            let is_over = Instant::now() + ASK_AGAIN_AFTER >= self.deadline;
+            if is_over || !(is_behind || is_useless) {
+                return reply;
+            }
+            if is_behind {
+                let install = encode(self.group.epoch, RequestKind::Install(self.group.to_message()));
+                let _ = ask(&self.transport, self.member.address, install, MEMBER_TIMEOUT).await;
+                continue;
+            }
+            if let Some(failed) = failed.take() {
+                failed();
+            }
+            tokio::time::sleep(ASK_AGAIN_AFTER).await;
+        }
+    }
+}
--- a/crates/storage/src/client.rs
+++ b/crates/storage/src/client.rs
@@ -1,27 +1,24 @@
-//! Asking the group: all members at once, going on with a majority.
+//! Asking the group whether a turn may begin, and telling it of its end.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
 use slog::{Logger, info};
 use sumacdrift_ledger::{
     Begin, BeginDecision, BeginQuorum, ChainAssembly, ChainReply, ChainRequest, ChainStep, End, Group,
-    GroupMessage, Member, ReplyKind, RequestKind, StoredCopy, TurnBegun, TurnEnded,
+    GroupMessage, Member, ReplyKind, RequestKind, TurnBegun, TurnEnded,
 };
 use sumacdrift_transport::Transport;
-use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+use crate::asking::Asking;
 use crate::rpc::{ask, encode};
+use crate::suspects::Suspects;
 
-/// Pause before a member that gave no usable answer is asked again.
-const ASK_AGAIN_AFTER: Duration = Duration::from_millis(60);
 /// Pause before all members are asked for their votes again.
 const ROUND_PAUSE: Duration = Duration::from_millis(20);
-/// How long a member's answer is waited for before it is asked again.
-const MEMBER_TIMEOUT: Duration = Duration::from_millis(700);
 /// How long an address that may be a replica is waited for.
 const SEED_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -79,22 +76,21 @@
     Unavailable,
 }
 
-/// A member's last answer; `None` where it gave none.
-type Answer = Option<ReplyKind>;
-
 /// Asks the ledger's group.
 pub struct LedgerClient {
     transport: Arc<Transport>,
     group: Mutex<Arc<Group>>,
     zone: String,
     timeouts: LedgerTimeouts,
+    suspects: Mutex<Suspects>,
     logger: Logger,
 }
 
 impl LedgerClient {
     /// A client that knows no group yet.
     pub fn new(transport: Arc<Transport>, zone: String, timeouts: LedgerTimeouts, logger: Logger) -> Self {
-        Self { transport, group: Mutex::default(), zone, timeouts, logger }
+        let suspects = Mutex::default();
+        Self { transport, group: Mutex::default(), zone, timeouts, suspects, logger }
     }
 
     /// The group that the client knows.
@@ -141,48 +137,14 @@
         }
     }
 
-    /// Hands a copy to the nearest replica that answers.
-    pub async fn keep_copy(&self, copy: StoredCopy) -> bool {
-        let group = self.group();
-        let nearest = nearest(&group, &self.zone).map(|member| member.node.clone());
-        let mut members: Vec<&Member> = group.members.iter().collect();
-        members.sort_by_key(|member| Some(&member.node) != nearest.as_ref());
-        for member in members {
-            let request = encode(group.epoch, RequestKind::Keep(copy.clone()));
-            let reply = ask(&self.transport, member.address, request, MEMBER_TIMEOUT).await;
-            if matches!(reply, Some(ReplyKind::Done(_))) {
-                return true;
-            }
-        }
-        false
-    }
-
-    /// The newest copy that replicas at these addresses hold.
-    pub async fn fetch_copy(&self, addresses: &[SocketAddr]) -> Option<StoredCopy> {
-        let request = encode(0, RequestKind::Fetch(true));
-        let asked = addresses.iter().map(|address| {
-            let (transport, address, request) = (Arc::clone(&self.transport), *address, request.clone());
-            tokio::spawn(async move { ask(&transport, address, request, SEED_TIMEOUT).await })
-        });
-        let asked: Vec<_> = asked.collect();
-        let mut newest: Option<StoredCopy> = None;
-        for answer in asked {
-            if let Ok(Some(ReplyKind::Copy(copy))) = answer.await
-                && copy.number > newest.as_ref().map_or(0, |newest| newest.number)
-            {
-                newest = Some(copy);
-            }
-        }
-        newest
-    }
-
     async fn begin_in(
         &self,
         group: &Arc<Group>,
         begin: &BeginTurn,
         deadline: Instant,
     ) -> Option<Result<Admission, LedgerError>> {
-        let nearest = nearest(group, &self.zone).map(|member| member.node.clone());
+        let mut asking = self.asking(group, &begin.turn.program, deadline);
+        let nearest = asking.first().map(|member| member.node.clone());
         let request_for = |member: &Member| {
             let wants_chain = begin.needs_chain && Some(&member.node) == nearest.as_ref();
             let request = Begin {
@@ -193,15 +155,15 @@
             };
             encode(group.epoch, RequestKind::Begin(request))
         };
-        let mut answers = self.ask_all(group, request_for, deadline);
+        asking.begin(group.majority(), &request_for);
         let mut quorum = BeginQuorum::new(group.majority(), begin.budget_tokens, begin.turn.most_tokens);
         loop {
-            let Some(answer) = next_answer(&mut answers, deadline).await else {
+            let Some(answer) = asking.next(&request_for).await else {
                 return Some(Err(LedgerError::Unavailable));
             };
             let decision = match answer {
-                Some(ReplyKind::Vote(vote)) => quorum.vote(vote),
-                Some(ReplyKind::WrongEpoch(message)) if self.is_newer(&message, group) => return None,
+                ReplyKind::Vote(vote) => quorum.vote(vote),
+                ReplyKind::WrongEpoch(message) if self.is_newer(&message, group) => return None,
                 _ => BeginDecision::Pending,
             };
             match decision {
@@ -241,7 +203,8 @@
         if begin.needs_chain && !begin.previous.is_empty() {
             let first = quorum.take_chain();
             let nothing = ChainReply { turns: Vec::new(), missing: begin.previous.clone() };
-            admission.chain = self.complete_chain(group, first.unwrap_or(nothing), deadline).await?;
+            admission.chain =
+                self.complete_chain(group, &begin.turn.program, first.unwrap_or(nothing), deadline).await?;
         }
         Ok(admission)
     }
@@ -250,6 +213,7 @@
     async fn complete_chain(
         &self,
         group: &Arc<Group>,
+        program: &str,
         first: ChainReply,
         deadline: Instant,
     ) -> Result<ChainAssembly, LedgerError> {
@@ -260,16 +224,25 @@
                 return Err(LedgerError::Unavailable);
             }
             let request = encode(group.epoch, RequestKind::Chain(ChainRequest { turn }));
-            let found = self.find_turn(group, request, deadline).await;
+            let found = self.find_turn(group, program, request, deadline).await;
             step = chain.add(found.ok_or(LedgerError::Unavailable)?);
         }
         Ok(chain)
     }
 
-    async fn find_turn(&self, group: &Arc<Group>, request: Bytes, deadline: Instant) -> Option<ChainReply> {
-        let mut answers = self.ask_all(group, |_| request.clone(), deadline);
-        while let Some(answer) = next_answer(&mut answers, deadline).await {
-            if let Some(ReplyKind::Chain(chain)) = answer
+    /// Asks one member after the other, as an answer may be large.
+    async fn find_turn(
+        &self,
+        group: &Arc<Group>,
+        program: &str,
+        request: Bytes,
+        deadline: Instant,
+    ) -> Option<ChainReply> {
+        let request_for = |_: &Member| request.clone();
+        let mut asking = self.asking(group, program, deadline);
+        asking.begin(1, &request_for);
+        while let Some(answer) = asking.next(&request_for).await {
+            if let ReplyKind::Chain(chain) = answer
                 && !chain.turns.is_empty()
             {
                 return Some(chain);
@@ -299,12 +272,14 @@
         deadline: Instant,
     ) -> Option<Result<(), LedgerError>> {
         let request = encode(group.epoch, RequestKind::End(End { turn: Some(turn.clone()) }));
-        let mut answers = self.ask_all(group, |_| request.clone(), deadline);
+        let request_for = |_: &Member| request.clone();
+        let mut asking = self.asking(group, &turn.program, deadline);
+        asking.begin(group.majority(), &request_for);
         let mut durable = 0;
-        while let Some(answer) = next_answer(&mut answers, deadline).await {
+        while let Some(answer) = asking.next(&request_for).await {
             match answer {
-                Some(ReplyKind::Done(_)) => durable += 1,
-                Some(ReplyKind::WrongEpoch(message)) if self.is_newer(&message, group) => return None,
+                ReplyKind::Done(_) => durable += 1,
+                ReplyKind::WrongEpoch(message) if self.is_newer(&message, group) => return None,
                 _ => {}
             }
             if durable >= group.majority() {
@@ -324,68 +299,17 @@
         self.group().epoch > group.epoch
     }
 
-    /// Asks every member, again and again until it answers or the deadline passes. The tasks go on when their
-    /// answers are no longer waited for, so that every member that can be reached has the record.
-    fn ask_all(
-        &self,
-        group: &Arc<Group>,
-        request_for: impl Fn(&Member) -> Bytes,
-        deadline: Instant,
-    ) -> mpsc::Receiver<Answer> {
-        let (sender, answers) = mpsc::channel(group.members.len().max(1));
-        for member in &group.members {
-            let task = MemberTask {
-                transport: Arc::clone(&self.transport),
-                member: member.clone(),
-                group: Arc::clone(group),
-                request: request_for(member),
-                deadline,
-            };
-            let sender = sender.clone();
-            tokio::spawn(async move {
-                let answer = task.run().await;
-                let _ = sender.send(answer).await;
-            });
-        }
-        answers
+    /// Begins to ask members; see [`Asking`].
+    fn asking(&self, group: &Arc<Group>, key: &str, deadline: Instant) -> Asking<'_> {
+        let order = self.suspects().order(group, &self.zone, key, Instant::now());
+        Asking::new(self, Arc::clone(group), order, deadline)
     }
-}
 
-struct MemberTask {
-    transport: Arc<Transport>,
-    member: Member,
-    group: Arc<Group>,
-    request: Bytes,
-    deadline: Instant,
-}
-
-impl MemberTask {
-    async fn run(self) -> Answer {
-        loop {
-            let reply = ask(&self.transport, self.member.address, self.request.clone(), MEMBER_TIMEOUT).await;
-            let is_behind =
-                matches!(&reply, Some(ReplyKind::WrongEpoch(other)) if other.epoch < self.group.epoch);
-            let is_useless = matches!(reply, None | Some(ReplyKind::NotVoting(_) | ReplyKind::Failed(_)));
-            let is_over = Instant::now() + ASK_AGAIN_AFTER >= self.deadline;
-            if is_over || !(is_behind || is_useless) {
-                return reply;
-            }
-            if is_behind {
-                let install = encode(self.group.epoch, RequestKind::Install(self.group.to_message()));
-                let _ = ask(&self.transport, self.member.address, install, MEMBER_TIMEOUT).await;
-            } else {
-                tokio::time::sleep(ASK_AGAIN_AFTER).await;
-            }
-        }
+    pub(crate) fn suspects(&self) -> MutexGuard<'_, Suspects> {
+        self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
     }
-}
 
-async fn next_answer(answers: &mut mpsc::Receiver<Answer>, deadline: Instant) -> Option<Answer> {
-    tokio::time::timeout_at(deadline, answers.recv()).await.ok().flatten()
-}
-
-/// The member of the own zone, or the first one.
-fn nearest<'a>(group: &'a Group, zone: &str) -> Option<&'a Member> {
-    let in_zone = group.members.iter().find(|member| member.zone == zone);
-    in_zone.or_else(|| group.members.first())
+    pub(crate) fn transport(&self) -> &Arc<Transport> {
+        &self.transport
+    }
 }
--- /dev/null
+++ b/crates/storage/src/feed_host.rs
@@ -0,0 +1,97 @@
+//! The feed of one node: filled by whoever follows the outside store, asked by followers on other nodes.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use prost::Message;
+use slog::{Logger, info};
+use sumacdrift_dissemination::{Feed, FollowRequest, Item, ItemKind, Listed, Snapshot};
+use sumacdrift_types::Timestamp;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// The longest that an answer waits for a change.
+const LONGEST_WAIT: Duration = Duration::from_secs(5);
+
+/// A feed that other nodes follow.
+pub struct FeedHost {
+    feed: Mutex<Feed>,
+    news: watch::Sender<u64>,
+    started: Instant,
+    logger: Logger,
+}
+
+impl FeedHost {
+    /// A feed that begins with what an earlier life held.
+    pub fn new(snapshot: Snapshot, logger: Logger) -> Self {
+        let mut feed = Feed::new(rand::random());
+        feed.restore(snapshot);
+        Self { feed: Mutex::new(feed), news: watch::Sender::new(0), started: Instant::now(), logger }
+    }
+
+    /// Takes in a list of all items of a kind.
+    pub fn list(&self, listed: Listed) {
+        let now = self.now();
+        let (kind, outage) = (listed.kind, listed.outage);
+        if self.change(|feed| feed.list(listed, now)) {
+            info!(self.logger, "store listed"; "event" => "store_listed", "kind" => ?kind,
+                "outage_ms" => outage.as_millis() as u64, "position" => self.feed().position());
+        }
+    }
+
+    /// Takes in an item.
+    pub fn put(&self, item: Item) {
+        self.change(|feed| feed.put(item));
+    }
+
+    /// An item is gone since a revision of the store.
+    pub fn remove(&self, kind: ItemKind, name: &str, revision: u64) {
+        self.change(|feed| feed.remove(kind, name, revision));
+    }
+
+    /// The store does not answer about a kind.
+    pub fn store_failed(&self, kind: ItemKind) {
+        self.change(|feed| feed.store_failed(kind));
+    }
+
+    /// Everything held, with the highest revision of the store.
+    pub fn snapshot(&self) -> (u64, Snapshot) {
+        let feed = self.feed();
+        (feed.revision(), feed.snapshot())
+    }
+
+    /// Tells of changes.
+    pub fn news(&self) -> watch::Receiver<u64> {
+        self.news.subscribe()
+    }
+
+    /// Answers a follower, at once where there is something new for it.
+    pub async fn answer(&self, request: Bytes) -> Bytes {
+        let request = FollowRequest::decode(request).unwrap_or_default();
+        let mut news = self.news.subscribe();
+        if !self.feed().has_news_for(&request) {
+            let wait = Duration::from_millis(request.wait_millis).min(LONGEST_WAIT);
+            // The end of the time is an answer too.
+            let _ = tokio::time::timeout(wait, news.changed()).await;
+        }
+        let changes = self.feed().changes(&request, self.now());
+        Bytes::from(changes.encode_to_vec())
+    }
+
+    fn change(&self, change: impl FnOnce(&mut Feed) -> bool) -> bool {
+        let is_new = change(&mut self.feed());
+        if is_new {
+            self.news.send_modify(|changes| *changes += 1);
+        }
+        is_new
+    }
+
+    fn feed(&self) -> MutexGuard<'_, Feed> {
+        self.feed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn now(&self) -> Timestamp {
+        Timestamp::default() + self.started.elapsed()
+    }
+}
--- /dev/null
+++ b/crates/storage/src/follower.rs
@@ -0,0 +1,171 @@
+//! Following the feed of a member of the ledger's group, so that not every node asks the outside store.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use prost::Message;
+use slog::{Logger, info};
+use sumacdrift_dissemination::{Changes, FollowRequest, Heard, NextSource, SourceChoice};
+use sumacdrift_proto::{Request, Response};
+use sumacdrift_transport::Transport;
+use sumacdrift_types::{Timestamp, rendezvous_order};
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use crate::client::LedgerClient;
+
+/// How long a feed may wait for a change. Short, so that a feed that has died is noticed soon.
+const FEED_WAIT: Duration = Duration::from_millis(1000);
+/// How much longer than that an answer is waited for.
+const FEED_MARGIN: Duration = Duration::from_millis(300);
+/// Pause after an answer that could not wait for a change.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// What is done with what was learned.
+pub trait FollowerSink: Send + Sync + 'static {
+    /// Takes in changes of a feed.
+    fn take(&self, changes: Changes);
+    /// Whether anything is known, from whomever.
+    fn knows_anything(&self) -> bool;
+    /// Begins to follow the store itself; dropping the set ends it.
+    fn follow_store(&self) -> JoinSet<()>;
+}
+
+/// Settings of a follower.
+#[derive(Debug, Clone)]
+pub struct FollowerSettings {
+    /// Name of this node, by which followers are spread over the feeds.
+    pub node: String,
+    /// Its zone; feeds there come first.
+    pub zone: String,
+}
+
+/// Follows the feeds of the ledger's group.
+pub struct Follower {
+    settings: FollowerSettings,
+    ledger: Arc<LedgerClient>,
+    transport: Arc<Transport>,
+    sink: Arc<dyn FollowerSink>,
+    logger: Logger,
+    started: Instant,
+    life: u64,
+    after: u64,
+    source: Option<SocketAddr>,
+    store: Option<JoinSet<()>>,
+}
+
+impl Follower {
+    /// A follower that knows nothing yet.
+    pub fn new(
+        settings: FollowerSettings,
+        ledger: Arc<LedgerClient>,
+        transport: Arc<Transport>,
+        sink: Arc<dyn FollowerSink>,
+        logger: Logger,
+    ) -> Self {
+        Self {
+            settings,
+            ledger,
+            transport,
+            sink,
+            logger,
+            started: Instant::now(),
+            life: 0,
+            after: 0,
+            source: None,
+            store: None,
+        }
+    }
+
+    /// Runs for as long as the process.
+    pub async fn run(mut self) {
+        let mut choice = SourceChoice::new(self.now());
+        loop {
+            let feeds = self.feeds();
+            match choice.next(feeds.len(), self.now()) {
+                NextSource::Wait { until } => {
+                    let pause = until.since(self.now()).min(RETRY_PAUSE);
+                    tokio::time::sleep(pause).await;
+                }
+                NextSource::Store { until } => {
+                    self.turn_to_store();
+                    tokio::time::sleep(until.since(self.now())).await;
+                }
+                NextSource::Feed { place, may_wait } => {
+                    let heard = self.ask(feeds[place], may_wait).await;
+                    choice.heard(heard);
+                    if heard != Heard::Current {
+                        tokio::time::sleep(RETRY_PAUSE).await;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Feeds in the order in which they are asked.
+    fn feeds(&self) -> Vec<SocketAddr> {
+        let group = self.ledger.group();
+        let name = |position: &usize| group.members[*position].node.as_bytes().to_vec();
+        let positions: Vec<usize> = (0..group.members.len()).collect();
+        let mut order = rendezvous_order(self.settings.node.as_bytes(), &positions, name);
+        // The sort is stable: within a zone the order stays.
+        order.sort_by_key(|position| group.members[*position].zone != self.settings.zone);
+        order.into_iter().map(|position| group.members[position].address).collect()
+    }
+
+    async fn ask(&mut self, feed: SocketAddr, may_wait: bool) -> Heard {
+        let wait = if may_wait { FEED_WAIT } else { Duration::ZERO };
+        let wait_millis = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+        let request = FollowRequest { life: self.life, after: self.after, wait_millis };
+        let request = Request::Follow(Bytes::from(request.encode_to_vec()));
+        let reply = self.transport.request(feed, request, wait + FEED_MARGIN).await;
+        let Ok(Response::Changes(bytes)) = reply else { return self.lost(feed) };
+        let Ok(changes) = Changes::decode(bytes) else { return self.lost(feed) };
+        let heard = if changes.is_current { Heard::Current } else { Heard::Stale };
+        let is_same_feed = changes.life == self.life;
+        // What a feed without the store holds may be old; it serves only those that know nothing.
+        if heard == Heard::Stale && !is_same_feed && self.sink.knows_anything() {
+            return heard;
+        }
+        if heard == Heard::Current {
+            self.settled(feed);
+        }
+        (self.life, self.after) = (changes.life, changes.at);
+        if changes.is_whole || !changes.changes.is_empty() {
+            self.sink.take(changes);
+        }
+        heard
+    }
+
+    fn settled(&mut self, feed: SocketAddr) {
+        if self.source != Some(feed) {
+            info!(self.logger, "following a feed"; "event" => "dependency_regained", "dependency" => "feed",
+                "feed" => %feed, "followed_store" => self.store.is_some());
+        }
+        self.source = Some(feed);
+        self.store = None;
+    }
+
+    fn lost(&mut self, feed: SocketAddr) -> Heard {
+        if self.source == Some(feed) {
+            info!(self.logger, "feed lost"; "event" => "dependency_lost", "dependency" => "feed",
+                "feed" => %feed, "position" => self.after);
+            self.source = None;
+        }
+        Heard::Nothing
+    }
+
+    fn turn_to_store(&mut self) {
+        if self.store.is_none() {
+            info!(self.logger, "following the store itself"; "event" => "store_followed",
+                "knows_anything" => self.sink.knows_anything(), "position" => self.after);
+            self.store = Some(self.sink.follow_store());
+        }
+    }
+
+    fn now(&self) -> Timestamp {
+        Timestamp::default() + self.started.elapsed()
+    }
+}
--- a/crates/storage/src/host.rs
+++ b/crates/storage/src/host.rs
@@ -5,6 +5,7 @@
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use bytes::Bytes;
 use prometheus_client::metrics::counter::Counter;
@@ -13,8 +14,11 @@
 use prometheus_client::registry::Registry;
 use prost::Message;
 use slog::{Logger, error, info};
+use sumacdrift_dissemination::Snapshot;
 use sumacdrift_journal::{FolderDisk, Journal, JournalError, JournalFailure, JournalSettings, JournalWriter};
-use sumacdrift_ledger::{LedgerReply, LedgerRequest, Record, Replica, ReplicaSettings, ReplyKind};
+use sumacdrift_ledger::{
+    LedgerReply, LedgerRequest, Record, Replica, ReplicaSettings, ReplyKind, StoredCopy,
+};
 use sumacdrift_proto::{OneWay, Request, Response};
 use sumacdrift_telemetry::time_histogram;
 use sumacdrift_transport::Handler;
@@ -23,12 +27,16 @@
 use tokio::time::Instant;
 
 use crate::clock::wall_millis;
+use crate::feed_host::FeedHost;
 
 /// Bytes written since the last snapshot that call for another one, at the least.
 const SNAPSHOT_AFTER_BYTES: u64 = 48 << 20;
 /// Bytes written since the last snapshot, as a multiple of its size, that call for another one.
 const SNAPSHOT_GROWTH: u64 = 2;
 
+/// Pause between two copies of the feed that are made durable.
+const COPY_PAUSE: Duration = Duration::from_millis(500);
+
 /// Settings of a replica on this node.
 #[derive(Debug, Clone)]
 pub struct HostSettings {
@@ -105,6 +113,7 @@
     writer: JournalWriter,
     meter: SnapshotMeter,
     metrics: HostMetrics,
+    feed: FeedHost,
     logger: Logger,
 }
 
@@ -128,7 +137,9 @@
         info!(logger, "journal replayed"; "event" => "journal_replayed", "records" => records,
             "unreadable" => unreadable, "torn_bytes" => torn_bytes, "programs" => replica.state().programs(),
             "voting" => replica.is_voting(), "epoch" => replica.group().epoch);
+        let snapshot = Snapshot::decode(replica.state().copy().content.clone()).unwrap_or_default();
         let host = Arc::new(Self {
+            feed: FeedHost::new(snapshot, logger.clone()),
             replica: Mutex::new(replica),
             writer: JournalWriter::start(journal),
             meter: SnapshotMeter::default(),
@@ -149,6 +160,30 @@
         self.replica().is_voting()
     }
 
+    /// Whether the replica belongs to the group.
+    pub fn is_member(&self) -> bool {
+        self.replica().is_member()
+    }
+
+    /// What other nodes may learn here.
+    pub fn feed(&self) -> &FeedHost {
+        &self.feed
+    }
+
+    /// Keeps what the feed holds on disk, for nodes that start while the store is down. Runs for as long as the process.
+    pub async fn keep_feed(self: Arc<Self>) {
+        let mut news = self.feed.news();
+        while news.changed().await.is_ok() {
+            let (number, snapshot) = self.feed.snapshot();
+            let content = Bytes::from(snapshot.encode_to_vec());
+            let record = self.replica().keep(StoredCopy { number, content });
+            if let Err(failure) = self.commit(record.into_iter().collect()).await {
+                error!(self.logger, "copy not durable"; "event" => "commit_failed", "error" => failure);
+            }
+            tokio::time::sleep(COPY_PAUSE).await;
+        }
+    }
+
     /// Counters and histograms.
     pub fn metrics(&self) -> &HostMetrics {
         &self.metrics
@@ -253,6 +288,7 @@
                 Request::Ledger(bytes) => {
                     Response::Ledger(Bytes::from(self.answer(bytes).await.encode_to_vec()))
                 }
+                Request::Follow(bytes) => Response::Changes(self.feed.answer(bytes).await),
                 _ => {
                     Response::Failed(Problem::not_run(ResultCode::NotFound, "only a ledger replica is here"))
                 }
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -4,13 +4,17 @@
 //! up and leaves it. [`LedgerClient`] asks all members at once and goes on with a majority. Where groups are agreed
 //! on stands behind the [`GroupDirectory`] port.
 
+mod asking;
 mod catch_up;
 mod client;
 mod clock;
 mod directory;
+mod feed_host;
+mod follower;
 mod host;
 mod leave;
 mod rpc;
+mod suspects;
 mod upkeep;
 
 pub use client::{Admission, BeginTurn, LedgerClient, LedgerError, LedgerTimeouts};
@@ -19,5 +23,7 @@
     DirectoryError, DirectoryFuture, DirectoryView, GroupDirectory, Registration, Retirement, Revision,
     StoredGroup,
 };
+pub use feed_host::FeedHost;
+pub use follower::{Follower, FollowerSettings, FollowerSink};
 pub use host::{HostMetrics, HostSettings, OpenError, ReplicaHost};
 pub use upkeep::{Upkeep, UpkeepSettings};
--- /dev/null
+++ b/crates/storage/tests/asking.rs
@@ -0,0 +1,120 @@
+//! How the client asks the group: as few members as are needed, more where those are late.
+
+mod fleet;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use fleet::Fleet;
+use sumacdrift_ledger::{RetainedTurn, TurnBegun, TurnEnded};
+use sumacdrift_storage::{Admission, BeginTurn, LedgerClient, LedgerError};
+use tokio::time::Instant;
+
+fn begin(turn: &str, previous: &str) -> BeginTurn {
+    BeginTurn {
+        turn: TurnBegun {
+            program: "program".to_owned(),
+            turn: turn.to_owned(),
+            most_tokens: 100,
+            retention_millis: 60_000,
+        },
+        budget_tokens: 10_000,
+        needs_chain: !previous.is_empty(),
+        previous: previous.to_owned(),
+    }
+}
+
+fn end(turn: &str, previous: &str) -> TurnEnded {
+    TurnEnded {
+        program: "program".to_owned(),
+        turn: turn.to_owned(),
+        tokens: 10,
+        retention_millis: 60_000,
+        retained: Some(RetainedTurn {
+            previous: previous.to_owned(),
+            input: Bytes::copy_from_slice(format!("in {turn}").as_bytes()),
+            output: Bytes::copy_from_slice(format!("out {turn}").as_bytes()),
+        }),
+    }
+}
+
+async fn ask(client: &LedgerClient, begin: BeginTurn) -> (Result<Admission, LedgerError>, Duration) {
+    let asked = Instant::now();
+    let outcome = client.begin(begin, asked + Duration::from_secs(2)).await;
+    (outcome, asked.elapsed())
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_majority_is_asked_and_the_own_zone_is_among_it() {
+    for (size, majority) in [(3, 2), (5, 3)] {
+        let fleet = Fleet::start(size).await;
+        let client = fleet.client(1);
+        ask(&client, begin("t1", "")).await.0.expect("an admission");
+        client.end(end("t1", "")).await.expect("an end");
+        let requests = fleet.requests();
+        assert_eq!(requests.iter().filter(|count| **count == 2).count(), majority, "{requests:?}");
+        assert_eq!(requests.iter().sum::<usize>(), 2 * majority, "{requests:?}");
+        assert_eq!(requests[1], 2, "{requests:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_silent_member_delays_one_turn_and_is_asked_last_from_then_on() {
+    let fleet = Fleet::start(3).await;
+    let client = fleet.client(0);
+    fleet.nodes[0].silence(true);
+    let (outcome, first) = ask(&client, begin("t1", "")).await;
+    outcome.expect("an admission");
+    assert!(first >= Duration::from_millis(20) && first < Duration::from_millis(40), "{first:?}");
+    let (outcome, second) = ask(&client, begin("t2", "")).await;
+    outcome.expect("an admission");
+    assert!(second < Duration::from_millis(5), "{second:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_member_that_cannot_be_reached_is_replaced_at_once() {
+    let fleet = Fleet::start(5).await;
+    let client = fleet.client(0);
+    for position in [0, 1] {
+        fleet.network.set_reachable(fleet::address(position), false);
+    }
+    let (outcome, taken) = ask(&client, begin("t1", "")).await;
+    outcome.expect("an admission");
+    assert!(taken < Duration::from_millis(5), "{taken:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn without_a_majority_nothing_is_said() {
+    let fleet = Fleet::start(3).await;
+    let client = fleet.client(0);
+    fleet.nodes[1].silence(true);
+    fleet.nodes[2].silence(true);
+    let (outcome, taken) = ask(&client, begin("t1", "")).await;
+    assert_eq!(outcome.expect_err("no majority"), LedgerError::Unavailable);
+    assert!(taken >= Duration::from_secs(2), "{taken:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn every_zone_gets_the_whole_chain_whoever_committed_its_turns() {
+    let fleet = Fleet::start(5).await;
+    let clients: Vec<_> = (0..5).map(|zone| fleet.client(zone)).collect();
+    let mut previous = String::new();
+    for (position, client) in clients.iter().enumerate() {
+        let turn = format!("t{position}");
+        client.end(end(&turn, &previous)).await.expect("an end");
+        previous = turn;
+    }
+    let whole = "in t0out t0in t1out t1in t2out t2in t3out t3in t4out t4new";
+    for (position, client) in clients.iter().enumerate() {
+        let (outcome, _) = ask(client, begin(&format!("next{position}"), &previous)).await;
+        let prompt = outcome.expect("an admission").chain.into_prompt(&Bytes::from_static(b"new"));
+        assert_eq!(prompt, whole.as_bytes(), "zone {position}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_turn_that_nobody_committed_is_unknown() {
+    let fleet = Fleet::start(5).await;
+    let (outcome, _) = ask(&fleet.client(2), begin("t1", "never")).await;
+    assert_eq!(outcome.expect_err("unknown"), LedgerError::UnknownPrevious);
+}
--- /dev/null
+++ b/crates/storage/tests/fleet/mod.rs
@@ -0,0 +1,137 @@
+//! Nodes on a network inside the process and a virtual clock: replicas without disks, and feeds.
+
+// Each test program uses its own part of this.
+#![allow(dead_code)]
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use prost::Message;
+use slog::{Discard, Logger, o};
+use sumacdrift_ledger::{Group, LedgerRequest, Member, Replica, ReplicaSettings};
+use sumacdrift_proto::{OneWay, Request, Response};
+use sumacdrift_storage::{FeedHost, LedgerClient, LedgerTimeouts};
+use sumacdrift_transport::{Handler, MemoryNetwork, Network, TrafficCounters, Transport, serve};
+use tokio_util::sync::CancellationToken;
+
+pub fn logger() -> Logger {
+    Logger::root(Discard, o!())
+}
+
+pub fn address(position: usize) -> SocketAddr {
+    ([10, 0, 0, u8::try_from(position).expect("few nodes")], 1).into()
+}
+
+/// A node that keeps a replica and a feed.
+pub struct Node {
+    pub replica: Mutex<Replica>,
+    pub feed: FeedHost,
+    pub requests: AtomicUsize,
+    pub is_silent: AtomicBool,
+}
+
+impl Node {
+    pub fn requests(&self) -> usize {
+        self.requests.load(Ordering::Relaxed)
+    }
+
+    pub fn silence(&self, is_silent: bool) {
+        self.is_silent.store(is_silent, Ordering::Relaxed);
+    }
+
+    /// A silent node answers nothing, not even what it was asked before.
+    async fn answer(&self, request: Request) -> Response {
+        if self.is_silent.load(Ordering::Relaxed) {
+            return std::future::pending().await;
+        }
+        let response = self.handle(request).await;
+        if self.is_silent.load(Ordering::Relaxed) {
+            return std::future::pending().await;
+        }
+        response
+    }
+
+    async fn handle(&self, request: Request) -> Response {
+        match request {
+            Request::Ledger(bytes) => {
+                self.requests.fetch_add(1, Ordering::Relaxed);
+                let request = LedgerRequest::decode(bytes).expect("a request");
+                let step = self.replica.lock().expect("a replica").handle(request, 1_000);
+                Response::Ledger(Bytes::from(step.reply.encode_to_vec()))
+            }
+            Request::Follow(bytes) => Response::Changes(self.feed.answer(bytes).await),
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+struct NodeHandler(Arc<Node>);
+
+impl Handler for NodeHandler {
+    fn request(self: Arc<Self>, request: Request) -> Pin<Box<dyn Future<Output = Response> + Send>> {
+        Box::pin(async move { self.0.answer(request).await })
+    }
+
+    fn one_way(&self, _message: OneWay) {}
+}
+
+/// A whole group, one member in each zone `z0`, `z1`, …
+pub struct Fleet {
+    pub network: MemoryNetwork,
+    pub nodes: Vec<Arc<Node>>,
+    pub group: Group,
+}
+
+impl Fleet {
+    pub async fn start(size: usize) -> Self {
+        let members = (0..size).map(|position| Member {
+            node: format!("n{position}"),
+            address: address(position),
+            zone: format!("z{position}"),
+            joined: 0,
+        });
+        let group = Group::founded(members.collect());
+        let network = MemoryNetwork::new();
+        let mut nodes = Vec::new();
+        for member in &group.members {
+            let settings = ReplicaSettings { node: member.node.clone(), is_first_start: true };
+            let mut replica = Replica::new(settings);
+            replica.started();
+            replica.install(group.clone());
+            let node = Arc::new(Node {
+                replica: Mutex::new(replica),
+                feed: FeedHost::new(Default::default(), logger()),
+                requests: AtomicUsize::new(0),
+                is_silent: AtomicBool::new(false),
+            });
+            let acceptor = network.listen(member.address).await.expect("an address");
+            let handler = Arc::new(NodeHandler(Arc::clone(&node)));
+            tokio::spawn(serve(acceptor, handler, Arc::default(), CancellationToken::new()));
+            nodes.push(node);
+        }
+        Self { network, nodes, group }
+    }
+
+    pub fn transport(&self) -> Arc<Transport> {
+        let network: Arc<dyn Network> = Arc::new(self.network.clone());
+        Arc::new(Transport::new(network, Arc::new(TrafficCounters::default())))
+    }
+
+    /// A client in the zone of a member.
+    pub fn client(&self, zone: usize) -> Arc<LedgerClient> {
+        let timeouts =
+            LedgerTimeouts { begin: Duration::from_millis(900), end: Duration::from_millis(2_500) };
+        let client = LedgerClient::new(self.transport(), format!("z{zone}"), timeouts, logger());
+        client.learn(self.group.clone());
+        Arc::new(client)
+    }
+
+    pub fn requests(&self) -> Vec<usize> {
+        self.nodes.iter().map(|node| node.requests()).collect()
+    }
+}
