One reset of a resting connection shortens the rest of all

Connections were used again for as long as the engine's Keep-Alive allows, however often that happened.

Change: RestLimit (edge, no clock of its own): after a reset of a connection that had rested, connections that rested for more than half of that time are not used again for ten seconds.

--- a/crates/edge/src/engine_pool.rs
+++ b/crates/edge/src/engine_pool.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,7 +17,9 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::clock::Clock;
 use crate::headers::{keep_alive_seconds, says_close};
+use crate::rest_limit::RestLimit;
 
 /// Time for a new connection; engines answer within milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -41,13 +43,22 @@
 
 struct Resting {
     sender: Sender,
+    since: Instant,
     until: Instant,
 }
 
+/// A connection that may carry the next request.
+struct Rested {
+    sender: Sender,
+    rested: Duration,
+}
+
 /// Connections to engines, by engine.
 #[derive(Default)]
 pub(crate) struct EnginePool {
     resting: Mutex<HashMap<EngineId, Vec<Resting>>>,
+    rest_limit: Mutex<RestLimit>,
+    clock: Clock,
 }
 
 /// An engine's answer: its head, its body, and the connection that it comes on.
@@ -69,7 +80,8 @@
     /// The answer was read to its end; the connection may serve again.
     pub(crate) fn release(self) {
         let Some(rest) = self.rest else { return };
-        let resting = Resting { sender: self.sender, until: Instant::now() + rest };
+        let now = Instant::now();
+        let resting = Resting { sender: self.sender, since: now, until: now + rest };
         let mut pool = self.pool.resting.lock().unwrap_or_else(PoisonError::into_inner);
         pool.entry(self.engine).or_default().push(resting);
     }
@@ -84,7 +96,7 @@
         request: Request<Full<Bytes>>,
     ) -> Result<PoolAnswer, SendError> {
         let mut request = request;
-        while let Some(mut sender) = self.take(engine) {
+        while let Some(Rested { mut sender, rested }) = self.take(engine) {
             if !matches!(tokio::time::timeout(READY_TIMEOUT, sender.ready()).await, Ok(Ok(()))) {
                 continue;
             }
@@ -92,7 +104,10 @@
                 Ok(answer) => return Ok(self.answer(engine, sender, answer)),
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
-                    None => return Err(SendError::Lost),
+                    None => {
+                        self.rest_limit().reset_after(rested, self.clock.now());
+                        return Err(SendError::Lost);
+                    }
                 },
             }
         }
@@ -117,14 +132,21 @@
         });
     }
 
-    fn take(&self, engine: &EngineId) -> Option<Sender> {
+    fn rest_limit(&self) -> MutexGuard<'_, RestLimit> {
+        self.rest_limit.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn take(&self, engine: &EngineId) -> Option<Rested> {
         let now = Instant::now();
+        let limit = *self.rest_limit();
         let mut pool = self.resting.lock().unwrap_or_else(PoisonError::into_inner);
         let resting = pool.get_mut(engine)?;
         // The one used last has the longest time left.
         while let Some(connection) = resting.pop() {
-            if connection.until > now && !connection.sender.is_closed() {
-                return Some(connection.sender);
+            let rested = now.duration_since(connection.since);
+            let may_serve = connection.until > now && limit.allows(rested, self.clock.now());
+            if may_serve && !connection.sender.is_closed() {
+                return Some(Rested { sender: connection.sender, rested });
             }
         }
         None
