sumacctl explains a call from the logs of several nodes; a test plays three kinds of failed call

What was missing: the way from a call's id to its cause was a page with grep lines, and nobody checked that it holds.

Change: crate ctl, program sumacctl: explain ID (a call's or a program's, from logs of any number of nodes: its lines in the order of time, the earlier turn that it named, what nodes came to believe shortly before, and the cause in a sentence), events, status; help texts, exit codes, JSON. platform/tests/stories.rs plays a refusal, a 404 and a 402, a stream that broke off, and goes from the id to the cause. A replica says when its disk is slow (slow_commit); the line about dropped lines has a time and a node like any other.

--- /dev/null
+++ b/crates/ctl/src/cause.rs
@@ -0,0 +1,111 @@
+//! What decided a call's end, said in a sentence.
+
+use sumacdrift_types::ResultCode;
+
+use crate::log::LogLine;
+use crate::story::Story;
+
+/// Why a call or a program's last call ended as it did.
+pub fn cause_of(story: &Story) -> String {
+    let Some(end) = story.lines.iter().rev().find(|line| is_end(line)) else {
+        return match story.lines.is_empty() {
+            true => "no line names it: it reached no node whose log is here, or its lines were left out \
+                     (log_lines_dropped)"
+                .to_owned(),
+            false => {
+                "no line tells its end: the node was killed, or its line was left out (log_lines_dropped)"
+                    .to_owned()
+            }
+        };
+    };
+    match end.event.as_str() {
+        "served" => served(end),
+        "turn_refused" => turn_refused(end, story),
+        "given_up" => given_up(end, story),
+        "bad_call" => format!("the request is not well formed: {}", end.text("detail")),
+        "no_route" => format!(
+            "configuration {} has no route for {}{}",
+            end.number("version").unwrap_or(0),
+            end.text("host"),
+            end.text("path")
+        ),
+        _ => format!("refused: {}", title_of(end)),
+    }
+}
+
+fn is_end(line: &LogLine) -> bool {
+    ["served", "turn_refused", "given_up", "bad_call", "no_route", "refused"].contains(&line.event.as_str())
+}
+
+fn served(end: &LogLine) -> String {
+    format!(
+        "served by {} with status {} after {} ms, {} engines having failed it before",
+        end.text("engine"),
+        end.number("status").unwrap_or(0),
+        end.number("age_ms").unwrap_or(0),
+        end.number("misses").unwrap_or(0)
+    )
+}
+
+fn turn_refused(end: &LogLine, story: &Story) -> String {
+    let reason = end.text("reason");
+    let refusal = story.lines.iter().rev().find(|line| line.event == "ledger_refusal");
+    if let Some(refusal) = refusal.filter(|line| line.text("why") == "budget") {
+        let number = |name: &str| refusal.number(name).unwrap_or(0);
+        return format!(
+            "{reason}: {} tokens of other turns and {} of this one are more than {}",
+            number("counted_tokens"),
+            number("most_tokens"),
+            number("budget_tokens")
+        );
+    }
+    let previous = end.text("previous");
+    if refusal.is_some() && !previous.is_empty() {
+        let ended = story.earlier.iter().rev().find(|line| is_end(line));
+        let earlier = ended.map_or("no line names that turn".to_owned(), |line| {
+            format!("that turn ended with {} {}", line.event, title_of(line)).trim_end().to_owned()
+        });
+        return format!("{reason}: {previous}; {earlier}");
+    }
+    let replicas = story.around.iter().filter(|line| line.node.starts_with("storage")).count();
+    match replicas {
+        0 => reason.to_owned(),
+        _ => format!("{reason}; {replicas} changes at the ledger's replicas shortly before, see below"),
+    }
+}
+
+fn given_up(end: &LogLine, story: &Story) -> String {
+    let may_have_run = match end.number("runs") {
+        Some(0) => "no engine ran it",
+        _ => "an engine may have run it",
+    };
+    let failures: Vec<String> = story
+        .lines
+        .iter()
+        .filter(|line| line.event == "attempt_failed" || line.event == "stream_broke_off")
+        .map(|line| match line.text("failure") {
+            "" => format!(
+                "{} broke off after {} events",
+                line.text("engine"),
+                line.number("events").unwrap_or(0)
+            ),
+            failure => format!("{}: {failure}", line.text("engine")),
+        })
+        .collect();
+    let failures = if failures.is_empty() { String::new() } else { format!(" ({})", failures.join("; ")) };
+    format!(
+        "{} after {} ms: {}, {may_have_run}{failures}",
+        end.text("what"),
+        end.number("age_ms").unwrap_or(0),
+        title_of(end)
+    )
+}
+
+/// The title of a line's result code.
+fn title_of(line: &LogLine) -> String {
+    let code = line.number("code").and_then(|number| u32::try_from(number).ok());
+    match code.and_then(ResultCode::from_number) {
+        Some(code) => format!("{} {}", code.number(), code.title()),
+        None => line.text("title").to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/ctl/tests/reading.rs
@@ -0,0 +1,51 @@
+//! Reading logs and metrics.
+
+use std::io::{Cursor, Read};
+
+use sumacdrift_ctl::log::read_logs;
+use sumacdrift_ctl::metrics::read_metrics;
+use sumacdrift_ctl::story::story_of;
+
+fn source(text: &str) -> Box<dyn Read> {
+    Box::new(Cursor::new(text.as_bytes().to_vec()))
+}
+
+const EDGE: &str = r#"{"ts":"2026-12-02T10:00:01.5Z","node":"edge-1","event":"turn_refused","call":"c2","program":"p"}
+{"ts":"2026-12-02T10:00:00.1Z","node":"edge-1","event":"served","call":"c1","program":"p","engine":"e1"}
+{"ts":"2026-12-02T10:0"#;
+const STORAGE: &str = r#"{"ts":"2026-12-02T10:00:01.2Z","node":"storage-1","event":"journal_replayed","records":3}
+{"ts":"2026-12-02T09:59:00.0Z","node":"storage-1","event":"start"}
+"#;
+
+#[test]
+fn lines_of_several_nodes_come_in_the_order_of_time() {
+    let read = read_logs(vec![source(EDGE), source(STORAGE)]).expect("logs");
+    let events: Vec<&str> = read.lines.iter().map(|line| line.event.as_str()).collect();
+    assert_eq!(events, ["start", "served", "journal_replayed", "turn_refused"]);
+    // A process that was killed leaves half a line.
+    assert_eq!(read.unreadable, 1);
+}
+
+#[test]
+fn a_story_holds_the_programs_calls_and_what_happened_near_its_end() {
+    let read = read_logs(vec![source(EDGE), source(STORAGE)]).expect("logs");
+    let story = story_of("p", &read.lines);
+    assert_eq!(story.lines.len(), 2);
+    assert_eq!(story.around.iter().map(|line| line.event.as_str()).collect::<Vec<_>>(), ["journal_replayed"]);
+    assert_eq!(story_of("c1", &read.lines).lines.len(), 1);
+    assert!(story_of("nobody", &read.lines).lines.is_empty());
+}
+
+#[test]
+fn a_summary_names_what_the_event_brings() {
+    let read = read_logs(vec![source(EDGE)]).expect("a log");
+    insta::assert_snapshot!(read.lines[0].summary(), @"call=c1 engine=e1 program=p");
+}
+
+#[test]
+fn metrics_are_read_without_buckets() {
+    let text = "# HELP calls x\ncalls_total 7\nseconds_sum 1.5\nseconds_bucket{le=\"0.1\"} 3\ngiven_up_total{code=\"4001\"} 2\n# EOF\n";
+    let metrics = read_metrics(text);
+    let names: Vec<(&str, f64)> = metrics.iter().map(|metric| (metric.name.as_str(), metric.value)).collect();
+    assert_eq!(names, [("calls_total", 7.0), ("seconds_sum", 1.5), ("given_up_total{code=\"4001\"}", 2.0)]);
+}
--- a/crates/storage/src/host.rs
+++ b/crates/storage/src/host.rs
@@ -13,7 +13,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 use prost::Message;
-use slog::{Logger, error, info};
+use slog::{Logger, error, info, warn};
 use sumacdrift_dissemination::Snapshot;
 use sumacdrift_journal::{FolderDisk, Journal, JournalError, JournalFailure, JournalSettings, JournalWriter};
 use sumacdrift_ledger::{
@@ -34,6 +34,8 @@
 /// Bytes written since the last snapshot, as a multiple of its size, that call for another one.
 const SNAPSHOT_GROWTH: u64 = 2;
 
+/// A commit that takes longer is told: callers wait for it, and a sync should take milliseconds.
+const SLOW_COMMIT: Duration = Duration::from_millis(300);
 /// Pause between two copies of the feed that are made durable.
 const COPY_PAUSE: Duration = Duration::from_millis(500);
 
@@ -209,8 +211,13 @@
         let Some(done) = self.queue(records) else { return Ok(()) };
         let begun = Instant::now();
         let outcome = done.await.unwrap_or_else(|_| Err("the writer has stopped".to_owned()));
+        let taken = begun.elapsed();
         self.metrics.commits.inc();
-        self.metrics.commit_seconds.observe(begun.elapsed().as_secs_f64());
+        self.metrics.commit_seconds.observe(taken.as_secs_f64());
+        if taken >= SLOW_COMMIT {
+            warn!(self.logger, "the disk is slow"; "event" => "slow_commit",
+                "taken_ms" => taken.as_millis() as u64);
+        }
         outcome
     }
 
--- a/crates/telemetry/src/drain.rs
+++ b/crates/telemetry/src/drain.rs
@@ -5,7 +5,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use slog::{Drain, Level, Logger, Never, OwnedKVList, Record, o};
+use slog::{Drain, Level, Logger, Never, OwnedKVList, Record, b, o, record};
 
 use crate::allowance::LineAllowance;
 
@@ -61,7 +61,12 @@
         let dropped = allowance.take_dropped();
         let mut line = Vec::with_capacity(256);
         if dropped > 0 {
-            let _ = writeln!(line, "{{\"event\":\"log_lines_dropped\",\"lines\":{dropped}}}");
+            let details = b!("event" => "log_lines_dropped", "lines" => dropped);
+            format_line(
+                &mut line,
+                &record!(Level::Warning, "", &format_args!("log lines dropped"), details),
+                values,
+            );
         }
         format_line(&mut line, record, values);
         if self.lines.try_send(line).is_err() {
