A member that never voted holds nobody up; a machine stops voting before it leaves

Ruled out: reading one member only (a record may be at the other one; the simulation notices, LedgerReadsEnough).

That holds only if those who left took nothing along, so a machine that is to be emptied now stops voting, hands everything over, and leaves then. Members already read are not read again every 250 ms.

--- a/crates/ledger/src/group.rs
+++ b/crates/ledger/src/group.rs
@@ -1,5 +1,6 @@
 //! Which replicas form the group.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use sumacdrift_mutants::{Rule, is_broken};
@@ -40,17 +41,30 @@
 
     /// Members that must have a record before it holds.
     pub fn majority(&self) -> usize {
-        self.members.len() / 2 + 1
+        majority_of(self.members.len())
     }
 
-    /// Other members that a replica without records must have read before it may vote: one more than can lack a
-    /// record that this replica had acknowledged.
+    /// Other members that a replica without records must have read before it may vote, where every member may have
+    /// voted.
     pub fn sources_to_catch_up(&self) -> usize {
+        self.sources_besides(&BTreeSet::new(), "")
+    }
+
+    /// Other members that a replica without records must have read before it may vote: one more than can lack a
+    /// record that was acknowledged.
+    ///
+    /// Members that joined and never voted acknowledged nothing. So every record is at a majority of the members
+    /// without them, which is the smaller group that they joined.
+    pub(crate) fn sources_besides(&self, never_voted: &BTreeSet<String>, own: &str) -> usize {
         if is_broken(Rule::LedgerReadsEnough) {
             return 1;
         }
-        let may_lack = self.members.len() - self.majority();
-        (may_lack + 1).min(self.members.len().saturating_sub(1))
+        let may_have_voted = self.members.iter().filter(|member| !never_voted.contains(&member.node));
+        let (voters, others) = may_have_voted
+            .fold((0, 0), |(voters, others), member| (voters + 1, others + usize::from(member.node != own)));
+        let may_lack = voters - majority_of(voters).min(voters);
+        let others = if own.is_empty() { voters.saturating_sub(1) } else { others };
+        (may_lack + 1).min(others)
     }
 
     /// The member of that name.
@@ -99,6 +113,10 @@
     }
 }
 
+fn majority_of(members: usize) -> usize {
+    members / 2 + 1
+}
+
 fn sorted(mut members: Vec<Member>) -> Vec<Member> {
     members.sort_by(|left, right| left.node.cmp(&right.node));
     members
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -83,7 +83,7 @@
     /// The replica belongs to this group.
     #[prost(message, tag = "3")]
     Group(GroupMessage),
-    /// The replica's records are complete.
+    /// The replica's records are complete, or it has never voted.
     #[prost(message, tag = "4")]
     Standing(Standing),
     /// The newest copy of what another system holds.
@@ -91,12 +91,15 @@
     Copy(StoredCopy),
 }
 
-/// The replica holds every record that it ever acknowledged as the member that joined at this epoch.
+/// What the replica is as the member that joined at this epoch.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
 pub struct Standing {
     /// Epoch at which the member joined.
     #[prost(uint64, tag = "1")]
     pub joined: u64,
+    /// Whether it has never voted as that member. Otherwise it holds every record that it ever acknowledged as it.
+    #[prost(bool, tag = "2")]
+    pub never_voted: bool,
 }
 
 /// A copy of what another system holds, for nodes that start while it is down. Its content means nothing here.
@@ -234,7 +237,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct LedgerReply {
     /// The answer.
-    #[prost(oneof = "ReplyKind", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "ReplyKind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
     pub kind: Option<ReplyKind>,
 }
 
@@ -265,6 +268,9 @@
     /// The record could not be made durable.
     #[prost(string, tag = "8")]
     Failed(String),
+    /// The replica has joined and has never voted, so it acknowledged nothing.
+    #[prost(bool, tag = "9")]
+    NeverVoted(bool),
 }
 
 /// What a replica knows of a program at the begin of one of its turns.
--- a/crates/ledger/src/replica.rs
+++ b/crates/ledger/src/replica.rs
@@ -36,7 +36,10 @@
     state: LedgerState,
     group: Group,
     complete_since: Option<u64>,
+    never_voted_since: Option<u64>,
+    is_leaving: bool,
     caught_up_with: BTreeSet<String>,
+    never_voted: BTreeSet<String>,
 }
 
 impl Replica {
@@ -47,7 +50,10 @@
             state: LedgerState::default(),
             group: Group::default(),
             complete_since: None,
+            never_voted_since: None,
+            is_leaving: false,
             caught_up_with: BTreeSet::new(),
+            never_voted: BTreeSet::new(),
         }
     }
 
@@ -59,6 +65,9 @@
                     self.adopt(group);
                 }
             }
+            Some(RecordKind::Standing(standing)) if standing.never_voted => {
+                self.never_voted_since = Some(standing.joined);
+            }
             Some(RecordKind::Standing(standing)) => {
                 self.complete_since = Some(standing.joined);
             }
@@ -84,14 +93,51 @@
         &self.state
     }
 
-    /// Whether the replica's records are complete and it is a member.
+    /// Whether the replica votes: it is a member, its records are complete, and it is not about to leave.
     pub fn is_voting(&self) -> bool {
+        self.is_complete() && !self.is_leaving
+    }
+
+    /// Whether the replica is a member whose records are complete.
+    fn is_complete(&self) -> bool {
         let member = self.group.member(&self.settings.node);
         member.is_some_and(|member| {
             self.complete_since == Some(member.joined) || is_broken(Rule::LedgerVoteNeedsRecords)
         })
     }
 
+    /// Notes that the replica has just joined the group that it knows, by its own doing and into no lost member's
+    /// place: it has never voted as this member. Returns the record to make durable.
+    pub fn joined_as_new(&mut self) -> Option<Record> {
+        let joined = self.group.member(&self.settings.node)?.joined;
+        if self.complete_since == Some(joined) {
+            return None;
+        }
+        self.never_voted_since = Some(joined);
+        let standing = Standing { joined, never_voted: true };
+        Some(Record { kind: Some(RecordKind::Standing(standing)), expiry_millis: 0 })
+    }
+
+    /// Whether all records of a member were read at the group's epoch.
+    pub fn has_read(&self, node: &str) -> bool {
+        self.caught_up_with.contains(node)
+    }
+
+    /// Whether it is sure that the replica never voted as the member that it is.
+    fn has_never_voted(&self) -> bool {
+        if is_broken(Rule::LedgerNeverVotedIsTrue) {
+            return !self.is_complete();
+        }
+        let member = self.group.member(&self.settings.node);
+        let is_new = member.is_some_and(|member| self.never_voted_since == Some(member.joined));
+        is_new && !self.is_complete()
+    }
+
+    /// Stops voting, or votes again: what a member hands over before it leaves must be all that it acknowledged.
+    pub fn set_leaving(&mut self, is_leaving: bool) {
+        self.is_leaving = is_leaving && !is_broken(Rule::LedgerLeavesInSilence);
+    }
+
     /// Whether the replica holds what it acknowledged as a founding member, and so may found a group.
     pub fn may_found(&self) -> bool {
         self.complete_since == Some(FOUNDING_EPOCH)
@@ -131,11 +177,15 @@
 
     /// Other members whose records must still be read before this replica may vote.
     pub fn sources_left(&self) -> usize {
-        if self.is_voting() {
+        if self.is_complete() {
             return 0;
         }
+        let mut never_voted = self.never_voted.clone();
+        if self.has_never_voted() {
+            never_voted.insert(self.settings.node.clone());
+        }
         let read = self.caught_up_with.iter().filter(|node| self.group.member(node).is_some()).count();
-        self.group.sources_to_catch_up().saturating_sub(read)
+        self.group.sources_besides(&never_voted, &self.settings.node).saturating_sub(read)
     }
 
     /// Takes in a page of another member; returns the records to make durable.
@@ -149,14 +199,30 @@
     /// replica a voter, once enough members were read.
     pub fn source_read(&mut self, node: &str, epoch: u64) -> Option<Record> {
         let joined = self.group.member(&self.settings.node).map(|member| member.joined)?;
-        let is_this_epoch = epoch == self.group.epoch || is_broken(Rule::LedgerReadsThisEpoch);
-        if !is_this_epoch || self.is_voting() {
+        if !self.may_catch_up(epoch) {
             return None;
         }
         self.caught_up_with.insert(node.to_owned());
         (self.sources_left() == 0).then(|| self.complete(joined))
     }
 
+    /// Notes that a member said, at an epoch, that it has never voted. Returns the record that makes the replica a
+    /// voter, if no more members need to be read.
+    pub fn source_never_voted(&mut self, node: &str, epoch: u64) -> Option<Record> {
+        let joined = self.group.member(&self.settings.node).map(|member| member.joined)?;
+        if !self.may_catch_up(epoch) {
+            return None;
+        }
+        self.never_voted.insert(node.to_owned());
+        let has_read = !self.caught_up_with.is_empty();
+        (has_read && self.sources_left() == 0).then(|| self.complete(joined))
+    }
+
+    fn may_catch_up(&self, epoch: u64) -> bool {
+        let is_this_epoch = epoch == self.group.epoch || is_broken(Rule::LedgerReadsThisEpoch);
+        is_this_epoch && !self.is_complete()
+    }
+
     /// Keeps a copy of what another system holds if it is newer; returns the record to make durable.
     pub fn keep(&mut self, copy: StoredCopy) -> Option<Record> {
         let is_newer = self.state.keep(&copy);
@@ -194,6 +260,7 @@
             // What was read under an earlier group may lack what was acknowledged since.
             if !is_broken(Rule::LedgerReadsThisEpoch) {
                 self.caught_up_with.clear();
+                self.never_voted.clear();
             }
         }
     }
@@ -226,6 +293,8 @@
         let commit = newer.and_then(|group| self.install(group));
         let kind = if self.is_voting() || is_broken(Rule::LedgerPagesAreComplete) {
             ReplyKind::Page(self.state.page(&request.after, now))
+        } else if self.has_never_voted() {
+            ReplyKind::NeverVoted(true)
         } else {
             ReplyKind::NotVoting(true)
         };
@@ -274,5 +343,5 @@
 }
 
 fn standing_record(joined: u64) -> Record {
-    Record { kind: Some(RecordKind::Standing(Standing { joined })), expiry_millis: 0 }
+    Record { kind: Some(RecordKind::Standing(Standing { joined, never_voted: false })), expiry_millis: 0 }
 }
--- a/crates/ledger/tests/replica.rs
+++ b/crates/ledger/tests/replica.rs
@@ -225,3 +225,64 @@
     assert_eq!((keep(5, "five"), keep(4, "four"), keep(5, "other")), (1, 0, 0));
     assert_eq!(&replica.state().copy().content[..], b"five");
 }
+
+/// Machine `d` has joined a group that `b` left, and `c` loses its disk before `d` has read it.
+fn joined_and_wiped() -> (Replica, Replica) {
+    let joined = group(3, &[("a", 1), ("c", 1), ("d", 3)]);
+    let mut joining = replica("d", false);
+    joining.install(joined.clone());
+    let mut wiped = replica("c", false);
+    wiped.install(joined);
+    (joining, wiped)
+}
+
+fn page_of(replica: &mut Replica, epoch: u64) -> Option<ReplyKind> {
+    let request = LedgerRequest { epoch, kind: Some(RequestKind::Page(PageRequest::default())) };
+    replica.handle(request, NOW).reply.kind
+}
+
+#[test]
+fn a_member_that_never_voted_holds_nobody_up() {
+    let (mut joining, mut wiped) = joined_and_wiped();
+    assert!(joining.joined_as_new().is_some());
+    assert_eq!((joining.sources_left(), wiped.sources_left()), (1, 2));
+    assert!(matches!(page_of(&mut joining, 3), Some(ReplyKind::NeverVoted(_))));
+    assert!(wiped.source_never_voted("d", 3).is_none());
+    assert!(wiped.source_read("a", 3).is_some());
+    assert!(joining.source_read("a", 3).is_some());
+    assert!(wiped.is_voting() && joining.is_voting());
+    // From now on it may have voted.
+    assert!(matches!(page_of(&mut joining, 3), Some(ReplyKind::Page(_))));
+}
+
+#[test]
+fn who_is_not_sure_that_it_never_voted_does_not_say_so() {
+    let (mut joining, _) = joined_and_wiped();
+    assert!(matches!(page_of(&mut joining, 3), Some(ReplyKind::NotVoting(_))));
+    assert_eq!(joining.sources_left(), 2);
+    // Another membership of the same machine is another matter.
+    assert!(joining.joined_as_new().is_some());
+    joining.install(group(5, &[("a", 1), ("c", 1), ("d", 5)]));
+    assert!(matches!(page_of(&mut joining, 5), Some(ReplyKind::NotVoting(_))));
+}
+
+#[test]
+fn that_it_never_voted_outlasts_a_restart() {
+    let joined = group(3, &[("a", 1), ("c", 1), ("d", 3)]);
+    let mut joining = replica("d", false);
+    let records = [joining.install(joined).expect("a record"), joining.joined_as_new().expect("a record")];
+    let settings = ReplicaSettings { node: "d".to_owned(), is_first_start: false };
+    let mut restarted = Replica::new(settings);
+    records.iter().for_each(|record| restarted.replay(record));
+    assert!(matches!(page_of(&mut restarted, 3), Some(ReplyKind::NeverVoted(_))));
+}
+
+#[test]
+fn a_member_that_leaves_votes_no_more() {
+    let mut leaving = replica("a", true);
+    leaving.install(group(1, &[("a", 1), ("b", 1), ("c", 1)]));
+    leaving.set_leaving(true);
+    assert!(matches!(begin(&mut leaving, 1, "t1"), Some(ReplyKind::NotVoting(_))));
+    leaving.set_leaving(false);
+    assert!(matches!(begin(&mut leaving, 1, "t2"), Some(ReplyKind::Vote(_))));
+}
--- a/crates/ledger/tests/world/mod.rs
+++ b/crates/ledger/tests/world/mod.rs
@@ -8,7 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 use sumacdrift_ledger::{
     Begin, BeginDecision, BeginQuorum, End, Group, GroupPolicy, LedgerReply, LedgerRequest, Member,
-    PageRequest, Record, Replica, ReplicaSettings, ReplyKind, RequestKind, RetainedTurn, TurnBegun,
+    PageRequest, Push, Record, Replica, ReplicaSettings, ReplyKind, RequestKind, RetainedTurn, TurnBegun,
     TurnEnded,
 };
 
@@ -72,6 +72,8 @@
     committed: BTreeMap<String, RetainedTurn>,
     pub wipes: usize,
     pub replacements: usize,
+    pub leaves: usize,
+    pub joins: usize,
     pub refusals: usize,
 }
 
@@ -99,6 +101,8 @@
             committed: BTreeMap::new(),
             wipes: 0,
             replacements: 0,
+            leaves: 0,
+            joins: 0,
             refusals: 0,
         };
         let group = world.group.clone();
@@ -130,6 +134,9 @@
             80..82 => self.wipe(),
             82..84 => self.restart(),
             84..86 => self.replace(),
+            86..88 => self.leave(),
+            88..90 => self.join(),
+            90..92 => self.spread_group(),
             _ => self.catch_up(),
         }
         self.check();
@@ -317,6 +324,89 @@
         machine.waits_for = self.operations.keys().copied().collect();
     }
 
+    /// A member hands over what it has and leaves; its disk is taken away.
+    fn leave(&mut self) {
+        if self.without_vote() > 0 || self.group.members.len() < self.size() {
+            return;
+        }
+        let leaving = self.group.members.choose(&mut self.random).map(|member| member.node.clone());
+        let Some(leaving) = leaving else { return };
+        self.machine(&leaving).replica.set_leaving(true);
+        // Callers go on meanwhile.
+        (0..self.random.random_range(0..4)).for_each(|_| self.deliver());
+        let is_handed_over = self.hand_over(&leaving);
+        (0..self.random.random_range(0..4)).for_each(|_| self.deliver());
+        if !is_handed_over {
+            self.machine(&leaving).replica.set_leaving(false);
+            return;
+        }
+        let next = self.group.without(&leaving);
+        self.earlier_group = std::mem::replace(&mut self.group, next);
+        self.leaves += 1;
+        self.start_machine(&leaving, Vec::new(), false);
+        self.machine(&leaving).waits_for = self.open_operations();
+    }
+
+    fn hand_over(&mut self, leaving: &str) -> bool {
+        let group = self.group.clone();
+        let mut after = String::new();
+        loop {
+            let page = self.machines[leaving].replica.state().page(&after, NOW);
+            for member in group.members.iter().filter(|member| member.node != leaving) {
+                let push = Push { records: page.records.clone(), group: Some(group.to_message()) };
+                let request = LedgerRequest { epoch: group.epoch, kind: Some(RequestKind::Push(push)) };
+                if self.random.random_bool(0.02) || self.ask(&member.node, request).is_none() {
+                    return false;
+                }
+            }
+            if page.next.is_empty() {
+                return true;
+            }
+            after = page.next;
+        }
+    }
+
+    /// A machine joins a group that is too small; it does not always learn that it was its own doing.
+    fn join(&mut self) {
+        if self.group.members.len() >= self.size() {
+            return;
+        }
+        let spares: Vec<String> =
+            self.machines.keys().filter(|node| self.group.member(node).is_none()).cloned().collect();
+        let Some(joining) = spares.choose(&mut self.random).cloned() else { return };
+        let next = self.group.with(member(&joining));
+        self.earlier_group = std::mem::replace(&mut self.group, next);
+        self.joins += 1;
+        let is_known = self.random.random_bool(0.8);
+        let (group, open) = (self.group.clone(), self.open_operations());
+        let machine = self.machine(&joining);
+        machine.disk.extend(machine.replica.install(group));
+        if is_known {
+            machine.disk.extend(machine.replica.joined_as_new());
+        }
+        machine.waits_for = open;
+    }
+
+    /// A member learns of the newest group.
+    fn spread_group(&mut self) {
+        let group = self.group.clone();
+        let Some(learning) = group.members.choose(&mut self.random) else { return };
+        let machine = self.machine(&learning.node);
+        machine.disk.extend(machine.replica.install(group.clone()));
+    }
+
+    fn machine(&mut self, node: &str) -> &mut Machine {
+        self.machines.get_mut(node).expect("a machine")
+    }
+
+    fn open_operations(&self) -> BTreeSet<u64> {
+        self.operations.keys().copied().collect()
+    }
+
+    fn size(&self) -> usize {
+        GroupPolicy::tolerating(self.tolerated_losses).size()
+    }
+
     /// A member that does not vote reads a page of another one.
     fn catch_up(&mut self) {
         let open: BTreeSet<u64> = self.operations.keys().copied().collect();
@@ -338,8 +428,14 @@
         });
         let request = PageRequest { after, group: Some(group.to_message()) };
         let request = LedgerRequest { epoch, kind: Some(RequestKind::Page(request)) };
-        let Some(ReplyKind::Page(page)) = self.ask(&source, request).and_then(|reply| reply.kind) else {
-            return;
+        let page = match self.ask(&source, request).and_then(|reply| reply.kind) {
+            Some(ReplyKind::Page(page)) => page,
+            Some(ReplyKind::NeverVoted(_)) => {
+                let machine = self.machine(&node);
+                machine.disk.extend(machine.replica.source_never_voted(&source, epoch));
+                return;
+            }
+            _ => return,
         };
         let next = page.next.clone();
         let machine = self.machines.get_mut(&node).expect("a machine");
--- a/crates/mutants/src/lib.rs
+++ b/crates/mutants/src/lib.rs
@@ -50,11 +50,15 @@
     LedgerOpenTurnsCount,
     /// A ledger replica keeps what it acknowledged.
     LedgerCommitsBeforeReply,
+    /// A ledger replica says that it never voted only if that is sure.
+    LedgerNeverVotedIsTrue,
+    /// A ledger replica stops voting before it hands over and leaves.
+    LedgerLeavesInSilence,
 }
 
 impl Rule {
     /// Rules of the program ledger, which has a simulation of its own.
-    pub const LEDGER: [Rule; 7] = [
+    pub const LEDGER: [Rule; 9] = [
         Rule::LedgerVoteNeedsRecords,
         Rule::LedgerReadsEnough,
         Rule::LedgerPagesAreComplete,
@@ -62,6 +66,8 @@
         Rule::LedgerReadsThisEpoch,
         Rule::LedgerOpenTurnsCount,
         Rule::LedgerCommitsBeforeReply,
+        Rule::LedgerNeverVotedIsTrue,
+        Rule::LedgerLeavesInSilence,
     ];
 
     /// Rules of the node, which the fleet's simulation checks.
--- a/crates/storage/src/catch_up.rs
+++ b/crates/storage/src/catch_up.rs
@@ -21,14 +21,28 @@
         if host.is_voting() {
             return true;
         }
-        let Some(records) = read_member(host, transport, &group, member).await else {
-            warn!(host.logger(), "member could not be read"; "event" => "catch_up_failed",
-                "member" => &member.node, "epoch" => group.epoch);
+        if host.replica().has_read(&member.node) {
             continue;
+        }
+        let standing = match read_member(host, transport, &group, member).await {
+            MemberRead::Failed => {
+                warn!(host.logger(), "member could not be read"; "event" => "catch_up_failed",
+                    "member" => &member.node, "epoch" => group.epoch);
+                continue;
+            }
+            MemberRead::NeverVoted => {
+                let standing = host.replica().source_never_voted(&member.node, group.epoch);
+                info!(host.logger(), "member has never voted"; "event" => "catch_up_needless",
+                    "member" => &member.node, "epoch" => group.epoch, "votes_now" => standing.is_some());
+                standing
+            }
+            MemberRead::Whole { records } => {
+                let standing = host.replica().source_read(&member.node, group.epoch);
+                info!(host.logger(), "member read"; "event" => "catch_up_read", "member" => &member.node,
+                    "epoch" => group.epoch, "records" => records, "votes_now" => standing.is_some());
+                standing
+            }
         };
-        let standing = host.replica().source_read(&member.node, group.epoch);
-        info!(host.logger(), "member read"; "event" => "catch_up_read", "member" => &member.node,
-            "epoch" => group.epoch, "records" => records, "votes_now" => standing.is_some());
         if host.commit(standing.into_iter().collect()).await.is_err() {
             return false;
         }
@@ -36,26 +50,44 @@
     host.is_voting()
 }
 
-/// Reads all records of a member and makes them durable; returns their number.
+/// What reading a member led to.
+enum MemberRead {
+    /// All its records are durable here.
+    Whole {
+        /// Their number.
+        records: usize,
+    },
+    /// It has never voted, so it acknowledged nothing that could be missed.
+    NeverVoted,
+    /// It could not be read whole.
+    Failed,
+}
+
+/// Reads all records of a member and makes them durable.
 async fn read_member(
     host: &ReplicaHost,
     transport: &Transport,
     group: &Group,
     member: &Member,
-) -> Option<usize> {
+) -> MemberRead {
     let mut after = String::new();
     let mut records = 0;
     loop {
         let request = PageRequest { after, group: Some(group.to_message()) };
         let request = encode(group.epoch, RequestKind::Page(request));
-        let reply = ask(transport, member.address, request, PAGE_TIMEOUT).await?;
-        let ReplyKind::Page(page) = reply else { return None };
+        let page = match ask(transport, member.address, request, PAGE_TIMEOUT).await {
+            Some(ReplyKind::Page(page)) => page,
+            Some(ReplyKind::NeverVoted(_)) => return MemberRead::NeverVoted,
+            _ => return MemberRead::Failed,
+        };
         after = page.next.clone();
         records += page.records.len();
         let merged = host.replica().take_page(page, wall_millis());
-        host.commit(merged).await.ok()?;
+        if host.commit(merged).await.is_err() {
+            return MemberRead::Failed;
+        }
         if after.is_empty() {
-            return Some(records);
+            return MemberRead::Whole { records };
         }
     }
 }
--- a/crates/storage/src/leave.rs
+++ b/crates/storage/src/leave.rs
@@ -1,4 +1,4 @@
-//! Leaving the group: every remaining member gets every record before the machine may be taken away.
+//! Leaving the group: every other member gets every record before the machine leaves.
 
 use std::time::Duration;
 
@@ -12,9 +12,14 @@
 /// Time for one page.
 const PUSH_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Hands all records to every member of the group that is left; returns whether all of them have them on disk.
-pub(crate) async fn hand_over(host: &ReplicaHost, transport: &Transport, group: &Group) -> bool {
-    for member in &group.members {
+/// Hands all records to every other member of the group; returns whether all of them have them on disk.
+pub(crate) async fn hand_over(
+    host: &ReplicaHost,
+    transport: &Transport,
+    group: &Group,
+    own_node: &str,
+) -> bool {
+    for member in group.members.iter().filter(|member| member.node != own_node) {
         if !push_all(host, transport, group, member).await {
             return false;
         }
--- a/crates/storage/src/upkeep.rs
+++ b/crates/storage/src/upkeep.rs
@@ -60,6 +60,7 @@
     watched: Option<Instant>,
     wanted_since: Option<Instant>,
     is_retirement_reported: bool,
+    has_handed_over: bool,
 }
 
 impl Upkeep {
@@ -83,6 +84,7 @@
             watched: None,
             wanted_since: None,
             is_retirement_reported: false,
+            has_handed_over: false,
         }
     }
 
@@ -186,7 +188,11 @@
                 let wanted_since = *self.wanted_since.get_or_insert_with(Instant::now);
                 if wanted_since.elapsed() >= hesitation(&stored.group, &own, reason) {
                     self.wanted_since = None;
-                    self.replace_group(group, Some(stored.revision), reason.name()).await;
+                    let is_in = self.replace_group(group, Some(stored.revision), reason.name()).await;
+                    if is_in && reason == ChangeReason::Joined {
+                        let standing = self.host.replica().joined_as_new();
+                        let _ = self.host.commit(standing.into_iter().collect()).await;
+                    }
                 }
             }
         }
@@ -218,28 +224,48 @@
         Timestamp::default() + self.started.elapsed()
     }
 
-    /// Leaves the group, then hands everything over.
+    /// Hands everything over and leaves the group; then the machine is empty.
+    ///
+    /// It stops voting first: what it hands over must be all that it acknowledged, and nothing may come after it.
     async fn leave(&mut self, stored: &StoredGroup) {
         let own = self.settings.own.node.clone();
         if !self.is_retirement_reported {
             let reported = self.directory.report_retirement(own.clone(), false).await;
             self.is_retirement_reported = reported.is_ok();
         }
-        if stored.group.member(&own).is_some() {
-            if stored.group.members.len() > 1 {
-                self.replace_group(stored.group.without(&own), Some(stored.revision), "leaving").await;
-            }
+        if stored.group.member(&own).is_none() {
+            self.complete_retirement(stored).await;
+            return;
+        }
+        if stored.group.members.len() == 1 {
             return;
         }
-        if hand_over(&self.host, &self.transport, &stored.group).await {
+        self.host.replica().set_leaving(true);
+        let next = stored.group.without(&own);
+        let is_handed_over = hand_over(&self.host, &self.transport, &stored.group, &own).await;
+        let is_out = is_handed_over && self.replace_group(next, Some(stored.revision), "leaving").await;
+        if !is_out {
+            // The change may still be made. What is acknowledged from now on must be handed over again.
+            self.host.replica().set_leaving(false);
+        }
+        self.has_handed_over = is_out;
+    }
+
+    async fn complete_retirement(&mut self, stored: &StoredGroup) {
+        let own = self.settings.own.node.clone();
+        self.has_handed_over =
+            self.has_handed_over || hand_over(&self.host, &self.transport, &stored.group, &own).await;
+        if self.has_handed_over {
             let reported = self.directory.report_retirement(own, true).await;
             info!(self.host.logger(), "machine emptied"; "event" => "retirement_completed",
                 "reported" => reported.is_ok());
         }
     }
 
-    async fn replace_group(&self, group: Group, expected: Option<u64>, why: &'static str) {
+    /// Asks that the group be changed; returns whether it surely is.
+    async fn replace_group(&self, group: Group, expected: Option<u64>, why: &'static str) -> bool {
         let outcome = self.directory.replace_group(group.clone(), expected).await;
+        let is_changed = outcome.is_ok();
         match outcome {
             Ok(()) => {
                 info!(self.host.logger(), "group changed"; "event" => "group_changed", "why" => why,
@@ -254,6 +280,7 @@
                     "error" => %error);
             }
         }
+        is_changed
     }
 }
 
