Questions to the ledger no longer feed their own overload

First, a member that had taken a lost one's place and had no vote yet was asked again every 60 ms by every open question, each time with the whole turn: its link was full, and it could not catch up for twenty seconds.

Change: a member without a vote has the record and is not asked again; it is asked last for a while. Others are asked after four times the usual time of an answer (20 to 300 ms). A member is suspected only if others had decided while it was late. Answers to a turn's end gather for 0.9 s at most, like those to its begin: a replica that lost its disk meanwhile must not be counted.

--- a/crates/storage/src/asking.rs
+++ b/crates/storage/src/asking.rs
@@ -16,9 +16,6 @@
 const ASK_AGAIN_AFTER: Duration = Duration::from_millis(60);
 /// How long a member's answer is waited for before it is asked again.
 pub(crate) const MEMBER_TIMEOUT: Duration = Duration::from_millis(700);
-/// How long the members that were asked first may take before the others are asked too. A good answer takes a trip
-/// between zones and a sync, a few milliseconds together.
-const HEDGE_AFTER: Duration = Duration::from_millis(20);
 
 /// A member's answer, for good or after a failed attempt that is repeated.
 type Told = (usize, Option<ReplyKind>);
@@ -30,7 +27,9 @@
     order: Vec<Member>,
     asked: usize,
     is_settled: Vec<bool>,
+    began: Instant,
     hedge_at: Instant,
+    is_hedged: bool,
     deadline: Instant,
     sender: mpsc::Sender<Told>,
     answers: mpsc::Receiver<Told>,
@@ -46,8 +45,21 @@
     ) -> Self {
         let (sender, answers) = mpsc::channel(order.len().max(1) * 2);
         let is_settled = vec![false; order.len()];
-        let hedge_at = Instant::now() + HEDGE_AFTER;
-        Self { client, group, order, asked: 0, is_settled, hedge_at, deadline, sender, answers }
+        let began = Instant::now();
+        let hedge_at = began + client.suspects().hedge_after();
+        Self {
+            client,
+            group,
+            order,
+            asked: 0,
+            is_settled,
+            began,
+            hedge_at,
+            is_hedged: false,
+            deadline,
+            sender,
+            answers,
+        }
     }
 
     /// Who is asked first.
@@ -74,6 +86,12 @@
             let may_hedge = self.asked < self.order.len();
             let until = if may_hedge { self.hedge_at.min(self.deadline) } else { self.deadline };
             match tokio::time::timeout_at(until, self.answers.recv()).await {
+                Ok(Some((position, Some(ReplyKind::NotVoting(_))))) => {
+                    // It has the record, and will not vote soon.
+                    self.is_settled[position] = true;
+                    self.suspect(position);
+                    self.ask_one_more(request_for);
+                }
                 Ok(Some((position, Some(reply)))) => {
                     self.is_settled[position] = true;
                     return Some(reply);
@@ -91,14 +109,19 @@
 
     /// Those asked so far are late: the others are asked too.
     fn hedge(&mut self, request_for: &impl Fn(&Member) -> Bytes) {
-        for position in 0..self.asked {
-            if !self.is_settled[position] {
-                self.suspect(position);
-            }
-        }
+        self.is_hedged = true;
         while self.ask_one_more(request_for) {}
     }
 
+    /// The question is decided. Who was late while others were not is asked last for a while.
+    pub(crate) fn decided(&self) {
+        self.client.suspects().decided_after(self.began.elapsed());
+        if self.is_hedged {
+            let late = (0..self.asked).filter(|position| !self.is_settled[*position]);
+            late.for_each(|position| self.suspect(position));
+        }
+    }
+
     fn suspect(&self, position: usize) {
         self.client.suspects().suspect(&self.order[position].node, Instant::now());
     }
@@ -140,7 +163,7 @@
             let reply = ask(&self.transport, self.member.address, self.request.clone(), MEMBER_TIMEOUT).await;
             let is_behind =
                 matches!(&reply, Some(ReplyKind::WrongEpoch(other)) if other.epoch < self.group.epoch);
-            let is_useless = matches!(reply, None | Some(ReplyKind::NotVoting(_) | ReplyKind::Failed(_)));
+            let is_useless = matches!(reply, None | Some(ReplyKind::Failed(_)));
             let is_over = Instant::now() + ASK_AGAIN_AFTER >= self.deadline;
             if is_over || !(is_behind || is_useless) {
                 return reply;
--- a/crates/storage/src/client.rs
+++ b/crates/storage/src/client.rs
@@ -17,24 +17,24 @@
 use crate::rpc::{ask, encode};
 use crate::suspects::Suspects;
 
-/// Pause before all members are asked for their votes again.
-const ROUND_PAUSE: Duration = Duration::from_millis(20);
+/// Pause before all members are asked again.
+const ROUND_PAUSE: Duration = Duration::from_millis(100);
 /// How long an address that may be a replica is waited for.
 const SEED_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// How long the group is waited for.
 #[derive(Debug, Clone, Copy)]
 pub struct LedgerTimeouts {
-    /// For the votes on a turn's begin. Older ones don't count, see `QUIET_BEFORE_CATCH_UP`; if there is more time,
-    /// all are asked for again.
-    pub begin: Duration,
+    /// For the answers to one question. Older ones don't count, see `QUIET_BEFORE_CATCH_UP`; if there is more time,
+    /// all are asked again.
+    pub round: Duration,
     /// For a turn's end.
     pub end: Duration,
 }
 
 impl Default for LedgerTimeouts {
     fn default() -> Self {
-        Self { begin: Duration::from_millis(900), end: Duration::from_millis(2500) }
+        Self { round: Duration::from_millis(900), end: Duration::from_millis(2500) }
     }
 }
 
@@ -125,10 +125,12 @@
     pub async fn begin(&self, begin: BeginTurn, until: Instant) -> Result<Admission, LedgerError> {
         loop {
             let group = self.group();
-            let deadline = until.min(Instant::now() + self.timeouts.begin);
+            let deadline = until.min(Instant::now() + self.timeouts.round);
             let outcome = self.begin_in(&group, &begin, deadline).await;
             match outcome {
-                Some(Err(LedgerError::Unavailable)) | None if Instant::now() < until => {
+                // There is a newer group.
+                None if Instant::now() < until => {}
+                Some(Err(LedgerError::Unavailable)) if Instant::now() < until => {
                     tokio::time::sleep_until(until.min(Instant::now() + ROUND_PAUSE)).await;
                 }
                 Some(outcome) => return outcome,
@@ -166,6 +168,9 @@
                 ReplyKind::WrongEpoch(message) if self.is_newer(&message, group) => return None,
                 _ => BeginDecision::Pending,
             };
+            if decision != BeginDecision::Pending {
+                asking.decided();
+            }
             match decision {
                 BeginDecision::Pending => {}
                 BeginDecision::BudgetSpent => {
@@ -256,11 +261,15 @@
         let deadline = Instant::now() + self.timeouts.end;
         loop {
             let group = self.group();
-            if let Some(outcome) = self.end_in(&group, &turn, deadline).await {
-                return outcome;
-            }
-            if Instant::now() >= deadline {
-                return Err(LedgerError::Unavailable);
+            let round = deadline.min(Instant::now() + self.timeouts.round);
+            match self.end_in(&group, &turn, round).await {
+                // There is a newer group.
+                None if Instant::now() < deadline => {}
+                Some(Err(LedgerError::Unavailable)) if Instant::now() < deadline => {
+                    tokio::time::sleep(ROUND_PAUSE).await;
+                }
+                Some(outcome) => return outcome,
+                None => return Err(LedgerError::Unavailable),
             }
         }
     }
@@ -283,6 +292,7 @@
                 _ => {}
             }
             if durable >= group.majority() {
+                asking.decided();
                 return Some(Ok(()));
             }
         }
--- a/crates/storage/src/suspects.rs
+++ b/crates/storage/src/suspects.rs
@@ -1,4 +1,4 @@
-//! Which members of the group are asked first.
+//! Which members of the group are asked first, and how long they may take before the others are asked too.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -8,21 +8,44 @@
 use tokio::time::Instant;
 
 /// How long a member that answered late or not at all is asked last.
-const SUSPECTED_FOR: Duration = Duration::from_secs(1);
+const SUSPECTED_FOR: Duration = Duration::from_secs(2);
+/// Weight of a new observation.
+const LEARNING_RATE: f64 = 0.1;
+/// How many times the usual time the members that were asked first may take.
+const HEDGE_FACTOR: f64 = 4.0;
+/// Least and longest time before the others are asked too. A good answer takes a trip between zones and a sync, a few
+/// milliseconds together.
+const LEAST_HEDGE: Duration = Duration::from_millis(20);
+const LONGEST_HEDGE: Duration = Duration::from_millis(300);
 
-/// Members that answered late or not at all a moment ago.
+/// What earlier questions showed of the members.
 #[derive(Debug, Default)]
 pub(crate) struct Suspects {
     until: HashMap<String, Instant>,
+    usual_seconds: f64,
 }
 
 impl Suspects {
-    /// A member was late.
+    /// A member was late while others were not, or could not be asked.
     pub(crate) fn suspect(&mut self, node: &str, now: Instant) {
         self.until.retain(|_, until| *until > now);
         self.until.insert(node.to_owned(), now + SUSPECTED_FOR);
     }
 
+    /// A question was decided after this time.
+    pub(crate) fn decided_after(&mut self, taken: Duration) {
+        // A member that says nothing tells nothing of how long the others take.
+        let seconds = taken.min(self.hedge_after()).as_secs_f64();
+        self.usual_seconds += LEARNING_RATE * (seconds - self.usual_seconds);
+    }
+
+    /// How long the members that are asked first may take. It follows how long answers usually take: where all are
+    /// slow because there is much to do, asking more of them would only add to it.
+    pub(crate) fn hedge_after(&self) -> Duration {
+        let usual = Duration::from_secs_f64(self.usual_seconds * HEDGE_FACTOR);
+        (LEAST_HEDGE + usual).min(LONGEST_HEDGE)
+    }
+
     /// The members in the order in which they are asked: those of the own zone first, the others by the key, so that
     /// all nodes ask the same of them for the same program, and suspects last.
     pub(crate) fn order(&self, group: &Group, zone: &str, key: &str, now: Instant) -> Vec<Member> {
--- a/crates/storage/tests/asking.rs
+++ b/crates/storage/tests/asking.rs
@@ -2,11 +2,12 @@
 
 mod fleet;
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
 use fleet::Fleet;
-use sumacdrift_ledger::{RetainedTurn, TurnBegun, TurnEnded};
+use sumacdrift_ledger::{Replica, ReplicaSettings, RetainedTurn, TurnBegun, TurnEnded};
 use sumacdrift_storage::{Admission, BeginTurn, LedgerClient, LedgerError};
 use tokio::time::Instant;
 
@@ -118,3 +119,38 @@
     let (outcome, _) = ask(&fleet.client(2), begin("t1", "never")).await;
     assert_eq!(outcome.expect_err("unknown"), LedgerError::UnknownPrevious);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_member_without_a_vote_is_not_asked_again_and_again() {
+    let fleet = Fleet::start(5).await;
+    let client = fleet.client(0);
+    let settings = ReplicaSettings { node: "n0".to_owned(), is_first_start: false };
+    let mut wiped = Replica::new(settings);
+    wiped.install(fleet.group.clone());
+    *fleet.nodes[0].replica.lock().expect("a replica") = wiped;
+    for number in 0..20 {
+        let turn = format!("t{number}");
+        let (outcome, taken) = ask(&client, begin(&turn, "")).await;
+        outcome.expect("an admission");
+        assert!(taken < Duration::from_millis(5), "{taken:?}");
+        client.end(end(&turn, "")).await.expect("an end");
+    }
+    // Time for whoever still asks.
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    assert!(fleet.nodes[0].requests() <= 2, "{:?}", fleet.requests());
+}
+
+#[tokio::test(start_paused = true)]
+async fn where_all_members_are_slow_no_more_of_them_are_asked() {
+    let fleet = Fleet::start(5).await;
+    let client = fleet.client(0);
+    fleet.nodes.iter().for_each(|node| node.delay.store(100, Ordering::Relaxed));
+    for number in 0..30 {
+        ask(&client, begin(&format!("t{number}"), "")).await.0.expect("an admission");
+    }
+    let before: usize = fleet.requests().iter().sum();
+    for number in 30..40 {
+        ask(&client, begin(&format!("t{number}"), "")).await.0.expect("an admission");
+    }
+    assert_eq!(fleet.requests().iter().sum::<usize>() - before, 10 * 3);
+}
--- a/crates/storage/tests/fleet/mod.rs
+++ b/crates/storage/tests/fleet/mod.rs
@@ -6,7 +6,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -33,6 +33,8 @@
     pub feed: FeedHost,
     pub requests: AtomicUsize,
     pub is_silent: AtomicBool,
+    /// Milliseconds that every answer takes.
+    pub delay: AtomicU64,
 }
 
 impl Node {
@@ -49,6 +51,7 @@
         if self.is_silent.load(Ordering::Relaxed) {
             return std::future::pending().await;
         }
+        tokio::time::sleep(Duration::from_millis(self.delay.load(Ordering::Relaxed))).await;
         let response = self.handle(request).await;
         if self.is_silent.load(Ordering::Relaxed) {
             return std::future::pending().await;
@@ -108,6 +111,7 @@
                 feed: FeedHost::new(Default::default(), logger()),
                 requests: AtomicUsize::new(0),
                 is_silent: AtomicBool::new(false),
+                delay: AtomicU64::new(0),
             });
             let acceptor = network.listen(member.address).await.expect("an address");
             let handler = Arc::new(NodeHandler(Arc::clone(&node)));
@@ -125,7 +129,7 @@
     /// A client in the zone of a member.
     pub fn client(&self, zone: usize) -> Arc<LedgerClient> {
         let timeouts =
-            LedgerTimeouts { begin: Duration::from_millis(900), end: Duration::from_millis(2_500) };
+            LedgerTimeouts { round: Duration::from_millis(900), end: Duration::from_millis(2_500) };
         let client = LedgerClient::new(self.transport(), format!("z{zone}"), timeouts, logger());
         client.learn(self.group.clone());
         Arc::new(client)
