--- a/crates/emulator/src/engine_http.rs
+++ b/crates/emulator/src/engine_http.rs
@@ -1,5 +1,7 @@
 //! The HTTP face of an emulated engine: OpenAI chat completions plus the engine's own operations.
 
+mod streaming;
+
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::convert::Infallible;
 use std::io;
@@ -7,13 +9,12 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use axum::body::{Body, Bytes};
+use axum::body::Bytes;
 use axum::extract::{Path, Query, State};
 use axum::http::{HeaderMap, StatusCode};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{delete, get, post};
 use axum::{Json, Router};
-use futures::stream;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
@@ -297,7 +298,7 @@
         return response;
     }
     let running = submit(&shared, request, &headers);
-    if is_stream { stream_answer(running) } else { whole_answer(running).await }
+    if is_stream { streaming::stream_answer(running) } else { whole_answer(running).await }
 }
 
 /// Shows a fault in place of an answer, if one is planned.
@@ -400,43 +401,7 @@
     content.unwrap_or_default().to_owned()
 }
 
-impl Running {
-    /// The text of the next token; `None` at the end.
-    async fn next_text(&mut self) -> Option<String> {
-        match self.events.recv().await? {
-            EngineEvent::Token { .. } => {
-                self.tokens += 1;
-                let end = (self.sent_bytes + TOKEN_TEXT_BYTES).min(self.answer.len());
-                let text = self.answer[self.sent_bytes..end].to_owned();
-                self.sent_bytes = end;
-                Some(text)
-            }
-            EngineEvent::Finished { usage, at, .. } => {
-                self.usage = Some(usage);
-                self.shared.trace.finish(self.trace_position, at);
-                None
-            }
-        }
-    }
-
-    fn is_cut(&self) -> bool {
-        self.cut_after.is_some_and(|cut_after| self.tokens >= cut_after)
-    }
-
-    fn finish_reason(&self) -> &'static str {
-        if self.sent_bytes >= self.answer.len() { "stop" } else { "length" }
-    }
-
-    fn usage_json(&self) -> Value {
-        let usage = self.usage.unwrap_or_default();
-        json!({
-            "prompt_tokens": usage.prompt_tokens,
-            "completion_tokens": usage.output_tokens,
-            "total_tokens": usage.prompt_tokens + usage.output_tokens,
-            "prompt_tokens_details": {"cached_tokens": usage.cached_tokens},
-        })
-    }
-}
+impl Running {}
 
 async fn whole_answer(mut running: Running) -> Response {
     let mut text = String::new();
@@ -467,59 +432,6 @@
     Ended,
 }
 
-fn stream_answer(running: Running) -> Response {
-    let events = stream::unfold(Phase::Tokens(Box::new(running)), |phase| async move {
-        let Phase::Tokens(mut running) = phase else { return None };
-        if running.is_cut() {
-            let cut = io::Error::new(io::ErrorKind::ConnectionReset, "cut");
-            return Some((Err(cut), Phase::Ended));
-        }
-        match running.next_text().await {
-            Some(text) => {
-                let event = token_event(&running, &text);
-                Some((Ok::<Bytes, io::Error>(Bytes::from(event)), Phase::Tokens(running)))
-            }
-            None => Some((Ok(Bytes::from(end_events(&running))), Phase::Ended)),
-        }
-    });
-    let mut response = Response::new(Body::from_stream(events));
-    let content_type = axum::http::HeaderValue::from_static("text/event-stream");
-    response.headers_mut().insert("content-type", content_type);
-    response
-}
-
-fn token_event(running: &Running, text: &str) -> String {
-    format!(
-        "data: {{\"id\":\"chatcmpl-{}\",\"object\":\"chat.completion.chunk\",\"created\":0,\"model\":\"{}\",\
-         \"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"{text}\"}},\"finish_reason\":null}}]}}\n\n",
-        running.id.0, running.model,
-    )
-}
-
-fn end_events(running: &Running) -> String {
-    let head = json!({
-        "id": format!("chatcmpl-{}", running.id.0),
-        "object": "chat.completion.chunk",
-        "created": 0,
-        "model": running.model,
-        "choices": [{"index": 0, "delta": {}, "finish_reason": running.finish_reason()}],
-    });
-    let mut events = format!("data: {head}\n\n");
-    if running.include_usage {
-        let usage = json!({
-            "id": format!("chatcmpl-{}", running.id.0),
-            "object": "chat.completion.chunk",
-            "created": 0,
-            "model": running.model,
-            "choices": [],
-            "usage": running.usage_json(),
-        });
-        events.push_str(&format!("data: {usage}\n\n"));
-    }
-    events.push_str("data: [DONE]\n\n");
-    events
-}
-
 async fn models(State(shared): State<Arc<Shared>>) -> Json<Value> {
     let models: Vec<Value> = shared.lock().models.iter().map(|model| json!({"id": model})).collect();
     Json(json!({"object": "list", "data": models}))
--- a/crates/node/src/chat_runner.rs
+++ b/crates/node/src/chat_runner.rs
@@ -3,21 +3,21 @@
 //! A turn runs in a task of its own, apart from the caller's connection: what was admitted must be finished or
 //! abandoned whatever happens to the caller.
 
+mod attempts;
+
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use slog::{debug, info};
-use sumacdrift_calls::{CallMachine, Next};
+use slog::info;
+use sumacdrift_calls::CallMachine;
 use sumacdrift_config::{Bundle, Pool, PoolLookup, Tenant};
-use sumacdrift_engine_client::{
-    AnswerBuilder, EngineClient, EngineError, EngineRequest, EngineStream, StreamItem,
-};
+use sumacdrift_engine_client::{AnswerBuilder, EngineClient, EngineError};
 use sumacdrift_gateway::{ChatCall, ChatHead, ChatItem, ChatStream};
 use sumacdrift_program::{
     Answer, BeginTurn, Command, FinishTurn, GrantChild, KnownPrefix, RecordedAnswer, Reply, RunTurn,
 };
-use sumacdrift_scheduling::{ContextPrefix, FinishedWork, Release, RetryBudget, Work, context_prefixes};
+use sumacdrift_scheduling::{FinishedWork, Release, RetryBudget};
 use sumacdrift_types::{
     CallId, ChatMessage, EngineName, HistoryMode, PoolName, PrefixDigest, Problem, ProgramId, Ran,
     ResultCode, Timestamp, TokenCount, TurnNumber, Usage,
@@ -26,7 +26,6 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::calls::RunningCalls;
-use crate::chat_attempts::{engine_id, failure_of, rules_of, to_problem};
 use crate::configuration::ConfigurationStore;
 use crate::context::Context;
 use crate::engine_router::{EngineRouter, Grant};
@@ -311,270 +310,6 @@
         }
     }
 
-    /// Runs the turn on engines until one completes it.
-    async fn complete(
-        &self,
-        turn: &Turn,
-        run: &RunTurn,
-        link: &mut CallerLink,
-    ) -> Result<Completion, Incomplete> {
-        let mut progress = Progress {
-            answer: AnswerBuilder::default(),
-            generated: 0,
-            usage: Usage::default(),
-            tried: Vec::new(),
-            machine: CallMachine::new(rules_of(turn.bundle.retry.max_attempts), None, self.context.now()),
-            first_token: None,
-        };
-        let attempts = self.attempts(turn, run, link, &mut progress);
-        let outcome = tokio::select! {
-            () = turn.cancelled.cancelled() => Err(cancelled()),
-            outcome = tokio::time::timeout_at(self.context.clock.instant(turn.deadline), attempts) => {
-                outcome.unwrap_or_else(|_| Err(deadline_exceeded()))
-            }
-        };
-        match outcome {
-            Ok((grant, finish_reason)) => {
-                let mut other_engines = progress.tried;
-                other_engines.retain(|engine| *engine != grant.engine);
-                Ok(Completion {
-                    answer: Answer { message: progress.answer.message(), finish_reason },
-                    usage: progress.usage,
-                    engine: grant.engine,
-                    other_engines,
-                    reason: grant.reason,
-                })
-            }
-            Err(problem) => Err(Incomplete {
-                problem: problem.with_ran(progress.machine.ran()),
-                output_tokens: progress.generated,
-                engines: progress.tried,
-            }),
-        }
-    }
-
-    async fn attempts(
-        &self,
-        turn: &Turn,
-        run: &RunTurn,
-        link: &mut CallerLink,
-        progress: &mut Progress,
-    ) -> Result<(Grant, String), Problem> {
-        let messages: Vec<ChatMessage> =
-            run.earlier_messages.iter().chain(&turn.call.messages).cloned().collect();
-        let prefixes = context_prefixes(&messages);
-        let mut request = self.engine_request(turn, run, messages);
-        let mut failed: Vec<EngineName> = Vec::new();
-        self.first_attempt(turn);
-        for attempt in 1.. {
-            let work = self.work(turn, run, &prefixes);
-            let preferred: Vec<EngineName> = run.last_engine.iter().cloned().collect();
-            let grant = self.place(turn, &work, &preferred, &failed).await?;
-            debug!(self.context.logger, "call is placed"; "call" => %turn.call.call,
-                "engine" => %grant.engine, "attempt" => attempt, "reason" => &grant.reason);
-            request.max_tokens = run.output_tokens.saturating_sub(progress.generated).max(1);
-            request.partial_answer = progress.answer.text().to_owned();
-            let error = match self.attempt(turn, &grant, &request, link, progress, &prefixes).await {
-                Ok(finish_reason) => return Ok((grant, finish_reason)),
-                Err(error) => error,
-            };
-            info!(self.context.logger, "engine failed a call"; "call" => %turn.call.call,
-                "engine" => %grant.engine, "attempt" => attempt, "error" => error.to_string());
-            failed.push(grant.engine.clone());
-            self.may_retry(turn, &grant.engine, progress, &error)?;
-        }
-        Err(Problem::unknown(ResultCode::Internal, "attempts never end here"))
-    }
-
-    /// Finds an engine. Where the node that queues for it stops or dies, another one takes over within moments;
-    /// nothing was sent, so the call is simply placed again.
-    async fn place(
-        &self,
-        turn: &Turn,
-        work: &Work,
-        preferred: &[EngineName],
-        failed: &[EngineName],
-    ) -> Result<Grant, Problem> {
-        let mut tries = 1;
-        loop {
-            let queue_time = turn.deadline.since(self.context.now());
-            let placed = self.router.place(&turn.pool, work, preferred, failed, queue_time).await;
-            match placed {
-                Err(problem) if is_lost_owner(&problem) && tries < PLACE_TRIES => tries += 1,
-                outcome => return outcome,
-            }
-            tokio::time::sleep(PLACE_PAUSE).await;
-        }
-    }
-
-    fn engine_request(&self, turn: &Turn, run: &RunTurn, messages: Vec<ChatMessage>) -> EngineRequest {
-        EngineRequest {
-            call: turn.call.call,
-            program: engine_program(turn),
-            messages,
-            parameters: turn.call.parameters.clone(),
-            max_tokens: run.output_tokens,
-            priority: turn.bundle.rank_of(&turn.tenant),
-            partial_answer: String::new(),
-        }
-    }
-
-    fn work(&self, turn: &Turn, run: &RunTurn, prefixes: &[ContextPrefix]) -> Work {
-        Work {
-            call: turn.call.call,
-            program: engine_program(turn),
-            tenant: turn.call.tenant.clone(),
-            rank: turn.bundle.rank_of(&turn.tenant),
-            prefixes: prefixes.to_vec(),
-            max_output_tokens: run.output_tokens,
-            attained_tokens: run.attained_tokens,
-            deadline: Some(turn.deadline),
-        }
-    }
-
-    /// One attempt at one engine. The grant is released however the attempt ends.
-    async fn attempt(
-        &self,
-        turn: &Turn,
-        grant: &Grant,
-        request: &EngineRequest,
-        link: &mut CallerLink,
-        progress: &mut Progress,
-        prefixes: &[ContextPrefix],
-    ) -> Result<String, EngineError> {
-        let mut release = ReleaseOnDrop::new(self, grant, turn.call.call);
-        let sent = self.context.now();
-        let generated_before = progress.generated;
-        // From here on the engine may have seen the request, unless the connection could not be opened.
-        progress.machine.sent(&engine_id(&grant.engine));
-        progress.tried.push(grant.engine.clone());
-        let started = self.engines.start(grant.address, request, turn.pool.stall_timeout).await;
-        let mut stream = match started {
-            Ok(stream) => stream,
-            Err(error) => {
-                if matches!(error, EngineError::Unreachable(_)) {
-                    progress.tried.pop();
-                }
-                release.fault(&error);
-                return Err(error);
-            }
-        };
-        let outcome = self.read_stream(turn, &mut stream, link, progress).await;
-        let finish_reason = match outcome {
-            Ok(finish_reason) => finish_reason,
-            Err(error) => {
-                release.fault(&error);
-                return Err(error);
-            }
-        };
-        self.note_finished(&mut release, progress, prefixes, sent);
-        progress.usage.output_tokens += generated_before;
-        progress.usage.prompt_tokens = progress.usage.prompt_tokens.saturating_sub(generated_before);
-        Ok(finish_reason)
-    }
-
-    fn note_finished(
-        &self,
-        release: &mut ReleaseOnDrop<'_>,
-        progress: &Progress,
-        prefixes: &[ContextPrefix],
-        sent: Timestamp,
-    ) {
-        let now = self.context.now();
-        let first = progress.first_token.unwrap_or(now).max(sent);
-        let message = progress.answer.message();
-        let end = prefixes.last().map(|prompt| ContextPrefix {
-            digest: prompt.digest.extend(message.digest()),
-            tokens: prompt.tokens + message.estimated_tokens(),
-        });
-        release.finished = Some(FinishedWork {
-            usage: progress.usage,
-            first_token: first.since(sent),
-            decoding: now.since(first),
-            end,
-        });
-    }
-
-    async fn read_stream(
-        &self,
-        turn: &Turn,
-        stream: &mut EngineStream,
-        link: &mut CallerLink,
-        progress: &mut Progress,
-    ) -> Result<String, EngineError> {
-        loop {
-            let items = stream.next_items().await?;
-            if items.is_empty() {
-                let reason = progress.answer.finish_reason().map(str::to_owned);
-                return reason.ok_or(EngineError::Garbage);
-            }
-            let mut deltas = Vec::with_capacity(items.len());
-            for item in items {
-                match item {
-                    StreamItem::Delta { raw, text, tool_calls } => {
-                        progress.answer.push_text(&text);
-                        progress.answer.push_tool_calls(&tool_calls);
-                        progress.generated += 1;
-                        deltas.push(raw);
-                    }
-                    StreamItem::Finished(reason) => progress.answer.finish(&reason),
-                    StreamItem::Usage(usage) => progress.usage = usage,
-                }
-            }
-            if !deltas.is_empty() {
-                self.note_first_token(turn, progress);
-                link.send(ChatItem::Deltas(deltas), turn.pool.stall_timeout).await;
-            }
-        }
-    }
-
-    fn note_first_token(&self, turn: &Turn, progress: &mut Progress) {
-        if progress.first_token.is_none() {
-            let now = self.context.now();
-            progress.first_token = Some(now);
-            let seconds = now.since(turn.started).as_secs_f64();
-            self.context.metrics.first_token_seconds.observe(seconds);
-        }
-    }
-
-    fn first_attempt(&self, turn: &Turn) {
-        self.with_retry_budget(turn, RetryBudget::attempted);
-    }
-
-    fn may_retry(
-        &self,
-        turn: &Turn,
-        engine: &EngineName,
-        progress: &mut Progress,
-        error: &EngineError,
-    ) -> Result<(), Problem> {
-        let problem = to_problem(error);
-        if !error.is_engine_fault() || !progress.answer.is_resumable() {
-            progress.machine.forbid_resumption();
-        }
-        let now = self.context.now();
-        let next = progress.machine.failed(&engine_id(engine), failure_of(error), now);
-        if !matches!(next, Next::Try { .. }) {
-            return Err(problem);
-        }
-        if !self.with_retry_budget(turn, |budget| budget.try_retry(now)) {
-            let detail = format!("{problem}; the retry budget of pool {} is used up", turn.pool.name);
-            return Err(Problem::unknown(ResultCode::RetryBudgetExhausted, detail)
-                .with_retry_after(Duration::from_secs(1)));
-        }
-        self.context.metrics.retries.inc();
-        Ok(())
-    }
-
-    fn with_retry_budget<T>(&self, turn: &Turn, change: impl FnOnce(&mut RetryBudget) -> T) -> T {
-        let retry = turn.bundle.retry;
-        let mut budgets = self.retries.lock().unwrap_or_else(PoisonError::into_inner);
-        let budget = budgets
-            .entry(turn.pool.name.clone())
-            .or_insert_with(|| RetryBudget::new(retry.ratio, retry.minimum_per_second, RETRY_BUDGET_MAXIMUM));
-        change(budget)
-    }
-
     /// Commits the answer to the history; only then does the caller see the end.
     async fn commit(&self, turn: &Turn, program: ProgramId, completion: Completion, link: &mut CallerLink) {
         let finish = FinishTurn {
--- a/crates/proto/src/request.rs
+++ b/crates/proto/src/request.rs
@@ -1,11 +1,16 @@
 //! Requests, responses and one-way messages between nodes.
 
+mod founding;
+
 use bytes::Bytes;
 use sumacdrift_membership::Envelope;
 use sumacdrift_program::{Command, Reply, Runner};
 use sumacdrift_replication::{Message, ReplicaId};
 use sumacdrift_scheduling::{Bid, ContextPrefix, Release, Work};
-use sumacdrift_types::{CallId, EngineName, Generation, NodeId, Problem, ProgramId, ShardId, ZoneName};
+use sumacdrift_types::{CallId, EngineName, Generation, NodeId, Problem, ProgramId, ShardId};
+
+use founding::FoundingMessage;
+pub use founding::{Founder, Founding};
 
 use crate::basic::{CallMessage, ProblemMessage, RunnerMessage};
 use crate::command::CommandMessage;
@@ -71,26 +76,6 @@
     FetchBundle,
 }
 
-/// The founding of a fleet.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Founding {
-    /// Number drawn at the founding, which tells one fleet from another.
-    pub fleet: u64,
-    /// Number of program shards.
-    pub shards: u32,
-    /// The lives that founded it.
-    pub founders: Vec<Founder>,
-}
-
-/// One life that founded the fleet.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Founder {
-    /// The life.
-    pub replica: ReplicaId,
-    /// Its zone, by which the first replicas are spread.
-    pub zone: ZoneName,
-}
-
 /// The answer to a request.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Response {
@@ -252,37 +237,6 @@
     pub work: Option<WorkMessage>,
 }
 
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct FoundingMessage {
-    #[prost(fixed64, tag = "1")]
-    pub fleet: u64,
-    #[prost(uint32, tag = "2")]
-    pub shards: u32,
-    #[prost(message, repeated, tag = "3")]
-    pub founders: Vec<FounderMessage>,
-}
-
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct FounderMessage {
-    #[prost(message, optional, tag = "1")]
-    pub replica: Option<ReplicaMessage>,
-    #[prost(string, tag = "2")]
-    pub zone: String,
-}
-
-impl Wire for Founder {
-    type Message = FounderMessage;
-
-    fn to_wire(&self) -> FounderMessage {
-        FounderMessage { replica: Some(self.replica.to_wire()), zone: self.zone.to_string() }
-    }
-
-    fn from_wire(message: FounderMessage) -> Result<Self, DecodeError> {
-        let zone = name(message.zone, "zone")?;
-        Ok(Founder { replica: required_value(message.replica, "replica")?, zone })
-    }
-}
-
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct ResponseMessage {
     #[prost(oneof = "ResponseKind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
@@ -419,19 +373,6 @@
     pub call: Option<CallMessage>,
 }
 
-impl Wire for Founding {
-    type Message = FoundingMessage;
-
-    fn to_wire(&self) -> FoundingMessage {
-        FoundingMessage { fleet: self.fleet, shards: self.shards, founders: messages(&self.founders) }
-    }
-
-    fn from_wire(message: FoundingMessage) -> Result<Self, DecodeError> {
-        let founders = values(message.founders)?;
-        Ok(Founding { fleet: message.fleet, shards: message.shards, founders })
-    }
-}
-
 impl Wire for Request {
     type Message = RequestMessage;
 
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -1,9 +1,11 @@
 //! One replica of a group.
 
+mod appending;
+mod election;
+
 use bytes::Bytes;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use sumacdrift_mutants::{Rule, is_broken};
 use sumacdrift_types::Timestamp;
 
 use crate::election::{Ballot, Vote, random_deadline};
@@ -11,7 +13,7 @@
 use crate::progress::Followers;
 use crate::{
     AppendEntries, AppendReply, Configuration, ConfigurationChange, InstallSnapshot, LogEntry, LogIndex,
-    Message, Payload, ReplicaId, ReplicaSettings, Term, VoteReply, VoteRequest,
+    Message, Payload, ReplicaId, ReplicaSettings, Term, VoteReply,
 };
 
 /// A snapshot that is not acknowledged is sent again after this many election timeouts.
@@ -343,49 +345,6 @@
         }
     }
 
-    fn start_pre_vote(&mut self, now: Timestamp) {
-        self.leader = None;
-        let ballot = Ballot::with_own(self.own);
-        if ballot.is_won(self.configuration()) {
-            self.start_election(false, now);
-            return;
-        }
-        self.pre_ballot = Some(ballot);
-        self.ask_for_votes(self.term + 1, true, false);
-    }
-
-    fn start_election(&mut self, is_transfer: bool, now: Timestamp) {
-        self.pre_ballot = None;
-        self.role = Role::Candidate;
-        self.leader = None;
-        self.term += 1;
-        self.vote.give(self.term, self.own);
-        self.reset_election_deadline(now);
-        let ballot = Ballot::with_own(self.own);
-        let is_won = ballot.is_won(self.configuration());
-        self.ballot = Some(ballot);
-        if is_won {
-            self.become_leader(now);
-        } else {
-            self.ask_for_votes(self.term, false, is_transfer);
-        }
-    }
-
-    fn ask_for_votes(&mut self, term: Term, is_pre_vote: bool, is_transfer: bool) {
-        let request = VoteRequest {
-            term,
-            last_index: self.log.last_index(),
-            last_term: self.log.last_term(),
-            is_pre_vote,
-            is_transfer,
-        };
-        let mut voters = self.configuration().voters.clone();
-        voters.remove(&self.own);
-        for voter in voters {
-            self.send(voter, Message::VoteRequest(request.clone()));
-        }
-    }
-
     /// Takes over a newer term; `false` where the message is from an older one.
     fn adopt_term(&mut self, message: &Message, now: Timestamp) -> bool {
         let term = message.term();
@@ -432,211 +391,12 @@
         self.role == Role::Leader || (self.leader.is_some() && is_fresh)
     }
 
-    fn receive_vote_request(&mut self, from: ReplicaId, request: &VoteRequest, now: Timestamp) {
-        if self.is_known_outsider(from, request.last_index) {
-            let last_index = request.last_index;
-            self.send(from, Message::NotMember { term: self.term, last_index });
-            return;
-        }
-        let own_end = (self.log.last_term(), self.log.last_index());
-        let is_log_current =
-            (request.last_term, request.last_index) >= own_end || is_broken(Rule::VoteForLongLogsOnly);
-        let is_free = request.is_transfer || !self.hears_leader(now);
-        let is_promised = !request.is_pre_vote && !self.vote.may_give(request.term, from);
-        let is_granted = request.term >= self.term && is_log_current && is_free && !is_promised;
-        if is_granted && !request.is_pre_vote {
-            self.vote.give(request.term, from);
-            self.reset_election_deadline(now);
-        }
-        let term = if is_granted { request.term } else { self.term };
-        let reply = VoteReply { term, is_granted, is_pre_vote: request.is_pre_vote };
-        self.send(from, Message::VoteReply(reply));
-    }
-
-    /// Whether the replica was removed by a configuration that is committed here.
-    ///
-    /// A replica whose log reaches beyond what is committed here may have been added by an entry that this
-    /// one does not know yet, so it is given the benefit of the doubt.
-    fn is_known_outsider(&self, replica: ReplicaId, its_last_index: LogIndex) -> bool {
-        let committed = self.log.configuration_at(self.committed);
-        let is_listed = committed.contains(replica) || self.configuration().contains(replica);
-        self.committed > 0 && its_last_index <= self.committed && !is_listed
-    }
-
-    fn receive_vote_reply(&mut self, from: ReplicaId, reply: &VoteReply, now: Timestamp) {
-        if !reply.is_granted {
-            return;
-        }
-        let expected = if reply.is_pre_vote { self.term + 1 } else { self.term };
-        if reply.term != expected {
-            return;
-        }
-        let slot = if reply.is_pre_vote { &mut self.pre_ballot } else { &mut self.ballot };
-        let Some(ballot) = slot.as_mut() else { return };
-        ballot.grant(from);
-        let is_won = slot.as_ref().is_some_and(|ballot| ballot.is_won(self.log.configuration_at(u64::MAX)));
-        if !is_won {
-            return;
-        }
-        if reply.is_pre_vote {
-            self.start_election(false, now);
-        } else if self.role == Role::Candidate {
-            self.become_leader(now);
-        }
-    }
-
-    fn become_leader(&mut self, now: Timestamp) {
-        self.ballot = None;
-        self.pre_ballot = None;
-        self.role = Role::Leader;
-        self.leader = Some(self.own);
-        self.is_established = false;
-        self.transfer_to = None;
-        self.followers = Followers::default();
-        self.follow_configuration(now);
-        self.log.append(self.term, Payload::LeaderStarted);
-        self.advance_commit(now);
-        self.send_to_all(now);
-    }
-
-    fn become_follower(&mut self, term: Term, leader: Option<ReplicaId>, now: Timestamp) {
-        if self.role == Role::Leader {
-            self.actions.push(Action::LostLeadership);
-        }
-        self.role = Role::Follower;
-        self.term = term;
-        self.leader = leader;
-        self.ballot = None;
-        self.pre_ballot = None;
-        self.is_established = false;
-        self.transfer_to = None;
-        self.reset_election_deadline(now);
-    }
-
     fn follow_configuration(&mut self, now: Timestamp) {
         let configuration = self.configuration().clone();
         let next_index = self.log.last_index() + 1;
         self.followers.follow(&configuration, self.own, next_index, now);
     }
 
-    fn receive_append(&mut self, from: ReplicaId, append: AppendEntries, now: Timestamp) {
-        self.accept_leader(from, now);
-        let (membership, sent_at_micros) = (append.membership, append.sent_at_micros);
-        let match_index = self.store(append);
-        let is_success = match_index.is_ok();
-        let match_index = match_index.unwrap_or_else(|hint| hint);
-        let term = self.term;
-        let reply = AppendReply { term, is_success, match_index, membership, sent_at_micros };
-        self.send(from, Message::AppendReply(reply));
-    }
-
-    fn accept_leader(&mut self, leader: ReplicaId, now: Timestamp) {
-        if self.role != Role::Follower || self.leader != Some(leader) {
-            self.become_follower(self.term, Some(leader), now);
-        }
-        self.leader_heard = now;
-        self.reset_election_deadline(now);
-    }
-
-    /// Stores entries. On success returns how far the logs are equal, otherwise where the leader should try.
-    fn store(&mut self, append: AppendEntries) -> Result<LogIndex, LogIndex> {
-        let last_new = append.previous_index + append.entries.len() as u64;
-        if append.previous_index < self.log.base_index() {
-            // The base is committed, so everything up to it equals the leader's log already.
-            let base = self.log.base_index();
-            let entries: Vec<LogEntry> =
-                append.entries.into_iter().filter(|entry| entry.index > base).collect();
-            self.store_entries(entries);
-            self.commit_up_to(append.committed.min(last_new));
-            return Ok(last_new.max(base));
-        }
-        if self.log.term_at(append.previous_index) != Some(append.previous_term) {
-            return Err(self.retry_hint(append.previous_index));
-        }
-        self.store_entries(append.entries);
-        self.commit_up_to(append.committed.min(last_new));
-        Ok(last_new)
-    }
-
-    fn store_entries(&mut self, entries: Vec<LogEntry>) {
-        for entry in entries {
-            match self.log.term_at(entry.index) {
-                Some(term) if term == entry.term => continue,
-                Some(_) => self.log.truncate_from(entry.index),
-                None => {}
-            }
-            self.log.push(entry);
-        }
-    }
-
-    fn retry_hint(&self, previous_index: LogIndex) -> LogIndex {
-        previous_index.saturating_sub(1).min(self.log.last_index()).max(self.committed)
-    }
-
-    fn commit_up_to(&mut self, index: LogIndex) {
-        let index = index.min(self.log.last_index());
-        while self.committed < index {
-            self.committed += 1;
-            if let Some(entry) = self.log.entry(self.committed) {
-                self.actions.push(Action::Apply(entry.clone()));
-            }
-        }
-        self.compact();
-    }
-
-    fn compact(&mut self) {
-        let keep = self.settings.kept_entries;
-        if self.committed > self.log.base_index() + 2 * keep {
-            self.log.compact(self.committed - keep);
-        }
-    }
-
-    fn receive_append_reply(&mut self, from: ReplicaId, reply: &AppendReply, now: Timestamp) {
-        if self.role != Role::Leader {
-            return;
-        }
-        let last_index = self.log.last_index();
-        let Some(progress) = self.followers.get_mut(from) else { return };
-        if progress.membership != reply.membership {
-            return;
-        }
-        progress.acknowledged = progress.acknowledged.max(Timestamp(reply.sent_at_micros));
-        if reply.is_success {
-            progress.match_index = progress.match_index.max(reply.match_index);
-            progress.next_index = progress.next_index.max(progress.match_index + 1);
-            progress.snapshot_sent = None;
-        } else {
-            let next = (reply.match_index + 1).max(progress.match_index + 1);
-            progress.next_index = next.min(last_index + 1);
-        }
-        let is_behind = progress.next_index <= last_index;
-        // A follower that lacks what it acknowledged can't be helped by sending the same again at once.
-        let is_stuck = !reply.is_success && reply.match_index < progress.match_index;
-        self.advance_commit(now);
-        if !is_stuck && (is_behind || !reply.is_success) {
-            self.send_entries(from, now);
-        }
-        self.try_transfer();
-    }
-
-    fn advance_commit(&mut self, now: Timestamp) {
-        let own_last = self.log.last_index();
-        let index = match is_broken(Rule::MajorityBeforeAcknowledgement) {
-            true => own_last,
-            false => self.followers.majority_index(self.configuration(), self.own, own_last),
-        };
-        // Only an entry of one's own term commits by counting; it commits all before it.
-        if index <= self.committed || self.log.term_at(index) != Some(self.term) {
-            return;
-        }
-        self.commit_up_to(index);
-        if !self.is_established {
-            self.is_established = true;
-            self.actions.push(Action::BecameLeader { term: self.term });
-        }
-        self.leave_if_removed(now);
-    }
-
     fn leave_if_removed(&mut self, now: Timestamp) {
         let is_settled = self.log.latest_configuration_index() <= self.committed;
         if !is_settled || self.configuration().contains(self.own) {
@@ -685,69 +445,6 @@
         }
     }
 
-    fn send_to_all(&mut self, now: Timestamp) {
-        for replica in self.followers.replicas() {
-            self.send_entries(replica, now);
-        }
-    }
-
-    /// Sends what a follower lacks, assuming that it arrives; a refusal corrects the assumption.
-    fn send_entries(&mut self, to: ReplicaId, now: Timestamp) {
-        let Some(progress) = self.followers.get(to).copied() else { return };
-        if self.is_snapshot_under_way(progress.snapshot_sent, now) {
-            return;
-        }
-        if progress.next_index <= self.log.base_index() {
-            self.actions.push(Action::TakeSnapshot { to });
-            return;
-        }
-        let limits = (self.settings.max_entries_in_message, self.settings.max_bytes_in_message);
-        let entries = self.log.slice(progress.next_index, limits.0, limits.1);
-        let sent = entries.len() as u64;
-        self.send_append(to, progress.next_index - 1, entries, now);
-        if let Some(progress) = self.followers.get_mut(to) {
-            progress.next_index += sent;
-        }
-    }
-
-    fn is_snapshot_under_way(&self, sent: Option<Timestamp>, now: Timestamp) -> bool {
-        let retry_after = self.settings.election_timeout * SNAPSHOT_RETRY_TIMEOUTS;
-        sent.is_some_and(|sent| now.since(sent) < retry_after)
-    }
-
-    /// Probes a follower from its known match, which also repairs entries that were lost on the way.
-    fn send_heartbeat(&mut self, to: ReplicaId, now: Timestamp) {
-        let Some(progress) = self.followers.get_mut(to) else { return };
-        if progress.snapshot_sent.is_none() && progress.match_index > 0 {
-            progress.next_index = progress.match_index + 1;
-        }
-        progress.last_sent = now;
-        self.send_entries(to, now);
-    }
-
-    fn send_append(
-        &mut self,
-        to: ReplicaId,
-        previous_index: LogIndex,
-        entries: Vec<LogEntry>,
-        now: Timestamp,
-    ) {
-        let Some(previous_term) = self.log.term_at(previous_index) else { return };
-        let message = Message::AppendEntries(AppendEntries {
-            term: self.term,
-            previous_index,
-            previous_term,
-            membership: self.configuration().added_at(to),
-            committed: self.committed,
-            sent_at_micros: now.0,
-            entries,
-        });
-        self.send(to, message);
-        if let Some(progress) = self.followers.get_mut(to) {
-            progress.last_sent = now;
-        }
-    }
-
     fn send(&mut self, to: ReplicaId, message: Message) {
         self.actions.push(Action::Send { to, message });
     }
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -1,6 +1,9 @@
 //! The simulated world: events in order of time, and what each of them does.
 
+mod callers;
+mod checks;
 mod disturbances;
+mod shards;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -10,19 +13,17 @@
 use rand_chacha::ChaCha8Rng;
 use sumacdrift_guarantees::Guarantee;
 use sumacdrift_mutants::{Rule, is_broken};
-use sumacdrift_program::{Command, Effect, LeaderSettings, Reply};
+use sumacdrift_program::LeaderSettings;
 use sumacdrift_replication::{Configuration, ReplicaId};
-use sumacdrift_shard::{ProgramShard, RepairSettings, ShardOutput, ShardSettings};
-use sumacdrift_types::{
-    CallId, Generation, HistoryMode, Incarnation, ProgramId, ResultCode, ShardId, Timestamp,
-};
+use sumacdrift_shard::{ProgramShard, RepairSettings, ShardSettings};
+use sumacdrift_types::{CallId, Generation, Incarnation, ProgramId, ShardId, Timestamp};
 
-use crate::caller::{CALLER_TIMEOUT, Caller, Next, Plan, WANTED_OUTPUT};
+use crate::caller::Caller;
 use crate::faults::FaultKind;
 use crate::network::Network;
-use crate::node::{SimNode, Waiter, engine_index, node_index};
+use crate::node::{SimNode, engine_index};
 use crate::oracle::Oracle;
-use crate::packet::{CallerAnswer, CallerRequest, CommandAnswer, Packet, SimConfiguration};
+use crate::packet::{CallerAnswer, Packet, SimConfiguration};
 use crate::platform::{Platform, WriteOutcome};
 use crate::report::SimulationReport;
 
@@ -197,33 +198,6 @@
         self.schedule(phase, Event::PlatformPoll { node, incarnation });
     }
 
-    fn plan_callers(&mut self, programs: usize) {
-        for number in 0..programs {
-            let Ok(program) = ProgramId::new(&format!("p{number}")) else { continue };
-            let turns = self.random.random_range(1..=5);
-            let is_tight = self.random.random_bool(0.2);
-            let plan = Plan::Program {
-                program,
-                turns,
-                mode: if self.random.random_bool(0.5) { HistoryMode::Append } else { HistoryMode::Full },
-                output_budget: if is_tight { WANTED_OUTPUT * 3 / 2 } else { WANTED_OUTPUT * 100 },
-                is_ended: false,
-            };
-            self.add_caller(plan);
-        }
-        for number in 0..programs.div_ceil(3) {
-            let answers_wanted = self.random.random_range(1..=3);
-            self.add_caller(Plan::Service { key: format!("hook-{number}"), answers_wanted });
-        }
-    }
-
-    fn add_caller(&mut self, plan: Plan) {
-        let caller = self.callers.len();
-        self.callers.push(Caller::new(plan));
-        let start = self.random.random_range(500..ARRIVALS.as_millis() as u64);
-        self.schedule(Duration::from_millis(start), Event::CallerSends { caller });
-    }
-
     fn plan_faults(&mut self, kinds: &[FaultKind]) {
         for kind in kinds {
             for _ in 0..self.random.random_range(1..=2) {
@@ -468,222 +442,6 @@
         }
     }
 
-    fn check_generation(&mut self, node: usize) {
-        let one = &self.nodes[node];
-        let generation = one.in_force.generation();
-        let key = (node, one.incarnation);
-        let before = self.generations_seen.insert(key, generation).unwrap_or_default();
-        self.oracle.check(Guarantee::ConfigurationInForce, generation >= before, || {
-            format!("node {node} went from generation {before} to {generation}")
-        });
-        let since = self.now.since(self.platform.accepted_at);
-        let accepted = self.platform.configuration.generation;
-        if since > NEWS_GRACE && self.now > self.disturbed_until && generation > Generation(0) {
-            self.oracle.check(Guarantee::ConfigurationInForce, generation >= accepted, || {
-                format!("node {node} has generation {generation}, {accepted} was accepted {since:?} ago")
-            });
-        }
-    }
-
-    fn receive_group(
-        &mut self,
-        node: usize,
-        from: ReplicaId,
-        to: ReplicaId,
-        message: sumacdrift_replication::Message,
-    ) {
-        use sumacdrift_replication::Message;
-        let now = self.now;
-        if self.nodes[node].replica() != to {
-            return;
-        }
-        if self.nodes[node].shard.is_none() {
-            if !matches!(message, Message::AppendEntries(_) | Message::InstallSnapshot(_)) {
-                return;
-            }
-            let seed = self.random.random();
-            let shard = ProgramShard::join(ShardId(0), to, shard_settings(), seed, now);
-            self.nodes[node].shard = Some(shard);
-        }
-        if let Some(shard) = self.nodes[node].shard.as_mut() {
-            shard.receive(from, message, now);
-        }
-        self.shard_outputs(node);
-    }
-
-    /// Handles a command with the replica here and remembers who waits for the answer.
-    pub(crate) fn receive_command(&mut self, node: usize, from: usize, exchange: u64, command: Command) {
-        let now = self.now;
-        let waiter = Waiter { node: from, incarnation: self.nodes[from].incarnation, exchange };
-        let call = command.call();
-        let one = &mut self.nodes[node];
-        let outcome = match one.shard.as_mut() {
-            None => Err(None),
-            Some(shard) => {
-                one.waiting.insert(call, waiter);
-                shard.command(command, now).map_err(|not_leader| not_leader.hint)
-            }
-        };
-        if let Err(hint) = outcome {
-            one.waiting.remove(&call);
-            let hint = hint.map(|replica| node_index(replica.node));
-            self.answer_command(node, waiter, CommandAnswer::NotLeader(hint));
-            return;
-        }
-        self.shard_outputs(node);
-    }
-
-    fn answer_command(&mut self, node: usize, waiter: Waiter, answer: CommandAnswer) {
-        let exchange = waiter.exchange;
-        self.send(node, waiter.node, Packet::CommandAnswer { exchange, answer });
-    }
-
-    pub(crate) fn shard_outputs(&mut self, node: usize) {
-        loop {
-            let Some(shard) = self.nodes[node].shard.as_mut() else { return };
-            let outputs = shard.take_outputs();
-            if outputs.is_empty() {
-                return;
-            }
-            for output in outputs {
-                self.shard_output(node, output);
-            }
-        }
-    }
-
-    fn shard_output(&mut self, node: usize, output: ShardOutput) {
-        match output {
-            ShardOutput::Send { to, message } => {
-                let from = self.nodes[node].replica();
-                self.send(node, node_index(to.node), Packet::Group { from, to, message });
-            }
-            ShardOutput::Reply { call, reply } => {
-                if let Some(waiter) = self.nodes[node].waiting.remove(&call) {
-                    self.answer_command(node, waiter, CommandAnswer::Reply(reply));
-                }
-            }
-            ShardOutput::Effect(effect) => self.effect(node, effect),
-            ShardOutput::BecameLeader { .. } => self.nodes[node].leader = Some(node),
-            ShardOutput::LostLeadership => {
-                self.nodes[node].leader = None;
-                let waiting = std::mem::take(&mut self.nodes[node].waiting);
-                for waiter in waiting.into_values() {
-                    self.answer_command(node, waiter, CommandAnswer::NotLeader(None));
-                }
-            }
-            ShardOutput::Undecodable => self.nodes[node].shard = None,
-        }
-    }
-
-    fn effect(&mut self, node: usize, effect: Effect) {
-        match effect {
-            Effect::FreeEngines { program, engines } => {
-                for engine in engines {
-                    let Some(index) = engine_index(&engine) else { continue };
-                    let owner = self.nodes[node].owner_of(index, self.now);
-                    let program = program.clone();
-                    self.send(node, owner, Packet::FreeProgram { engine, program });
-                }
-            }
-            Effect::Cancel { runner, call } => {
-                self.send(node, node_index(runner.node), Packet::Cancel { call });
-            }
-            Effect::Reply { .. } | Effect::EndChild { .. } | Effect::ReturnToParent { .. } => {}
-        }
-    }
-
-    /// Compares what engines hold with the programs that the leader knows.
-    fn memory_check(&mut self) {
-        self.schedule(MEMORY_CHECK, Event::MemoryCheck);
-        let now = self.now;
-        let leader = (0..NODES).find(|node| {
-            let one = &self.nodes[*node];
-            let is_able = one.is_up && !one.is_paused(now);
-            is_able && one.shard.as_ref().is_some_and(|shard| shard.is_serving(now))
-        });
-        let Some(leader) = leader else { return };
-        for engine in 0..ENGINES {
-            let programs: Vec<ProgramId> = self.memory[engine].iter().cloned().collect();
-            let call = CallId(self.random.random());
-            self.nodes[leader].waiting.remove(&call);
-            let Some(shard) = self.nodes[leader].shard.as_mut() else { return };
-            if shard.command(Command::ListGone { call, programs }, now).is_err() {
-                return;
-            }
-            for output in shard.take_outputs() {
-                match output {
-                    ShardOutput::Reply { reply: Reply::Gone(gone), .. } => {
-                        for program in gone {
-                            self.memory[engine].remove(&program);
-                        }
-                    }
-                    other => self.shard_output(leader, other),
-                }
-            }
-        }
-    }
-
-    fn caller_sends(&mut self, caller: usize) {
-        if self.callers[caller].is_done {
-            return;
-        }
-        let is_full_mode =
-            matches!(&self.callers[caller].plan, Plan::Program { mode: HistoryMode::Full, .. });
-        let is_first_try = self.callers[caller].attempt == 0 || !self.callers[caller].lies_next;
-        if is_full_mode && is_first_try && self.callers[caller].answered > 0 {
-            self.callers[caller].lies_next = self.random.random_bool(0.05);
-        }
-        if self.callers[caller].lies_next {
-            self.callers[caller].lied_about = Some(self.callers[caller].answered);
-        }
-        let runs_ahead = !is_full_mode && self.random.random_bool(0.2);
-        self.callers[caller].attempt += 1;
-        let attempt = self.callers[caller].attempt;
-        self.schedule(CALLER_TIMEOUT, Event::CallerTimer { caller, attempt });
-        let mut requests: Vec<CallerRequest> = self.callers[caller].request(0).into_iter().collect();
-        if runs_ahead && matches!(requests.first(), Some(CallerRequest::Turn(_))) {
-            // The later turn is sent first, to see that it waits.
-            requests.extend(self.callers[caller].request(1));
-            requests.reverse();
-        }
-        for request in requests {
-            let node = self.random.random_range(0..NODES);
-            self.gateway_request(node, caller, request);
-        }
-    }
-
-    fn caller_gets(&mut self, caller: usize, turn: u32, answer: &CallerAnswer) {
-        self.check_answer(caller, turn, answer);
-        let next = self.callers[caller].take(turn, answer);
-        let pause = Duration::from_millis(self.random.random_range(5..300));
-        match next {
-            Next::Continue | Next::Again => {
-                self.callers[caller].attempt += 1;
-                self.schedule(pause, Event::CallerSends { caller });
-            }
-            Next::Ignore | Next::Done => {}
-        }
-    }
-
-    fn check_answer(&mut self, caller: usize, turn: u32, answer: &CallerAnswer) {
-        match (answer, &self.callers[caller].plan) {
-            (CallerAnswer::Turn { message, .. }, Plan::Program { program, .. }) => {
-                self.oracle.answered(program, turn, message);
-            }
-            (CallerAnswer::Refused { call, problem }, plan) => {
-                let is_wrong_mismatch = problem.code == ResultCode::HistoryMismatch
-                    && self.callers[caller].lied_about != Some(turn)
-                    && turn == self.callers[caller].answered;
-                let name = format!("{plan:?}");
-                self.oracle.refused(*call, problem);
-                self.oracle.check(Guarantee::HistoryKept, !is_wrong_mismatch, || {
-                    format!("{name}: the right history was refused")
-                });
-            }
-            _ => {}
-        }
-    }
-
     /// Operators change which engine is leaving, one after the other or at the same time.
     fn rollout(&mut self) {
         self.schedule(ROLLOUT_INTERVAL, Event::Rollout);
@@ -729,38 +487,13 @@
             unfinished,
             turns,
             longest_without_leader_micros: self.longest_without_leader.as_micros() as u64,
-            replicas: self.nodes.iter().map(describe_replica).collect(),
+            replicas: self.nodes.iter().map(checks::describe_replica).collect(),
             events: self.processed,
             guarantees: self.oracle.tallies.results(),
             trace_hash: self.trace.finalize().to_hex().to_string(),
         }
     }
 
-    fn check_end(&mut self) {
-        let now = self.now;
-        let leading = self
-            .nodes
-            .iter()
-            .filter_map(|one| one.shard.as_ref())
-            .find(|shard| shard.is_serving(now))
-            .map(|shard| shard.state().clone());
-        for caller in self.callers.clone() {
-            let Plan::Program { program, output_budget, .. } = &caller.plan else { continue };
-            self.oracle.budget(program, *output_budget);
-            if let Some(state) = &leading {
-                self.oracle.recorded(program, caller.answered, state.program(program));
-            }
-            if caller.is_done {
-                let held = self.memory.iter().filter(|engine| engine.contains(program)).count();
-                let record = leading.as_ref().and_then(|state| state.program(program));
-                let ended = record.map(|record| record.ended);
-                self.oracle.check(Guarantee::NoMemoryForGonePrograms, held == 0, || {
-                    format!("{program} is gone and {held} engines hold memory for it; recorded {ended:?}")
-                });
-            }
-        }
-    }
-
     /// Nodes to ask for the leader, in a fixed order for each node.
     pub(crate) fn next_target(&mut self, node: usize, tried: usize) -> usize {
         if let Some(leader) = self.nodes[node].leader {
@@ -772,24 +505,6 @@
     }
 }
 
-fn describe_replica(node: &SimNode) -> String {
-    let Some(shard) = &node.shard else { return format!("{} holds no replica", node.replica()) };
-    let replica = shard.replica();
-    let configuration = replica.configuration();
-    let list =
-        |members: &BTreeSet<ReplicaId>| members.iter().map(ToString::to_string).collect::<Vec<_>>().join(" ");
-    format!(
-        "{} {:?} term {} committed {} of {}, voters [{}], learners [{}]",
-        node.replica(),
-        replica.role(),
-        replica.term(),
-        replica.committed(),
-        replica.last_index(),
-        list(&configuration.voters),
-        list(&configuration.learners),
-    )
-}
-
 fn shard_settings() -> ShardSettings {
     ShardSettings {
         leader: LeaderSettings {
