A replica without records reads content from one member only, and writes only what is new

Change: pages of the second and later sources only name kept turns, and the content of those that are missing is asked for; what says nothing new is not written again; the begin of a turn whose end is known is left out, as is the end of a turn that stands with its content; replicas that catch up at the same time read different members first.

--- a/crates/ledger/src/account.rs
+++ b/crates/ledger/src/account.rs
@@ -30,16 +30,21 @@
 }
 
 impl ProgramAccount {
-    /// Notes a turn's begin.
-    pub(crate) fn begin(&mut self, turn: &str, most_tokens: u64) {
+    /// Notes a turn's begin; returns whether it is new.
+    pub(crate) fn begin(&mut self, turn: &str, most_tokens: u64) -> bool {
+        let is_known = self.turns.contains_key(turn);
         let account = self.turns.entry(turn.to_owned()).or_default();
+        let is_new = !is_known || most_tokens > account.most_tokens;
         account.most_tokens = account.most_tokens.max(most_tokens);
+        is_new
     }
 
-    /// Notes a turn's end. Where several ends are known, the largest counts.
-    pub(crate) fn end(&mut self, turn: &str, tokens: u64) {
+    /// Notes a turn's end; returns whether it is new. Where several ends are known, the largest counts.
+    pub(crate) fn end(&mut self, turn: &str, tokens: u64) -> bool {
         let account = self.turns.entry(turn.to_owned()).or_default();
+        let is_new = account.ended_tokens.is_none_or(|known| tokens > known);
         account.ended_tokens = Some(account.ended_tokens.unwrap_or(0).max(tokens));
+        is_new
     }
 
     /// Every turn but one.
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -22,10 +22,10 @@
 pub use chain::{ChainAssembly, ChainStep};
 pub use group::{Group, Member};
 pub use message::{
-    Begin, BeginVote, ChainReply, ChainRequest, End, GroupMessage, KnownTurn, LedgerReply, LedgerRequest,
-    MemberMessage, Page, PageRequest, Push, Record, RecordKind, ReplyKind, RequestKind, RetainedTurn,
-    Standing, StatusReply, StoredCopy, TurnBegun, TurnEnded,
+    Begin, BeginVote, ChainReply, ChainRequest, ContentsRequest, End, GroupMessage, KnownTurn, LedgerReply,
+    LedgerRequest, MemberMessage, Page, PageRequest, Push, Record, RecordKind, ReplyKind, RequestKind,
+    RetainedTurn, Standing, StatusReply, StoredCopy, TurnBegun, TurnEnded,
 };
 pub use plan::{ChangeReason, GroupPolicy, MemberWatch, PlaceStep};
 pub use replica::{Replica, ReplicaSettings, Step};
-pub use state::LedgerState;
+pub use state::{LedgerState, PageDetail};
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -148,7 +148,7 @@
     #[prost(uint64, tag = "1")]
     pub epoch: u64,
     /// What is asked.
-    #[prost(oneof = "RequestKind", tags = "2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "RequestKind", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
     pub kind: Option<RequestKind>,
 }
 
@@ -176,6 +176,9 @@
     /// Who are you, and which group do you know?
     #[prost(bool, tag = "8")]
     Status(bool),
+    /// The content of kept turns.
+    #[prost(message, tag = "9")]
+    Contents(ContentsRequest),
 }
 
 /// May a turn begin?
@@ -220,6 +223,17 @@
     /// The group that the asker joins; the replica adopts it first where it is newer than its own.
     #[prost(message, optional, tag = "2")]
     pub group: Option<GroupMessage>,
+    /// Whether kept turns are only to be named, because the asker holds most of them.
+    #[prost(bool, tag = "3")]
+    pub keys_only: bool,
+}
+
+/// The content of kept turns.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct ContentsRequest {
+    /// The turns.
+    #[prost(string, repeated, tag = "1")]
+    pub turns: Vec<String>,
 }
 
 /// Records handed over.
@@ -324,6 +338,9 @@
     /// Where the next page begins; empty at the end.
     #[prost(string, tag = "2")]
     pub next: String,
+    /// Kept turns that are only named.
+    #[prost(string, repeated, tag = "3")]
+    pub kept_turns: Vec<String>,
 }
 
 /// Who a replica is.
--- a/crates/ledger/src/replica.rs
+++ b/crates/ledger/src/replica.rs
@@ -9,7 +9,7 @@
     Begin, End, LedgerReply, LedgerRequest, Page, PageRequest, Push, Record, RecordKind, ReplyKind,
     RequestKind, Standing, StatusReply, StoredCopy,
 };
-use crate::state::LedgerState;
+use crate::state::{LedgerState, PageDetail};
 
 /// What a replica is told at its start.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -71,7 +71,7 @@
             Some(RecordKind::Standing(standing)) => {
                 self.complete_since = Some(standing.joined);
             }
-            _ => self.state.merge(record),
+            _ => drop(self.state.merge(record)),
         }
     }
 
@@ -118,6 +118,11 @@
         Some(Record { kind: Some(RecordKind::Standing(standing)), expiry_millis: 0 })
     }
 
+    /// Whether all records of any member were read at the group's epoch.
+    pub fn has_read_any(&self) -> bool {
+        !self.caught_up_with.is_empty()
+    }
+
     /// Whether all records of a member were read at the group's epoch.
     pub fn has_read(&self, node: &str) -> bool {
         self.caught_up_with.contains(node)
@@ -156,6 +161,9 @@
             Some(RequestKind::Chain(chain)) => answer(ReplyKind::Chain(self.state.chain(&chain.turn))),
             Some(RequestKind::Page(page)) => self.page(page, now),
             Some(RequestKind::Push(push)) => self.push(push, now),
+            Some(RequestKind::Contents(contents)) => {
+                answer(ReplyKind::Page(self.state.contents(&contents.turns, now)))
+            }
             Some(RequestKind::Install(group)) => {
                 let commit = Group::from_message(&group).and_then(|group| self.install(group));
                 Step { commit: commit.into_iter().collect(), reply: reply(ReplyKind::Done(true)) }
@@ -188,11 +196,15 @@
         self.group.sources_besides(&never_voted, &self.settings.node).saturating_sub(read)
     }
 
-    /// Takes in a page of another member; returns the records to make durable.
+    /// Takes in a page of another member; returns the records that are new and must be made durable.
     pub fn take_page(&mut self, page: Page, now: u64) -> Vec<Record> {
-        let records: Vec<Record> = page.records.into_iter().map(|record| record.arrived(now)).collect();
-        records.iter().for_each(|record| self.state.merge(record));
-        records
+        let arrived = page.records.into_iter().map(|record| record.arrived(now));
+        arrived.filter(|record| self.state.merge(record)).collect()
+    }
+
+    /// Of the kept turns that a page only names, those whose content is not known here.
+    pub fn lacking(&self, page: &Page) -> Vec<String> {
+        page.kept_turns.iter().filter(|turn| !self.state.keeps(turn)).cloned().collect()
     }
 
     /// Notes that all records of a member were read at an epoch, and are durable. Returns the record that makes the
@@ -240,7 +252,7 @@
         records.extend(self.complete_since.map(standing_record));
         let mut after = String::new();
         loop {
-            let page = self.state.page(&after, now);
+            let page = self.state.page(&after, PageDetail::Whole, now);
             records.extend(page.records.into_iter().map(|record| record.arrived(now)));
             if page.next.is_empty() {
                 return records;
@@ -292,7 +304,8 @@
         let newer = request.group.as_ref().and_then(Group::from_message);
         let commit = newer.and_then(|group| self.install(group));
         let kind = if self.is_voting() || is_broken(Rule::LedgerPagesAreComplete) {
-            ReplyKind::Page(self.state.page(&request.after, now))
+            let detail = if request.keys_only { PageDetail::Keys } else { PageDetail::Whole };
+            ReplyKind::Page(self.state.page(&request.after, detail, now))
         } else if self.has_never_voted() {
             ReplyKind::NeverVoted(true)
         } else {
@@ -304,7 +317,7 @@
     fn push(&mut self, push: Push, now: u64) -> Step {
         let newer = push.group.as_ref().and_then(Group::from_message);
         let mut commit: Vec<Record> = newer.and_then(|group| self.install(group)).into_iter().collect();
-        commit.extend(self.take_page(Page { records: push.records, next: String::new() }, now));
+        commit.extend(self.take_page(Page { records: push.records, ..Page::default() }, now));
         Step { commit, reply: reply(ReplyKind::Done(true)) }
     }
 
--- a/crates/ledger/src/state.rs
+++ b/crates/ledger/src/state.rs
@@ -12,6 +12,8 @@
 const PAGE_BYTES: usize = 256 << 10;
 /// Fixed share of a record in a page, for what its content does not show.
 const RECORD_OVERHEAD_BYTES: usize = 64;
+/// Fixed share of a key in a page.
+const KEY_OVERHEAD_BYTES: usize = 4;
 /// How much longer than asked for records are kept, so that clocks that differ lose nothing.
 const KEEP_FACTOR: u64 = 2;
 /// Longest chain that is followed; a longer one is a defect.
@@ -65,16 +67,30 @@
         expires
     }
 
-    /// Takes a record in; its expiry is a time of day.
-    pub fn merge(&mut self, record: &Record) {
+    /// Takes a record in; its expiry is a time of day. Returns whether it says anything new.
+    pub fn merge(&mut self, record: &Record) -> bool {
         match &record.kind {
             Some(RecordKind::Begun(turn)) => self.begin_until(turn, record.expiry_millis),
             Some(RecordKind::Ended(turn)) => self.end_until(turn, record.expiry_millis),
-            Some(RecordKind::Copy(copy)) => {
-                self.keep(copy);
+            Some(RecordKind::Copy(copy)) => self.keep(copy),
+            Some(RecordKind::Group(_) | RecordKind::Standing(_)) | None => false,
+        }
+    }
+
+    /// Whether the content of a turn is kept.
+    pub fn keeps(&self, turn: &str) -> bool {
+        self.kept.contains_key(turn)
+    }
+
+    /// The records of kept turns with their content, as far as they are known.
+    pub fn contents(&self, turns: &[String], now: u64) -> Page {
+        let mut page = PageBuilder::default();
+        for turn in turns {
+            if let Some(kept) = self.kept.get(turn) {
+                self.add_content(turn, kept, now, &mut page);
             }
-            Some(RecordKind::Group(_) | RecordKind::Standing(_)) | None => {}
         }
+        page.page
     }
 
     /// Keeps a copy if it is newer; returns whether it is.
@@ -91,18 +107,17 @@
         &self.copy
     }
 
-    fn begin_until(&mut self, turn: &TurnBegun, expires: u64) {
+    fn begin_until(&mut self, turn: &TurnBegun, expires: u64) -> bool {
         let account = self.account(&turn.program, expires);
-        account.begin(&turn.turn, turn.most_tokens);
+        account.begin(&turn.turn, turn.most_tokens)
     }
 
-    fn end_until(&mut self, turn: &TurnEnded, expires: u64) {
+    fn end_until(&mut self, turn: &TurnEnded, expires: u64) -> bool {
         let account = self.account(&turn.program, expires);
-        account.end(&turn.turn, turn.tokens);
-        if let Some(content) = &turn.retained {
-            let kept = Kept { program: turn.program.clone(), content: content.clone(), expires };
-            self.kept.insert(turn.turn.clone(), kept);
-        }
+        let is_new = account.end(&turn.turn, turn.tokens);
+        let Some(content) = &turn.retained else { return is_new };
+        let kept = Kept { program: turn.program.clone(), content: content.clone(), expires };
+        self.kept.insert(turn.turn.clone(), kept).is_none() || is_new
     }
 
     fn account(&mut self, program: &str, expires: u64) -> &mut ProgramAccount {
@@ -146,8 +161,8 @@
     }
 
     /// The records behind a cursor, with the time that is left to each.
-    pub fn page(&self, after: &str, now: u64) -> Page {
-        let mut page = PageBuilder { page: Page::default(), bytes: 0 };
+    pub fn page(&self, after: &str, detail: PageDetail, now: u64) -> Page {
+        let mut page = PageBuilder { detail, ..PageBuilder::default() };
         let (section, key) = after.split_at(after.len().min(1));
         let is_in_turns = section == TURN_CURSOR;
         if after.is_empty() && self.copy.number > 0 {
@@ -165,14 +180,18 @@
         for (program, account) in self.programs.range::<str, _>(behind(after)) {
             let left = account.expires.saturating_sub(now);
             for (turn, counted) in &account.turns {
-                let begun = TurnBegun {
-                    program: program.clone(),
-                    turn: turn.clone(),
-                    most_tokens: counted.most_tokens,
-                    retention_millis: 0,
+                let Some(tokens) = counted.ended_tokens else {
+                    let begun = TurnBegun {
+                        program: program.clone(),
+                        turn: turn.clone(),
+                        most_tokens: counted.most_tokens,
+                        retention_millis: 0,
+                    };
+                    page.add(RecordKind::Begun(begun), left, 0);
+                    continue;
                 };
-                page.add(RecordKind::Begun(begun), left, 0);
-                if let Some(tokens) = counted.ended_tokens {
+                // The end of a turn that is kept stands with its content.
+                if page.detail == PageDetail::Keys || !self.kept.contains_key(turn) {
                     let ended = TurnEnded {
                         program: program.clone(),
                         turn: turn.clone(),
@@ -192,27 +211,46 @@
 
     fn turn_records(&self, after: &str, now: u64, page: &mut PageBuilder) {
         for (turn, kept) in self.kept.range::<str, _>(behind(after)) {
-            let account = self.programs.get(&kept.program).and_then(|account| account.turns.get(turn));
-            let tokens = account.and_then(|account| account.ended_tokens).unwrap_or(0);
-            let ended = TurnEnded {
-                program: kept.program.clone(),
-                turn: turn.clone(),
-                tokens,
-                retention_millis: 0,
-                retained: Some(kept.content.clone()),
-            };
-            let bytes = kept.content.input.len() + kept.content.output.len();
-            page.add(RecordKind::Ended(ended), kept.expires.saturating_sub(now), bytes);
+            match page.detail {
+                PageDetail::Whole => self.add_content(turn, kept, now, page),
+                PageDetail::Keys => page.add_key(turn),
+            }
             if page.is_full() {
                 page.page.next = format!("{TURN_CURSOR}{turn}");
                 return;
             }
         }
     }
+
+    fn add_content(&self, turn: &str, kept: &Kept, now: u64, page: &mut PageBuilder) {
+        let account = self.programs.get(&kept.program).and_then(|account| account.turns.get(turn));
+        let tokens = account.and_then(|account| account.ended_tokens).unwrap_or(0);
+        let ended = TurnEnded {
+            program: kept.program.clone(),
+            turn: turn.to_owned(),
+            tokens,
+            retention_millis: 0,
+            retained: Some(kept.content.clone()),
+        };
+        let bytes = kept.content.input.len() + kept.content.output.len();
+        page.add(RecordKind::Ended(ended), kept.expires.saturating_sub(now), bytes);
+    }
 }
 
+/// What a page tells of kept turns.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum PageDetail {
+    /// Their content.
+    #[default]
+    Whole,
+    /// Only which they are, for readers that hold most of them already.
+    Keys,
+}
+
+#[derive(Default)]
 struct PageBuilder {
     page: Page,
+    detail: PageDetail,
     bytes: usize,
 }
 
@@ -222,6 +260,11 @@
         self.bytes += content_bytes + RECORD_OVERHEAD_BYTES;
     }
 
+    fn add_key(&mut self, turn: &str) {
+        self.page.kept_turns.push(turn.to_owned());
+        self.bytes += turn.len() + KEY_OVERHEAD_BYTES;
+    }
+
     fn is_full(&self) -> bool {
         self.bytes >= PAGE_BYTES
     }
--- a/crates/ledger/tests/replica.rs
+++ b/crates/ledger/tests/replica.rs
@@ -3,8 +3,8 @@
 use bytes::Bytes;
 use sumacdrift_ledger::{
     Begin, BeginDecision, BeginQuorum, BeginVote, ChainAssembly, ChainReply, ChainStep, End, Group,
-    KnownTurn, LedgerRequest, LedgerState, Member, PageRequest, Replica, ReplicaSettings, ReplyKind,
-    RequestKind, RetainedTurn, TurnBegun, TurnEnded,
+    KnownTurn, LedgerRequest, LedgerState, Member, PageDetail, PageRequest, Replica, ReplicaSettings,
+    ReplyKind, RequestKind, RetainedTurn, TurnBegun, TurnEnded,
 };
 
 const NOW: u64 = 1_000;
@@ -106,7 +106,7 @@
 fn a_replica_that_is_not_complete_hands_no_pages_out() {
     let mut wiped = replica("a", false);
     let members = group(1, &[("a", 1), ("b", 1)]);
-    let request = PageRequest { after: String::new(), group: Some(members.to_message()) };
+    let request = PageRequest { group: Some(members.to_message()), ..PageRequest::default() };
     let step = wiped.handle(LedgerRequest { epoch: 1, kind: Some(RequestKind::Page(request)) }, NOW);
     assert!(matches!(step.reply.kind, Some(ReplyKind::NotVoting(_))));
     assert_eq!(wiped.group().epoch, 1);
@@ -168,14 +168,14 @@
             output: Bytes::from(format!("{number}")),
         };
         let turn = TurnEnded { retained: Some(content), ..ended(&format!("t{number}"), number) };
-        state.begin(&begun(&turn.turn), NOW);
         state.end(&turn, NOW);
+        state.begin(&begun(&format!("open{number}")), NOW);
     }
     let mut copy = LedgerState::default();
     let mut after = String::new();
     let mut pages = 0;
     loop {
-        let page = state.page(&after, NOW);
+        let page = state.page(&after, PageDetail::Whole, NOW);
         pages += 1;
         for mut record in page.records {
             record.expiry_millis += NOW;
@@ -286,3 +286,31 @@
     leaving.set_leaving(false);
     assert!(matches!(begin(&mut leaving, 1, "t2"), Some(ReplyKind::Vote(_))));
 }
+
+#[test]
+fn a_second_source_is_read_without_what_is_held_already() {
+    let mut sources = ["a", "b"].map(|node| {
+        let mut source = replica(node, true);
+        source.install(group(1, &[("a", 1), ("b", 1), ("c", 1)]));
+        source
+    });
+    for (turn, holders) in [("t1", 0..2), ("t2", 0..1), ("t3", 1..2)] {
+        let content = RetainedTurn { previous: String::new(), input: turn.into(), output: Bytes::new() };
+        for source in &mut sources[holders] {
+            let end = End { turn: Some(TurnEnded { retained: Some(content.clone()), ..ended(turn, 10) }) };
+            source.handle(LedgerRequest { epoch: 1, kind: Some(RequestKind::End(end)) }, NOW);
+        }
+    }
+    let mut wiped = replica("c", false);
+    wiped.install(group(1, &[("a", 1), ("b", 1), ("c", 1)]));
+    let whole = sources[0].state().page("", PageDetail::Whole, NOW);
+    assert_eq!(wiped.take_page(whole, NOW).len(), 2);
+    let keys = sources[1].state().page("", PageDetail::Keys, NOW);
+    assert_eq!(keys.kept_turns, ["t1", "t3"]);
+    assert_eq!(wiped.lacking(&keys), ["t3"]);
+    let contents = sources[1].state().contents(&wiped.lacking(&keys), NOW);
+    assert_eq!(wiped.take_page(contents, NOW).len(), 1);
+    // Nothing in the page itself is new any more, so nothing is written to the journal again.
+    assert!(wiped.take_page(keys, NOW).is_empty());
+    assert_eq!(wiped.state().kept_turns(), 3);
+}
--- a/crates/ledger/tests/world/mod.rs
+++ b/crates/ledger/tests/world/mod.rs
@@ -7,9 +7,9 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sumacdrift_ledger::{
-    Begin, BeginDecision, BeginQuorum, End, Group, GroupPolicy, LedgerReply, LedgerRequest, Member,
-    PageRequest, Push, Record, Replica, ReplicaSettings, ReplyKind, RequestKind, RetainedTurn, TurnBegun,
-    TurnEnded,
+    Begin, BeginDecision, BeginQuorum, ContentsRequest, End, Group, GroupPolicy, LedgerReply, LedgerRequest,
+    Member, PageDetail, PageRequest, Push, Record, Replica, ReplicaSettings, ReplyKind, RequestKind,
+    RetainedTurn, TurnBegun, TurnEnded,
 };
 
 pub const BUDGET: u64 = 1_000;
@@ -351,7 +351,7 @@
         let group = self.group.clone();
         let mut after = String::new();
         loop {
-            let page = self.machines[leaving].replica.state().page(&after, NOW);
+            let page = self.machines[leaving].replica.state().page(&after, PageDetail::Whole, NOW);
             for member in group.members.iter().filter(|member| member.node != leaving) {
                 let push = Push { records: page.records.clone(), group: Some(group.to_message()) };
                 let request = LedgerRequest { epoch: group.epoch, kind: Some(RequestKind::Push(push)) };
@@ -426,7 +426,8 @@
             let source = others.choose(&mut self.random).cloned().unwrap_or_default();
             (source, String::new(), group.epoch)
         });
-        let request = PageRequest { after, group: Some(group.to_message()) };
+        let keys_only = machine.replica.has_read_any();
+        let request = PageRequest { after, group: Some(group.to_message()), keys_only };
         let request = LedgerRequest { epoch, kind: Some(RequestKind::Page(request)) };
         let page = match self.ask(&source, request).and_then(|reply| reply.kind) {
             Some(ReplyKind::Page(page)) => page,
@@ -438,6 +439,13 @@
             _ => return,
         };
         let next = page.next.clone();
+        let lacking = self.machines[&node].replica.lacking(&page);
+        let request = RequestKind::Contents(ContentsRequest { turns: lacking });
+        let contents = self.ask(&source, LedgerRequest { epoch, kind: Some(request) });
+        let Some(ReplyKind::Page(contents)) = contents.and_then(|reply| reply.kind) else { return };
+        let machine = self.machine(&node);
+        let records = machine.replica.take_page(contents, NOW);
+        machine.disk.extend(records);
         let machine = self.machines.get_mut(&node).expect("a machine");
         let records = machine.replica.take_page(page, NOW);
         machine.disk.extend(records);
--- a/crates/storage/src/catch_up.rs
+++ b/crates/storage/src/catch_up.rs
@@ -3,21 +3,27 @@
 use std::time::Duration;
 
 use slog::{info, warn};
-use sumacdrift_ledger::{Group, Member, PageRequest, ReplyKind, RequestKind};
+use sumacdrift_ledger::{ContentsRequest, Group, Member, Page, PageRequest, ReplyKind, RequestKind};
 use sumacdrift_transport::Transport;
+use sumacdrift_types::rendezvous_order;
 
 use crate::clock::wall_millis;
 use crate::host::ReplicaHost;
 use crate::rpc::{ask, encode};
 
+/// Kept turns whose content is asked for at once; one is some 20 KB.
+const CONTENTS_AT_ONCE: usize = 16;
 /// Time for one page.
 const PAGE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Reads the members that are still needed, as far as they answer; returns whether the replica votes now.
 pub(crate) async fn catch_up(host: &ReplicaHost, transport: &Transport, own_node: &str) -> bool {
     let group = host.replica().group().clone();
-    let others = group.members.iter().filter(|member| member.node != own_node);
-    for member in others {
+    // Several that have lost their records read different members first.
+    let name = |member: &Member| member.node.as_bytes().to_vec();
+    let mut others = rendezvous_order(own_node.as_bytes(), &group.members, name);
+    others.retain(|member| member.node != own_node);
+    for member in &others {
         if host.is_voting() {
             return true;
         }
@@ -63,17 +69,19 @@
     Failed,
 }
 
-/// Reads all records of a member and makes them durable.
+/// Reads all records of a member and makes them durable. The content of kept turns is read whole from the first member
+/// only; of the others, what is still missing.
 async fn read_member(
     host: &ReplicaHost,
     transport: &Transport,
     group: &Group,
     member: &Member,
 ) -> MemberRead {
+    let keys_only = host.replica().has_read_any();
     let mut after = String::new();
     let mut records = 0;
     loop {
-        let request = PageRequest { after, group: Some(group.to_message()) };
+        let request = PageRequest { after, group: Some(group.to_message()), keys_only };
         let request = encode(group.epoch, RequestKind::Page(request));
         let page = match ask(transport, member.address, request, PAGE_TIMEOUT).await {
             Some(ReplyKind::Page(page)) => page,
@@ -82,8 +90,8 @@
         };
         after = page.next.clone();
         records += page.records.len();
-        let merged = host.replica().take_page(page, wall_millis());
-        if host.commit(merged).await.is_err() {
+        let lacking = host.replica().lacking(&page);
+        if !read_contents(host, transport, group, member, &lacking).await || !take(host, page).await {
             return MemberRead::Failed;
         }
         if after.is_empty() {
@@ -91,3 +99,29 @@
         }
     }
 }
+
+/// Reads the content of kept turns; returns whether all of it is durable here.
+async fn read_contents(
+    host: &ReplicaHost,
+    transport: &Transport,
+    group: &Group,
+    member: &Member,
+    turns: &[String],
+) -> bool {
+    for turns in turns.chunks(CONTENTS_AT_ONCE) {
+        let request = ContentsRequest { turns: turns.to_vec() };
+        let request = encode(group.epoch, RequestKind::Contents(request));
+        let reply = ask(transport, member.address, request, PAGE_TIMEOUT).await;
+        let Some(ReplyKind::Page(page)) = reply else { return false };
+        if !take(host, page).await {
+            return false;
+        }
+    }
+    true
+}
+
+/// Takes a page in; returns whether what is new in it is durable.
+async fn take(host: &ReplicaHost, page: Page) -> bool {
+    let records = host.replica().take_page(page, wall_millis());
+    host.commit(records).await.is_ok()
+}
--- a/crates/storage/src/leave.rs
+++ b/crates/storage/src/leave.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sumacdrift_ledger::{Group, Member, Push, ReplyKind, RequestKind};
+use sumacdrift_ledger::{Group, Member, PageDetail, Push, ReplyKind, RequestKind};
 use sumacdrift_transport::Transport;
 
 use crate::clock::wall_millis;
@@ -30,7 +30,7 @@
 async fn push_all(host: &ReplicaHost, transport: &Transport, group: &Group, member: &Member) -> bool {
     let mut after = String::new();
     loop {
-        let page = host.replica().state().page(&after, wall_millis());
+        let page = host.replica().state().page(&after, PageDetail::Whole, wall_millis());
         let push = Push { records: page.records, group: Some(group.to_message()) };
         let request = encode(group.epoch, RequestKind::Push(push));
         let reply = ask(transport, member.address, request, PUSH_TIMEOUT).await;
