A machine that is emptied hands over what others lack, most of it while it still votes

Every kept turn (20 KB each) went to every other member over a link of 47 Mbit/s, though three of the five hold it anyway; since it did not vote all that time. And after the change of the group it began anew, as the directory's view lagged behind its own change.

Change: it asks the others which kept turns they hold and makes as many copies as a majority of those left lacks (copies_to_make, ledger); the first pass runs while it votes, a second one hands over what came meanwhile; the group that the replica itself knows counts where the directory's view is older.

--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -11,6 +11,7 @@
 mod account;
 mod begin;
 mod chain;
+mod copies;
 mod group;
 mod message;
 mod plan;
@@ -20,6 +21,7 @@
 pub use account::ProgramAccount;
 pub use begin::{BeginDecision, BeginQuorum};
 pub use chain::{ChainAssembly, ChainStep};
+pub use copies::copies_to_make;
 pub use group::{Group, Member};
 pub use message::{
     Begin, BeginVote, ChainReply, ChainRequest, ContentsRequest, End, GroupMessage, KnownTurn, LedgerReply,
@@ -28,4 +30,4 @@
 };
 pub use plan::{ChangeReason, GroupPolicy, MemberWatch, PlaceStep};
 pub use replica::{Replica, ReplicaSettings, Step};
-pub use state::{LedgerState, PageDetail};
+pub use state::{KEPT_TURNS_CURSOR, LedgerState, PageDetail};
--- a/crates/ledger/src/state.rs
+++ b/crates/ledger/src/state.rs
@@ -21,6 +21,8 @@
 /// Prefixes of a page's cursor.
 const PROGRAM_CURSOR: &str = "p";
 const TURN_CURSOR: &str = "t";
+/// Cursor at which the kept turns begin.
+pub const KEPT_TURNS_CURSOR: &str = TURN_CURSOR;
 
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Kept {
--- a/crates/ledger/tests/replica.rs
+++ b/crates/ledger/tests/replica.rs
@@ -1,10 +1,12 @@
 //! Single rules of replicas, votes and chains.
 
+use std::collections::BTreeSet;
+
 use bytes::Bytes;
 use sumacdrift_ledger::{
     Begin, BeginDecision, BeginQuorum, BeginVote, ChainAssembly, ChainReply, ChainStep, End, Group,
     KnownTurn, LedgerRequest, LedgerState, Member, PageDetail, PageRequest, Replica, ReplicaSettings,
-    ReplyKind, RequestKind, RetainedTurn, TurnBegun, TurnEnded,
+    ReplyKind, RequestKind, RetainedTurn, TurnBegun, TurnEnded, copies_to_make,
 };
 
 const NOW: u64 = 1_000;
@@ -314,3 +316,17 @@
     assert!(wiped.take_page(keys, NOW).is_empty());
     assert_eq!(wiped.state().kept_turns(), 3);
 }
+
+#[test]
+fn a_member_that_leaves_makes_as_many_copies_as_a_majority_lacks() {
+    let held = |turns: &[&str]| turns.iter().map(|turn| (*turn).to_owned()).collect::<BTreeSet<String>>();
+    let holds = [held(&["t1", "t2"]), held(&["t1"]), held(&["t1"]), held(&[])];
+    let turns = ["t1", "t2", "t3"].map(str::to_owned);
+    let copies = copies_to_make(&turns, &holds.iter().collect::<Vec<_>>(), 3);
+    for (turn, wanted) in [("t1", 0), ("t2", 2), ("t3", 3)] {
+        let made = copies.iter().filter(|turns| turns.iter().any(|made| made == turn)).count();
+        assert_eq!(made, wanted, "{turn}");
+    }
+    assert!(!copies[0].contains(&"t2".to_owned()));
+    assert!(copies_to_make(&turns, &[], 2).is_empty());
+}
--- a/crates/ledger/tests/world/mod.rs
+++ b/crates/ledger/tests/world/mod.rs
@@ -7,9 +7,9 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sumacdrift_ledger::{
-    Begin, BeginDecision, BeginQuorum, ContentsRequest, End, Group, GroupPolicy, LedgerReply, LedgerRequest,
-    Member, PageDetail, PageRequest, Push, Record, Replica, ReplicaSettings, ReplyKind, RequestKind,
-    RetainedTurn, TurnBegun, TurnEnded,
+    Begin, BeginDecision, BeginQuorum, ContentsRequest, End, Group, GroupPolicy, KEPT_TURNS_CURSOR,
+    LedgerReply, LedgerRequest, Member, PageDetail, PageRequest, Push, Record, Replica, ReplicaSettings,
+    ReplyKind, RequestKind, RetainedTurn, TurnBegun, TurnEnded, copies_to_make,
 };
 
 pub const BUDGET: u64 = 1_000;
@@ -348,14 +348,19 @@
     }
 
     fn hand_over(&mut self, leaving: &str) -> bool {
-        let group = self.group.clone();
+        let group = self.group.without(leaving);
+        let others: Vec<String> = group.members.iter().map(|member| member.node.clone()).collect();
+        let held: Vec<BTreeSet<String>> = others.iter().map(|node| self.held_at(node)).collect();
         let mut after = String::new();
         loop {
-            let page = self.machines[leaving].replica.state().page(&after, PageDetail::Whole, NOW);
-            for member in group.members.iter().filter(|member| member.node != leaving) {
-                let push = Push { records: page.records.clone(), group: Some(group.to_message()) };
-                let request = LedgerRequest { epoch: group.epoch, kind: Some(RequestKind::Push(push)) };
-                if self.random.random_bool(0.02) || self.ask(&member.node, request).is_none() {
+            let page = self.machines[leaving].replica.state().page(&after, PageDetail::Keys, NOW);
+            let copies = copies_to_make(&page.kept_turns, &held.iter().collect::<Vec<_>>(), group.majority());
+            for (node, turns) in others.iter().zip(copies) {
+                let mut records = page.records.clone();
+                records.extend(self.machines[leaving].replica.state().contents(&turns, NOW).records);
+                let push = Push { records, group: Some(self.group.to_message()) };
+                let request = LedgerRequest { epoch: self.group.epoch, kind: Some(RequestKind::Push(push)) };
+                if self.random.random_bool(0.02) || self.ask(node, request).is_none() {
                     return false;
                 }
             }
@@ -366,6 +371,21 @@
         }
     }
 
+    /// Kept turns that a member says it holds; one without a vote says nothing.
+    fn held_at(&mut self, node: &str) -> BTreeSet<String> {
+        let group = self.group.clone();
+        let request = PageRequest {
+            after: KEPT_TURNS_CURSOR.to_owned(),
+            group: Some(group.to_message()),
+            keys_only: true,
+        };
+        let request = LedgerRequest { epoch: group.epoch, kind: Some(RequestKind::Page(request)) };
+        match self.ask(node, request).and_then(|reply| reply.kind) {
+            Some(ReplyKind::Page(page)) => page.kept_turns.into_iter().collect(),
+            _ => BTreeSet::new(),
+        }
+    }
+
     /// A machine joins a group that is too small; it does not always learn that it was its own doing.
     fn join(&mut self) {
         if self.group.members.len() >= self.size() {
--- a/crates/storage/src/upkeep.rs
+++ b/crates/storage/src/upkeep.rs
@@ -171,6 +171,15 @@
 
     async fn keep_place(&mut self, view: &DirectoryView, stored: &StoredGroup) {
         let own = self.settings.own.clone();
+        let known = self.host.replica().group().clone();
+        let is_leaving = view.retirements.iter().any(|asked| asked.node == own.node && !asked.is_completed);
+        if known.epoch > stored.group.epoch {
+            // The directory's view lags behind a change that was made just now.
+            if is_leaving && known.member(&own.node).is_none() {
+                self.complete_retirement(&known).await;
+            }
+            return;
+        }
         let retirement = view.retirements.iter().find(|retirement| retirement.node == own.node).cloned();
         if let Some(retirement) = retirement {
             if !retirement.is_completed {
@@ -226,7 +235,8 @@
 
     /// Hands everything over and leaves the group; then the machine is empty.
     ///
-    /// It stops voting first: what it hands over must be all that it acknowledged, and nothing may come after it.
+    /// It stops voting before it is done: what it hands over must be all that it acknowledged, and nothing may come
+    /// after it.
     async fn leave(&mut self, stored: &StoredGroup) {
         let own = self.settings.own.node.clone();
         if !self.is_retirement_reported {
@@ -234,12 +244,16 @@
             self.is_retirement_reported = reported.is_ok();
         }
         if stored.group.member(&own).is_none() {
-            self.complete_retirement(stored).await;
+            self.complete_retirement(&stored.group).await;
             return;
         }
         if stored.group.members.len() == 1 {
             return;
         }
+        // Most of it goes over while the member still votes; what came meanwhile follows when it no longer does.
+        if !hand_over(&self.host, &self.transport, &stored.group, &own).await {
+            return;
+        }
         self.host.replica().set_leaving(true);
         let next = stored.group.without(&own);
         let is_handed_over = hand_over(&self.host, &self.transport, &stored.group, &own).await;
@@ -251,10 +265,10 @@
         self.has_handed_over = is_out;
     }
 
-    async fn complete_retirement(&mut self, stored: &StoredGroup) {
+    async fn complete_retirement(&mut self, group: &Group) {
         let own = self.settings.own.node.clone();
         self.has_handed_over =
-            self.has_handed_over || hand_over(&self.host, &self.transport, &stored.group, &own).await;
+            self.has_handed_over || hand_over(&self.host, &self.transport, group, &own).await;
         if self.has_handed_over {
             let reported = self.directory.report_retirement(own, true).await;
             info!(self.host.logger(), "machine emptied"; "event" => "retirement_completed",
