--- a/crates/storage/src/catch_up.rs
+++ b/crates/storage/src/catch_up.rs
@@ -9,10 +9,8 @@
 
 use crate::clock::wall_millis;
 use crate::host::ReplicaHost;
-use crate::rpc::{ask, encode};
+use crate::rpc::{CONTENTS_AT_ONCE, ask, encode};
 
-/// Kept turns whose content is asked for at once; one is some 20 KB.
-const CONTENTS_AT_ONCE: usize = 16;
 /// Time for one page.
 const PAGE_TIMEOUT: Duration = Duration::from_secs(1);
 
--- a/crates/storage/src/leave.rs
+++ b/crates/storage/src/leave.rs
@@ -10,10 +10,8 @@
 
 use crate::clock::wall_millis;
 use crate::host::ReplicaHost;
-use crate::rpc::{ask, encode};
+use crate::rpc::{CONTENTS_AT_ONCE, ask, encode};
 
-/// Kept turns whose content is pushed at once; one is some 20 KB.
-const CONTENTS_AT_ONCE: usize = 16;
 /// Time for one page.
 const PUSH_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(1);
 
--- a/crates/storage/src/rpc.rs
+++ b/crates/storage/src/rpc.rs
@@ -9,6 +9,9 @@
 use sumacdrift_proto::{Request, Response};
 use sumacdrift_transport::Transport;
 
+/// Kept turns whose content travels in one message between replicas; one is some 20 KB.
+pub(crate) const CONTENTS_AT_ONCE: usize = 16;
+
 /// Encodes a request once for all members.
 pub(crate) fn encode(epoch: u64, kind: RequestKind) -> Bytes {
     Bytes::from(LedgerRequest { epoch, kind: Some(kind) }.encode_to_vec())
--- a/crates/storage/src/upkeep.rs
+++ b/crates/storage/src/upkeep.rs
@@ -172,7 +172,8 @@
     async fn keep_place(&mut self, view: &DirectoryView, stored: &StoredGroup) {
         let own = self.settings.own.clone();
         let known = self.host.replica().group().clone();
-        let is_leaving = view.retirements.iter().any(|asked| asked.node == own.node && !asked.is_completed);
+        let retirement = view.retirements.iter().find(|retirement| retirement.node == own.node);
+        let is_leaving = retirement.is_some_and(|retirement| !retirement.is_completed);
         if known.epoch > stored.group.epoch {
             // The directory's view lags behind a change that was made just now.
             if is_leaving && known.member(&own.node).is_none() {
@@ -180,11 +181,10 @@
             }
             return;
         }
-        let retirement = view.retirements.iter().find(|retirement| retirement.node == own.node).cloned();
-        if let Some(retirement) = retirement {
-            if !retirement.is_completed {
-                self.leave(stored).await;
-            }
+        if is_leaving {
+            self.leave(stored).await;
+        }
+        if retirement.is_some() {
             return;
         }
         if stored.group.member(&own.node).is_none() {
