--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -8,14 +8,21 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use sumacdrift_calls::{CallHead, CallMachine, EngineId, Failure, Next};
-use sumacdrift_routing::{Outcome, Placed, PlacementRequest, Selected, UrgencyFacts, urgency};
+use sumacdrift_routing::{
+    Outcome, PartNeed, Placed, PlacementRequest, RequestedWork, Selected, UrgencyFacts, urgency,
+};
 use sumacdrift_types::{Timestamp, stable_hash};
 
 use crate::dialect::{AnswerKind, Dialect, EngineAttempt};
 use crate::edge::Edge;
-use crate::engine_pool::{SendError, UsedConnection};
+use crate::engine_pool::SendError;
+use crate::engine_run::EngineRun;
 use crate::headers::forwardable;
 
+/// How long calls that are answered as a whole are believed to take before some were seen.
+const STARTING_WHOLE_TIME: Duration = Duration::from_millis(50);
+const BYTES_PER_KILOBYTE: f64 = 1e3;
+
 /// What is sent to engines, the same for every attempt.
 pub(crate) struct Forwarded {
     pub(crate) method: Method,
@@ -39,47 +46,39 @@
     pub(crate) head: CallHead,
     pub(crate) selected: Selected,
     pub(crate) forwarded: Forwarded,
+    /// The prompt of a stream, empty for other calls.
+    pub(crate) parts: Vec<PartNeed>,
     pub(crate) accepted: Timestamp,
 }
 
-/// An engine's answer that may be passed on.
-pub(crate) struct Answered<D: Dialect> {
-    pub(crate) head: response::Parts,
-    pub(crate) body: Incoming,
-    pub(crate) run: EngineRun<D>,
-}
-
-/// A call under way at an engine; counted there until this is ended or dropped.
-pub(crate) struct EngineRun<D: Dialect> {
-    edge: Arc<Edge<D>>,
-    pub(crate) engine: EngineId,
-    connection: Option<UsedConnection>,
-    outcome: Outcome,
-}
-
-impl<D: Dialect> EngineRun<D> {
-    fn begin(edge: &Arc<Edge<D>>, engine: &EngineId) -> Self {
-        edge.book().sent(engine, edge.clock.now());
-        Self { edge: Arc::clone(edge), engine: engine.clone(), connection: None, outcome: Outcome::Sound }
+impl<D: Dialect> CallContext<D> {
+    /// How long calls of this kind usually take, where some were seen.
+    pub(crate) fn usual_time(&self) -> Option<Duration> {
+        self.edge.usual_times().of(&self.selected.route.name)
     }
 
-    /// The answer was read to its end.
-    pub(crate) fn finish(mut self) {
-        if let Some(connection) = self.connection.take() {
-            connection.release();
-        }
+    fn is_about_something(&self) -> bool {
+        self.selected.route.is_sticky && self.head.affinity.is_some()
     }
 
-    /// The call failed here.
-    pub(crate) fn fail(mut self, outcome: Outcome) {
-        self.outcome = outcome;
+    /// By which equal engines are told apart: calls of a program prefer the same one, and so do calls about the same
+    /// thing; others are spread.
+    fn placement_key(&self) -> u64 {
+        let is_stream = self.selected.route.rules.kind.is_stream();
+        let program = self.head.program.as_ref().filter(|_| is_stream);
+        let thing = self.head.affinity.as_ref().filter(|_| self.is_about_something());
+        match program.map(|program| &program.program).or(thing) {
+            Some(key) => stable_hash(&[key.as_bytes()]),
+            None => rand::random(),
+        }
     }
 }
 
-impl<D: Dialect> Drop for EngineRun<D> {
-    fn drop(&mut self) {
-        self.edge.engine_ended(&self.engine, self.outcome);
-    }
+/// An engine's answer that may be passed on.
+pub(crate) struct Answered<D: Dialect> {
+    pub(crate) head: response::Parts,
+    pub(crate) body: Incoming,
+    pub(crate) run: EngineRun<D>,
 }
 
 /// Tries engines until one answers or the call is to be given up.
@@ -112,17 +111,23 @@
     rather_not: &[EngineId],
     only: Option<&EngineId>,
 ) -> Option<Placed> {
-    let line = call.head.program.as_ref().and_then(|program| program.line.as_deref());
-    let is_turn = call.selected.route.rules.kind.is_stream();
-    let affinity = if is_turn { line } else { call.head.affinity.as_deref() };
+    let work = match call.selected.route.rules.kind.is_stream() {
+        true => RequestedWork::Stream { parts: &call.parts },
+        false => RequestedWork::Whole {
+            usual: call.usual_time().unwrap_or(STARTING_WHOLE_TIME),
+            is_sticky: call.is_about_something(),
+        },
+    };
     let request = PlacementRequest {
         service: &call.selected.service.name,
         zone: &call.edge.settings.zone,
-        affinity: affinity.filter(|_| call.selected.route.is_sticky),
+        key: call.placement_key(),
+        work,
+        kilobytes: call.forwarded.body.len() as f64 / BYTES_PER_KILOBYTE,
+        is_connected: &|engine| call.edge.pool.is_connected(engine),
         avoid,
         rather_not,
         only,
-        tie: rand::random(),
     };
     call.edge.book().choose(&request, call.edge.clock.now())
 }
@@ -133,7 +138,7 @@
     placed: &Placed,
 ) -> Result<Answered<D>, Failure> {
     let edge = &call.edge;
-    let mut run = EngineRun::begin(edge, &placed.engine);
+    let mut run = EngineRun::begin(edge, placed);
     let request = engine_request(call, machine, placed);
     let deadline = edge.clock.instant(machine.deadline());
     let sending = edge.pool.send(&placed.engine, placed.address, request);
@@ -152,7 +157,7 @@
         }
         Ok(Ok(answer)) => answer,
     };
-    run.connection = Some(answer.connection);
+    run.answered_on(answer.connection);
     let failure = match edge.dialect.read_answer(&answer.head, &call.head) {
         AnswerKind::Genuine => {
             return Ok(Answered { head: answer.head, body: answer.body, run });
@@ -179,7 +184,7 @@
         priority: route.rules.priority,
         program_hash: stable_hash(&[program.program.as_bytes()]),
         program_time_left: program.time_left.map(|left| left.saturating_sub(passed)),
-        usual_time: call.edge.usual_times().of(&route.name),
+        usual_time: call.usual_time(),
     }))
 }
 
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -10,7 +10,7 @@
 use slog::info;
 use sumacdrift_calls::{CallHead, CallMachine, Next};
 use sumacdrift_http_client::{HttpError, gather};
-use sumacdrift_routing::Selected;
+use sumacdrift_routing::{PartNeed, Selected};
 use sumacdrift_storage::LedgerError;
 use sumacdrift_types::{Ran, ResultCode, Timestamp};
 
@@ -18,9 +18,10 @@
 use crate::attempt::{CallContext, Forwarded};
 use crate::dialect::Dialect;
 use crate::edge::Edge;
+use crate::fleet_news::prompt_parts;
 use crate::plain::run_plain;
 use crate::stream::run_stream;
-use crate::turn::{OpenTurn, code_of};
+use crate::turn::{OpenTurn, TurnRequest, code_of};
 
 /// When a caller is told to come back after a refusal that has nothing to do with engines.
 const COME_BACK_AFTER: std::time::Duration = std::time::Duration::from_millis(200);
@@ -85,14 +86,16 @@
     let Accepted { parts, head, selected, mut machine, body, accepted } = incoming;
     if !selected.route.rules.kind.is_stream() {
         let forwarded = Forwarded::new(&parts, body);
-        let call = CallContext { edge: Arc::clone(edge), head, selected, forwarded, accepted };
+        let parts = Vec::new();
+        let call = CallContext { edge: Arc::clone(edge), head, selected, forwarded, parts, accepted };
         return match run_plain(&call, &mut machine).await {
             Ok(answer) => answer,
             Err(next) => give_up(&call, &machine, &next),
         };
     }
+    let prompt = prompt_parts(&head);
     let asked = edge.clock.now();
-    let begun = begin_turn(edge, &head, &selected, body, machine.admission_deadline(asked)).await;
+    let begun = begin_turn(edge, &head, &selected, body, &prompt, machine.admission_deadline(asked)).await;
     edge.metrics.ledger_seconds.observe(edge.clock.now().since(asked).as_secs_f64());
     let (turn, body) = match begun {
         Ok(begun) => begun,
@@ -106,7 +109,7 @@
         }
     };
     let forwarded = Forwarded::new(&parts, body);
-    let call = CallContext { edge: Arc::clone(edge), head, selected, forwarded, accepted };
+    let call = CallContext { edge: Arc::clone(edge), head, selected, forwarded, parts: prompt, accepted };
     match run_stream(call, machine, turn).await {
         Ok(answer) => answer,
         Err((call, machine, next)) => give_up(&call, &machine, &next),
@@ -119,6 +122,7 @@
     head: &CallHead,
     selected: &Selected,
     body: Bytes,
+    parts: &[PartNeed],
     until: Timestamp,
 ) -> Result<(Option<OpenTurn>, Bytes), LedgerError> {
     let Some(program) = &head.program else { return Ok((None, body)) };
@@ -127,8 +131,9 @@
         return Ok((None, body));
     }
     let until = edge.clock.instant(until);
-    let (turn, admission) =
-        OpenTurn::begin(&edge.ledger, &edge.logger, head, program, selected, &body, until).await?;
+    let news = edge.news_at_begin(parts);
+    let request = TurnRequest { head, program, selected, input: &body, news };
+    let (turn, admission) = OpenTurn::begin(&edge.ledger, &edge.logger, request, until).await?;
     let prompt = if selected.route.is_retained { admission.chain.into_prompt(&body) } else { body };
     Ok((Some(turn), prompt))
 }
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -13,6 +13,7 @@
 use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::engine_pool::EnginePool;
+use crate::fleet_news::{TellTimes, follow_views};
 use crate::metrics::EdgeMetrics;
 use crate::usual_times::UsualTimes;
 
@@ -30,6 +31,8 @@
 /// Settings of an edge.
 #[derive(Debug, Clone)]
 pub struct EdgeSettings {
+    /// Name of the node.
+    pub node: String,
     /// The node's zone.
     pub zone: String,
 }
@@ -58,6 +61,7 @@
     routes: Mutex<Routes>,
     book: Mutex<EngineBook>,
     usual_times: Mutex<UsualTimes>,
+    pub(crate) tell_times: TellTimes,
     is_stopping: AtomicBool,
 }
 
@@ -70,7 +74,7 @@
             max_pause: LONGEST_AVOIDANCE,
             slow_start: SLOW_START,
         };
-        Arc::new(Self {
+        let edge = Arc::new(Self {
             settings: parts.settings,
             dialect: parts.dialect,
             ledger: parts.ledger,
@@ -81,8 +85,11 @@
             routes: Mutex::default(),
             book: Mutex::new(EngineBook::new(health)),
             usual_times: Mutex::default(),
+            tell_times: TellTimes::default(),
             is_stopping: AtomicBool::new(false),
-        })
+        });
+        follow_views(&edge);
+        edge
     }
 
     /// Puts a configuration in force if it is newer.
--- a/crates/edge/src/engine_pool.rs
+++ b/crates/edge/src/engine_pool.rs
@@ -122,6 +122,13 @@
         }
     }
 
+    /// Whether a connection to the engine rests.
+    pub(crate) fn is_connected(&self, engine: &EngineId) -> bool {
+        let now = Instant::now();
+        let pool = self.resting.lock().unwrap_or_else(PoisonError::into_inner);
+        pool.get(engine).is_some_and(|resting| resting.iter().any(|connection| connection.until > now))
+    }
+
     /// Closes connections that have rested too long, and those of engines that are gone.
     pub(crate) fn sweep(&self, is_known: impl Fn(&EngineId) -> bool) {
         let now = Instant::now();
--- /dev/null
+++ b/crates/edge/src/engine_run.rs
@@ -0,0 +1,124 @@
+//! A call under way at an engine: counted there, timed, and told to the book when it ends.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use sumacdrift_calls::EngineId;
+use sumacdrift_routing::{Outcome, Placed, StreamSeen};
+use sumacdrift_types::Timestamp;
+
+use crate::dialect::Dialect;
+use crate::edge::Edge;
+use crate::engine_pool::UsedConnection;
+
+/// Events seen so far.
+#[derive(Debug, Clone, Copy)]
+struct EventTimes {
+    first: Timestamp,
+    last: Timestamp,
+    events: u64,
+}
+
+/// A call under way at an engine; counted there until this is ended or dropped.
+pub(crate) struct EngineRun<D: Dialect> {
+    edge: Arc<Edge<D>>,
+    pub(crate) engine: EngineId,
+    placed: Placed,
+    sent: Timestamp,
+    /// Tokens that still count as unread.
+    unread_tokens: u64,
+    times: Option<EventTimes>,
+    connection: Option<UsedConnection>,
+    outcome: Outcome,
+}
+
+impl<D: Dialect> EngineRun<D> {
+    /// The call goes to an engine now.
+    pub(crate) fn begin(edge: &Arc<Edge<D>>, placed: &Placed) -> Self {
+        let sent = edge.clock.now();
+        edge.book().sent(&placed.engine, placed.unread_tokens, sent);
+        Self {
+            edge: Arc::clone(edge),
+            engine: placed.engine.clone(),
+            placed: placed.clone(),
+            sent,
+            unread_tokens: placed.unread_tokens,
+            times: None,
+            connection: None,
+            outcome: Outcome::Sound,
+        }
+    }
+
+    /// The answer comes on this connection.
+    pub(crate) fn answered_on(&mut self, connection: UsedConnection) {
+        self.connection = Some(connection);
+    }
+
+    /// Why the engine was chosen.
+    pub(crate) fn placed(&self) -> &Placed {
+        &self.placed
+    }
+
+    /// Events of a stream came.
+    pub(crate) fn events_came(&mut self, events: usize) {
+        let now = self.edge.clock.now();
+        if self.times.is_none() {
+            self.was_read();
+        }
+        let times = self.times.get_or_insert(EventTimes { first: now, last: now, events: 0 });
+        times.last = now;
+        times.events += events as u64;
+    }
+
+    /// A stream was read to its end.
+    pub(crate) fn finish_stream(self) {
+        if let Some(times) = self.times {
+            let seen = StreamSeen {
+                first_millis: millis(times.first.since(self.sent)),
+                rest_millis: millis(times.last.since(times.first)),
+                events: times.events,
+                tokens_ahead: self.placed.tokens_ahead,
+                running: self.placed.running,
+            };
+            self.edge.book().observe_stream(&self.engine, &seen, self.edge.clock.now());
+        }
+        self.finish();
+    }
+
+    /// A whole answer was read, of a call that usually takes so long.
+    pub(crate) fn finish_whole(self, usual: Option<Duration>) {
+        let now = self.edge.clock.now();
+        if let Some(usual) = usual.filter(|usual| !usual.is_zero()) {
+            let slowness = now.since(self.sent).as_secs_f64() / usual.as_secs_f64();
+            self.edge.book().observe_whole(&self.engine, slowness, now);
+        }
+        self.finish();
+    }
+
+    /// The call failed here.
+    pub(crate) fn fail(mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+
+    fn finish(mut self) {
+        if let Some(connection) = self.connection.take() {
+            connection.release();
+        }
+    }
+
+    fn was_read(&mut self) {
+        let unread_tokens = std::mem::take(&mut self.unread_tokens);
+        self.edge.book().was_read(&self.engine, unread_tokens);
+    }
+}
+
+impl<D: Dialect> Drop for EngineRun<D> {
+    fn drop(&mut self) {
+        self.was_read();
+        self.edge.engine_ended(&self.engine, self.outcome);
+    }
+}
+
+fn millis(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1e3
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -12,6 +12,8 @@
 mod dialect;
 mod edge;
 mod engine_pool;
+mod engine_run;
+mod fleet_news;
 mod headers;
 mod listener;
 mod metrics;
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -24,15 +24,16 @@
     let mut next = machine.begin(call.edge.clock.now());
     loop {
         let answered = find_answer(call, machine, next).await?;
-        let engine = answered.run.engine.clone();
+        let placed = answered.run.placed().clone();
         match gather(call, machine, answered).await {
             Ok((head, bytes)) => {
                 let taken = call.edge.clock.now().since(call.accepted);
                 call.edge.metrics.plain_seconds.observe(taken.as_secs_f64());
-                call.report_served(machine, head.status.as_u16(), engine.as_str());
+                call.edge.usual_times().observe(&call.selected.route.name, taken);
+                call.report_served(machine, head.status.as_u16(), &placed);
                 return Ok(pass_on(&head, whole_body(bytes)));
             }
-            Err(failure) => next = machine.failed(&engine, failure, call.edge.clock.now()),
+            Err(failure) => next = machine.failed(&placed.engine, failure, call.edge.clock.now()),
         }
     }
 }
@@ -55,7 +56,7 @@
     let gathering = tokio::time::timeout_at(deadline, gather_body(answered.body, MAX_ANSWER_BYTES)).await;
     match gathering {
         Ok(Ok(bytes)) => {
-            answered.run.finish();
+            answered.run.finish_whole(call.usual_time());
             Ok((answered.head, bytes))
         }
         Ok(Err(_)) | Err(_) => {
--- a/crates/edge/src/report.rs
+++ b/crates/edge/src/report.rs
@@ -14,18 +14,21 @@
         self.edge.metrics.failed_attempts.inc();
         info!(self.edge.logger, "attempt failed"; "event" => "attempt_failed", "call" => &self.head.id,
             "engine" => %placed.engine, "failure" => ?failure, "next" => ?next,
-            "candidates" => placed.candidates, "in_flight" => placed.in_flight,
+            "candidates" => placed.candidates, "running" => placed.running as u64,
             "age_ms" => self.age_millis());
     }
 
     /// The call was answered by an engine to its end.
-    pub(crate) fn report_served(&self, machine: &CallMachine, status: u16, engine: &str) {
+    pub(crate) fn report_served(&self, machine: &CallMachine, status: u16, placed: &Placed) {
         self.edge.metrics.served.inc();
         let program = self.head.program.as_ref().map_or("", |program| &program.program);
-        info!(self.edge.logger, "served"; "event" => "served", "call" => &self.head.id, "engine" => engine,
+        info!(self.edge.logger, "served"; "event" => "served", "call" => &self.head.id, "engine" => %placed.engine,
             "status" => status, "events" => machine.events(), "misses" => machine.misses(),
             "age_ms" => self.age_millis(), "version" => self.selected.version, "program" => program,
-            "route" => &*self.selected.route.name);
+            "route" => &*self.selected.route.name, "expected_ms" => placed.estimate.own_millis as u64,
+            "unread_tokens" => placed.unread_tokens, "tokens_ahead" => placed.tokens_ahead as u64,
+            "running" => placed.running as u64, "next_best_ms" => placed.next_best.map(|cost| cost as u64),
+            "others_age_ms" => placed.others_age.map(|age| age.as_millis() as u64));
     }
 
     /// The call was refused, failed or broken off.
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -6,13 +6,16 @@
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
-use sumacdrift_calls::{CallMachine, EventSplitter, Failure, Next, StreamEvent};
+use sumacdrift_calls::{CallMachine, EngineId, EventSplitter, Failure, Next, StreamEvent};
 use sumacdrift_routing::Outcome;
+use sumacdrift_storage::LedgerError;
 use sumacdrift_types::ResultCode;
 
 use crate::answers::{EdgeBody, RelayError, whole_body};
-use crate::attempt::{Answered, CallContext, EngineRun, find_answer};
+use crate::attempt::{Answered, CallContext, find_answer};
 use crate::dialect::Dialect;
+use crate::engine_run::EngineRun;
+use crate::fleet_news::held_parts;
 use crate::metrics::UnderWay;
 use crate::plain::{gather, pass_on};
 use crate::turn::{OpenTurn, code_of};
@@ -53,10 +56,10 @@
     machine: CallMachine,
     answered: Answered<D>,
 ) -> Result<Response<EdgeBody>, (CallContext<D>, CallMachine, Next)> {
-    let engine = answered.run.engine.clone();
+    let placed = answered.run.placed().clone();
     match gather(&call, &machine, answered).await {
         Ok((head, bytes)) => {
-            call.report_served(&machine, head.status.as_u16(), engine.as_str());
+            call.report_served(&machine, head.status.as_u16(), &placed);
             Ok(pass_on(&head, whole_body(bytes)))
         }
         Err(_) => Err((call, machine, Next::Fail { code: ResultCode::BackEndCut })),
@@ -104,11 +107,7 @@
                 return Some(Ok(self.give(event)));
             }
             match self.read().await {
-                ReadOutcome::Data => {
-                    while let Some(event) = self.splitter.next_event() {
-                        self.ready.push_back(event);
-                    }
-                }
+                ReadOutcome::Data => self.take_events(),
                 ReadOutcome::End => return self.end().await,
                 ReadOutcome::Broken => {
                     if let Some(code) = self.go_on().await {
@@ -120,6 +119,15 @@
         None
     }
 
+    fn take_events(&mut self) {
+        while let Some(event) = self.splitter.next_event() {
+            self.ready.push_back(event);
+        }
+        if let Some((_, run)) = self.source.as_mut().filter(|_| !self.ready.is_empty()) {
+            run.events_came(self.ready.len());
+        }
+    }
+
     /// Gives an event out, with those that are ready behind it.
     fn give(&mut self, first: StreamEvent) -> Bytes {
         self.note(&first);
@@ -165,24 +173,32 @@
             return Some(Err(self.break_off(ResultCode::BackEndCut)));
         }
         self.is_over = true;
-        let mut engine = None;
-        if let Some((_, run)) = self.source.take() {
-            engine = Some(run.engine.clone());
-            run.finish();
-        }
+        let Some((_, run)) = self.source.take() else {
+            return Some(Err(self.break_off(ResultCode::Internal)));
+        };
+        let placed = run.placed().clone();
+        run.finish_stream();
         if let Some(turn) = self.turn.take()
-            && let Err(error) = turn.commit().await
+            && let Err(error) = self.commit(turn, &placed.engine).await
         {
             return Some(Err(self.break_off(code_of(error))));
         }
         let taken = self.call.edge.clock.now().since(self.call.accepted);
         self.call.edge.usual_times().observe(&self.call.selected.route.name, taken);
         self.call.edge.metrics.stream_seconds.observe(taken.as_secs_f64());
-        let engine = engine.map(|engine| engine.to_string()).unwrap_or_default();
-        self.call.report_served(&self.machine, StatusCode::OK.as_u16(), &engine);
+        self.call.report_served(&self.machine, StatusCode::OK.as_u16(), &placed);
         None
     }
 
+    /// Records the turn's end, and tells where its prompt and answer lie now.
+    async fn commit(&self, turn: OpenTurn, engine: &EngineId) -> Result<(), LedgerError> {
+        let edge = &self.call.edge;
+        let held = held_parts(engine, &self.call.parts, turn.tokens());
+        let now = edge.clock.now();
+        held.iter().for_each(|held| edge.book().holds(*held, now));
+        turn.commit(edge.news_at_end(&held)).await
+    }
+
     /// The engine broke off: finds one to take the stream up. Returns the reason where there is none.
     async fn go_on(&mut self) -> Option<ResultCode> {
         self.splitter.clear();
--- a/crates/edge/src/turn.rs
+++ b/crates/edge/src/turn.rs
@@ -30,6 +30,17 @@
     has_ended: bool,
 }
 
+/// What a turn needs to begin.
+pub(crate) struct TurnRequest<'a> {
+    pub(crate) head: &'a CallHead,
+    pub(crate) program: &'a ProgramHead,
+    pub(crate) selected: &'a Selected,
+    /// What the caller sent.
+    pub(crate) input: &'a Bytes,
+    /// What is told to other nodes besides.
+    pub(crate) news: Bytes,
+}
+
 /// The result code that tells of a ledger's refusal.
 pub(crate) fn code_of(error: LedgerError) -> ResultCode {
     match error {
@@ -44,12 +55,10 @@
     pub(crate) async fn begin(
         ledger: &Arc<LedgerClient>,
         logger: &Logger,
-        head: &CallHead,
-        program: &ProgramHead,
-        selected: &Selected,
-        input: &Bytes,
+        request: TurnRequest<'_>,
         until: Instant,
     ) -> Result<(Self, Admission), LedgerError> {
+        let TurnRequest { head, program, selected, input, news } = request;
         let route = &selected.route;
         let retention = if route.retention.is_zero() { DEFAULT_RETENTION } else { route.retention };
         let retention_millis = u64::try_from(retention.as_millis()).unwrap_or(u64::MAX);
@@ -78,6 +87,7 @@
             budget_tokens: program.token_budget.unwrap_or(0),
             needs_chain: route.is_retained && !previous.is_empty(),
             previous,
+            news,
         };
         // If this is dropped while it waits, `open` ends the turn.
         let admission = ledger.begin(begin, until).await?;
@@ -96,7 +106,8 @@
     }
 
     /// The stream came to its end. Where the turn is kept, it is committed before this returns.
-    pub(crate) async fn commit(mut self) -> Result<(), LedgerError> {
+    /// `news` is told besides.
+    pub(crate) async fn commit(mut self, news: Bytes) -> Result<(), LedgerError> {
         let retained = self.input.take().map(|input| RetainedTurn {
             previous: self.previous.clone(),
             input,
@@ -105,15 +116,20 @@
         let is_kept = retained.is_some();
         let ended = self.ended(retained);
         if is_kept {
-            self.ledger.end(ended).await?;
+            self.ledger.end(ended, news).await?;
             self.has_ended = true;
         } else {
             self.has_ended = true;
-            self.settle_later(ended);
+            self.settle_later(ended, news);
         }
         Ok(())
     }
 
+    /// Tokens handed out so far.
+    pub(crate) fn tokens(&self) -> u64 {
+        self.tokens
+    }
+
     fn ended(&self, retained: Option<RetainedTurn>) -> TurnEnded {
         TurnEnded {
             program: self.program.clone(),
@@ -124,12 +140,12 @@
         }
     }
 
-    fn settle_later(&self, ended: TurnEnded) {
+    fn settle_later(&self, ended: TurnEnded, news: Bytes) {
         let ledger = Arc::clone(&self.ledger);
         let logger = self.logger.clone();
         tokio::spawn(async move {
             let turn = ended.turn.clone();
-            if let Err(error) = ledger.end(ended).await {
+            if let Err(error) = ledger.end(ended, news).await {
                 info!(logger, "turn not settled"; "event" => "turn_not_settled", "call" => turn,
                     "error" => %error);
             }
@@ -141,7 +157,7 @@
     fn drop(&mut self) {
         if !self.has_ended && tokio::runtime::Handle::try_current().is_ok() {
             let ended = self.ended(None);
-            self.settle_later(ended);
+            self.settle_later(ended, Bytes::new());
         }
     }
 }
--- /dev/null
+++ b/crates/fleet-view/src/board.rs
@@ -0,0 +1,59 @@
+//! The replica's side: takes edges' news and answers with what the others told.
+
+use std::time::Duration;
+
+use sumacdrift_types::Timestamp;
+
+use crate::load_table::LoadTable;
+use crate::message::{News, View};
+use crate::part_index::PartIndex;
+
+/// Parts that one message may name, so that a broken asker can't make work.
+const MOST_PARTS_A_MESSAGE: usize = 16;
+/// Engines that one message may name.
+const MOST_ENGINES_A_MESSAGE: usize = 4096;
+/// Edges that are told as ways around a cut.
+const MOST_RELAYS: usize = 6;
+
+/// Bounds of a board's memory.
+#[derive(Debug, Clone, Copy)]
+pub struct BoardSizes {
+    /// Parts of prompts that are remembered.
+    pub parts: usize,
+    /// How long a part counts as held since it was last used.
+    pub keep_parts_for: Duration,
+}
+
+/// What edges told.
+#[derive(Debug)]
+pub struct Board {
+    parts: PartIndex,
+    loads: LoadTable,
+}
+
+impl Board {
+    /// A board that knows nothing.
+    pub fn new(sizes: BoardSizes) -> Self {
+        Self { parts: PartIndex::new(sizes.parts, sizes.keep_parts_for), loads: LoadTable::default() }
+    }
+
+    /// Takes an edge's news in and answers what it asked.
+    pub fn exchange(&mut self, news: News, now: Timestamp) -> View {
+        for held in news.held.iter().take(MOST_PARTS_A_MESSAGE) {
+            self.parts.note(*held, now);
+        }
+        if let Some(mut loads) = news.loads {
+            loads.engines.truncate(MOST_ENGINES_A_MESSAGE);
+            self.loads.tell(&news.node, &news.relay, loads, now);
+        }
+        let asked = news.asked_parts.iter().take(MOST_PARTS_A_MESSAGE);
+        View {
+            loads: news.asks_loads.then(|| self.loads.besides(&news.node, now)),
+            held: asked.flat_map(|part| self.parts.holders(*part, now)).collect(),
+            relays: match news.asks_relays {
+                true => self.loads.relays(&news.node, MOST_RELAYS, now),
+                false => Vec::new(),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet-view/tests/board.rs
@@ -0,0 +1,77 @@
+//! What edges tell each other by way of a replica.
+
+use std::time::Duration;
+
+use prost::Message;
+use sumacdrift_fleet_view::{Board, BoardSizes, EngineLoad, Loads, News, PartHeld, View};
+use sumacdrift_types::Timestamp;
+
+fn board() -> Board {
+    Board::new(BoardSizes { parts: 64, keep_parts_for: Duration::from_secs(10) })
+}
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::default() + Duration::from_millis(millis)
+}
+
+fn load(engine: u32, running: u32, unread_tokens: u32) -> EngineLoad {
+    EngineLoad { engine, running, unread_tokens }
+}
+
+fn telling(node: &str, engines: Vec<EngineLoad>) -> News {
+    News { node: node.to_owned(), loads: Some(Loads { engines }), asks_loads: true, ..News::default() }
+}
+
+fn loads(view: &View) -> Vec<EngineLoad> {
+    view.loads.as_ref().map(|loads| loads.engines.clone()).unwrap_or_default()
+}
+
+#[test]
+fn an_edge_learns_the_sum_of_the_others() {
+    let mut board = board();
+    board.exchange(telling("a", vec![load(1, 2, 100), load(2, 1, 0)]), at(0));
+    board.exchange(telling("b", vec![load(1, 3, 50)]), at(10));
+    let view = board.exchange(telling("c", vec![load(1, 9, 9)]), at(20));
+    assert_eq!(loads(&view), [load(1, 5, 150), load(2, 1, 0)]);
+}
+
+#[test]
+fn what_an_edge_told_is_replaced_and_does_not_outlast_it() {
+    let mut board = board();
+    board.exchange(telling("a", vec![load(1, 2, 100)]), at(0));
+    board.exchange(telling("a", Vec::new()), at(10));
+    assert!(loads(&board.exchange(telling("b", Vec::new()), at(20))).is_empty());
+    board.exchange(telling("a", vec![load(1, 2, 100)]), at(30));
+    assert_eq!(loads(&board.exchange(telling("b", Vec::new()), at(900))).len(), 1);
+    assert!(loads(&board.exchange(telling("b", Vec::new()), at(2_000))).is_empty());
+}
+
+#[test]
+fn parts_are_told_to_those_who_ask_for_them() {
+    let mut board = board();
+    let held = vec![PartHeld { part: 5, engine: 1, tokens: 700 }];
+    board.exchange(News { held: held.clone(), ..News::default() }, at(0));
+    let asked = News { asked_parts: vec![4, 5], ..News::default() };
+    assert_eq!(board.exchange(asked, at(10)).held, held);
+    assert!(board.exchange(News::default(), at(10)).held.is_empty());
+}
+
+#[test]
+fn one_message_can_not_ask_or_tell_without_bound() {
+    let mut board = board();
+    let flood = (0..100_000).map(|part| PartHeld { part, engine: 1, tokens: 1 });
+    board.exchange(News { held: flood.collect(), ..News::default() }, at(0));
+    let asked = News { asked_parts: (0..100_000).collect(), ..News::default() };
+    assert!(board.exchange(asked, at(1)).held.len() <= 64);
+}
+
+/// A newer version may say more; an older one may not know how to ask.
+#[test]
+fn unknown_fields_are_ignored_and_missing_ones_are_empty() {
+    let mut bytes = telling("a", vec![load(1, 2, 100)]).encode_to_vec();
+    // Field 99, a text.
+    bytes.extend([0x9a, 0x06, 0x03, b'n', b'e', b'w']);
+    let news = News::decode(bytes.as_slice()).expect("readable news");
+    assert_eq!(news, telling("a", vec![load(1, 2, 100)]));
+    assert_eq!(News::decode(&[][..]).expect("empty news"), News::default());
+}
--- /dev/null
+++ b/crates/fleet-view/tests/part_index.rs
@@ -0,0 +1,64 @@
+//! Which engines hold which parts, as far as is believed.
+
+use std::time::Duration;
+
+use sumacdrift_fleet_view::{PartHeld, PartIndex};
+use sumacdrift_types::Timestamp;
+
+const KEPT_FOR: Duration = Duration::from_secs(10);
+
+fn at(seconds: u64) -> Timestamp {
+    Timestamp::default() + Duration::from_secs(seconds)
+}
+
+fn held(part: u64, engine: u32, tokens: u32) -> PartHeld {
+    PartHeld { part, engine, tokens }
+}
+
+fn holders(index: &PartIndex, part: u64, now: Timestamp) -> Vec<(u32, u32)> {
+    let mut holders: Vec<_> = index.holders(part, now).map(|held| (held.engine, held.tokens)).collect();
+    holders.sort_unstable();
+    holders
+}
+
+#[test]
+fn a_part_grows_and_an_older_turn_told_late_does_not_shrink_it() {
+    let mut index = PartIndex::new(8, KEPT_FOR);
+    index.note(held(1, 7, 100), at(0));
+    index.note(held(1, 7, 300), at(1));
+    index.note(held(1, 7, 200), at(2));
+    index.note(held(1, 8, 50), at(2));
+    assert_eq!(holders(&index, 1, at(3)), [(7, 300), (8, 50)]);
+}
+
+#[test]
+fn what_was_not_used_for_long_is_no_longer_believed() {
+    let mut index = PartIndex::new(8, KEPT_FOR);
+    index.note(held(1, 7, 100), at(0));
+    index.note(held(1, 8, 100), at(6));
+    assert_eq!(holders(&index, 1, at(9)), [(7, 100), (8, 100)]);
+    assert_eq!(holders(&index, 1, at(10)), [(8, 100)]);
+    index.note(held(2, 7, 1), at(30));
+    assert_eq!(index.len(), 1);
+}
+
+#[test]
+fn the_parts_used_longest_ago_give_way() {
+    let mut index = PartIndex::new(3, KEPT_FOR);
+    for part in 0..5 {
+        index.note(held(part, 7, 1), at(part));
+    }
+    assert_eq!(index.len(), 3);
+    assert!(holders(&index, 1, at(5)).is_empty());
+    assert_eq!(holders(&index, 4, at(5)), [(7, 1)]);
+}
+
+#[test]
+fn the_holders_of_a_part_are_bounded() {
+    let mut index = PartIndex::new(3, KEPT_FOR);
+    for engine in 0..200 {
+        index.note(held(1, engine, 1), at(1));
+    }
+    assert!(holders(&index, 1, at(1)).len() < 30);
+    assert!(holders(&index, 1, at(1)).contains(&(199, 1)));
+}
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -150,6 +150,9 @@
     /// What is asked.
     #[prost(oneof = "RequestKind", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
     pub kind: Option<RequestKind>,
+    /// What the asker tells besides, for whoever hosts the replica. Its content means nothing here.
+    #[prost(bytes = "bytes", tag = "15")]
+    pub news: Bytes,
 }
 
 /// What is asked of a replica.
@@ -253,6 +256,9 @@
     /// The answer.
     #[prost(oneof = "ReplyKind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
     pub kind: Option<ReplyKind>,
+    /// What the replica's host tells in return for news. Its content means nothing here.
+    #[prost(bytes = "bytes", tag = "15")]
+    pub view: Bytes,
 }
 
 /// What a replica answers.
--- a/crates/ledger/src/replica.rs
+++ b/crates/ledger/src/replica.rs
@@ -340,7 +340,7 @@
 }
 
 fn reply(kind: ReplyKind) -> LedgerReply {
-    LedgerReply { kind: Some(kind) }
+    LedgerReply { kind: Some(kind), ..LedgerReply::default() }
 }
 
 fn durable(record: Record) -> Vec<Record> {
--- a/crates/ledger/tests/replica.rs
+++ b/crates/ledger/tests/replica.rs
@@ -36,7 +36,13 @@
 
 fn begin(replica: &mut Replica, epoch: u64, turn: &str) -> Option<ReplyKind> {
     let begin = Begin { turn: Some(begun(turn)), budget_tokens: 250, ..Begin::default() };
-    replica.handle(LedgerRequest { epoch, kind: Some(RequestKind::Begin(begin)) }, NOW).reply.kind
+    replica
+        .handle(
+            LedgerRequest { epoch, kind: Some(RequestKind::Begin(begin)), ..LedgerRequest::default() },
+            NOW,
+        )
+        .reply
+        .kind
 }
 
 fn vote(known: &[(&str, u64, bool)], fits: bool) -> BeginVote {
@@ -109,7 +115,10 @@
     let mut wiped = replica("a", false);
     let members = group(1, &[("a", 1), ("b", 1)]);
     let request = PageRequest { group: Some(members.to_message()), ..PageRequest::default() };
-    let step = wiped.handle(LedgerRequest { epoch: 1, kind: Some(RequestKind::Page(request)) }, NOW);
+    let step = wiped.handle(
+        LedgerRequest { epoch: 1, kind: Some(RequestKind::Page(request)), ..LedgerRequest::default() },
+        NOW,
+    );
     assert!(matches!(step.reply.kind, Some(ReplyKind::NotVoting(_))));
     assert_eq!(wiped.group().epoch, 1);
 }
@@ -122,7 +131,10 @@
     begin(&mut replica, 1, "two");
     assert!(matches!(begin(&mut replica, 1, "three"), Some(ReplyKind::Vote(vote)) if !vote.fits));
     let end = End { turn: Some(ended("one", 10)) };
-    replica.handle(LedgerRequest { epoch: 1, kind: Some(RequestKind::End(end)) }, NOW);
+    replica.handle(
+        LedgerRequest { epoch: 1, kind: Some(RequestKind::End(end)), ..LedgerRequest::default() },
+        NOW,
+    );
     assert!(matches!(begin(&mut replica, 1, "three"), Some(ReplyKind::Vote(vote)) if vote.fits));
 }
 
@@ -239,7 +251,11 @@
 }
 
 fn page_of(replica: &mut Replica, epoch: u64) -> Option<ReplyKind> {
-    let request = LedgerRequest { epoch, kind: Some(RequestKind::Page(PageRequest::default())) };
+    let request = LedgerRequest {
+        epoch,
+        kind: Some(RequestKind::Page(PageRequest::default())),
+        ..LedgerRequest::default()
+    };
     replica.handle(request, NOW).reply.kind
 }
 
@@ -300,7 +316,10 @@
         let content = RetainedTurn { previous: String::new(), input: turn.into(), output: Bytes::new() };
         for source in &mut sources[holders] {
             let end = End { turn: Some(TurnEnded { retained: Some(content.clone()), ..ended(turn, 10) }) };
-            source.handle(LedgerRequest { epoch: 1, kind: Some(RequestKind::End(end)) }, NOW);
+            source.handle(
+                LedgerRequest { epoch: 1, kind: Some(RequestKind::End(end)), ..LedgerRequest::default() },
+                NOW,
+            );
         }
     }
     let mut wiped = replica("c", false);
--- a/crates/ledger/tests/world/mod.rs
+++ b/crates/ledger/tests/world/mod.rs
@@ -190,7 +190,7 @@
             if self.random.random_bool(0.1) {
                 continue;
             }
-            let request = LedgerRequest { epoch, kind: Some(kind.clone()) };
+            let request = LedgerRequest { epoch, kind: Some(kind.clone()), ..LedgerRequest::default() };
             self.messages.push(Message { operation, to: member.node.clone(), request });
         }
     }
@@ -359,7 +359,11 @@
                 let mut records = page.records.clone();
                 records.extend(self.machines[leaving].replica.state().contents(&turns, NOW).records);
                 let push = Push { records, group: Some(self.group.to_message()) };
-                let request = LedgerRequest { epoch: self.group.epoch, kind: Some(RequestKind::Push(push)) };
+                let request = LedgerRequest {
+                    epoch: self.group.epoch,
+                    kind: Some(RequestKind::Push(push)),
+                    ..LedgerRequest::default()
+                };
                 if self.random.random_bool(0.02) || self.ask(node, request).is_none() {
                     return false;
                 }
@@ -379,7 +383,11 @@
             group: Some(group.to_message()),
             keys_only: true,
         };
-        let request = LedgerRequest { epoch: group.epoch, kind: Some(RequestKind::Page(request)) };
+        let request = LedgerRequest {
+            epoch: group.epoch,
+            kind: Some(RequestKind::Page(request)),
+            ..LedgerRequest::default()
+        };
         match self.ask(node, request).and_then(|reply| reply.kind) {
             Some(ReplyKind::Page(page)) => page.kept_turns.into_iter().collect(),
             _ => BTreeSet::new(),
@@ -448,7 +456,8 @@
         });
         let keys_only = machine.replica.has_read_any();
         let request = PageRequest { after, group: Some(group.to_message()), keys_only };
-        let request = LedgerRequest { epoch, kind: Some(RequestKind::Page(request)) };
+        let request =
+            LedgerRequest { epoch, kind: Some(RequestKind::Page(request)), ..LedgerRequest::default() };
         let page = match self.ask(&source, request).and_then(|reply| reply.kind) {
             Some(ReplyKind::Page(page)) => page,
             Some(ReplyKind::NeverVoted(_)) => {
@@ -461,7 +470,8 @@
         let next = page.next.clone();
         let lacking = self.machines[&node].replica.lacking(&page);
         let request = RequestKind::Contents(ContentsRequest { turns: lacking });
-        let contents = self.ask(&source, LedgerRequest { epoch, kind: Some(request) });
+        let contents =
+            self.ask(&source, LedgerRequest { epoch, kind: Some(request), ..LedgerRequest::default() });
         let Some(ReplyKind::Page(contents)) = contents.and_then(|reply| reply.kind) else { return };
         let machine = self.machine(&node);
         let records = machine.replica.take_page(contents, NOW);
--- /dev/null
+++ b/crates/routing/src/engine.rs
@@ -0,0 +1,137 @@
+//! One engine and what is believed of it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use sumacdrift_calls::EngineId;
+use sumacdrift_fleet_view::engine_key;
+use sumacdrift_scheduling::{Health, HealthSettings};
+use sumacdrift_types::Timestamp;
+
+/// Weight of a new observation of an engine's slowness.
+const SLOWNESS_LEARNING_RATE: f64 = 0.15;
+/// Bounds of an engine's slowness.
+const LEAST_SLOWNESS: f64 = 0.3;
+const LARGEST_SLOWNESS: f64 = 10.0;
+/// Time after which half of what an engine's slowness differs from the usual is forgotten, so that an engine that
+/// was slow is tried again.
+const SLOWNESS_HALF_LIFE: Duration = Duration::from_secs(8);
+
+/// An engine as the directory describes it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EngineSpec {
+    /// Its life.
+    pub id: EngineId,
+    /// Its service.
+    pub service: Arc<str>,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: Arc<str>,
+    /// Calls that it works on at once.
+    pub slots: usize,
+    /// Whether it said that it takes no new work.
+    pub is_leaving: bool,
+    /// Number of the engine's report that said so; later ones are higher.
+    pub report: u64,
+}
+
+/// How a call at an engine ended, as far as it shows the engine's health.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// Well, or by the caller's doing.
+    Sound,
+    /// It turned the call away.
+    Busy,
+    /// By the engine's fault.
+    Faulty,
+    /// It could not be reached.
+    Unreachable,
+}
+
+/// How many times longer than usual an engine takes; fades towards the usual.
+#[derive(Debug, Clone, Copy)]
+struct Slowness {
+    value: f64,
+    at: Timestamp,
+}
+
+impl Slowness {
+    fn now(&self, now: Timestamp) -> f64 {
+        let halvings = now.since(self.at).as_secs_f64() / SLOWNESS_HALF_LIFE.as_secs_f64();
+        1.0 + (self.value - 1.0) * (-halvings).exp2()
+    }
+
+    fn observe(&mut self, seen: f64, now: Timestamp) {
+        let known = self.now(now);
+        let seen = seen.clamp(LEAST_SLOWNESS, LARGEST_SLOWNESS);
+        *self = Self { value: known + SLOWNESS_LEARNING_RATE * (seen - known), at: now };
+    }
+}
+
+/// An engine and what is believed of it.
+#[derive(Debug)]
+pub(crate) struct Engine {
+    pub(crate) spec: EngineSpec,
+    pub(crate) key: u32,
+    /// Calls of this node under way there.
+    pub(crate) running: usize,
+    /// Tokens of their prompts that are still to be read.
+    pub(crate) unread_tokens: u64,
+    pub(crate) health: Health,
+    pub(crate) unusable_since: Option<Timestamp>,
+    slowness: Slowness,
+}
+
+impl Engine {
+    pub(crate) fn new(spec: EngineSpec, health: HealthSettings, now: Timestamp) -> Self {
+        Self {
+            key: engine_key(spec.id.as_str()),
+            running: 0,
+            unread_tokens: 0,
+            health: Health::new(health),
+            unusable_since: spec.is_leaving.then_some(now),
+            slowness: Slowness { value: 1.0, at: now },
+            spec,
+        }
+    }
+
+    /// Whether it takes new work.
+    pub(crate) fn is_usable(&self, now: Timestamp) -> bool {
+        self.unusable_since.is_none_or(|since| since > now)
+    }
+
+    /// Whether its calls end well.
+    pub(crate) fn is_sound(&self, now: Timestamp) -> bool {
+        self.health.allowed(self.spec.slots, now) > 0
+    }
+
+    /// How many times longer than usual for its service it takes.
+    pub(crate) fn slowness(&self, now: Timestamp) -> f64 {
+        self.slowness.now(now)
+    }
+
+    pub(crate) fn observe_slowness(&mut self, seen: f64, now: Timestamp) {
+        self.slowness.observe(seen, now);
+    }
+
+    /// Takes in a newer entry of the directory; returns whether it changes what is believed.
+    pub(crate) fn update(&mut self, spec: EngineSpec, now: Timestamp) -> bool {
+        let is_old = spec.report < self.spec.report;
+        let comes_back = self.spec.is_leaving && !spec.is_leaving;
+        if is_old || comes_back {
+            // A report that was held up on its way; an engine that leaves does not change its mind.
+            return false;
+        }
+        let leaving_since = spec.is_leaving.then_some(now);
+        let has_changed = self.spec.is_leaving != spec.is_leaving
+            || (self.unusable_since.is_some() && leaving_since.is_none());
+        self.unusable_since = match (self.unusable_since, leaving_since) {
+            (Some(since), Some(_)) => Some(since),
+            (_, leaving) => leaving,
+        };
+        self.spec = spec;
+        has_changed
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,17 +1,26 @@
 //! Which route a call takes, which service serves it, and which engine is the best for it.
 //!
 //! The routes in force never go back to an older version ([`Routes`]). The engines and what is believed of them stand
-//! in [`EngineBook`]; the choice among them is one plain function, [`placement_cost`],
-//! and so is the order of turns at a full engine, [`urgency`].
+//! in [`EngineBook`]; the choice among them compares one plain function, [`estimate`], whose speeds are learned from
+//! the answers seen ([`LearnedSpeeds`]). The order of turns at a full engine is another, [`urgency`].
 
 mod book;
-mod placement;
+mod choice;
+mod engine;
+mod estimate;
+mod line_fit;
+mod others;
 mod routes;
+mod speeds;
 mod table;
 mod urgency;
 
-pub use book::{EngineBook, EngineSpec, Outcome, Placed, PlacementRequest};
-pub use placement::{PlacementFacts, placement_cost};
+pub use book::EngineBook;
+pub use choice::{PartNeed, Placed, PlacementRequest, RequestedWork};
+pub use engine::{EngineSpec, Outcome};
+pub use estimate::{CallWork, EngineFacts, Estimate, Speeds, estimate};
+pub use line_fit::{FitBounds, LineFit};
 pub use routes::{Routes, Selected};
+pub use speeds::{LearnedSpeeds, StreamSeen};
 pub use table::{CallerLimits, Route, RouteTable, ServiceSpec, WeightedService};
 pub use urgency::{UrgencyFacts, urgency};
--- a/crates/routing/tests/engines.rs
+++ b/crates/routing/tests/engines.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use sumacdrift_calls::EngineId;
-use sumacdrift_routing::{EngineBook, EngineSpec, Outcome, PlacementRequest};
+use sumacdrift_fleet_view::{EngineLoad, Loads, PartHeld, engine_key};
+use sumacdrift_routing::{EngineBook, EngineSpec, Outcome, PartNeed, PlacementRequest, RequestedWork};
 use sumacdrift_scheduling::HealthSettings;
 use sumacdrift_types::Timestamp;
 
@@ -29,41 +30,141 @@
     book
 }
 
-fn request<'a>(affinity: Option<&'a str>, avoid: &'a [EngineId]) -> PlacementRequest<'a> {
-    PlacementRequest { service: "s", zone: "z1", affinity, avoid, rather_not: &[], only: None, tie: 0.3 }
+/// A call that is answered as a whole.
+fn request(avoid: &[EngineId]) -> PlacementRequest<'_> {
+    PlacementRequest {
+        service: "s",
+        zone: "z1",
+        key: 1,
+        work: RequestedWork::Whole { usual: Duration::from_millis(40), is_sticky: false },
+        kilobytes: 1.0,
+        is_connected: &|_| true,
+        avoid,
+        rather_not: &[],
+        only: None,
+    }
+}
+
+/// A turn of the program `key`.
+fn turn(key: u64, parts: &[PartNeed]) -> PlacementRequest<'_> {
+    PlacementRequest { key, work: RequestedWork::Stream { parts }, ..request(&[]) }
 }
 
 fn chosen(book: &EngineBook, request: &PlacementRequest<'_>, now: Timestamp) -> Option<String> {
     book.choose(request, now).map(|placed| placed.engine.to_string())
 }
 
+/// A prompt of shared tokens and a line's own.
+fn prompt(own_tokens: u64) -> [PartNeed; 2] {
+    [PartNeed { part: 1, tokens: 2_500 }, PartNeed { part: 2, tokens: own_tokens }]
+}
+
+fn held(part: u64, engine: &str, tokens: u32) -> PartHeld {
+    PartHeld { part, engine: engine_key(engine), tokens }
+}
+
 #[test]
-fn a_line_of_turns_stays_at_its_engine_and_lines_spread() {
+fn programs_spread_and_one_program_prefers_one_engine() {
     let book = book(&[("a", "z1"), ("b", "z1"), ("c", "z1")]);
-    let of = |line: &str| chosen(&book, &request(Some(line), &[]), NOW);
-    assert_eq!(of("line 1"), of("line 1"));
-    let engines: std::collections::BTreeSet<_> = (0..50).map(|line| of(&format!("line {line}"))).collect();
+    let prompt = prompt(100);
+    let of = |program: u64| chosen(&book, &turn(program, &prompt), NOW);
+    assert_eq!(of(1), of(1));
+    let engines: std::collections::BTreeSet<_> = (0..50).map(of).collect();
     assert_eq!(engines.len(), 3);
 }
 
 #[test]
-fn an_engine_that_is_busy_loses_its_preference() {
+fn a_line_goes_on_where_its_prompt_lies_whatever_the_zone() {
+    let mut book = book(&[("a", "z1"), ("b", "z2"), ("c", "z1")]);
+    book.holds(held(1, "b", 2_500), NOW);
+    book.holds(held(2, "b", 8_000), NOW);
+    let prompt = prompt(8_300);
+    let placed = book.choose(&turn(1, &prompt), NOW).expect("an engine");
+    assert_eq!(placed.engine.as_str(), "b");
+    assert_eq!(placed.unread_tokens, 300);
+}
+
+/// An engine that holds a later part without the ones before it has to read it again.
+#[test]
+fn a_part_counts_only_behind_those_before_it() {
+    let mut book = book(&[("a", "z1")]);
+    book.holds(held(2, "a", 8_000), NOW);
+    let prompt = prompt(8_000);
+    assert_eq!(book.choose(&turn(1, &prompt), NOW).expect("an engine").unread_tokens, 10_500);
+}
+
+#[test]
+fn a_line_leaves_an_engine_that_is_too_busy() {
     let mut book = book(&[("a", "z1"), ("b", "z1")]);
-    let first = book.choose(&request(Some("line"), &[]), NOW).expect("an engine").engine;
-    for _ in 0..4 {
-        book.sent(&first, NOW);
+    book.holds(held(1, "a", 2_500), NOW);
+    book.holds(held(1, "b", 2_500), NOW);
+    book.holds(held(2, "a", 1_000), NOW);
+    let prompt = prompt(1_200);
+    assert_eq!(chosen(&book, &turn(1, &prompt), NOW).as_deref(), Some("a"));
+    for _ in 0..20 {
+        book.sent(&EngineId::new("a"), 3_000, NOW);
+    }
+    assert_eq!(chosen(&book, &turn(1, &prompt), NOW).as_deref(), Some("b"));
+}
+
+#[test]
+fn what_others_send_counts_until_it_is_old() {
+    let mut book = book(&[("a", "z1"), ("b", "z1")]);
+    let loads = |engine| Loads {
+        engines: vec![EngineLoad { engine: engine_key(engine), running: 4, unread_tokens: 0 }],
+    };
+    for (busy, free) in [("a", "b"), ("b", "a")] {
+        book.others_told(&loads(busy), NOW);
+        for key in 0..20 {
+            assert_eq!(chosen(&book, &PlacementRequest { key, ..request(&[]) }, NOW).as_deref(), Some(free));
+        }
+    }
+    let later = NOW + Duration::from_secs(5);
+    assert_eq!(book.choose(&request(&[]), later).expect("an engine").running, 0.0);
+}
+
+#[test]
+fn prompts_that_were_read_no_longer_wait() {
+    let mut book = book(&[("a", "z1")]);
+    let engine = EngineId::new("a");
+    book.sent(&engine, 5_000, NOW);
+    assert_eq!(book.choose(&request(&[]), NOW).expect("an engine").tokens_ahead, 5_000.0);
+    book.was_read(&engine, 5_000);
+    assert_eq!(book.choose(&request(&[]), NOW).expect("an engine").tokens_ahead, 0.0);
+    book.ended(&engine, Outcome::Sound, NOW);
+    assert!(book.loads().engines.is_empty());
+}
+
+#[test]
+fn an_engine_that_is_slow_is_left_and_tried_again_later() {
+    let mut book = book(&[("a", "z1"), ("b", "z1")]);
+    for _ in 0..30 {
+        book.observe_whole(&EngineId::new("a"), 5.0, NOW);
+    }
+    let of = |now, key| chosen(&book, &PlacementRequest { key, ..request(&[]) }, now);
+    assert!((0..20).all(|key| of(NOW, key).as_deref() == Some("b")));
+    let later = NOW + Duration::from_secs(120);
+    assert!((0..20).any(|key| of(later, key).as_deref() == Some("a")));
+}
+
+#[test]
+fn an_open_connection_is_preferred_where_all_else_is_equal() {
+    let book = book(&[("a", "z1"), ("b", "z1")]);
+    for open in ["a", "b"] {
+        let is_connected = |engine: &EngineId| engine.as_str() == open;
+        let request = PlacementRequest { is_connected: &is_connected, ..request(&[]) };
+        assert_eq!(chosen(&book, &request, NOW).as_deref(), Some(open));
     }
-    assert_ne!(chosen(&book, &request(Some("line"), &[]), NOW), Some(first.to_string()));
 }
 
 #[test]
 fn the_own_zone_goes_first_until_it_is_busier() {
     let mut book = book(&[("near", "z1"), ("far", "z2")]);
-    assert_eq!(chosen(&book, &request(None, &[]), NOW).as_deref(), Some("near"));
-    for _ in 0..3 {
-        book.sent(&EngineId::new("near"), NOW);
+    assert_eq!(chosen(&book, &request(&[]), NOW).as_deref(), Some("near"));
+    for _ in 0..4 {
+        book.sent(&EngineId::new("near"), 0, NOW);
     }
-    assert_eq!(chosen(&book, &request(None, &[]), NOW).as_deref(), Some("far"));
+    assert_eq!(chosen(&book, &request(&[]), NOW).as_deref(), Some("far"));
 }
 
 #[test]
@@ -72,7 +173,7 @@
     book.upsert(EngineSpec { is_leaving: true, report: 2, ..spec("a", "z1") }, NOW);
     let late = EngineSpec { report: 3, ..spec("a", "z1") };
     assert!(!book.upsert(late, NOW));
-    assert_eq!(chosen(&book, &request(None, &[]), NOW).as_deref(), Some("b"));
+    assert_eq!(chosen(&book, &request(&[]), NOW).as_deref(), Some("b"));
     assert_eq!(book.usable("s", NOW), 1);
 }
 
@@ -87,8 +188,8 @@
 fn an_engine_that_just_went_is_the_last_resort_for_a_short_time() {
     let mut book = book(&[("a", "z1")]);
     book.remove(&EngineId::new("a"), NOW);
-    assert_eq!(chosen(&book, &request(None, &[]), NOW).as_deref(), Some("a"));
-    assert_eq!(chosen(&book, &request(None, &[]), NOW + Duration::from_secs(2)), None);
+    assert_eq!(chosen(&book, &request(&[]), NOW).as_deref(), Some("a"));
+    assert_eq!(chosen(&book, &request(&[]), NOW + Duration::from_secs(2)), None);
 }
 
 #[test]
@@ -104,12 +205,12 @@
     let mut book = book(&[("a", "z1"), ("b", "z2")]);
     let near = EngineId::new("a");
     for failures in 1..=2 {
-        book.sent(&near, NOW);
+        book.sent(&near, 0, NOW);
         assert_eq!(book.ended(&near, Outcome::Faulty, NOW), failures == 2);
     }
-    assert_eq!(chosen(&book, &request(None, &[]), NOW).as_deref(), Some("b"));
+    assert_eq!(chosen(&book, &request(&[]), NOW).as_deref(), Some("b"));
     let other = [EngineId::new("b")];
-    assert_eq!(chosen(&book, &request(None, &other), NOW).as_deref(), Some("a"));
+    assert_eq!(chosen(&book, &request(&other), NOW).as_deref(), Some("a"));
 }
 
 #[test]
@@ -145,9 +246,9 @@
 fn an_engine_that_failed_a_call_is_chosen_again_only_if_there_is_no_other() {
     let book = book(&[("a", "z1"), ("b", "z2")]);
     let failed = [EngineId::new("a")];
-    let again = PlacementRequest { rather_not: &failed, ..request(None, &[]) };
+    let again = PlacementRequest { rather_not: &failed, ..request(&[]) };
     assert_eq!(chosen(&book, &again, NOW).as_deref(), Some("b"));
     let other = [EngineId::new("b")];
-    let alone = PlacementRequest { rather_not: &failed, ..request(None, &other) };
+    let alone = PlacementRequest { rather_not: &failed, ..request(&other) };
     assert_eq!(chosen(&book, &alone, NOW).as_deref(), Some("a"));
 }
--- /dev/null
+++ b/crates/routing/tests/stale_news.rs
@@ -0,0 +1,151 @@
+//! Nodes that all know the same old news must not all choose the same engine.
+
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use sumacdrift_calls::EngineId;
+use sumacdrift_fleet_view::{Board, BoardSizes, News, View};
+use sumacdrift_routing::{EngineBook, EngineSpec, Outcome, PartNeed, PlacementRequest, RequestedWork};
+use sumacdrift_scheduling::HealthSettings;
+use sumacdrift_types::Timestamp;
+
+const EDGES: usize = 8;
+const ENGINES: usize = 12;
+const STEP: Duration = Duration::from_millis(5);
+/// Chance that an edge gets a new program in a step: 240 a second on all edges.
+const ARRIVAL: f64 = 0.15;
+const CALL_TIME: Duration = Duration::from_millis(300);
+
+struct Call {
+    edge: usize,
+    engine: EngineId,
+    ends: Timestamp,
+}
+
+struct World {
+    books: Vec<EngineBook>,
+    board: Board,
+    calls: Vec<Call>,
+    random: ChaCha8Rng,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let spec = |engine: usize| EngineSpec {
+            id: EngineId::new(&format!("engine {engine}")),
+            service: "s".into(),
+            address: ([10, 0, 0, 1], 80).into(),
+            zone: "z".into(),
+            slots: 64,
+            is_leaving: false,
+            report: 1,
+        };
+        let book = |_| {
+            let mut book = EngineBook::new(HealthSettings::default());
+            for engine in 0..ENGINES {
+                book.upsert(spec(engine), Timestamp::default());
+            }
+            book
+        };
+        let sizes = BoardSizes { parts: 64, keep_parts_for: Duration::from_secs(10) };
+        Self {
+            books: (0..EDGES).map(book).collect(),
+            board: Board::new(sizes),
+            calls: Vec::new(),
+            random: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    fn begin_calls(&mut self, now: Timestamp) {
+        for edge in 0..EDGES {
+            if !self.random.random_bool(ARRIVAL) {
+                continue;
+            }
+            let parts = [PartNeed { part: self.random.random(), tokens: 500 }];
+            let request = PlacementRequest {
+                service: "s",
+                zone: "z",
+                key: self.random.random(),
+                work: RequestedWork::Stream { parts: &parts },
+                kilobytes: 1.0,
+                is_connected: &|_| true,
+                avoid: &[],
+                rather_not: &[],
+                only: None,
+            };
+            let placed = self.books[edge].choose(&request, now).expect("an engine");
+            self.books[edge].sent(&placed.engine, placed.unread_tokens, now);
+            self.books[edge].was_read(&placed.engine, placed.unread_tokens);
+            self.calls.push(Call { edge, engine: placed.engine, ends: now + CALL_TIME });
+        }
+    }
+
+    fn end_calls(&mut self, now: Timestamp) {
+        let (ended, under_way) =
+            std::mem::take(&mut self.calls).into_iter().partition(|call| call.ends <= now);
+        self.calls = under_way;
+        let ended: Vec<Call> = ended;
+        for call in ended {
+            self.books[call.edge].ended(&call.engine, Outcome::Sound, now);
+        }
+    }
+
+    /// All edges tell and learn at the same moment.
+    fn exchange(&mut self, now: Timestamp) {
+        let news = |edge: usize, asks_loads: bool, books: &[EngineBook]| News {
+            node: format!("edge {edge}"),
+            loads: Some(books[edge].loads()),
+            asks_loads,
+            ..News::default()
+        };
+        for edge in 0..EDGES {
+            self.board.exchange(news(edge, false, &self.books), now);
+        }
+        for edge in 0..EDGES {
+            let view: View = self.board.exchange(news(edge, true, &self.books), now);
+            self.books[edge].others_told(&view.loads.expect("loads"), now);
+        }
+    }
+
+    /// The fullest engine against the mean.
+    fn unevenness(&self) -> f64 {
+        let on = |engine: usize| {
+            let id = EngineId::new(&format!("engine {engine}"));
+            self.calls.iter().filter(|call| call.engine == id).count()
+        };
+        let fullest = (0..ENGINES).map(on).max().unwrap_or(0);
+        fullest as f64 / (self.calls.len() as f64 / ENGINES as f64)
+    }
+}
+
+/// The mean over ten seconds of the fullest engine against the mean engine.
+fn unevenness(seed: u64, told_every: Duration) -> f64 {
+    let mut world = World::new(seed);
+    let mut now = Timestamp::default();
+    let mut next_exchange = now;
+    let (mut sum, mut samples) = (0.0, 0);
+    while now < Timestamp::default() + Duration::from_secs(10) {
+        now = now + STEP;
+        world.end_calls(now);
+        if now >= next_exchange {
+            world.exchange(now);
+            next_exchange = now + told_every;
+        }
+        world.begin_calls(now);
+        if now >= Timestamp::default() + Duration::from_secs(1) {
+            sum += world.unevenness();
+            samples += 1;
+        }
+    }
+    sum / f64::from(samples)
+}
+
+#[test]
+fn old_news_do_not_send_everybody_to_one_engine() {
+    for seed in 1..=5 {
+        let (fresh, old) = (unevenness(seed, STEP), unevenness(seed, Duration::from_millis(250)));
+        assert!(fresh < 1.5, "seed {seed}: fresh news, fullest engine at {fresh:.2} times the mean");
+        assert!(old < 2.5, "seed {seed}: old news, fullest engine at {old:.2} times the mean");
+    }
+}
--- a/crates/storage/src/asking.rs
+++ b/crates/storage/src/asking.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use sumacdrift_ledger::{Group, Member, ReplyKind, RequestKind};
+use sumacdrift_ledger::{Group, LedgerReply, Member, ReplyKind, RequestKind};
 use sumacdrift_transport::Transport;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use crate::client::LedgerClient;
-use crate::rpc::{ask, encode};
+use crate::news::ViewSink;
+use crate::rpc::{ask, ask_whole, encode};
 
 /// Pause before a member that gave no usable answer is asked again.
 const ASK_AGAIN_AFTER: Duration = Duration::from_millis(60);
@@ -132,6 +133,7 @@
         let Some(member) = self.order.get(self.asked) else { return false };
         let task = MemberTask {
             transport: Arc::clone(self.client.transport()),
+            views: self.client.views(),
             member: member.clone(),
             group: Arc::clone(&self.group),
             request: request_for(member),
@@ -149,6 +151,7 @@
 
 struct MemberTask {
     transport: Arc<Transport>,
+    views: Option<Arc<dyn ViewSink>>,
     member: Member,
     group: Arc<Group>,
     request: Bytes,
@@ -160,7 +163,9 @@
     async fn run(self, failed: impl FnOnce()) -> Option<ReplyKind> {
         let mut failed = Some(failed);
         loop {
-            let reply = ask(&self.transport, self.member.address, self.request.clone(), MEMBER_TIMEOUT).await;
+            let answer =
+                ask_whole(&self.transport, self.member.address, self.request.clone(), MEMBER_TIMEOUT).await;
+            let reply = answer.and_then(|answer| self.take_view(answer));
             let is_behind =
                 matches!(&reply, Some(ReplyKind::WrongEpoch(other)) if other.epoch < self.group.epoch);
             let is_useless = matches!(reply, None | Some(ReplyKind::Failed(_)));
@@ -179,4 +184,12 @@
             tokio::time::sleep(ASK_AGAIN_AFTER).await;
         }
     }
+
+    /// Hands on what came besides the answer, before the answer itself decides anything.
+    fn take_view(&self, answer: LedgerReply) -> Option<ReplyKind> {
+        if let Some(views) = self.views.as_ref().filter(|_| !answer.view.is_empty()) {
+            views.take(answer.view);
+        }
+        answer.kind
+    }
 }
--- a/crates/storage/src/client.rs
+++ b/crates/storage/src/client.rs
@@ -1,7 +1,7 @@
 //! Asking the group whether a turn may begin, and telling it of its end.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,7 +14,8 @@
 use tokio::time::Instant;
 
 use crate::asking::Asking;
-use crate::rpc::{ask, encode};
+use crate::news::ViewSink;
+use crate::rpc::{ask, encode, encode_with};
 use crate::suspects::Suspects;
 
 /// Pause before all members are asked again.
@@ -49,6 +50,8 @@
     pub previous: String,
     /// Whether the content of the chain is needed.
     pub needs_chain: bool,
+    /// What the node tells and asks besides, an encoded [`sumacdrift_fleet_view::News`].
+    pub news: Bytes,
 }
 
 /// A turn that may run.
@@ -83,6 +86,7 @@
     zone: String,
     timeouts: LedgerTimeouts,
     suspects: Mutex<Suspects>,
+    views: OnceLock<Arc<dyn ViewSink>>,
     logger: Logger,
 }
 
@@ -90,7 +94,14 @@
     /// A client that knows no group yet.
     pub fn new(transport: Arc<Transport>, zone: String, timeouts: LedgerTimeouts, logger: Logger) -> Self {
         let suspects = Mutex::default();
-        Self { transport, group: Mutex::default(), zone, timeouts, suspects, logger }
+        let views = OnceLock::new();
+        Self { transport, group: Mutex::default(), zone, timeouts, suspects, views, logger }
+    }
+
+    /// Says who takes what the replicas' hosts tell of other nodes; once.
+    pub fn tell_views_to(&self, sink: Arc<dyn ViewSink>) {
+        // A second sink would be a defect of the caller; the first one stays.
+        let _ = self.views.set(sink);
     }
 
     /// The group that the client knows.
@@ -155,7 +166,7 @@
                 previous: begin.previous.clone(),
                 wants_chain,
             };
-            encode(group.epoch, RequestKind::Begin(request))
+            encode_with(group.epoch, RequestKind::Begin(request), begin.news.clone())
         };
         asking.begin(group.majority(), &request_for);
         let mut quorum = BeginQuorum::new(group.majority(), begin.budget_tokens, begin.turn.most_tokens);
@@ -256,13 +267,13 @@
         None
     }
 
-    /// Records a turn's end; returns once a majority has it on disk.
-    pub async fn end(&self, turn: TurnEnded) -> Result<(), LedgerError> {
+    /// Records a turn's end; returns once a majority has it on disk. `news` is told besides.
+    pub async fn end(&self, turn: TurnEnded, news: Bytes) -> Result<(), LedgerError> {
         let deadline = Instant::now() + self.timeouts.end;
         loop {
             let group = self.group();
             let round = deadline.min(Instant::now() + self.timeouts.round);
-            match self.end_in(&group, &turn, round).await {
+            match self.end_in(&group, &turn, news.clone(), round).await {
                 // There is a newer group.
                 None if Instant::now() < deadline => {}
                 Some(Err(LedgerError::Unavailable)) if Instant::now() < deadline => {
@@ -278,9 +289,10 @@
         &self,
         group: &Arc<Group>,
         turn: &TurnEnded,
+        news: Bytes,
         deadline: Instant,
     ) -> Option<Result<(), LedgerError>> {
-        let request = encode(group.epoch, RequestKind::End(End { turn: Some(turn.clone()) }));
+        let request = encode_with(group.epoch, RequestKind::End(End { turn: Some(turn.clone()) }), news);
         let request_for = |_: &Member| request.clone();
         let mut asking = self.asking(group, &turn.program, deadline);
         asking.begin(group.majority(), &request_for);
@@ -319,6 +331,10 @@
         self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn views(&self) -> Option<Arc<dyn ViewSink>> {
+        self.views.get().cloned()
+    }
+
     pub(crate) fn transport(&self) -> &Arc<Transport> {
         &self.transport
     }
--- a/crates/storage/src/host.rs
+++ b/crates/storage/src/host.rs
@@ -28,6 +28,7 @@
 
 use crate::clock::wall_millis;
 use crate::feed_host::FeedHost;
+use crate::news::NewsBoard;
 
 /// Bytes written since the last snapshot that call for another one, at the least.
 const SNAPSHOT_AFTER_BYTES: u64 = 48 << 20;
@@ -116,6 +117,7 @@
     meter: SnapshotMeter,
     metrics: HostMetrics,
     feed: FeedHost,
+    news: NewsBoard,
     logger: Logger,
 }
 
@@ -146,6 +148,7 @@
             writer: JournalWriter::start(journal),
             meter: SnapshotMeter::default(),
             metrics: HostMetrics::default(),
+            news: NewsBoard::new(),
             logger,
         });
         host.commit(first).await.map_err(OpenError::FirstRecords)?;
@@ -273,18 +276,22 @@
     }
 
     async fn answer(&self, bytes: Bytes) -> LedgerReply {
-        let Ok(request) = LedgerRequest::decode(bytes) else {
-            return LedgerReply { kind: Some(ReplyKind::Failed("unreadable request".to_owned())) };
+        let Ok(mut request) = LedgerRequest::decode(bytes) else {
+            let kind = ReplyKind::Failed("unreadable request".to_owned());
+            return LedgerReply { kind: Some(kind), ..LedgerReply::default() };
         };
         self.metrics.requests.inc();
+        let news = std::mem::take(&mut request.news);
         let step = self.replica().handle(request, wall_millis());
-        match self.commit(step.commit).await {
-            Ok(()) => step.reply,
+        let kind = match self.commit(step.commit).await {
+            Ok(()) => step.reply.kind,
             Err(failure) => {
                 error!(self.logger, "record not durable"; "event" => "commit_failed", "error" => &failure);
-                LedgerReply { kind: Some(ReplyKind::Failed(failure)) }
+                Some(ReplyKind::Failed(failure))
             }
-        }
+        };
+        // Looked up as late as possible: the answer travels now.
+        LedgerReply { kind, view: self.news.exchange(news) }
     }
 }
 
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -13,6 +13,7 @@
 mod follower;
 mod host;
 mod leave;
+mod news;
 mod rpc;
 mod suspects;
 mod upkeep;
@@ -26,4 +27,5 @@
 pub use feed_host::FeedHost;
 pub use follower::{Follower, FollowerSettings, FollowerSink};
 pub use host::{HostMetrics, HostSettings, OpenError, ReplicaHost};
+pub use news::ViewSink;
 pub use upkeep::{Upkeep, UpkeepSettings};
--- a/crates/storage/src/rpc.rs
+++ b/crates/storage/src/rpc.rs
@@ -14,7 +14,12 @@
 
 /// Encodes a request once for all members.
 pub(crate) fn encode(epoch: u64, kind: RequestKind) -> Bytes {
-    Bytes::from(LedgerRequest { epoch, kind: Some(kind) }.encode_to_vec())
+    encode_with(epoch, kind, Bytes::new())
+}
+
+/// Encodes a request with news for the replica's host.
+pub(crate) fn encode_with(epoch: u64, kind: RequestKind, news: Bytes) -> Bytes {
+    Bytes::from(LedgerRequest { epoch, kind: Some(kind), news }.encode_to_vec())
 }
 
 /// Sends a request; `None` where no answer came that makes sense.
@@ -24,8 +29,18 @@
     request: Bytes,
     timeout: Duration,
 ) -> Option<ReplyKind> {
+    ask_whole(transport, to, request, timeout).await?.kind
+}
+
+/// Sends a request; the answer with what the replica's host tells besides.
+pub(crate) async fn ask_whole(
+    transport: &Transport,
+    to: SocketAddr,
+    request: Bytes,
+    timeout: Duration,
+) -> Option<LedgerReply> {
     match transport.request(to, Request::Ledger(request), timeout).await {
-        Ok(Response::Ledger(bytes)) => LedgerReply::decode(bytes).ok()?.kind,
+        Ok(Response::Ledger(bytes)) => LedgerReply::decode(bytes).ok(),
         _ => None,
     }
 }
--- a/crates/storage/tests/asking.rs
+++ b/crates/storage/tests/asking.rs
@@ -22,6 +22,7 @@
         budget_tokens: 10_000,
         needs_chain: !previous.is_empty(),
         previous: previous.to_owned(),
+        news: Bytes::new(),
     }
 }
 
@@ -51,7 +52,7 @@
         let fleet = Fleet::start(size).await;
         let client = fleet.client(1);
         ask(&client, begin("t1", "")).await.0.expect("an admission");
-        client.end(end("t1", "")).await.expect("an end");
+        client.end(end("t1", ""), Bytes::new()).await.expect("an end");
         let requests = fleet.requests();
         assert_eq!(requests.iter().filter(|count| **count == 2).count(), majority, "{requests:?}");
         assert_eq!(requests.iter().sum::<usize>(), 2 * majority, "{requests:?}");
@@ -102,7 +103,7 @@
     let mut previous = String::new();
     for (position, client) in clients.iter().enumerate() {
         let turn = format!("t{position}");
-        client.end(end(&turn, &previous)).await.expect("an end");
+        client.end(end(&turn, &previous), Bytes::new()).await.expect("an end");
         previous = turn;
     }
     let whole = "in t0out t0in t1out t1in t2out t2in t3out t3in t4out t4new";
@@ -133,7 +134,7 @@
         let (outcome, taken) = ask(&client, begin(&turn, "")).await;
         outcome.expect("an admission");
         assert!(taken < Duration::from_millis(5), "{taken:?}");
-        client.end(end(&turn, "")).await.expect("an end");
+        client.end(end(&turn, ""), Bytes::new()).await.expect("an end");
     }
     // Time for whoever still asks.
     tokio::time::sleep(Duration::from_secs(5)).await;
