Calls wait a moment for the first configuration, and seeds are asked together

Cause: after the loss of all machines edges are up 0.2 to 0.4 s before the storage machines, and refused 60 calls with "no configuration"; a turn that was cut by the loss has two tries left, which fell into that time. Seeds were asked one after the other, each for up to 500 ms, with 300 ms between the rounds, and a connection attempt to a machine that was just coming up took 300 ms to fail: edges learned the group 0.02 to 0.3 s after it was there.

Change: for the first second of a process a call waits for the first configuration instead of being refused; after that it is refused at once as before.

--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -50,7 +50,7 @@
             return refusal(edge, bad.code);
         }
     };
-    let Some(limits) = edge.limits() else {
+    let Some(limits) = edge.limits_soon().await else {
         return early(edge, &head, ResultCode::NoConfiguration);
     };
     let host = host_of(&parts);
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -9,6 +9,8 @@
 use sumacdrift_routing::{CallerLimits, EngineBook, EngineSpec, Outcome, RouteTable, Routes};
 use sumacdrift_scheduling::HealthSettings;
 use sumacdrift_storage::LedgerClient;
+use sumacdrift_types::Timestamp;
+use tokio::sync::watch;
 
 use crate::clock::Clock;
 use crate::dialect::Dialect;
@@ -28,6 +30,9 @@
 /// Time over which an engine that recovered gets its full share.
 const SLOW_START: Duration = Duration::from_secs(1);
 
+/// Time after the start for which calls wait for the first configuration.
+const START_PATIENCE: Duration = Duration::from_millis(1000);
+
 /// Settings of an edge.
 #[derive(Debug, Clone)]
 pub struct EdgeSettings {
@@ -62,6 +67,8 @@
     book: Mutex<EngineBook>,
     usual_times: Mutex<UsualTimes>,
     pub(crate) tell_times: TellTimes,
+    /// Whether a configuration is in force.
+    configured: watch::Sender<bool>,
     is_stopping: AtomicBool,
 }
 
@@ -86,6 +93,7 @@
             book: Mutex::new(EngineBook::new(health)),
             usual_times: Mutex::default(),
             tell_times: TellTimes::default(),
+            configured: watch::Sender::new(false),
             is_stopping: AtomicBool::new(false),
         });
         follow_views(&edge);
@@ -97,6 +105,7 @@
         let (version, routes) = (table.version, table.routes());
         let is_newer = self.routes().apply(table);
         if is_newer {
+            self.configured.send_replace(true);
             self.metrics.configuration.set(i64::try_from(version).unwrap_or(i64::MAX));
             info!(self.logger, "configuration in force"; "event" => "configuration", "version" => version,
                 "routes" => routes, "source" => source);
@@ -146,6 +155,18 @@
         self.routes().table().map(|table| table.limits)
     }
 
+    /// Limits for callers. While the edge has only just started they are waited for: where all nodes come back at
+    /// once the configuration is there within a moment, and a caller that is turned away has few tries.
+    pub(crate) async fn limits_soon(&self) -> Option<CallerLimits> {
+        let patience = START_PATIENCE.saturating_sub(self.clock.now().since(Timestamp::default()));
+        if !*self.configured.borrow() && !patience.is_zero() {
+            let mut configured = self.configured.subscribe();
+            // The end of the time shows below.
+            let _ = tokio::time::timeout(patience, configured.wait_for(|is_known| *is_known)).await;
+        }
+        self.limits()
+    }
+
     /// Whether the edge takes new callers.
     pub fn is_ready(&self) -> bool {
         !self.is_stopping() && self.routes().table().is_some()
--- a/crates/storage/src/client.rs
+++ b/crates/storage/src/client.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use slog::{Logger, info};
 use sumacdrift_ledger::{
     Begin, BeginDecision, BeginQuorum, ChainAssembly, ChainReply, ChainRequest, ChainStep, End, Group,
@@ -119,19 +121,26 @@
         }
     }
 
-    /// Asks addresses that may be replicas for the group.
+    /// Asks addresses that may be replicas for the group, all at once; returns when one told of a group, or all
+    /// have answered or were late.
     pub async fn learn_from(&self, seeds: &[SocketAddr]) {
-        for seed in seeds {
-            let request = encode(0, RequestKind::Status(true));
-            let reply = ask(&self.transport, *seed, request, SEED_TIMEOUT).await;
-            if let Some(ReplyKind::Status(status)) = reply
-                && let Some(group) = status.group.as_ref().and_then(Group::from_message)
-            {
+        let mut asking: FuturesUnordered<_> = seeds.iter().map(|seed| self.ask_for_group(*seed)).collect();
+        while let Some(group) = asking.next().await {
+            if let Some(group) = group {
                 self.learn(group);
+                return;
             }
         }
     }
 
+    async fn ask_for_group(&self, seed: SocketAddr) -> Option<Group> {
+        let request = encode(0, RequestKind::Status(true));
+        match ask(&self.transport, seed, request, SEED_TIMEOUT).await? {
+            ReplyKind::Status(status) => status.group.as_ref().and_then(Group::from_message),
+            _ => None,
+        }
+    }
+
     /// Asks whether a turn may run, again and again until there is an answer or `until` has come.
     pub async fn begin(&self, begin: BeginTurn, until: Instant) -> Result<Admission, LedgerError> {
         loop {
--- a/crates/transport/src/network.rs
+++ b/crates/transport/src/network.rs
@@ -57,8 +57,9 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub struct WatchfulTcpNetwork;
 
-/// Time for a connection between nodes that are milliseconds apart.
-const NEAR_CONNECT_TIME: Duration = Duration::from_millis(300);
+/// Time for a connection between nodes that are milliseconds apart. One to a node that is just coming up must fail
+/// soon, so that the next one finds it there.
+const NEAR_CONNECT_TIME: Duration = Duration::from_millis(120);
 
 impl Network for WatchfulTcpNetwork {
     fn connect(&self, to: SocketAddr) -> BoxedFuture<'_, io::Result<BoxedStream>> {
