A resting connection keeps less memory

An engine's connection read 8 KB at once.

Change: the call's future is boxed, so it is there only during a call; connections to engines read 2 KB at once.

--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -33,7 +33,9 @@
     let idle = limits.map_or(DEFAULT_IDLE, |limits| limits.idle_time);
     let header_bytes = limits.map_or(DEFAULT_HEADER_BYTES, |limits| limits.header_bytes);
     let edge = Arc::clone(edge);
-    let service = service_fn(move |request: Request<Incoming>| serve_call(Arc::clone(&edge), request));
+    // Boxed, so that a connection that rests does not keep room for a call.
+    let service =
+        service_fn(move |request: Request<Incoming>| Box::pin(serve_call(Arc::clone(&edge), request)));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
--- a/crates/edge/src/engine_pool.rs
+++ b/crates/edge/src/engine_pool.rs
@@ -30,6 +30,9 @@
 /// Time for a resting connection to show that it is alive.
 const READY_TIMEOUT: Duration = Duration::from_millis(20);
 
+/// Bytes that a connection reads at once, and keeps room for while it rests. Heads and events are far smaller.
+const READ_BUFFER_BYTES: usize = 2 << 10;
+
 type Sender = SendRequest<Full<Bytes>>;
 
 /// A request could not be sent, or no answer came.
@@ -182,7 +185,9 @@
 async fn connect(address: SocketAddr) -> Option<Sender> {
     let stream = TcpStream::connect(address).await.ok()?;
     tune(&stream).ok()?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    let mut builder = http1::Builder::new();
+    builder.read_buf_exact_size(Some(READ_BUFFER_BYTES));
+    let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.ok()?;
     tokio::spawn(async move {
         // Ends when the sender is dropped or the engine closes; how requests fared is told to their senders.
         let _ = connection.await;
