A beginning weighs its later calls' way, and an engine's slowness is learned against the noise of its calls

Plain calls differ by as much as they take (deviation 1.0), so an engine that had two long calls counted as 30 % slower, and calls wandered over all engines. Now it is a filter that weighs each observation against the variance seen between calls of the service, and believes a surprise of three deviations at once. - A program's first turn decides where its later ones go; it now weighs four calls' way between zones.

--- a/crates/routing/src/book.rs
+++ b/crates/routing/src/book.rs
@@ -9,7 +9,7 @@
 use sumacdrift_scheduling::HealthSettings;
 use sumacdrift_types::Timestamp;
 
-use crate::choice::{Choice, HeldTokens, Placed, PlacementRequest, RequestedWork};
+use crate::choice::{CALLS_OF_A_BEGINNING, Choice, HeldTokens, Placed, PlacementRequest, RequestedWork};
 use crate::engine::{Engine, EngineSpec, Outcome};
 use crate::estimate::Speeds;
 use crate::others::OtherLoads;
@@ -23,7 +23,7 @@
 const MOST_PARTS: usize = 1024;
 const KEEP_PARTS_FOR: Duration = Duration::from_secs(30);
 /// Share of its usual time by which each call under way makes a call take longer that is answered as a whole.
-const WHOLE_SHARE_PER_CALL: f64 = 0.04;
+const WHOLE_SHARE_PER_CALL: f64 = 0.02;
 
 /// The engines there are.
 #[derive(Debug)]
@@ -102,19 +102,21 @@
 
     /// The engine of least cost.
     pub fn choose(&self, request: &PlacementRequest<'_>, now: Timestamp) -> Option<Placed> {
-        let (speeds, events, held) = match request.work {
+        let (speeds, events, zone_calls, held) = match request.work {
             RequestedWork::Stream { parts } => {
                 let holders = parts.iter().flat_map(|part| self.parts.holders(part.part, now));
                 let known: Vec<PartHeld> = holders.collect();
                 let learned = self.speeds.get(request.service).cloned().unwrap_or_default();
-                (learned.speeds(), learned.events(), HeldTokens::of(parts, &known))
+                let held = HeldTokens::of(parts, &known);
+                let zone_calls = if HeldTokens::goes_on(parts, &known) { 1.0 } else { CALLS_OF_A_BEGINNING };
+                (learned.speeds(), learned.events(), zone_calls, held)
             }
-            RequestedWork::Whole { usual, .. } => (whole_speeds(usual), 1.0, HeldTokens::default()),
+            RequestedWork::Whole { usual, .. } => (whole_speeds(usual), 1.0, 1.0, HeldTokens::default()),
         };
         let of_service = self.engines.values().filter(|engine| &*engine.spec.service == request.service);
         let others = self.others.among(of_service.map(|engine| engine.key), now);
         let others_age = self.others.age(now);
-        let choice = Choice { request, speeds, events, others, others_age, held, now };
+        let choice = Choice { request, speeds, events, zone_calls, others, others_age, held, now };
         choice.best(self.engines.values())
     }
 
@@ -150,16 +152,18 @@
     /// A stream ended well: teaches how fast its service and its engine are.
     pub fn observe_stream(&mut self, id: &EngineId, seen: &StreamSeen, now: Timestamp) {
         let Some(engine) = self.engines.get_mut(id) else { return };
-        let service = Arc::clone(&engine.spec.service);
-        let slowness = self.speeds.entry(service).or_default().observe(seen);
-        engine.observe_slowness(slowness, now);
+        let learned = self.speeds.entry(Arc::clone(&engine.spec.service)).or_default();
+        let slowness = learned.observe(seen);
+        learned.noise.observe(slowness, engine.slowness(now));
+        engine.observe_slowness(slowness, learned.noise.variance(), now);
     }
 
     /// A call that is answered as a whole took so many times longer than is usual for its kind.
     pub fn observe_whole(&mut self, id: &EngineId, slowness: f64, now: Timestamp) {
-        if let Some(engine) = self.engines.get_mut(id) {
-            engine.observe_slowness(slowness, now);
-        }
+        let Some(engine) = self.engines.get_mut(id) else { return };
+        let learned = self.speeds.entry(Arc::clone(&engine.spec.service)).or_default();
+        learned.noise.observe(slowness, engine.slowness(now));
+        engine.observe_slowness(slowness, learned.noise.variance(), now);
     }
 
     /// An engine holds a part of a prompt.
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -17,6 +17,8 @@
 const SPREAD_SHARE: f64 = 0.05;
 /// The same for calls that are answered as a whole, whose engines are told apart by the calls under way there.
 const WHOLE_SPREAD_SHARE: f64 = 0.01;
+/// How many calls of a program that begins are weighed at once: the later ones go where its first one went.
+pub(crate) const CALLS_OF_A_BEGINNING: f64 = 4.0;
 /// What a new connection costs: its set-up, and what engines spend on it.
 const CONNECTION_MILLIS: f64 = 5.0;
 /// Share of the usual time that a call about something takes longer at an engine that has not seen it.
@@ -99,6 +101,8 @@
     pub(crate) request: &'a PlacementRequest<'a>,
     pub(crate) speeds: Speeds,
     pub(crate) events: f64,
+    /// Calls that cross zones if this one does.
+    pub(crate) zone_calls: f64,
     pub(crate) others: BelievedLoads<'a>,
     pub(crate) others_age: Option<Duration>,
     pub(crate) held: HeldTokens,
@@ -181,7 +185,11 @@
             slowness: engine.slowness(self.now),
             is_in_zone: *engine.spec.zone == *self.request.zone,
         };
-        let work = CallWork { events: self.events, zone_kilobytes: self.request.kilobytes };
+        let work = CallWork {
+            events: self.events,
+            zone_kilobytes: self.request.kilobytes,
+            zone_calls: self.zone_calls,
+        };
         let estimate = estimate(&facts, &work, &self.speeds);
         let spread = match self.request.work {
             RequestedWork::Whole { is_sticky: true, .. } => UNSEEN_SHARE,
@@ -221,6 +229,11 @@
         Self { prompt_tokens: parts.iter().map(|part| part.tokens).sum(), engines }
     }
 
+    /// Whether any engine holds something of the prompt's last part: the call goes on from an earlier one.
+    pub(crate) fn goes_on(parts: &[PartNeed], known: &[PartHeld]) -> bool {
+        parts.last().is_some_and(|last| known.iter().any(|held| held.part == last.part))
+    }
+
     fn unread(&self, engine: u32) -> f64 {
         let found = self.engines.binary_search_by_key(&engine, |(key, _)| *key);
         let held = found.map_or(0, |place| self.engines[place].1);
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -2,21 +2,13 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use sumacdrift_calls::EngineId;
 use sumacdrift_fleet_view::engine_key;
 use sumacdrift_scheduling::{Health, HealthSettings};
 use sumacdrift_types::Timestamp;
 
-/// Weight of a new observation of an engine's slowness.
-const SLOWNESS_LEARNING_RATE: f64 = 0.15;
-/// Bounds of an engine's slowness.
-const LEAST_SLOWNESS: f64 = 0.3;
-const LARGEST_SLOWNESS: f64 = 10.0;
-/// Time after which half of what an engine's slowness differs from the usual is forgotten, so that an engine that
-/// was slow is tried again.
-const SLOWNESS_HALF_LIFE: Duration = Duration::from_secs(8);
+use crate::slowness::Slowness;
 
 /// An engine as the directory describes it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -50,26 +42,6 @@
     Unreachable,
 }
 
-/// How many times longer than usual an engine takes; fades towards the usual.
-#[derive(Debug, Clone, Copy)]
-struct Slowness {
-    value: f64,
-    at: Timestamp,
-}
-
-impl Slowness {
-    fn now(&self, now: Timestamp) -> f64 {
-        let halvings = now.since(self.at).as_secs_f64() / SLOWNESS_HALF_LIFE.as_secs_f64();
-        1.0 + (self.value - 1.0) * (-halvings).exp2()
-    }
-
-    fn observe(&mut self, seen: f64, now: Timestamp) {
-        let known = self.now(now);
-        let seen = seen.clamp(LEAST_SLOWNESS, LARGEST_SLOWNESS);
-        *self = Self { value: known + SLOWNESS_LEARNING_RATE * (seen - known), at: now };
-    }
-}
-
 /// An engine and what is believed of it.
 #[derive(Debug)]
 pub(crate) struct Engine {
@@ -92,7 +64,7 @@
             unread_tokens: 0,
             health: Health::new(health),
             unusable_since: spec.is_leaving.then_some(now),
-            slowness: Slowness { value: 1.0, at: now },
+            slowness: Slowness::usual(now),
             spec,
         }
     }
@@ -112,8 +84,9 @@
         self.slowness.now(now)
     }
 
-    pub(crate) fn observe_slowness(&mut self, seen: f64, now: Timestamp) {
-        self.slowness.observe(seen, now);
+    /// A call took so many times longer than usual, among ones that differ by `noise` from one to the next.
+    pub(crate) fn observe_slowness(&mut self, seen: f64, noise: f64, now: Timestamp) {
+        self.slowness.observe(seen, noise, now);
     }
 
     /// Takes in a newer entry of the directory; returns whether it changes what is believed.
--- a/crates/routing/src/estimate.rs
+++ b/crates/routing/src/estimate.rs
@@ -24,6 +24,8 @@
     pub events: f64,
     /// Kilobytes that travel to the engine.
     pub zone_kilobytes: f64,
+    /// Calls that leave the zone if this one does: those that follow it, too.
+    pub zone_calls: f64,
 }
 
 /// Speeds of an engine that is as fast as is usual for its service.
@@ -76,7 +78,7 @@
     // Others generate nothing while this prompt is read, and a little slower afterwards.
     let slower_steps = work.events * speeds.event_millis_per_call * engine.slowness;
     let others = engine.running * (engine.unread_tokens * read_millis + slower_steps);
-    let zone = ZONE_WAY_MILLIS + work.zone_kilobytes * ZONE_MILLIS_PER_KILOBYTE;
+    let zone = work.zone_calls * (ZONE_WAY_MILLIS + work.zone_kilobytes * ZONE_MILLIS_PER_KILOBYTE);
     Estimate {
         own_millis: waiting + first + reading + generating,
         others_millis: others,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -11,6 +11,7 @@
 mod line_fit;
 mod others;
 mod routes;
+mod slowness;
 mod speeds;
 mod table;
 mod urgency;
--- a/crates/routing/src/speeds.rs
+++ b/crates/routing/src/speeds.rs
@@ -2,6 +2,7 @@
 
 use crate::estimate::Speeds;
 use crate::line_fit::{FitBounds, LineFit};
+use crate::slowness::Noise;
 
 /// Starting beliefs, right within a factor of a few for today's models; a few dozen answers replace them.
 const STARTING_READ_MILLIS_PER_TOKEN: f64 = 0.01;
@@ -42,6 +43,7 @@
     read: LineFit,
     event: LineFit,
     events: f64,
+    pub(crate) noise: Noise,
 }
 
 impl Default for LearnedSpeeds {
@@ -58,7 +60,7 @@
             CALLS_SCALE,
             EVENT_BOUNDS,
         );
-        Self { read, event, events: STARTING_EVENTS }
+        Self { read, event, events: STARTING_EVENTS, noise: Noise::default() }
     }
 }
 
--- a/crates/routing/tests/estimate.rs
+++ b/crates/routing/tests/estimate.rs
@@ -11,7 +11,7 @@
     event_millis: 15.0,
     event_millis_per_call: 0.5,
 };
-const WORK: CallWork = CallWork { events: 10.0, zone_kilobytes: 20.0 };
+const WORK: CallWork = CallWork { events: 10.0, zone_kilobytes: 20.0, zone_calls: 1.0 };
 
 fn idle() -> EngineFacts {
     EngineFacts {
