An edge that does not reach the ledger's replicas asks by way of another edge

The other edges reached the replicas all the while, and the cut ones reached the other edges.

Change: storage::Reach asks a member directly, and by way of another edge where the member says nothing at all for 80 ms (longer where answers usually take long; a member that answers anybody here meanwhile is only slow). What was learned is remembered: a member reached only around is asked around at once, and probed directly every 400 ms; one that nobody reaches is left to direct questions for half a second. Edges that pass questions on are told with the ledger's answers before they are needed. A relay passes questions on to members of the group only, makes one hop, at most 64 at once, at most a second. The answer is the member's own, so it binds as a direct one does. Six tests on a virtual clock: cut from all members, budgets and kept turns by either way, a relay that dies, the way back, nobody reaches a majority, no open proxy.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -1,5 +1,6 @@
 //! What all calls of an edge share.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -40,6 +41,8 @@
     pub node: String,
     /// The node's zone.
     pub zone: String,
+    /// Where the node passes questions to the ledger on for others; `None` where it does not.
+    pub relay: Option<SocketAddr>,
 }
 
 /// What an edge is made of.
--- a/crates/edge/src/fleet_news.rs
+++ b/crates/edge/src/fleet_news.rs
@@ -1,5 +1,6 @@
 //! What this edge tells other edges by way of the ledger's replicas, and what it learns from them.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError, Weak};
 use std::time::Duration;
 
@@ -16,6 +17,8 @@
 
 /// Least time between two tellings of this edge's calls.
 const TELL_LOADS_EVERY: Duration = Duration::from_millis(20);
+/// Time between two questions for nodes that pass questions on.
+const ASK_RELAYS_EVERY: Duration = Duration::from_millis(1000);
 /// Parts of a prompt that are asked for and told; further ones are of no interest to others.
 const MOST_PARTS: usize = 8;
 
@@ -23,20 +26,30 @@
 #[derive(Debug, Default)]
 pub(crate) struct TellTimes {
     loads: Mutex<Option<Timestamp>>,
+    relays: Mutex<Option<Timestamp>>,
 }
 
 impl TellTimes {
     /// Whether it is time to tell of calls again; if so, they count as told.
     fn loads_are_due(&self, now: Timestamp) -> bool {
-        let mut told = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
-        let is_due = told.is_none_or(|told| now.since(told) >= TELL_LOADS_EVERY);
-        if is_due {
-            *told = Some(now);
-        }
-        is_due
+        take_turn(&self.loads, TELL_LOADS_EVERY, now)
+    }
+
+    /// Whether it is time to ask for relays again; if so, they count as asked for.
+    fn relays_are_due(&self, now: Timestamp) -> bool {
+        take_turn(&self.relays, ASK_RELAYS_EVERY, now)
     }
 }
 
+fn take_turn(last: &Mutex<Option<Timestamp>>, every: Duration, now: Timestamp) -> bool {
+    let mut last = last.lock().unwrap_or_else(PoisonError::into_inner);
+    let is_due = last.is_none_or(|last| now.since(last) >= every);
+    if is_due {
+        *last = Some(now);
+    }
+    is_due
+}
+
 /// The parts of a call's prompt under their short names.
 pub(crate) fn prompt_parts(head: &CallHead) -> Vec<PartNeed> {
     let parts = head.prompt.iter();
@@ -68,16 +81,21 @@
     }
 
     fn news(&self, mut news: News) -> Bytes {
-        if self.tell_times.loads_are_due(self.clock.now()) {
+        let now = self.clock.now();
+        if self.tell_times.loads_are_due(now) {
             news.node.clone_from(&self.settings.node);
+            news.relay = self.settings.relay.map(|relay| relay.to_string()).unwrap_or_default();
             news.loads = Some(self.book().loads());
             news.asks_loads = true;
+            news.asks_relays = self.tell_times.relays_are_due(now);
         }
         Bytes::from(news.encode_to_vec())
     }
 
     fn take_view(&self, view: View) {
         let now = self.clock.now();
+        let relays: Vec<SocketAddr> = view.relays.iter().filter_map(|relay| relay.parse().ok()).collect();
+        self.ledger.learn_relays(relays);
         let mut book = self.book();
         if let Some(loads) = &view.loads {
             book.others_told(loads, now);
--- a/crates/node/src/peer_handler.rs
+++ b/crates/node/src/peer_handler.rs
@@ -25,10 +25,9 @@
                 Request::Shard(request) => self.shard_request(*request).await,
                 Request::Engine(request) => self.engine_request(request).await,
                 Request::Fleet(request) => Response::Fleet(self.fleet_request(request)),
-                Request::Ledger(_) | Request::Follow(_) => Response::Failed(Problem::not_run(
-                    ResultCode::NotFound,
-                    "this node keeps no ledger replica",
-                )),
+                Request::Ledger(_) | Request::Follow(_) | Request::Relay(_) => Response::Failed(
+                    Problem::not_run(ResultCode::NotFound, "this node keeps no ledger replica"),
+                ),
             }
         })
     }
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -18,7 +18,7 @@
 pub use entry::{decode_entries, decode_entry, encode_entries, encode_entry};
 pub use frame::{Frame, FrameBody};
 pub use request::{
-    EngineReply, EngineRequest, FleetReply, FleetRequest, Founder, Founding, GroupMessage, OneWay, Request,
-    Response, ShardRequest,
+    EngineReply, EngineRequest, FleetReply, FleetRequest, Founder, Founding, GroupMessage, OneWay, Relay,
+    Request, Response, ShardRequest,
 };
 pub use wire::{DecodeError, Wire};
--- a/crates/proto/src/request.rs
+++ b/crates/proto/src/request.rs
@@ -1,6 +1,7 @@
 //! Requests, responses and one-way messages between nodes.
 
 mod founding;
+mod relay;
 
 use bytes::Bytes;
 use sumacdrift_membership::Envelope;
@@ -11,6 +12,8 @@
 
 use founding::FoundingMessage;
 pub use founding::{Founder, Founding};
+pub use relay::Relay;
+use relay::RelayMessage;
 
 use crate::basic::{CallMessage, ProblemMessage, RunnerMessage};
 use crate::command::CommandMessage;
@@ -35,6 +38,8 @@
     /// To a node that passes on what it learns from an outside store; the bytes are a message of the dissemination
     /// crate.
     Follow(Bytes),
+    /// To a node that passes a question on to one that the asker does not reach.
+    Relay(Relay),
 }
 
 /// A command for a shard's leader.
@@ -189,7 +194,7 @@
 
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct RequestMessage {
-    #[prost(oneof = "RequestKind", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "RequestKind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
     pub kind: Option<RequestKind>,
 }
 
@@ -211,6 +216,8 @@
     Ledger(Bytes),
     #[prost(bytes = "bytes", tag = "8")]
     Follow(Bytes),
+    #[prost(message, tag = "9")]
+    Relay(RelayMessage),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -399,6 +406,7 @@
             Request::Fleet(FleetRequest::FetchBundle) => RequestKind::FetchBundle(EmptyMessage {}),
             Request::Ledger(bytes) => RequestKind::Ledger(bytes.clone()),
             Request::Follow(bytes) => RequestKind::Follow(bytes.clone()),
+            Request::Relay(relay) => RequestKind::Relay(relay.to_wire()),
         };
         RequestMessage { kind: Some(kind) }
     }
@@ -422,6 +430,7 @@
             RequestKind::FetchBundle(_) => Request::Fleet(FleetRequest::FetchBundle),
             RequestKind::Ledger(bytes) => Request::Ledger(bytes),
             RequestKind::Follow(bytes) => Request::Follow(bytes),
+            RequestKind::Relay(message) => Request::Relay(Relay::from_wire(message)?),
         })
     }
 }
--- a/crates/storage/src/asking.rs
+++ b/crates/storage/src/asking.rs
@@ -11,7 +11,8 @@
 
 use crate::client::LedgerClient;
 use crate::news::ViewSink;
-use crate::rpc::{ask, ask_whole, encode};
+use crate::reach::{LEAST_DETOUR, Reach};
+use crate::rpc::{ask, encode};
 
 /// Pause before a member that gave no usable answer is asked again.
 const ASK_AGAIN_AFTER: Duration = Duration::from_millis(60);
@@ -133,6 +134,8 @@
         let Some(member) = self.order.get(self.asked) else { return false };
         let task = MemberTask {
             transport: Arc::clone(self.client.transport()),
+            reach: self.client.reach(),
+            detour_after: LEAST_DETOUR.max(self.client.suspects().hedge_after()),
             views: self.client.views(),
             member: member.clone(),
             group: Arc::clone(&self.group),
@@ -151,6 +154,8 @@
 
 struct MemberTask {
     transport: Arc<Transport>,
+    reach: Arc<Reach>,
+    detour_after: Duration,
     views: Option<Arc<dyn ViewSink>>,
     member: Member,
     group: Arc<Group>,
@@ -164,7 +169,7 @@
         let mut failed = Some(failed);
         loop {
             let answer =
-                ask_whole(&self.transport, self.member.address, self.request.clone(), MEMBER_TIMEOUT).await;
+                self.reach.ask(self.member.address, &self.request, MEMBER_TIMEOUT, self.detour_after).await;
             let reply = answer.and_then(|answer| self.take_view(answer));
             let is_behind =
                 matches!(&reply, Some(ReplyKind::WrongEpoch(other)) if other.epoch < self.group.epoch);
--- a/crates/storage/src/client.rs
+++ b/crates/storage/src/client.rs
@@ -17,6 +17,7 @@
 
 use crate::asking::Asking;
 use crate::news::ViewSink;
+use crate::reach::Reach;
 use crate::rpc::{ask, encode, encode_with};
 use crate::suspects::Suspects;
 
@@ -84,6 +85,7 @@
 /// Asks the ledger's group.
 pub struct LedgerClient {
     transport: Arc<Transport>,
+    reach: Arc<Reach>,
     group: Mutex<Arc<Group>>,
     zone: String,
     timeouts: LedgerTimeouts,
@@ -97,7 +99,8 @@
     pub fn new(transport: Arc<Transport>, zone: String, timeouts: LedgerTimeouts, logger: Logger) -> Self {
         let suspects = Mutex::default();
         let views = OnceLock::new();
-        Self { transport, group: Mutex::default(), zone, timeouts, suspects, views, logger }
+        let reach = Arc::new(Reach::new(Arc::clone(&transport), logger.clone()));
+        Self { transport, reach, group: Mutex::default(), zone, timeouts, suspects, views, logger }
     }
 
     /// Says who takes what the replicas' hosts tell of other nodes; once.
@@ -106,6 +109,11 @@
         let _ = self.views.set(sink);
     }
 
+    /// Nodes that pass questions on to members that this node does not reach.
+    pub fn learn_relays(&self, relays: Vec<SocketAddr>) {
+        self.reach.ways().learn_relays(relays);
+    }
+
     /// The group that the client knows.
     pub fn group(&self) -> Arc<Group> {
         Arc::clone(&self.group.lock().unwrap_or_else(PoisonError::into_inner))
@@ -344,6 +352,14 @@
         self.views.get().cloned()
     }
 
+    pub(crate) fn reach(&self) -> Arc<Reach> {
+        Arc::clone(&self.reach)
+    }
+
+    pub(crate) fn logger(&self) -> &Logger {
+        &self.logger
+    }
+
     pub(crate) fn transport(&self) -> &Arc<Transport> {
         &self.transport
     }
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -14,9 +14,12 @@
 mod host;
 mod leave;
 mod news;
+mod reach;
+mod relay_host;
 mod rpc;
 mod suspects;
 mod upkeep;
+mod ways;
 
 pub use client::{Admission, BeginTurn, LedgerClient, LedgerError, LedgerTimeouts};
 pub use clock::wall_millis;
@@ -28,4 +31,5 @@
 pub use follower::{Follower, FollowerSettings, FollowerSink};
 pub use host::{HostMetrics, HostSettings, OpenError, ReplicaHost};
 pub use news::ViewSink;
+pub use relay_host::RelayHost;
 pub use upkeep::{Upkeep, UpkeepSettings};
--- a/crates/storage/tests/fleet/mod.rs
+++ b/crates/storage/tests/fleet/mod.rs
@@ -3,6 +3,7 @@
 // Each test program uses its own part of this.
 #![allow(dead_code)]
 
+use std::collections::BTreeSet;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -15,8 +16,10 @@
 use slog::{Discard, Logger, o};
 use sumacdrift_ledger::{Group, LedgerRequest, Member, Replica, ReplicaSettings};
 use sumacdrift_proto::{OneWay, Request, Response};
-use sumacdrift_storage::{FeedHost, LedgerClient, LedgerTimeouts};
-use sumacdrift_transport::{Handler, MemoryNetwork, Network, TrafficCounters, Transport, serve};
+use sumacdrift_storage::{FeedHost, LedgerClient, LedgerTimeouts, RelayHost};
+use sumacdrift_transport::{
+    Acceptor, BoxedFuture, BoxedStream, Handler, MemoryNetwork, Network, TrafficCounters, Transport, serve,
+};
 use tokio_util::sync::CancellationToken;
 
 pub fn logger() -> Logger {
@@ -27,6 +30,54 @@
     ([10, 0, 0, u8::try_from(position).expect("few nodes")], 1).into()
 }
 
+/// Positions of nodes that pass questions on.
+const RELAYS_FROM: usize = 100;
+
+/// Addresses to which connections hang, until they are taken out again.
+#[derive(Clone, Default)]
+pub struct Cut(Arc<Mutex<BTreeSet<SocketAddr>>>);
+
+impl Cut {
+    pub fn of(positions: &[usize]) -> Self {
+        let cut = Self::default();
+        cut.set(positions);
+        cut
+    }
+
+    pub fn set(&self, positions: &[usize]) {
+        *self.0.lock().expect("a cut") = positions.iter().map(|position| address(*position)).collect();
+    }
+
+    fn has(&self, to: SocketAddr) -> bool {
+        self.0.lock().expect("a cut").contains(&to)
+    }
+}
+
+/// The network as one node sees it that is cut off from some others.
+struct CutNetwork {
+    network: MemoryNetwork,
+    cut: Cut,
+}
+
+/// How long a connection hangs before it fails.
+const HANGS_FOR: Duration = Duration::from_millis(120);
+
+impl Network for CutNetwork {
+    fn connect(&self, to: SocketAddr) -> BoxedFuture<'_, std::io::Result<BoxedStream>> {
+        Box::pin(async move {
+            if self.cut.has(to) {
+                tokio::time::sleep(HANGS_FOR).await;
+                return Err(std::io::ErrorKind::TimedOut.into());
+            }
+            self.network.connect(to).await
+        })
+    }
+
+    fn listen(&self, at: SocketAddr) -> BoxedFuture<'_, std::io::Result<Box<dyn Acceptor>>> {
+        self.network.listen(at)
+    }
+}
+
 /// A node that keeps a replica and a feed.
 pub struct Node {
     pub replica: Mutex<Replica>,
@@ -135,6 +186,26 @@
         Arc::new(client)
     }
 
+    /// A client in the zone of a member that does not reach these members itself.
+    pub fn cut_client(&self, zone: usize, cut: Cut) -> Arc<LedgerClient> {
+        let network: Arc<dyn Network> = Arc::new(CutNetwork { network: self.network.clone(), cut });
+        let transport = Arc::new(Transport::new(network, Arc::new(TrafficCounters::default())));
+        let timeouts =
+            LedgerTimeouts { round: Duration::from_millis(900), end: Duration::from_millis(2_500) };
+        let client = LedgerClient::new(transport, format!("z{zone}"), timeouts, logger());
+        client.learn(self.group.clone());
+        Arc::new(client)
+    }
+
+    /// A node that passes questions on, with a client of its own; ends with the token.
+    pub async fn relay(&self, position: usize, client: Arc<LedgerClient>) -> (SocketAddr, CancellationToken) {
+        let at = address(RELAYS_FROM + position);
+        let stop = CancellationToken::new();
+        let acceptor = self.network.listen(at).await.expect("an address");
+        tokio::spawn(serve(acceptor, Arc::new(RelayHost::new(client)), Arc::default(), stop.clone()));
+        (at, stop)
+    }
+
     pub fn requests(&self) -> Vec<usize> {
         self.nodes.iter().map(|node| node.requests()).collect()
     }
--- /dev/null
+++ b/crates/storage/tests/relay.rs
@@ -0,0 +1,153 @@
+//! Questions to members that a node does not reach itself go by way of another node.
+
+mod fleet;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use fleet::{Cut, Fleet};
+use sumacdrift_ledger::{RetainedTurn, TurnBegun, TurnEnded};
+use sumacdrift_proto::{Relay, Request, Response};
+use sumacdrift_storage::{Admission, BeginTurn, LedgerClient, LedgerError};
+use tokio::time::Instant;
+
+fn begin(turn: &str, previous: &str) -> BeginTurn {
+    BeginTurn {
+        turn: TurnBegun {
+            program: "program".to_owned(),
+            turn: turn.to_owned(),
+            most_tokens: 100,
+            retention_millis: 60_000,
+        },
+        budget_tokens: 250,
+        needs_chain: !previous.is_empty(),
+        previous: previous.to_owned(),
+        news: Bytes::new(),
+    }
+}
+
+fn end(turn: &str, previous: &str) -> TurnEnded {
+    TurnEnded {
+        program: "program".to_owned(),
+        turn: turn.to_owned(),
+        tokens: 60,
+        retention_millis: 60_000,
+        retained: Some(RetainedTurn {
+            previous: previous.to_owned(),
+            input: Bytes::from(format!("in {turn}")),
+            output: Bytes::from(format!("out {turn}")),
+        }),
+    }
+}
+
+async fn ask(client: &LedgerClient, begin: BeginTurn) -> (Result<Admission, LedgerError>, Duration) {
+    let asked = Instant::now();
+    let outcome = client.begin(begin, asked + Duration::from_secs(2)).await;
+    (outcome, asked.elapsed())
+}
+
+const ALL: [usize; 3] = [0, 1, 2];
+
+/// A client that is cut off, with so many nodes that pass its questions on.
+async fn cut_off(fleet: &Fleet, cut: &Cut, relays: usize) -> (Arc<LedgerClient>, Vec<SocketAddr>) {
+    let client = fleet.cut_client(0, cut.clone());
+    let mut addresses = Vec::new();
+    for position in 0..relays {
+        let (address, _) = fleet.relay(position, fleet.client(position)).await;
+        addresses.push(address);
+    }
+    client.learn_relays(addresses.clone());
+    (client, addresses)
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_node_that_is_cut_off_from_all_members_asks_around_and_at_once_from_then_on() {
+    let fleet = Fleet::start(3).await;
+    let (client, _) = cut_off(&fleet, &Cut::of(&ALL), 2).await;
+    let (outcome, first) = ask(&client, begin("t1", "")).await;
+    outcome.expect("an admission");
+    assert!(first < Duration::from_millis(200), "{first:?}");
+    for turn in ["t2", "t3"] {
+        client.end(end(turn, ""), Bytes::new()).await.expect("an end");
+    }
+    let (_, later) = ask(&client, begin("t1", "")).await;
+    assert!(later < Duration::from_millis(5), "{later:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn budgets_and_kept_turns_hold_by_either_way() {
+    let fleet = Fleet::start(3).await;
+    let (around, _) = cut_off(&fleet, &Cut::of(&ALL), 2).await;
+    let direct = fleet.client(1);
+    ask(&direct, begin("t1", "")).await.0.expect("an admission");
+    direct.end(end("t1", ""), Bytes::new()).await.expect("an end");
+    let admission = ask(&around, begin("t2", "t1")).await.0.expect("an admission");
+    assert_eq!(admission.counted_tokens, 60);
+    assert_eq!(admission.chain.into_prompt(b"new"), "in t1out t1new".as_bytes());
+    around.end(end("t2", "t1"), Bytes::new()).await.expect("an end");
+    // 120 of 250 are spent: a third turn fits, a fourth beside it does not.
+    ask(&direct, begin("t3", "t2")).await.0.expect("an admission");
+    assert_eq!(ask(&around, begin("t4", "t2")).await.0.expect_err("too much"), LedgerError::BudgetSpent);
+    let unknown = ask(&around, begin("t5", "never")).await.0.expect_err("no such turn");
+    assert!(matches!(unknown, LedgerError::UnknownPrevious | LedgerError::BudgetSpent));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_relay_that_dies_is_replaced_by_another() {
+    let fleet = Fleet::start(3).await;
+    let (client, relays) = cut_off(&fleet, &Cut::of(&ALL), 2).await;
+    ask(&client, begin("t1", "")).await.0.expect("an admission");
+    fleet.network.set_reachable(relays[0], false);
+    for turn in 0..6 {
+        let mut turn = begin(&format!("u{turn}"), "");
+        turn.budget_tokens = 0;
+        let (outcome, taken) = ask(&client, turn).await;
+        outcome.expect("an admission");
+        assert!(taken < Duration::from_millis(600), "{taken:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_member_that_is_reached_again_is_asked_directly() {
+    let fleet = Fleet::start(3).await;
+    let cut = Cut::of(&ALL);
+    let (client, relays) = cut_off(&fleet, &cut, 1).await;
+    ask(&client, begin("t1", "")).await.0.expect("an admission");
+    cut.set(&[]);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    ask(&client, begin("t1", "")).await.0.expect("an admission");
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    fleet.network.set_reachable(relays[0], false);
+    let (outcome, taken) = ask(&client, begin("t1", "")).await;
+    outcome.expect("an admission");
+    assert!(taken < Duration::from_millis(100), "{taken:?}");
+}
+
+/// One that is dead for everybody is not asked for by way of others again and again.
+#[tokio::test(start_paused = true)]
+async fn where_nobody_reaches_a_majority_nothing_is_said() {
+    let fleet = Fleet::start(3).await;
+    let cut = Cut::of(&ALL);
+    let (client, _) = cut_off(&fleet, &cut, 2).await;
+    for position in [1, 2] {
+        fleet.network.set_reachable(fleet::address(position), false);
+    }
+    let (outcome, taken) = ask(&client, begin("t1", "")).await;
+    assert_eq!(outcome.expect_err("no majority"), LedgerError::Unavailable);
+    assert!(taken <= Duration::from_millis(2_100), "{taken:?}");
+}
+
+/// A relay passes questions on to members only, and a question makes one hop.
+#[tokio::test(start_paused = true)]
+async fn a_relay_is_no_open_proxy() {
+    let fleet = Fleet::start(3).await;
+    let (near, _) = fleet.relay(0, fleet.client(0)).await;
+    let (far, _) = fleet.relay(1, fleet.client(1)).await;
+    let to_relay = Relay { to: far, within: Duration::from_secs(1), ledger: Bytes::from_static(b"x") };
+    let answer = fleet.transport().request(near, Request::Relay(to_relay), Duration::from_secs(2)).await;
+    assert!(matches!(answer, Ok(Response::Failed(_))), "{answer:?}");
+    let plain = fleet.transport().request(near, Request::Ledger(Bytes::new()), Duration::from_secs(2)).await;
+    assert!(matches!(plain, Ok(Response::Failed(_))), "{plain:?}");
+}
