--- a/crates/edge/src/engine_pool.rs
+++ b/crates/edge/src/engine_pool.rs
@@ -19,7 +19,7 @@
 
 use crate::clock::Clock;
 use crate::headers::{keep_alive_seconds, says_close};
-use crate::rest_limit::RestLimit;
+use crate::rest_limit::{Reset, RestLimit};
 
 /// Time for a new connection; engines answer within milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -103,28 +103,34 @@
             if !matches!(tokio::time::timeout(READY_TIMEOUT, sender.ready()).await, Ok(Ok(()))) {
                 continue;
             }
+            let sent = Instant::now();
             match sender.try_send_request(request).await {
                 Ok(answer) => return Ok(self.answer(engine, sender, answer)),
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
-                    None => {
-                        self.rest_limit().reset_after(rested, self.clock.now());
-                        return Err(SendError::Lost);
-                    }
+                    None => return Err(self.lost(Some(rested), sent)),
                 },
             }
         }
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, connect(address)).await;
         let Ok(Some(mut sender)) = connecting else { return Err(SendError::NotSent) };
+        let sent = Instant::now();
         match sender.try_send_request(request).await {
             Ok(answer) => Ok(self.answer(engine, sender, answer)),
-            Err(mut error) => {
-                let is_unsent = error.take_message().is_some();
-                Err(if is_unsent { SendError::NotSent } else { SendError::Lost })
-            }
+            Err(mut error) => Err(match error.take_message() {
+                Some(_) => SendError::NotSent,
+                None => self.lost(None, sent),
+            }),
         }
     }
 
+    /// A request was reset; learns from it.
+    fn lost(&self, rested: Option<Duration>, sent: Instant) -> SendError {
+        let reset = Reset { rested, after: sent.elapsed() };
+        self.rest_limit().was_reset(reset, self.clock.now());
+        SendError::Lost
+    }
+
     /// Whether a connection to the engine rests.
     pub(crate) fn is_connected(&self, engine: &EngineId) -> bool {
         let now = Instant::now();
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -31,4 +31,4 @@
 pub use headers::forwardable;
 pub use listener::{Listeners, StopTimes, serve_listeners};
 pub use metrics::EdgeMetrics;
-pub use rest_limit::RestLimit;
+pub use rest_limit::{Reset, RestLimit};
