Each mechanism that decides can be switched off

Cause: what each mechanism is worth could only be measured on scratch copies, and an operator had no way to take one out of service.

`served` lines tell what the way between zones counted.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -11,7 +11,7 @@
 use sumacdrift_routing::{
     Outcome, PartNeed, Placed, PlacementRequest, RequestedWork, Selected, UrgencyFacts, urgency,
 };
-use sumacdrift_types::{Timestamp, stable_hash};
+use sumacdrift_types::{Mechanism, Timestamp, stable_hash};
 
 use crate::dialect::{AnswerKind, Dialect, EngineAttempt};
 use crate::edge::Edge;
@@ -177,6 +177,9 @@
 
 /// Urgency of a program's turn; other calls have the engine's usual one.
 fn urgency_of<D: Dialect>(call: &CallContext<D>) -> Option<u8> {
+    if !call.edge.settings.off.allows(Mechanism::Urgency) {
+        return None;
+    }
     let route = &call.selected.route;
     let program = call.head.program.as_ref().filter(|_| route.rules.kind.is_stream())?;
     let passed = call.edge.clock.now().since(call.accepted);
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -10,7 +10,7 @@
 use sumacdrift_routing::{CallerLimits, EngineBook, EngineSpec, Outcome, RouteTable, Routes};
 use sumacdrift_scheduling::HealthSettings;
 use sumacdrift_storage::LedgerClient;
-use sumacdrift_types::Timestamp;
+use sumacdrift_types::{Mechanism, SwitchedOff, Timestamp};
 use tokio::sync::watch;
 
 use crate::clock::Clock;
@@ -43,6 +43,8 @@
     pub zone: String,
     /// Where the node passes questions to the ledger on for others; `None` where it does not.
     pub relay: Option<SocketAddr>,
+    /// Mechanisms that are switched off.
+    pub off: SwitchedOff,
 }
 
 /// What an edge is made of.
@@ -84,16 +86,17 @@
             max_pause: LONGEST_AVOIDANCE,
             slow_start: SLOW_START,
         };
+        let off = parts.settings.off;
         let edge = Arc::new(Self {
             settings: parts.settings,
             dialect: parts.dialect,
             ledger: parts.ledger,
             logger: parts.logger,
             clock: Clock::default(),
-            pool: Arc::default(),
+            pool: Arc::new(EnginePool::new(off)),
             metrics: EdgeMetrics::default(),
             routes: Mutex::default(),
-            book: Mutex::new(EngineBook::new(health)),
+            book: Mutex::new(EngineBook::without(off, health)),
             usual_times: Mutex::default(),
             tell_times: TellTimes::default(),
             configured: watch::Sender::new(false),
@@ -162,7 +165,8 @@
     /// once the configuration is there within a moment, and a caller that is turned away has few tries.
     pub(crate) async fn limits_soon(&self) -> Option<CallerLimits> {
         let patience = START_PATIENCE.saturating_sub(self.clock.now().since(Timestamp::default()));
-        if !*self.configured.borrow() && !patience.is_zero() {
+        let may_wait = self.settings.off.allows(Mechanism::StartWait) && !patience.is_zero();
+        if may_wait && !*self.configured.borrow() {
             let mut configured = self.configured.subscribe();
             // The end of the time shows below.
             let _ = tokio::time::timeout(patience, configured.wait_for(|is_known| *is_known)).await;
--- a/crates/edge/src/engine_pool.rs
+++ b/crates/edge/src/engine_pool.rs
@@ -14,6 +14,7 @@
 use hyper_util::rt::TokioIo;
 use sumacdrift_calls::EngineId;
 use sumacdrift_transport::tune;
+use sumacdrift_types::{Mechanism, SwitchedOff};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
@@ -57,8 +58,8 @@
 }
 
 /// Connections to engines, by engine.
-#[derive(Default)]
 pub(crate) struct EnginePool {
+    off: SwitchedOff,
     resting: Mutex<HashMap<EngineId, Vec<Resting>>>,
     rest_limit: Mutex<RestLimit>,
     clock: Clock,
@@ -91,6 +92,11 @@
 }
 
 impl EnginePool {
+    /// No connections yet.
+    pub(crate) fn new(off: SwitchedOff) -> Self {
+        Self { off, resting: Mutex::default(), rest_limit: Mutex::default(), clock: Clock::default() }
+    }
+
     /// Sends a request and waits for the head of the answer.
     pub(crate) async fn send(
         self: &Arc<Self>,
@@ -126,6 +132,9 @@
 
     /// A request was reset; learns from it.
     fn lost(&self, rested: Option<Duration>, sent: Instant) -> SendError {
+        if !self.off.allows(Mechanism::RestLimit) {
+            return SendError::Lost;
+        }
         let reset = Reset { rested, after: sent.elapsed() };
         self.rest_limit().was_reset(reset, self.clock.now());
         SendError::Lost
--- a/crates/edge/src/fleet_news.rs
+++ b/crates/edge/src/fleet_news.rs
@@ -101,7 +101,7 @@
             book.others_told(loads, now);
         }
         for held in view.held {
-            book.holds(held, now);
+            book.others_hold(held, now);
         }
     }
 }
--- a/crates/edge/src/report.rs
+++ b/crates/edge/src/report.rs
@@ -26,7 +26,7 @@
             "status" => status, "events" => machine.events(), "misses" => machine.misses(),
             "age_ms" => self.age_millis(), "version" => self.selected.version, "program" => program,
             "route" => &*self.selected.route.name, "expected_ms" => placed.estimate.own_millis as u64,
-            "unread_tokens" => placed.unread_tokens, "tokens_ahead" => placed.tokens_ahead as u64,
+            "zone_ms" => placed.estimate.zone_millis as u64, "unread_tokens" => placed.unread_tokens, "tokens_ahead" => placed.tokens_ahead as u64,
             "running" => placed.running as u64, "next_best_ms" => placed.next_best.map(|cost| cost as u64),
             "others_age_ms" => placed.others_age.map(|age| age.as_millis() as u64));
     }
--- a/crates/routing/src/book.rs
+++ b/crates/routing/src/book.rs
@@ -7,7 +7,7 @@
 use sumacdrift_calls::EngineId;
 use sumacdrift_fleet_view::{EngineLoad, Loads, PartHeld, PartIndex};
 use sumacdrift_scheduling::HealthSettings;
-use sumacdrift_types::Timestamp;
+use sumacdrift_types::{Mechanism, SwitchedOff, Timestamp};
 
 use crate::choice::{CALLS_OF_A_BEGINNING, Choice, HeldTokens, Placed, PlacementRequest, RequestedWork};
 use crate::engine::{Engine, EngineSpec, Outcome};
@@ -33,12 +33,19 @@
     speeds: HashMap<Arc<str>, LearnedSpeeds>,
     others: OtherLoads,
     parts: PartIndex,
+    off: SwitchedOff,
 }
 
 impl EngineBook {
     /// No engines yet.
     pub fn new(health: HealthSettings) -> Self {
+        Self::without(SwitchedOff::default(), health)
+    }
+
+    /// No engines yet, and some mechanisms switched off.
+    pub fn without(off: SwitchedOff, health: HealthSettings) -> Self {
         Self {
+            off,
             engines: BTreeMap::new(),
             health,
             speeds: HashMap::new(),
@@ -105,7 +112,10 @@
         let (speeds, events, zone_calls, held) = match request.work {
             RequestedWork::Stream { parts } => {
                 let holders = parts.iter().flat_map(|part| self.parts.holders(part.part, now));
-                let known: Vec<PartHeld> = holders.collect();
+                let known: Vec<PartHeld> = match self.off.allows(Mechanism::HeldPrompts) {
+                    true => holders.collect(),
+                    false => Vec::new(),
+                };
                 let learned = self.speeds.get(request.service).cloned().unwrap_or_default();
                 let held = HeldTokens::of(parts, &known);
                 let zone_calls = if HeldTokens::goes_on(parts, &known) { 1.0 } else { CALLS_OF_A_BEGINNING };
@@ -116,7 +126,8 @@
         let of_service = self.engines.values().filter(|engine| &*engine.spec.service == request.service);
         let others = self.others.among(of_service.map(|engine| engine.key), now);
         let others_age = self.others.age(now);
-        let choice = Choice { request, speeds, events, zone_calls, others, others_age, held, now };
+        let off = self.off;
+        let choice = Choice { off, request, speeds, events, zone_calls, others, others_age, held, now };
         choice.best(self.engines.values())
     }
 
@@ -171,9 +182,18 @@
         self.parts.note(held, now);
     }
 
+    /// Other nodes told of an engine that holds a part of a prompt.
+    pub fn others_hold(&mut self, held: PartHeld, now: Timestamp) {
+        if self.off.allows(Mechanism::ToldPrompts) {
+            self.parts.note(held, now);
+        }
+    }
+
     /// Other nodes told of their calls.
     pub fn others_told(&mut self, loads: &Loads, now: Timestamp) {
-        self.others.tell(loads, now);
+        if self.off.allows(Mechanism::ToldLoads) {
+            self.others.tell(loads, now);
+        }
     }
 
     /// This node's calls, for other nodes.
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -4,7 +4,7 @@
 
 use sumacdrift_calls::EngineId;
 use sumacdrift_fleet_view::PartHeld;
-use sumacdrift_types::Timestamp;
+use sumacdrift_types::{Mechanism, SwitchedOff, Timestamp};
 
 use crate::engine::Engine;
 use crate::estimate::{CallWork, EngineFacts, Estimate, Speeds, estimate};
@@ -98,6 +98,7 @@
 
 /// What holds for all engines in one choice.
 pub(crate) struct Choice<'a> {
+    pub(crate) off: SwitchedOff,
     pub(crate) request: &'a PlacementRequest<'a>,
     pub(crate) speeds: Speeds,
     pub(crate) events: f64,
@@ -122,7 +123,7 @@
         let candidates: Vec<&Engine> = engines.filter(|engine| self.may_serve(engine)).collect();
         // From the best to the last resort.
         let tiers: [&dyn Fn(&Engine) -> bool; 4] = [
-            &|engine| self.is_fresh(engine) && engine.is_usable(self.now) && engine.is_sound(self.now),
+            &|engine| self.is_fresh(engine) && engine.is_usable(self.now) && self.is_sound(engine),
             &|engine| self.is_fresh(engine) && engine.is_usable(self.now),
             &|engine| engine.is_usable(self.now),
             &|engine| engine.unusable_since.is_none_or(|since| self.now.since(since) < LAST_RESORT_TIME),
@@ -137,6 +138,10 @@
             && !self.request.avoid.contains(&engine.spec.id)
     }
 
+    fn is_sound(&self, engine: &Engine) -> bool {
+        engine.is_sound(self.now) || !self.off.allows(Mechanism::Health)
+    }
+
     fn is_fresh(&self, engine: &Engine) -> bool {
         !self.request.rather_not.contains(&engine.spec.id)
     }
@@ -150,7 +155,7 @@
             let best_cost = best.as_ref().map_or(f64::INFINITY, |best| best.cost);
             let mut candidate = self.weigh(engine);
             // Asked only where it may decide.
-            if candidate.cost < best_cost && !(self.request.is_connected)(&engine.spec.id) {
+            if candidate.cost < best_cost && self.needs_connection(engine) {
                 candidate.cost += CONNECTION_MILLIS;
             }
             if candidate.cost < best_cost {
@@ -174,6 +179,10 @@
         })
     }
 
+    fn needs_connection(&self, engine: &Engine) -> bool {
+        self.off.allows(Mechanism::OpenConnections) && !(self.request.is_connected)(&engine.spec.id)
+    }
+
     fn weigh<'e>(&self, engine: &'e Engine) -> Candidate<'e> {
         let others = self.others.at(engine.key);
         let drawn = drawn(self.request.key, engine.key);
@@ -182,15 +191,18 @@
             queued_tokens: engine.unread_tokens as f64 + others.unread_tokens,
             running: engine.running as f64 + others.running,
             slots: engine.spec.slots as f64,
-            slowness: engine.slowness(self.now),
-            is_in_zone: *engine.spec.zone == *self.request.zone,
+            slowness: if self.off.allows(Mechanism::Slowness) { engine.slowness(self.now) } else { 1.0 },
+            is_in_zone: *engine.spec.zone == *self.request.zone || !self.off.allows(Mechanism::Zones),
         };
         let work = CallWork {
             events: self.events,
             zone_kilobytes: self.request.kilobytes,
             zone_calls: self.zone_calls,
         };
-        let estimate = estimate(&facts, &work, &self.speeds);
+        let mut estimate = estimate(&facts, &work, &self.speeds);
+        if !self.off.allows(Mechanism::OthersDelay) {
+            estimate.others_millis = 0.0;
+        }
         let spread = match self.request.work {
             RequestedWork::Whole { is_sticky: true, .. } => UNSEEN_SHARE,
             RequestedWork::Whole { .. } => WHOLE_SPREAD_SHARE,
--- a/crates/routing/tests/engines.rs
+++ b/crates/routing/tests/engines.rs
@@ -6,7 +6,7 @@
 use sumacdrift_fleet_view::{EngineLoad, Loads, PartHeld, engine_key};
 use sumacdrift_routing::{EngineBook, EngineSpec, Outcome, PartNeed, PlacementRequest, RequestedWork};
 use sumacdrift_scheduling::HealthSettings;
-use sumacdrift_types::Timestamp;
+use sumacdrift_types::{Mechanism, SwitchedOff, Timestamp};
 
 const NOW: Timestamp = Timestamp(5_000_000);
 
@@ -23,7 +23,13 @@
 }
 
 fn book(engines: &[(&str, &str)]) -> EngineBook {
-    let mut book = EngineBook::new(HealthSettings { failures_to_open: 2, ..HealthSettings::default() });
+    book_without(&[], engines)
+}
+
+fn book_without(off: &[Mechanism], engines: &[(&str, &str)]) -> EngineBook {
+    let health = HealthSettings { failures_to_open: 2, ..HealthSettings::default() };
+    let off: SwitchedOff = off.iter().copied().collect();
+    let mut book = EngineBook::without(off, health);
     for (id, zone) in engines {
         book.upsert(spec(id, zone), NOW);
     }
@@ -252,3 +258,26 @@
     let alone = PlacementRequest { rather_not: &failed, ..request(&other) };
     assert_eq!(chosen(&book, &alone, NOW).as_deref(), Some("a"));
 }
+
+#[test]
+fn what_is_switched_off_decides_nothing() {
+    let engines = [("a", "z1"), ("b", "z2")];
+    let prompt = prompt(8_000);
+    let mut blind = book_without(&[Mechanism::HeldPrompts, Mechanism::Zones], &engines);
+    let mut seeing = book(&engines);
+    for book in [&mut blind, &mut seeing] {
+        book.holds(held(1, "b", 2_500), NOW);
+        book.holds(held(2, "b", 8_000), NOW);
+    }
+    let of = |book: &EngineBook, key| chosen(book, &turn(key, &prompt), NOW);
+    assert!((0..20).all(|key| of(&seeing, key).as_deref() == Some("b")));
+    let blindly: std::collections::BTreeSet<_> = (0..20).map(|key| of(&blind, key)).collect();
+    assert_eq!(blindly.len(), 2);
+    let mut deaf = book_without(&[Mechanism::ToldLoads, Mechanism::ToldPrompts], &engines);
+    deaf.others_told(
+        &Loads { engines: vec![EngineLoad { engine: engine_key("a"), running: 50, unread_tokens: 0 }] },
+        NOW,
+    );
+    deaf.others_hold(held(1, "b", 2_500), NOW);
+    assert_eq!(of(&deaf, 1).as_deref(), Some("a"));
+}
--- a/crates/storage/src/asking.rs
+++ b/crates/storage/src/asking.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use sumacdrift_ledger::{Group, LedgerReply, Member, ReplyKind, RequestKind};
 use sumacdrift_transport::Transport;
+use sumacdrift_types::Mechanism;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
@@ -85,7 +86,7 @@
             {
                 return None;
             }
-            let may_hedge = self.asked < self.order.len();
+            let may_hedge = self.asked < self.order.len() && self.client.allows(Mechanism::Hedging);
             let until = if may_hedge { self.hedge_at.min(self.deadline) } else { self.deadline };
             match tokio::time::timeout_at(until, self.answers.recv()).await {
                 Ok(Some((position, Some(ReplyKind::NotVoting(_))))) => {
@@ -125,6 +126,9 @@
     }
 
     fn suspect(&self, position: usize) {
+        if !self.client.allows(Mechanism::Suspects) {
+            return;
+        }
         self.client.suspects().suspect(&self.order[position].node, Instant::now());
     }
 
--- a/crates/storage/src/client.rs
+++ b/crates/storage/src/client.rs
@@ -13,6 +13,7 @@
     GroupMessage, Member, ReplyKind, RequestKind, TurnBegun, TurnEnded,
 };
 use sumacdrift_transport::Transport;
+use sumacdrift_types::{Mechanism, SwitchedOff};
 use tokio::time::Instant;
 
 use crate::asking::Asking;
@@ -91,16 +92,28 @@
     timeouts: LedgerTimeouts,
     suspects: Mutex<Suspects>,
     views: OnceLock<Arc<dyn ViewSink>>,
+    off: SwitchedOff,
     logger: Logger,
 }
 
 impl LedgerClient {
     /// A client that knows no group yet.
     pub fn new(transport: Arc<Transport>, zone: String, timeouts: LedgerTimeouts, logger: Logger) -> Self {
+        Self::without(SwitchedOff::default(), transport, zone, timeouts, logger)
+    }
+
+    /// A client that knows no group yet, with some mechanisms switched off.
+    pub fn without(
+        off: SwitchedOff,
+        transport: Arc<Transport>,
+        zone: String,
+        timeouts: LedgerTimeouts,
+        logger: Logger,
+    ) -> Self {
         let suspects = Mutex::default();
         let views = OnceLock::new();
         let reach = Arc::new(Reach::new(Arc::clone(&transport), logger.clone()));
-        Self { transport, reach, group: Mutex::default(), zone, timeouts, suspects, views, logger }
+        Self { transport, reach, group: Mutex::default(), zone, timeouts, suspects, views, off, logger }
     }
 
     /// Says who takes what the replicas' hosts tell of other nodes; once.
@@ -111,7 +124,9 @@
 
     /// Nodes that pass questions on to members that this node does not reach.
     pub fn learn_relays(&self, relays: Vec<SocketAddr>) {
-        self.reach.ways().learn_relays(relays);
+        if self.off.allows(Mechanism::Relays) {
+            self.reach.ways().learn_relays(relays);
+        }
     }
 
     /// The group that the client knows.
@@ -344,6 +359,11 @@
         Asking::new(self, Arc::clone(group), order, deadline)
     }
 
+    /// Whether a mechanism is at work.
+    pub(crate) fn allows(&self, mechanism: Mechanism) -> bool {
+        self.off.allows(mechanism)
+    }
+
     pub(crate) fn suspects(&self) -> MutexGuard<'_, Suspects> {
         self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod chat;
 mod ids;
+mod mechanism;
 mod outcome;
 mod rendezvous;
 mod result_code;
@@ -16,6 +17,7 @@
     CallId, EngineName, Generation, IdempotencyKey, Incarnation, InvalidName, ModelName, NodeId, PoolName,
     PriorityName, ProgramId, RegionName, ServiceName, ShardId, TenantName, TurnNumber, ZoneName,
 };
+pub use mechanism::{Mechanism, SwitchedOff, UnknownMechanism, names as mechanism_names};
 pub use outcome::{Problem, Ran};
 pub use rendezvous::{rendezvous_order, stable_hash};
 pub use result_code::ResultCode;
