An edge that nobody answers says so, and one that is cut off itself is not told of as a way around

Change: an edge offers to pass questions on only while it reaches the members itself; a relay that fails or reaches nobody is left for the next one, and the one that works is kept. An edge that was answered before, asks everybody (members, and by way of others) and hears nobody for 400 ms gives its turns up with a time to come back, new ones at once, and is not ready until anybody answers. Where others answer that the members don't, the ledger pauses for everybody and is waited for; a process that was never answered waits too, as all may be coming up together.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -174,9 +174,9 @@
         self.limits()
     }
 
-    /// Whether the edge takes new callers.
+    /// Whether the edge takes new callers: not while nobody answers it, as programs are served by others then.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.routes().table().is_some()
+        !self.is_stopping() && self.routes().table().is_some() && !self.ledger.is_isolated()
     }
 
     /// Takes no new callers from now on.
--- a/crates/edge/src/fleet_news.rs
+++ b/crates/edge/src/fleet_news.rs
@@ -84,7 +84,8 @@
         let now = self.clock.now();
         if self.tell_times.loads_are_due(now) {
             news.node.clone_from(&self.settings.node);
-            news.relay = self.settings.relay.map(|relay| relay.to_string()).unwrap_or_default();
+            let relay = self.settings.relay.filter(|_| self.ledger.reaches_members());
+            news.relay = relay.map(|relay| relay.to_string()).unwrap_or_default();
             news.loads = Some(self.book().loads());
             news.asks_loads = true;
             news.asks_relays = self.tell_times.relays_are_due(now);
--- a/crates/storage/src/client.rs
+++ b/crates/storage/src/client.rs
@@ -164,8 +164,34 @@
         }
     }
 
-    /// Asks whether a turn may run, again and again until there is an answer or `until` has come.
+    /// Asks whether a turn may run, again and again until there is an answer or `until` has come. Where nobody at all
+    /// answers this node, that is said soon: another node may do better.
     pub async fn begin(&self, begin: BeginTurn, until: Instant) -> Result<Admission, LedgerError> {
+        let group = self.group();
+        let members: Vec<SocketAddr> = group.members.iter().map(|member| member.address).collect();
+        tokio::select! {
+            biased;
+            () = self.reach.isolated(&members) => Err(LedgerError::Unavailable),
+            outcome = self.begin_patiently(begin, until) => outcome,
+        }
+    }
+
+    /// Whether nobody answers this node: neither members of the group nor nodes that pass questions on.
+    pub fn is_isolated(&self) -> bool {
+        self.reach.is_isolated()
+    }
+
+    /// Whether this node reaches the members itself, so that it can pass questions on for others.
+    pub fn reaches_members(&self) -> bool {
+        self.reach.ways().reaches_directly(Instant::now())
+    }
+
+    /// Somebody answered, about whatever.
+    pub(crate) fn heard_anyone(&self) {
+        self.reach.ways().heard_anyone();
+    }
+
+    async fn begin_patiently(&self, begin: BeginTurn, until: Instant) -> Result<Admission, LedgerError> {
         loop {
             let group = self.group();
             let deadline = until.min(Instant::now() + self.timeouts.round);
--- a/crates/storage/src/follower.rs
+++ b/crates/storage/src/follower.rs
@@ -123,6 +123,7 @@
         let reply = self.transport.request(feed, request, wait + FEED_MARGIN).await;
         let Ok(Response::Changes(bytes)) = reply else { return self.lost(feed) };
         let Ok(changes) = Changes::decode(bytes) else { return self.lost(feed) };
+        self.ledger.heard_anyone();
         let heard = if changes.is_current { Heard::Current } else { Heard::Stale };
         let is_same_feed = changes.life == self.life;
         // What a feed without the store holds may be old; it serves only those that know nothing.
--- a/crates/storage/tests/relay.rs
+++ b/crates/storage/tests/relay.rs
@@ -151,3 +151,76 @@
     let plain = fleet.transport().request(near, Request::Ledger(Bytes::new()), Duration::from_secs(2)).await;
     assert!(matches!(plain, Ok(Response::Failed(_))), "{plain:?}");
 }
+
+/// A node that nobody answers says so soon, and a program's turn can go to another node.
+#[tokio::test(start_paused = true)]
+async fn a_node_that_nobody_answers_any_more_gives_its_turns_up_soon() {
+    let fleet = Fleet::start(3).await;
+    let cut = Cut::default();
+    let (client, relays) = cut_off(&fleet, &cut, 2).await;
+    ask(&client, begin("t1", "")).await.0.expect("an admission");
+    assert!(!client.is_isolated());
+    fleet.nodes.iter().for_each(|node| node.silence(true));
+    relays.iter().for_each(|relay| fleet.network.set_reachable(*relay, false));
+    let (outcome, taken) = ask(&client, begin("t2", "")).await;
+    assert_eq!(outcome.expect_err("nobody answers"), LedgerError::Unavailable);
+    assert!(taken <= Duration::from_millis(500), "{taken:?}");
+    assert!(client.is_isolated());
+    let (outcome, taken) = ask(&client, begin("t3", "")).await;
+    outcome.expect_err("nobody answers");
+    assert!(taken <= Duration::from_millis(1), "{taken:?}");
+    fleet.nodes.iter().for_each(|node| node.silence(false));
+    tokio::time::sleep(Duration::from_secs(2)).await;
+}
+
+/// Where nodes that pass questions on answer, the ledger pauses for everybody: waiting is right.
+#[tokio::test(start_paused = true)]
+async fn a_pause_of_the_ledger_is_waited_for() {
+    let fleet = Fleet::start(3).await;
+    let (client, _) = cut_off(&fleet, &Cut::default(), 2).await;
+    ask(&client, begin("t1", "")).await.0.expect("an admission");
+    let nodes = fleet.nodes.clone();
+    nodes.iter().for_each(|node| node.silence(true));
+    tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(1_200)).await;
+        nodes.iter().for_each(|node| node.silence(false));
+    });
+    let (outcome, taken) = ask(&client, begin("t2", "")).await;
+    outcome.expect("an admission");
+    assert!(taken >= Duration::from_millis(1_200), "{taken:?}");
+}
+
+/// Nobody ever answered: all nodes may be coming up together.
+#[tokio::test(start_paused = true)]
+async fn before_anybody_answered_nobody_is_isolated() {
+    let fleet = Fleet::start(3).await;
+    let client = fleet.client(0);
+    fleet.nodes.iter().for_each(|node| node.silence(true));
+    let (outcome, taken) = ask(&client, begin("t1", "")).await;
+    outcome.expect_err("no majority");
+    assert!(taken >= Duration::from_millis(1_900), "{taken:?}");
+}
+
+/// Escrutinio scale-2: edges that were cut off together asked each other.
+#[tokio::test(start_paused = true)]
+async fn a_relay_that_is_cut_off_itself_is_left_for_another_and_says_so() {
+    let fleet = Fleet::start(3).await;
+    let cut = Cut::of(&ALL);
+    let client = fleet.cut_client(0, cut.clone());
+    let fellow = fleet.cut_client(1, cut.clone());
+    let (fellow_at, _) = fleet.relay(0, Arc::clone(&fellow)).await;
+    let (good_at, _) = fleet.relay(1, fleet.client(1)).await;
+    client.learn_relays(vec![fellow_at, good_at]);
+    fellow.learn_relays(vec![good_at]);
+    let begin = |turn| BeginTurn { budget_tokens: 0, ..begin(turn, "") };
+    ask(&client, begin("t1")).await.0.expect("an admission");
+    for turn in ["t2", "t3"] {
+        let (outcome, taken) = ask(&client, begin(turn)).await;
+        outcome.expect("an admission");
+        assert!(taken < Duration::from_millis(50), "{taken:?}");
+    }
+    assert!(!client.reaches_members());
+    let direct = fleet.client(2);
+    ask(&direct, begin("t4")).await.0.expect("an admission");
+    assert!(direct.reaches_members());
+}
