--- /dev/null
+++ b/crates/bench/src/choices.rs
@@ -0,0 +1,83 @@
+//! What one choice among engines costs, by the number of engines.
+
+use std::time::{Duration, Instant};
+
+use serde::Serialize;
+use sumacdrift_calls::EngineId;
+use sumacdrift_fleet_view::{EngineLoad, Loads, PartHeld, engine_key};
+use sumacdrift_routing::{EngineBook, EngineSpec, PartNeed, PlacementRequest, RequestedWork};
+use sumacdrift_scheduling::HealthSettings;
+use sumacdrift_types::Timestamp;
+
+/// Numbers of engines that are measured.
+pub(crate) const ENGINES: [usize; 3] = [12, 400, 3_900];
+/// Choices that are timed.
+const CHOICES: u32 = 2_000;
+/// Zones over which the engines are spread.
+const ZONES: [&str; 3] = ["a", "b", "c"];
+/// Engines that hold a part of the prompt.
+const HOLDERS: usize = 12;
+
+/// What a choice costs.
+#[derive(Debug, Clone, Serialize)]
+pub struct ChoiceSlope {
+    /// Engines of the service.
+    pub engines: usize,
+    /// Microseconds for a choice.
+    pub micros: f64,
+}
+
+/// Times choices among so many engines.
+pub(crate) fn measure_choices(engines: usize) -> ChoiceSlope {
+    let now = Timestamp::default() + Duration::from_secs(10);
+    let book = book(engines, now);
+    let parts = [PartNeed { part: 1, tokens: 2_560 }, PartNeed { part: 2, tokens: 6_000 }];
+    let begun = Instant::now();
+    let mut chosen = 0;
+    for key in 0..CHOICES {
+        let request = PlacementRequest {
+            service: "s",
+            zone: "a",
+            key: u64::from(key),
+            work: RequestedWork::Stream { parts: &parts },
+            kilobytes: 8.0,
+            is_connected: &|_| true,
+            avoid: &[],
+            rather_not: &[],
+            only: None,
+        };
+        chosen += usize::from(book.choose(&request, now).is_some());
+    }
+    assert_eq!(chosen, CHOICES as usize, "every choice finds an engine");
+    ChoiceSlope { engines, micros: begun.elapsed().as_secs_f64() * 1e6 / f64::from(CHOICES) }
+}
+
+/// A book whose engines are in use and partly hold the prompt.
+fn book(engines: usize, now: Timestamp) -> EngineBook {
+    let mut book = EngineBook::new(HealthSettings::default());
+    let id = |engine: usize| format!("engine-{engine}");
+    for engine in 0..engines {
+        book.upsert(spec(&id(engine), ZONES[engine % ZONES.len()]), now);
+        book.sent(&EngineId::new(&id(engine)), 100, now);
+    }
+    for engine in 0..HOLDERS.min(engines) {
+        let engine = engine_key(&id(engine));
+        book.holds(PartHeld { part: 1, engine, tokens: 2_560 }, now);
+    }
+    book.holds(PartHeld { part: 2, engine: engine_key(&id(0)), tokens: 5_000 }, now);
+    let load = |engine| EngineLoad { engine: engine_key(&id(engine)), running: 6, ..EngineLoad::default() };
+    book.others_told(&Loads { engines: (0..engines).map(load).collect() }, now);
+    book
+}
+
+fn spec(id: &str, zone: &str) -> EngineSpec {
+    EngineSpec {
+        id: EngineId::new(id),
+        service: "s".into(),
+        address: ([10, 0, 0, 1], 80).into(),
+        zone: zone.into(),
+        slots: 16,
+        is_leaving: false,
+        report: 1,
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,6 +3,7 @@
 mod caller;
 pub mod campaign;
 mod checks;
+mod choices;
 pub mod demo;
 mod fleet;
 pub mod overhead;
--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -15,6 +15,8 @@
     ShardId, TenantName, Timestamp, TurnNumber, Usage, ZoneName,
 };
 
+use crate::choices::{ChoiceSlope, ENGINES, measure_choices};
+
 /// Turns of the programs that are measured.
 const TURNS: [u32; 3] = [10, 100, 510];
 /// Bytes of text that a turn adds; 510 turns make about 120,000 tokens.
@@ -76,6 +78,8 @@
     pub membership: Vec<MembershipSlope>,
     /// Bids.
     pub bids: Vec<BidSlope>,
+    /// Choices among engines at an edge.
+    pub choices: Vec<ChoiceSlope>,
     /// Bytes of a replication heartbeat on the wire.
     pub heartbeat_bytes: usize,
 }
@@ -88,6 +92,7 @@
         programs: programs.collect::<Result<_, _>>()?,
         membership: FLEETS.into_iter().map(measure_membership).collect::<Result<_, _>>()?,
         bids: QUEUES.into_iter().map(measure_bids).collect::<Result<_, _>>()?,
+        choices: ENGINES.into_iter().map(measure_choices).collect(),
         heartbeat_bytes: heartbeat_bytes(),
     })
 }
@@ -327,6 +332,9 @@
         for one in &self.bids {
             table.push_str(&format!("bid with {:>4} waiting: {:.2} us\n", one.queued, one.micros));
         }
+        for one in &self.choices {
+            table.push_str(&format!("choice among {:>5} engines: {:.2} us\n", one.engines, one.micros));
+        }
         table.push_str(&format!("replication heartbeat: {} bytes\n", self.heartbeat_bytes));
         table
     }
