Engines at which other edges' calls fail are avoided

Change: an edge's news tell of engines at which its last calls failed within two seconds, and, of those that others name, whether its own last call ended well. An engine with three failures anywhere, more than edges it serves, is avoided while there is another (switch `told-failures`). Others' loads stand with the engines themselves, so a choice looks nothing up. The time between two tellings grows with the number of engines (0.4 ms each, to 500 ms), so that what all edges tell does not grow with edges times engines. Tests: avoided before an own call fails, not by one failure among many, not by old news, used where there is no other; failures are told until a call ends well; failures of several edges add up.

--- a/crates/edge/src/fleet_news.rs
+++ b/crates/edge/src/fleet_news.rs
@@ -15,8 +15,11 @@
 use crate::dialect::Dialect;
 use crate::edge::Edge;
 
-/// Least time between two tellings of this edge's calls.
+/// Least time between two tellings of this edge's calls, and by how much it grows with each engine: what all edges
+/// tell must not grow with edges times engines.
 const TELL_LOADS_EVERY: Duration = Duration::from_millis(20);
+const TELL_LATER_BY_ENGINE: Duration = Duration::from_micros(400);
+const TELL_LOADS_AT_LEAST_EVERY: Duration = Duration::from_millis(500);
 /// Time between two questions for nodes that pass questions on.
 const ASK_RELAYS_EVERY: Duration = Duration::from_millis(1000);
 /// Parts of a prompt that are asked for and told; further ones are of no interest to others.
@@ -31,8 +34,10 @@
 
 impl TellTimes {
     /// Whether it is time to tell of calls again; if so, they count as told.
-    fn loads_are_due(&self, now: Timestamp) -> bool {
-        take_turn(&self.loads, TELL_LOADS_EVERY, now)
+    fn loads_are_due(&self, engines: usize, now: Timestamp) -> bool {
+        let engines = u32::try_from(engines).unwrap_or(u32::MAX);
+        let every = TELL_LOADS_EVERY + TELL_LATER_BY_ENGINE.saturating_mul(engines);
+        take_turn(&self.loads, every.min(TELL_LOADS_AT_LEAST_EVERY), now)
     }
 
     /// Whether it is time to ask for relays again; if so, they count as asked for.
@@ -82,11 +87,12 @@
 
     fn news(&self, mut news: News) -> Bytes {
         let now = self.clock.now();
-        if self.tell_times.loads_are_due(now) {
+        let engines = self.book().len();
+        if self.tell_times.loads_are_due(engines, now) {
             news.node.clone_from(&self.settings.node);
             let relay = self.settings.relay.filter(|_| self.ledger.reaches_members());
             news.relay = relay.map(|relay| relay.to_string()).unwrap_or_default();
-            news.loads = Some(self.book().loads());
+            news.loads = Some(self.book().loads(now));
             news.asks_loads = true;
             news.asks_relays = self.tell_times.relays_are_due(now);
         }
--- a/crates/fleet-view/src/load_table.rs
+++ b/crates/fleet-view/src/load_table.rs
@@ -40,6 +40,8 @@
                 .or_insert(EngineLoad { engine: load.engine, ..EngineLoad::default() });
             sum.running = sum.running.saturating_add(load.running);
             sum.unread_tokens = sum.unread_tokens.saturating_add(load.unread_tokens);
+            sum.failed = sum.failed.saturating_add(load.failed);
+            sum.served = sum.served.saturating_add(load.served);
         }
         Loads { engines: sums.into_values().collect() }
     }
--- a/crates/fleet-view/src/message.rs
+++ b/crates/fleet-view/src/message.rs
@@ -47,6 +47,12 @@
     /// Tokens of their prompts that it still has to read.
     #[prost(uint32, tag = "3")]
     pub unread_tokens: u32,
+    /// Calls there that failed a moment ago, none having ended well since.
+    #[prost(uint32, tag = "4")]
+    pub failed: u32,
+    /// Edges whose last call there ended well a moment ago. Told only of engines where others' calls fail.
+    #[prost(uint32, tag = "5")]
+    pub served: u32,
 }
 
 /// A part of a prompt that an engine holds in its memory, as far as is known.
--- a/crates/fleet-view/tests/board.rs
+++ b/crates/fleet-view/tests/board.rs
@@ -15,7 +15,7 @@
 }
 
 fn load(engine: u32, running: u32, unread_tokens: u32) -> EngineLoad {
-    EngineLoad { engine, running, unread_tokens }
+    EngineLoad { engine, running, unread_tokens, ..EngineLoad::default() }
 }
 
 fn telling(node: &str, engines: Vec<EngineLoad>) -> News {
@@ -75,3 +75,14 @@
     assert_eq!(news, telling("a", vec![load(1, 2, 100)]));
     assert_eq!(News::decode(&[][..]).expect("empty news"), News::default());
 }
+
+#[test]
+fn failures_of_several_edges_add_up() {
+    let mut board = board();
+    let failing = |served| EngineLoad { engine: 1, failed: 1 - served, served, ..EngineLoad::default() };
+    for (node, served) in [("a", 0), ("b", 0), ("c", 1)] {
+        board.exchange(telling(node, vec![failing(served)]), at(0));
+    }
+    let sum = loads(&board.exchange(telling("d", Vec::new()), at(10)))[0];
+    assert_eq!((sum.failed, sum.served), (2, 1));
+}
--- a/crates/routing/src/book.rs
+++ b/crates/routing/src/book.rs
@@ -12,7 +12,7 @@
 use crate::choice::{CALLS_OF_A_BEGINNING, Choice, HeldTokens, Placed, PlacementRequest, RequestedWork};
 use crate::engine::{Engine, EngineSpec, Outcome};
 use crate::estimate::Speeds;
-use crate::others::OtherLoads;
+use crate::others::{BelievedLoads, OtherLoad, ToldTime};
 use crate::speeds::{LearnedSpeeds, StreamSeen};
 
 /// Outages of the directory shorter than this leave no engine out that is there.
@@ -31,7 +31,7 @@
     engines: BTreeMap<EngineId, Engine>,
     health: HealthSettings,
     speeds: HashMap<Arc<str>, LearnedSpeeds>,
-    others: OtherLoads,
+    others_told: ToldTime,
     parts: PartIndex,
     off: SwitchedOff,
 }
@@ -49,7 +49,7 @@
             engines: BTreeMap::new(),
             health,
             speeds: HashMap::new(),
-            others: OtherLoads::default(),
+            others_told: ToldTime::default(),
             parts: PartIndex::new(MOST_PARTS, KEEP_PARTS_FOR),
         }
     }
@@ -124,8 +124,8 @@
             RequestedWork::Whole { usual, .. } => (whole_speeds(usual), 1.0, 1.0, HeldTokens::default()),
         };
         let of_service = self.engines.values().filter(|engine| &*engine.spec.service == request.service);
-        let others = self.others.among(of_service.map(|engine| engine.key), now);
-        let others_age = self.others.age(now);
+        let others_age = self.others_told.age(now);
+        let others = BelievedLoads::among(of_service.map(|engine| engine.others), others_age);
         let off = self.off;
         let choice = Choice { off, request, speeds, events, zone_calls, others, others_age, held, now };
         choice.best(self.engines.values())
@@ -150,13 +150,8 @@
     /// A call at an engine ended; returns whether the engine is now avoided and was not before.
     pub fn ended(&mut self, id: &EngineId, outcome: Outcome, now: Timestamp) -> bool {
         let Some(engine) = self.engines.get_mut(id) else { return false };
-        engine.running = engine.running.saturating_sub(1);
         let was_sound = engine.is_sound(now);
-        match outcome {
-            Outcome::Sound => engine.health.succeeded(now),
-            Outcome::Busy => {}
-            Outcome::Faulty | Outcome::Unreachable => engine.health.failed(now),
-        }
+        engine.call_ended(outcome, now);
         was_sound && !engine.is_sound(now)
     }
 
@@ -191,21 +186,43 @@
 
     /// Other nodes told of their calls.
     pub fn others_told(&mut self, loads: &Loads, now: Timestamp) {
-        if self.off.allows(Mechanism::ToldLoads) {
-            self.others.tell(loads, now);
+        if !self.off.allows(Mechanism::ToldLoads) {
+            return;
+        }
+        let told: HashMap<u32, &EngineLoad> = loads.engines.iter().map(|load| (load.engine, load)).collect();
+        for engine in self.engines.values_mut() {
+            engine.others = told.get(&engine.key).map(|load| OtherLoad::told(load)).unwrap_or_default();
         }
+        self.others_told = ToldTime::now(now);
     }
 
-    /// This node's calls, for other nodes.
-    pub fn loads(&self) -> Loads {
-        let busy = self.engines.values().filter(|engine| engine.running > 0);
+    /// Number of engines known.
+    pub fn len(&self) -> usize {
+        self.engines.len()
+    }
+
+    /// Whether no engine is known.
+    pub fn is_empty(&self) -> bool {
+        self.engines.is_empty()
+    }
+
+    /// This node's calls, for other nodes: of engines where it has any, where they fail, and where others say that
+    /// theirs do.
+    pub fn loads(&self, now: Timestamp) -> Loads {
         let number = |count: u64| u32::try_from(count).unwrap_or(u32::MAX);
-        let loads = busy.map(|engine| EngineLoad {
-            engine: engine.key,
-            running: number(engine.running as u64),
-            unread_tokens: number(engine.unread_tokens),
-        });
-        Loads { engines: loads.collect() }
+        let load_of = |engine: &Engine| {
+            let failed = engine.failed_of_late(now);
+            let others_fail = self.others_told.age(now).is_some() && engine.others.failed > 0;
+            EngineLoad {
+                engine: engine.key,
+                running: number(engine.running as u64),
+                unread_tokens: number(engine.unread_tokens),
+                failed: failed.unwrap_or(0),
+                served: u32::from(others_fail && failed == Some(0)),
+            }
+        };
+        let says_something = |load: &EngineLoad| load.running + load.failed + load.served > 0;
+        Loads { engines: self.engines.values().map(load_of).filter(says_something).collect() }
     }
 }
 
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -104,7 +104,7 @@
     pub(crate) events: f64,
     /// Calls that cross zones if this one does.
     pub(crate) zone_calls: f64,
-    pub(crate) others: BelievedLoads<'a>,
+    pub(crate) others: BelievedLoads,
     pub(crate) others_age: Option<Duration>,
     pub(crate) held: HeldTokens,
     pub(crate) now: Timestamp,
@@ -139,7 +139,10 @@
     }
 
     fn is_sound(&self, engine: &Engine) -> bool {
-        engine.is_sound(self.now) || !self.off.allows(Mechanism::Health)
+        let fails_others =
+            self.others.by_now(&engine.others).fails() && self.off.allows(Mechanism::ToldFailures);
+        let is_sound = engine.is_sound(self.now) || !self.off.allows(Mechanism::Health);
+        is_sound && !fails_others
     }
 
     fn is_fresh(&self, engine: &Engine) -> bool {
@@ -184,7 +187,7 @@
     }
 
     fn weigh<'e>(&self, engine: &'e Engine) -> Candidate<'e> {
-        let others = self.others.at(engine.key);
+        let others = self.others.by_now(&engine.others);
         let drawn = drawn(self.request.key, engine.key);
         let facts = EngineFacts {
             unread_tokens: self.held.unread(engine.key),
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -2,12 +2,14 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use sumacdrift_calls::EngineId;
 use sumacdrift_fleet_view::engine_key;
 use sumacdrift_scheduling::{Health, HealthSettings};
 use sumacdrift_types::Timestamp;
 
+use crate::others::OtherLoad;
 use crate::slowness::Slowness;
 
 /// An engine as the directory describes it.
@@ -54,8 +56,21 @@
     pub(crate) health: Health,
     pub(crate) unusable_since: Option<Timestamp>,
     slowness: Slowness,
+    last_end: Option<LastEnd>,
+    /// What other nodes told last of their calls there.
+    pub(crate) others: OtherLoad,
 }
 
+/// How calls of this node at an engine ended last.
+#[derive(Debug, Clone, Copy)]
+struct LastEnd {
+    at: Timestamp,
+    failed_in_a_row: u32,
+}
+
+/// How long the end of a call says something to others.
+const END_COUNTS_FOR: Duration = Duration::from_secs(2);
+
 impl Engine {
     pub(crate) fn new(spec: EngineSpec, health: HealthSettings, now: Timestamp) -> Self {
         Self {
@@ -65,6 +80,8 @@
             health: Health::new(health),
             unusable_since: spec.is_leaving.then_some(now),
             slowness: Slowness::usual(now),
+            last_end: None,
+            others: OtherLoad::default(),
             spec,
         }
     }
@@ -79,6 +96,25 @@
         self.health.allowed(self.spec.slots, now) > 0
     }
 
+    /// A call of this node ended there.
+    pub(crate) fn call_ended(&mut self, outcome: Outcome, now: Timestamp) {
+        self.running = self.running.saturating_sub(1);
+        match outcome {
+            Outcome::Sound => self.health.succeeded(now),
+            Outcome::Busy => return,
+            Outcome::Faulty | Outcome::Unreachable => self.health.failed(now),
+        }
+        let before = self.last_end.map_or(0, |end| end.failed_in_a_row);
+        let failed_in_a_row = if outcome == Outcome::Sound { 0 } else { before + 1 };
+        self.last_end = Some(LastEnd { at: now, failed_in_a_row });
+    }
+
+    /// Calls of this node that failed there a moment ago; `None` where none ended of late.
+    pub(crate) fn failed_of_late(&self, now: Timestamp) -> Option<u32> {
+        let end = self.last_end.filter(|end| now.since(end.at) < END_COUNTS_FOR)?;
+        Some(end.failed_in_a_row)
+    }
+
     /// How many times longer than usual for its service it takes.
     pub(crate) fn slowness(&self, now: Timestamp) -> f64 {
         self.slowness.now(now)
--- a/crates/routing/src/slowness.rs
+++ b/crates/routing/src/slowness.rs
@@ -35,6 +35,9 @@
 
     /// The slowness by now.
     pub(crate) fn now(&self, now: Timestamp) -> f64 {
+        if self.value == 1.0 {
+            return 1.0;
+        }
         let halvings = now.since(self.at).as_secs_f64() / HALF_LIFE.as_secs_f64();
         1.0 + (self.value - 1.0) * (-halvings).exp2()
     }
--- a/crates/routing/tests/engines.rs
+++ b/crates/routing/tests/engines.rs
@@ -117,7 +117,7 @@
 fn what_others_send_counts_until_it_is_old() {
     let mut book = book(&[("a", "z1"), ("b", "z1")]);
     let loads = |engine| Loads {
-        engines: vec![EngineLoad { engine: engine_key(engine), running: 4, unread_tokens: 0 }],
+        engines: vec![EngineLoad { engine: engine_key(engine), running: 4, ..EngineLoad::default() }],
     };
     for (busy, free) in [("a", "b"), ("b", "a")] {
         book.others_told(&loads(busy), NOW);
@@ -138,7 +138,7 @@
     book.was_read(&engine, 5_000);
     assert_eq!(book.choose(&request(&[]), NOW).expect("an engine").tokens_ahead, 0.0);
     book.ended(&engine, Outcome::Sound, NOW);
-    assert!(book.loads().engines.is_empty());
+    assert!(book.loads(NOW).engines.is_empty());
 }
 
 #[test]
@@ -275,9 +275,53 @@
     assert_eq!(blindly.len(), 2);
     let mut deaf = book_without(&[Mechanism::ToldLoads, Mechanism::ToldPrompts], &engines);
     deaf.others_told(
-        &Loads { engines: vec![EngineLoad { engine: engine_key("a"), running: 50, unread_tokens: 0 }] },
+        &Loads {
+            engines: vec![EngineLoad { engine: engine_key("a"), running: 50, ..EngineLoad::default() }],
+        },
         NOW,
     );
     deaf.others_hold(held(1, "b", 2_500), NOW);
     assert_eq!(of(&deaf, 1).as_deref(), Some("a"));
 }
+
+/// Grown escrutinio inc-2da9: eleven engines lost every answer, and each of 56 edges found out by itself.
+#[test]
+fn an_engine_at_which_others_fail_is_avoided_before_an_own_call_fails() {
+    let mut book = book(&[("a", "z1"), ("b", "z1")]);
+    let told = |failed, served| {
+        let load = EngineLoad { engine: engine_key("a"), failed, served, ..EngineLoad::default() };
+        Loads { engines: vec![load] }
+    };
+    let avoided = |book: &EngineBook, now| {
+        let mut keys = 0..20;
+        keys.all(|key| chosen(book, &PlacementRequest { key, ..request(&[]) }, now).as_deref() == Some("b"))
+    };
+    book.others_told(&told(3, 0), NOW);
+    assert!(avoided(&book, NOW));
+    // One failure among many that are served is no sign; nor is what was told long ago.
+    book.others_told(&told(3, 20), NOW);
+    assert!(!avoided(&book, NOW));
+    book.others_told(&told(3, 0), NOW);
+    assert!(!avoided(&book, NOW + Duration::from_secs(3)));
+    // Where there is no other, it is used.
+    let other = [EngineId::new("b")];
+    assert_eq!(chosen(&book, &request(&other), NOW).as_deref(), Some("a"));
+}
+
+#[test]
+fn failures_are_told_until_a_call_ends_well() {
+    let mut book = book(&[("a", "z1")]);
+    let engine = EngineId::new("a");
+    for expected in 1..=2 {
+        book.sent(&engine, 0, NOW);
+        book.ended(&engine, Outcome::Faulty, NOW);
+        assert_eq!(book.loads(NOW).engines[0].failed, expected);
+    }
+    assert!(book.loads(NOW + Duration::from_secs(3)).engines.is_empty());
+    book.sent(&engine, 0, NOW);
+    book.ended(&engine, Outcome::Sound, NOW);
+    assert!(book.loads(NOW).engines.is_empty());
+    let load = EngineLoad { engine: engine_key("a"), failed: 1, ..EngineLoad::default() };
+    book.others_told(&Loads { engines: vec![load] }, NOW);
+    assert_eq!(book.loads(NOW).engines[0].served, 1);
+}
--- a/crates/routing/tests/stale_news.rs
+++ b/crates/routing/tests/stale_news.rs
@@ -95,7 +95,7 @@
     fn exchange(&mut self, now: Timestamp) {
         let news = |edge: usize, asks_loads: bool, books: &[EngineBook]| News {
             node: format!("edge {edge}"),
-            loads: Some(books[edge].loads()),
+            loads: Some(books[edge].loads(now)),
             asks_loads,
             ..News::default()
         };
--- a/crates/types/src/mechanism.rs
+++ b/crates/types/src/mechanism.rs
@@ -24,6 +24,8 @@
     Urgency,
     /// Engines whose calls fail are avoided.
     Health,
+    /// Engines at which other edges' calls fail are avoided.
+    ToldFailures,
     /// Connections rest for less after one was found dead.
     RestLimit,
     /// Calls wait a moment for the first configuration.
@@ -37,7 +39,7 @@
 }
 
 /// All of them with their names in settings.
-const NAMES: [(Mechanism, &str); 14] = [
+const NAMES: [(Mechanism, &str); 15] = [
     (Mechanism::HeldPrompts, "held-prompts"),
     (Mechanism::ToldPrompts, "told-prompts"),
     (Mechanism::ToldLoads, "told-loads"),
@@ -47,6 +49,7 @@
     (Mechanism::OthersDelay, "others-delay"),
     (Mechanism::Urgency, "urgency"),
     (Mechanism::Health, "health"),
+    (Mechanism::ToldFailures, "told-failures"),
     (Mechanism::RestLimit, "rest-limit"),
     (Mechanism::StartWait, "start-wait"),
     (Mechanism::Hedging, "hedging"),
--- a/crates/types/tests/mechanisms.rs
+++ b/crates/types/tests/mechanisms.rs
@@ -24,3 +24,12 @@
 fn nothing_is_switched_off_by_default() {
     assert!(mechanism_names().all(|name| SwitchedOff::default().allows(name.parse().expect("a mechanism"))));
 }
+
+/// The operators' page must know every switch.
+#[test]
+fn every_name_stands_in_the_configuration_page() {
+    let page = include_str!("../../../docs/CONFIGURATION.md");
+    for name in mechanism_names() {
+        assert!(page.contains(&format!("`{name}`")), "{name} is missing");
+    }
+}
