--- a/crates/journal/src/disk.rs
+++ b/crates/journal/src/disk.rs
@@ -1,7 +1,7 @@
 //! The storage port: numbered segments that can be appended to and synced.
 
 use std::fs::{File, OpenOptions};
-use std::io::{self, Write};
+use std::io::{self, BufReader, Read, Write};
 use std::path::PathBuf;
 
 /// Number of a segment; later segments have higher numbers.
@@ -11,8 +11,8 @@
 pub trait Disk: Send {
     /// The segments there are, lowest first.
     fn list(&mut self) -> io::Result<Vec<SegmentNumber>>;
-    /// The whole content of a segment.
-    fn read(&mut self, segment: SegmentNumber) -> io::Result<Vec<u8>>;
+    /// The content of a segment, from its start on, and its length in bytes.
+    fn read(&mut self, segment: SegmentNumber) -> io::Result<(Box<dyn Read>, u64)>;
     /// Makes an empty segment that later appends go to.
     fn create(&mut self, segment: SegmentNumber) -> io::Result<()>;
     /// Appends to the segment created last.
@@ -64,8 +64,10 @@
         Ok(segments)
     }
 
-    fn read(&mut self, segment: SegmentNumber) -> io::Result<Vec<u8>> {
-        std::fs::read(self.path(segment))
+    fn read(&mut self, segment: SegmentNumber) -> io::Result<(Box<dyn Read>, u64)> {
+        let file = File::open(self.path(segment))?;
+        let length = file.metadata()?.len();
+        Ok((Box::new(BufReader::new(file)), length))
     }
 
     fn create(&mut self, segment: SegmentNumber) -> io::Result<()> {
--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -4,7 +4,7 @@
 use std::io;
 
 use crate::disk::{Disk, SegmentNumber};
-use crate::record::{decode_records, encode_record};
+use crate::record::{encode_record, read_records};
 
 /// Limits of a journal.
 #[derive(Debug, Clone, Copy)]
@@ -54,11 +54,10 @@
         let mut torn_bytes = 0;
         let mut closed = VecDeque::new();
         for number in disk.list()? {
-            let content = disk.read(number)?;
-            let (records, end) = decode_records(&content);
-            records.into_iter().for_each(&mut replay);
-            torn_bytes += content.len() - end;
-            closed.push_back(Segment { number, bytes: content.len() as u64 });
+            let (content, bytes) = disk.read(number)?;
+            let end = read_records(content, bytes, &mut replay)?;
+            torn_bytes += usize::try_from(bytes - end).unwrap_or(usize::MAX);
+            closed.push_back(Segment { number, bytes });
         }
         let number = closed.back().map_or(0, |last: &Segment| last.number + 1);
         disk.create(number)?;
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -11,5 +11,5 @@
 
 pub use disk::{Disk, FolderDisk, SegmentNumber};
 pub use journal::{Journal, JournalError, JournalSettings};
-pub use record::{RECORD_HEADER_BYTES, decode_records, encode_record};
+pub use record::{RECORD_HEADER_BYTES, encode_record, read_records};
 pub use writer::{Committed, JournalFailure, JournalWriter, WriterStopped};
--- a/crates/journal/tests/journal.rs
+++ b/crates/journal/tests/journal.rs
@@ -5,7 +5,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use simulated_disk::SimulatedDisk;
-use sumacdrift_journal::{FolderDisk, Journal, JournalError, JournalSettings, decode_records, encode_record};
+use sumacdrift_journal::{FolderDisk, Journal, JournalError, JournalSettings, encode_record, read_records};
 
 const SETTINGS: JournalSettings = JournalSettings { capacity_bytes: 1 << 20 };
 
@@ -16,6 +16,13 @@
     (journal, records, torn)
 }
 
+/// The whole records at the start of a segment, and where they end.
+fn whole_records(segment: &[u8]) -> (Vec<Vec<u8>>, usize) {
+    let mut records = Vec::new();
+    let end = read_records(segment, segment.len() as u64, |record| records.push(record.to_vec()));
+    (records, usize::try_from(end.expect("a readable segment")).expect("a small segment"))
+}
+
 #[test]
 fn records_come_back_in_order() {
     let disk = SimulatedDisk::default();
@@ -77,8 +84,8 @@
     for position in first_end..segment.len() {
         let mut spoiled = segment.clone();
         spoiled[position] ^= 1;
-        let (records, end) = decode_records(&spoiled);
-        assert_eq!((records, end), (vec![&b"one"[..]], first_end), "byte {position}");
+        let (records, end) = whole_records(&spoiled);
+        assert_eq!((records, end), (vec![b"one".to_vec()], first_end), "byte {position}");
     }
 }
 
--- a/crates/journal/tests/simulated_disk/mod.rs
+++ b/crates/journal/tests/simulated_disk/mod.rs
@@ -67,10 +67,12 @@
         Ok(self.state().segments.keys().copied().collect())
     }
 
-    fn read(&mut self, segment: SegmentNumber) -> io::Result<Vec<u8>> {
+    fn read(&mut self, segment: SegmentNumber) -> io::Result<(Box<dyn io::Read>, u64)> {
         let state = self.state();
         let content = state.segments.get(&segment).ok_or(io::ErrorKind::NotFound)?;
-        Ok([content.synced.clone(), content.unsynced.concat()].concat())
+        let bytes = [content.synced.clone(), content.unsynced.concat()].concat();
+        let length = bytes.len() as u64;
+        Ok((Box::new(io::Cursor::new(bytes)), length))
     }
 
     fn create(&mut self, segment: SegmentNumber) -> io::Result<()> {
