Kept turns lie in memory of their own size, and prompts that no other engine will get are let go

Cause: a kept turn's content was a piece of what had been read from the network, all of which stayed as long as the piece; an edge kept the prompt of a stream to its end even where it may not run again.

Change: the ledger copies the content of kept turns; an edge lets the prompt go once the engine has answered, where the call may not run again.

--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -22,7 +22,7 @@
 
 /// Runs a stream up to its first event, so that its head and that event travel together.
 pub(crate) async fn run_stream<D: Dialect>(
-    call: CallContext<D>,
+    mut call: CallContext<D>,
     mut machine: CallMachine,
     turn: Option<OpenTurn>,
 ) -> Result<Response<EdgeBody>, (CallContext<D>, CallMachine, Next)> {
@@ -35,6 +35,10 @@
         return pass_failure_on(call, machine, answered).await;
     }
     let head = answered.head.clone();
+    if !call.selected.route.rules.kind.may_run_again() {
+        // A prompt may be large, and no other engine will get it.
+        call.forwarded.body = Bytes::new();
+    }
     machine.head_given();
     let mut relay = Relay::new(call, machine, turn, answered);
     let first = relay.next_piece().await;
--- a/crates/ledger/src/state.rs
+++ b/crates/ledger/src/state.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::ops::Bound;
 
+use bytes::Bytes;
+
 use crate::account::ProgramAccount;
 use crate::message::{
     BeginVote, ChainReply, Page, Record, RecordKind, RetainedTurn, StoredCopy, TurnBegun, TurnEnded,
@@ -118,7 +120,7 @@
         let account = self.account(&turn.program, expires);
         let is_new = account.end(&turn.turn, turn.tokens);
         let Some(content) = &turn.retained else { return is_new };
-        let kept = Kept { program: turn.program.clone(), content: content.clone(), expires };
+        let kept = Kept { program: turn.program.clone(), content: own_copy(content), expires };
         self.kept.insert(turn.turn.clone(), kept).is_none() || is_new
     }
 
@@ -277,6 +279,16 @@
     (lower, Bound::Unbounded)
 }
 
+/// The content in memory of its own size. As it arrived it is a piece of what was read from the network, all of which
+/// would be kept as long as the piece.
+fn own_copy(content: &RetainedTurn) -> RetainedTurn {
+    RetainedTurn {
+        previous: content.previous.clone(),
+        input: Bytes::copy_from_slice(&content.input),
+        output: Bytes::copy_from_slice(&content.output),
+    }
+}
+
 fn expiry(retention_millis: u64, now: u64) -> u64 {
     now + retention_millis * KEEP_FACTOR
 }
