Tests of asking and of relays share their turns

The two test programs wrote the same turns and the same question twice; they stand in the shared test fleet now. The tests keep their assertions.

--- a/crates/storage/tests/asking.rs
+++ b/crates/storage/tests/asking.rs
@@ -6,45 +6,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use fleet::Fleet;
-use sumacdrift_ledger::{Replica, ReplicaSettings, RetainedTurn, TurnBegun, TurnEnded};
-use sumacdrift_storage::{Admission, BeginTurn, LedgerClient, LedgerError};
-use tokio::time::Instant;
-
-fn begin(turn: &str, previous: &str) -> BeginTurn {
-    BeginTurn {
-        turn: TurnBegun {
-            program: "program".to_owned(),
-            turn: turn.to_owned(),
-            most_tokens: 100,
-            retention_millis: 60_000,
-        },
-        budget_tokens: 10_000,
-        needs_chain: !previous.is_empty(),
-        previous: previous.to_owned(),
-        news: Bytes::new(),
-    }
-}
-
-fn end(turn: &str, previous: &str) -> TurnEnded {
-    TurnEnded {
-        program: "program".to_owned(),
-        turn: turn.to_owned(),
-        tokens: 10,
-        retention_millis: 60_000,
-        retained: Some(RetainedTurn {
-            previous: previous.to_owned(),
-            input: Bytes::copy_from_slice(format!("in {turn}").as_bytes()),
-            output: Bytes::copy_from_slice(format!("out {turn}").as_bytes()),
-        }),
-    }
-}
-
-async fn ask(client: &LedgerClient, begin: BeginTurn) -> (Result<Admission, LedgerError>, Duration) {
-    let asked = Instant::now();
-    let outcome = client.begin(begin, asked + Duration::from_secs(2)).await;
-    (outcome, asked.elapsed())
-}
+use fleet::{Fleet, ask, begin, end};
+use sumacdrift_ledger::{Replica, ReplicaSettings};
+use sumacdrift_storage::LedgerError;
 
 #[tokio::test(start_paused = true)]
 async fn a_majority_is_asked_and_the_own_zone_is_among_it() {
--- a/crates/storage/tests/fleet/mod.rs
+++ b/crates/storage/tests/fleet/mod.rs
@@ -14,12 +14,17 @@
 use bytes::Bytes;
 use prost::Message;
 use slog::{Discard, Logger, o};
-use sumacdrift_ledger::{Group, LedgerRequest, Member, Replica, ReplicaSettings};
+use sumacdrift_ledger::{
+    Group, LedgerRequest, Member, Replica, ReplicaSettings, RetainedTurn, TurnBegun, TurnEnded,
+};
 use sumacdrift_proto::{OneWay, Request, Response};
-use sumacdrift_storage::{FeedHost, LedgerClient, LedgerTimeouts, RelayHost};
+use sumacdrift_storage::{
+    Admission, BeginTurn, FeedHost, LedgerClient, LedgerError, LedgerTimeouts, RelayHost,
+};
 use sumacdrift_transport::{
     Acceptor, BoxedFuture, BoxedStream, Handler, MemoryNetwork, Network, TrafficCounters, Transport, serve,
 };
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 pub fn logger() -> Logger {
@@ -210,3 +215,41 @@
         self.nodes.iter().map(|node| node.requests()).collect()
     }
 }
+
+/// A turn that wants to begin.
+pub fn begin(turn: &str, previous: &str) -> BeginTurn {
+    BeginTurn {
+        turn: TurnBegun {
+            program: "program".to_owned(),
+            turn: turn.to_owned(),
+            most_tokens: 100,
+            retention_millis: 60_000,
+        },
+        budget_tokens: 10_000,
+        needs_chain: !previous.is_empty(),
+        previous: previous.to_owned(),
+        news: Bytes::new(),
+    }
+}
+
+/// The end of a kept turn.
+pub fn end(turn: &str, previous: &str) -> TurnEnded {
+    TurnEnded {
+        program: "program".to_owned(),
+        turn: turn.to_owned(),
+        tokens: 10,
+        retention_millis: 60_000,
+        retained: Some(RetainedTurn {
+            previous: previous.to_owned(),
+            input: Bytes::copy_from_slice(format!("in {turn}").as_bytes()),
+            output: Bytes::copy_from_slice(format!("out {turn}").as_bytes()),
+        }),
+    }
+}
+
+/// Asks whether a turn may begin; tells how long that took.
+pub async fn ask(client: &LedgerClient, begin: BeginTurn) -> (Result<Admission, LedgerError>, Duration) {
+    let asked = Instant::now();
+    let outcome = client.begin(begin, asked + Duration::from_secs(2)).await;
+    (outcome, asked.elapsed())
+}
--- a/crates/storage/tests/relay.rs
+++ b/crates/storage/tests/relay.rs
@@ -7,45 +7,19 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use fleet::{Cut, Fleet};
-use sumacdrift_ledger::{RetainedTurn, TurnBegun, TurnEnded};
+use fleet::{Cut, Fleet, ask};
+use sumacdrift_ledger::TurnEnded;
 use sumacdrift_proto::{Relay, Request, Response};
-use sumacdrift_storage::{Admission, BeginTurn, LedgerClient, LedgerError};
-use tokio::time::Instant;
+use sumacdrift_storage::{BeginTurn, LedgerClient, LedgerError};
 
+/// A turn of a program that may generate so many tokens that few turns fit.
 fn begin(turn: &str, previous: &str) -> BeginTurn {
-    BeginTurn {
-        turn: TurnBegun {
-            program: "program".to_owned(),
-            turn: turn.to_owned(),
-            most_tokens: 100,
-            retention_millis: 60_000,
-        },
-        budget_tokens: 250,
-        needs_chain: !previous.is_empty(),
-        previous: previous.to_owned(),
-        news: Bytes::new(),
-    }
+    BeginTurn { budget_tokens: 250, ..fleet::begin(turn, previous) }
 }
 
+/// The end of a turn that generated a good part of them.
 fn end(turn: &str, previous: &str) -> TurnEnded {
-    TurnEnded {
-        program: "program".to_owned(),
-        turn: turn.to_owned(),
-        tokens: 60,
-        retention_millis: 60_000,
-        retained: Some(RetainedTurn {
-            previous: previous.to_owned(),
-            input: Bytes::from(format!("in {turn}")),
-            output: Bytes::from(format!("out {turn}")),
-        }),
-    }
-}
-
-async fn ask(client: &LedgerClient, begin: BeginTurn) -> (Result<Admission, LedgerError>, Duration) {
-    let asked = Instant::now();
-    let outcome = client.begin(begin, asked + Duration::from_secs(2)).await;
-    (outcome, asked.elapsed())
+    TurnEnded { tokens: 60, ..fleet::end(turn, previous) }
 }
 
 const ALL: [usize; 3] = [0, 1, 2];
