--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -1,8 +1,9 @@
 //! The program ledger over the network: replicas on nodes with a disk, and the client that other nodes use.
 //!
 //! A replica answers once its records are durable ([`ReplicaHost`]); [`Upkeep`] founds the group, joins it, catches
-//! up and leaves it. [`LedgerClient`] asks all members at once and goes on with a majority. Where groups are agreed
-//! on stands behind the [`GroupDirectory`] port.
+//! up and leaves it. [`LedgerClient`] asks a majority of the members, more where those are late, and by way of another
+//! node where a cut lies between ([`RelayHost`] is that node's side). Where groups are agreed on stands behind the
+//! [`GroupDirectory`] port.
 
 mod asking;
 mod catch_up;
