Nodes that follow the store take each other's feeds in

Cause: a watch of the store that is neither answered nor refused looks like a store where nothing happens.

Change: members take in each other's feeds (storage::PeerFeeds); of each item the newest revision of the store counts, whoever heard it, and removals carry their revision so that an old item told late does not come back. A node is up to date if it hears the store itself or takes in the feed of one that does; two that only hear each other are not.

--- a/crates/dissemination/src/feed.rs
+++ b/crates/dissemination/src/feed.rs
@@ -34,6 +34,9 @@
 
 type Key = (i32, String);
 
+/// Of each kind, the revision of the store up to which everything is known.
+type KnownTo = BTreeMap<i32, u64>;
+
 /// What a node has learned from the store.
 #[derive(Debug, Clone)]
 pub struct Feed {
@@ -42,10 +45,15 @@
     revision: u64,
     held: BTreeMap<Key, Held>,
     removed: VecDeque<(u64, Key)>,
+    /// Revisions of the store at which items that are gone went, as long as they are remembered.
+    gone: BTreeMap<Key, u64>,
+    known_to: KnownTo,
     whole_since: u64,
     outage: Duration,
     listed_at: Timestamp,
     silent: BTreeSet<ItemKind>,
+    /// Feeds of other nodes that this one takes in, and whether each of them hears from the store.
+    peers: BTreeMap<u64, bool>,
 }
 
 impl Feed {
@@ -57,10 +65,13 @@
             revision: 0,
             held: BTreeMap::new(),
             removed: VecDeque::new(),
+            gone: BTreeMap::new(),
+            known_to: KnownTo::new(),
             whole_since: 0,
             outage: Duration::ZERO,
             listed_at: Timestamp::default(),
             silent: BTreeSet::from([ItemKind::Configuration, ItemKind::Engine]),
+            peers: BTreeMap::new(),
         }
     }
 
@@ -86,11 +97,91 @@
         self.at
     }
 
-    /// Whether the store was heard of every kind since it last failed.
-    pub fn is_current(&self) -> bool {
+    /// Whether the store itself was heard of every kind since it last failed.
+    pub fn hears_store(&self) -> bool {
         self.silent.is_empty()
     }
 
+    /// Whether what is held is up to date: the store is heard, here or by a node whose feed is taken in.
+    pub fn is_current(&self) -> bool {
+        self.hears_store() || self.peers.values().any(|hears_store| *hears_store)
+    }
+
+    /// A feed of another node that was taken in says nothing more; returns whether that is news.
+    pub fn peer_lost(&mut self, life: u64) -> bool {
+        let was_current = self.is_current();
+        self.peers.remove(&life);
+        was_current != self.is_current()
+    }
+
+    /// Takes in what another node's feed told; returns whether anything is new. Of an item the newer revision counts,
+    /// whoever told it.
+    pub fn merge(&mut self, changes: Changes, now: Timestamp) -> bool {
+        let (was_current, before) = (self.is_current(), self.at);
+        self.peers.insert(changes.life, changes.hears_store);
+        if changes.is_whole {
+            self.remove_unnamed(&changes, now);
+        }
+        for change in changes.changes {
+            let Some(item) = change.item else { continue };
+            if change.is_gone {
+                self.remove(item.kind(), &item.name, item.revision);
+            } else {
+                self.put(item);
+            }
+        }
+        self.knows_to(ItemKind::Configuration, changes.configurations_to);
+        self.knows_to(ItemKind::Engine, changes.engines_to);
+        was_current != self.is_current() || self.at != before
+    }
+
+    /// Removes what another feed does not hold although it knows more.
+    fn remove_unnamed(&mut self, changes: &Changes, now: Timestamp) {
+        let outage = Duration::from_millis(changes.outage_millis);
+        for (kind, revision) in
+            [(ItemKind::Configuration, changes.configurations_to), (ItemKind::Engine, changes.engines_to)]
+        {
+            let items = changes.changes.iter().filter_map(|change| change.item.as_ref());
+            let names =
+                items.filter(|item| item.kind == kind as i32).map(|item| item.name.as_str()).collect();
+            self.remove_besides(kind, &names, revision, outage, now);
+        }
+    }
+
+    /// Removes items of a kind that were not among all there were at a revision.
+    fn remove_besides(
+        &mut self,
+        kind: ItemKind,
+        names: &BTreeSet<&str>,
+        revision: u64,
+        outage: Duration,
+        now: Timestamp,
+    ) {
+        let of_kind = self.held.iter().filter(|((held_kind, _), _)| *held_kind == kind as i32);
+        let gone = of_kind
+            .filter(|((_, name), held)| held.item.revision <= revision && !names.contains(name.as_str()));
+        let gone: Vec<Key> = gone.map(|(key, _)| key.clone()).collect();
+        if !gone.is_empty() && !outage.is_zero() {
+            // Followers must learn of the outage, so they get everything anew.
+            self.whole_since = self.at + 1;
+            self.outage = outage;
+            self.listed_at = now;
+        }
+        for key in gone {
+            self.remove_key(key, revision);
+        }
+    }
+
+    fn knows_to(&mut self, kind: ItemKind, revision: u64) {
+        self.revision = self.revision.max(revision);
+        let known_to = self.known_to.entry(kind as i32).or_default();
+        *known_to = revision.max(*known_to);
+    }
+
+    fn known_to(&self, kind: ItemKind) -> u64 {
+        self.known_to.get(&(kind as i32)).copied().unwrap_or(0)
+    }
+
     /// A call to the store about a kind failed; returns whether that is news.
     pub fn store_failed(&mut self, kind: ItemKind) -> bool {
         self.silent.insert(kind)
@@ -99,27 +190,13 @@
     /// Takes in a list of all items of a kind; returns whether anything is new.
     pub fn list(&mut self, listed: Listed, now: Timestamp) -> bool {
         let was_silent = self.silent.remove(&listed.kind);
-        self.revision = self.revision.max(listed.revision);
         let before = self.at;
-        let names: BTreeSet<Key> = listed.items.iter().map(|item| (item.kind, item.name.clone())).collect();
-        let gone: Vec<Key> = self
-            .held
-            .keys()
-            .filter(|key| key.0 == listed.kind as i32 && !names.contains(*key))
-            .cloned()
-            .collect();
-        if !gone.is_empty() && !listed.outage.is_zero() {
-            // Followers must learn of the outage, so they get everything anew.
-            self.whole_since = self.at + 1;
-            self.outage = listed.outage;
-            self.listed_at = now;
-        }
-        for (kind, name) in gone {
-            self.remove_key((kind, name));
-        }
+        let names = listed.items.iter().map(|item| item.name.as_str()).collect();
+        self.remove_besides(listed.kind, &names, listed.revision, listed.outage, now);
         for item in listed.items {
             self.put(item);
         }
+        self.knows_to(listed.kind, listed.revision);
         was_silent || self.at != before
     }
 
@@ -127,9 +204,19 @@
     pub fn put(&mut self, item: Item) -> bool {
         self.revision = self.revision.max(item.revision);
         let key = (item.kind, item.name.clone());
-        if self.held.get(&key).is_some_and(|held| held.item.content == item.content) {
+        if self.gone.get(&key).is_some_and(|gone| *gone >= item.revision) {
             return false;
         }
+        if let Some(held) = self.held.get_mut(&key) {
+            if held.item.revision >= item.revision {
+                return false;
+            }
+            if held.item.content == item.content {
+                held.item.revision = item.revision;
+                return false;
+            }
+        }
+        self.gone.remove(&key);
         self.at += 1;
         self.held.insert(key, Held { position: self.at, item });
         true
@@ -138,18 +225,24 @@
     /// An item is gone since a revision of the store; returns whether it was there.
     pub fn remove(&mut self, kind: ItemKind, name: &str, revision: u64) -> bool {
         self.revision = self.revision.max(revision);
-        self.remove_key((kind as i32, name.to_owned()))
+        let key = (kind as i32, name.to_owned());
+        if self.held.get(&key).is_some_and(|held| held.item.revision > revision) {
+            return false;
+        }
+        self.remove_key(key, revision)
     }
 
-    fn remove_key(&mut self, key: Key) -> bool {
+    fn remove_key(&mut self, key: Key, revision: u64) -> bool {
         if self.held.remove(&key).is_none() {
             return false;
         }
         self.at += 1;
+        self.gone.insert(key.clone(), revision);
         self.removed.push_back((self.at, key));
         if self.removed.len() > REMEMBERED_REMOVALS
-            && let Some((position, _)) = self.removed.pop_front()
+            && let Some((position, forgotten)) = self.removed.pop_front()
         {
+            self.gone.remove(&forgotten);
             self.whole_since = self.whole_since.max(position);
         }
         true
@@ -171,7 +264,8 @@
                 .iter()
                 .filter(|(position, key)| *position > after && !self.held.contains_key(key));
             changes.extend(removed.map(|(_, (kind, name))| {
-                let item = Item { kind: *kind, name: name.clone(), ..Item::default() };
+                let revision = self.gone.get(&(*kind, name.clone())).copied().unwrap_or(0);
+                let item = Item { kind: *kind, name: name.clone(), revision, ..Item::default() };
                 ItemChange { item: Some(item), is_gone: true }
             }));
         }
@@ -186,6 +280,9 @@
             outage_millis: u64::try_from(outage.as_millis()).unwrap_or(u64::MAX),
             is_current: self.is_current(),
             changes,
+            hears_store: self.hears_store(),
+            configurations_to: self.known_to(ItemKind::Configuration),
+            engines_to: self.known_to(ItemKind::Engine),
         }
     }
 }
--- a/crates/dissemination/src/message.rs
+++ b/crates/dissemination/src/message.rs
@@ -25,7 +25,7 @@
     /// Content.
     #[prost(bytes = "bytes", tag = "3")]
     pub content: Bytes,
-    /// The store's revision at its last change.
+    /// The store's revision at its last change, or at its removal.
     #[prost(uint64, tag = "4")]
     pub revision: u64,
 }
@@ -78,12 +78,21 @@
     /// engines may be missing only because they could not report meanwhile.
     #[prost(uint64, tag = "4")]
     pub outage_millis: u64,
-    /// Whether the feed hears from the store.
+    /// Whether the feed is up to date: its node hears from the store, or takes in the feed of one that does.
     #[prost(bool, tag = "5")]
     pub is_current: bool,
     /// The changes.
     #[prost(message, repeated, tag = "6")]
     pub changes: Vec<ItemChange>,
+    /// Whether the feed's own node hears from the store.
+    #[prost(bool, tag = "7")]
+    pub hears_store: bool,
+    /// The store's revision up to which all changes of the configuration are among what was told.
+    #[prost(uint64, tag = "8")]
+    pub configurations_to: u64,
+    /// The same of the engines.
+    #[prost(uint64, tag = "9")]
+    pub engines_to: u64,
 }
 
 /// Everything a feed holds, for its next life.
--- a/crates/storage/src/feed_host.rs
+++ b/crates/storage/src/feed_host.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use prost::Message;
 use slog::{Logger, info};
-use sumacdrift_dissemination::{Feed, FollowRequest, Item, ItemKind, Listed, Snapshot};
+use sumacdrift_dissemination::{Changes, Feed, FollowRequest, Item, ItemKind, Listed, Snapshot};
 use sumacdrift_types::Timestamp;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -55,12 +55,28 @@
         self.change(|feed| feed.store_failed(kind));
     }
 
+    /// Takes in what the feed of another node told.
+    pub(crate) fn merge(&self, changes: Changes) {
+        let now = self.now();
+        self.change(|feed| feed.merge(changes, now));
+    }
+
+    /// The feed of another node says nothing more.
+    pub(crate) fn peer_lost(&self, life: u64) {
+        self.change(|feed| feed.peer_lost(life));
+    }
+
     /// Everything held, with the highest revision of the store.
     pub fn snapshot(&self) -> (u64, Snapshot) {
         let feed = self.feed();
         (feed.revision(), feed.snapshot())
     }
 
+    /// Whether what is held is up to date, see [`Feed::is_current`].
+    pub fn is_current(&self) -> bool {
+        self.feed().is_current()
+    }
+
     /// Tells of changes.
     pub fn news(&self) -> watch::Receiver<u64> {
         self.news.subscribe()
--- a/crates/storage/src/follower.rs
+++ b/crates/storage/src/follower.rs
@@ -17,7 +17,7 @@
 use crate::client::LedgerClient;
 
 /// How long a feed may wait for a change. Short, so that a feed that has died is noticed soon.
-const FEED_WAIT: Duration = Duration::from_millis(1000);
+pub(crate) const FEED_WAIT: Duration = Duration::from_millis(1000);
 /// How much longer than that an answer is waited for.
 const FEED_MARGIN: Duration = Duration::from_millis(300);
 /// Pause after an answer that could not wait for a change.
@@ -117,12 +117,8 @@
 
     async fn ask(&mut self, feed: SocketAddr, may_wait: bool) -> Heard {
         let wait = if may_wait { FEED_WAIT } else { Duration::ZERO };
-        let wait_millis = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
-        let request = FollowRequest { life: self.life, after: self.after, wait_millis };
-        let request = Request::Follow(Bytes::from(request.encode_to_vec()));
-        let reply = self.transport.request(feed, request, wait + FEED_MARGIN).await;
-        let Ok(Response::Changes(bytes)) = reply else { return self.lost(feed) };
-        let Ok(changes) = Changes::decode(bytes) else { return self.lost(feed) };
+        let told = ask_feed(&self.transport, feed, self.life, self.after, wait).await;
+        let Some(changes) = told else { return self.lost(feed) };
         self.ledger.heard_anyone();
         let heard = if changes.is_current { Heard::Current } else { Heard::Stale };
         let is_same_feed = changes.life == self.life;
@@ -170,3 +166,20 @@
         Timestamp::default() + self.started.elapsed()
     }
 }
+
+/// Asks a feed for what it holds behind a position; `None` where no answer came that makes sense.
+pub(crate) async fn ask_feed(
+    transport: &Transport,
+    feed: SocketAddr,
+    life: u64,
+    after: u64,
+    wait: Duration,
+) -> Option<Changes> {
+    let wait_millis = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+    let request = FollowRequest { life, after, wait_millis };
+    let request = Request::Follow(Bytes::from(request.encode_to_vec()));
+    match transport.request(feed, request, wait + FEED_MARGIN).await {
+        Ok(Response::Changes(bytes)) => Changes::decode(bytes).ok(),
+        _ => None,
+    }
+}
--- a/crates/storage/src/host.rs
+++ b/crates/storage/src/host.rs
@@ -17,7 +17,7 @@
 use sumacdrift_dissemination::Snapshot;
 use sumacdrift_journal::{FolderDisk, Journal, JournalError, JournalFailure, JournalSettings, JournalWriter};
 use sumacdrift_ledger::{
-    LedgerReply, LedgerRequest, Record, Replica, ReplicaSettings, ReplyKind, StoredCopy,
+    LedgerReply, LedgerRequest, Member, Record, Replica, ReplicaSettings, ReplyKind, StoredCopy,
 };
 use sumacdrift_proto::{OneWay, Request, Response};
 use sumacdrift_telemetry::time_histogram;
@@ -116,7 +116,7 @@
     writer: JournalWriter,
     meter: SnapshotMeter,
     metrics: HostMetrics,
-    feed: FeedHost,
+    feed: Arc<FeedHost>,
     news: NewsBoard,
     logger: Logger,
 }
@@ -143,7 +143,7 @@
             "voting" => replica.is_voting(), "epoch" => replica.group().epoch);
         let snapshot = Snapshot::decode(replica.state().copy().content.clone()).unwrap_or_default();
         let host = Arc::new(Self {
-            feed: FeedHost::new(snapshot, logger.clone()),
+            feed: Arc::new(FeedHost::new(snapshot, logger.clone())),
             replica: Mutex::new(replica),
             writer: JournalWriter::start(journal),
             meter: SnapshotMeter::default(),
@@ -170,8 +170,18 @@
         self.replica().is_member()
     }
 
+    /// Nodes that follow the outside store, as far as is known here: the members of the group.
+    pub fn store_followers(&self) -> Vec<Member> {
+        self.replica().group().members.clone()
+    }
+
+    /// Whether this node is one of them.
+    pub fn follows_store(&self) -> bool {
+        self.is_member()
+    }
+
     /// What other nodes may learn here.
-    pub fn feed(&self) -> &FeedHost {
+    pub fn feed(&self) -> &Arc<FeedHost> {
         &self.feed
     }
 
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -11,6 +11,7 @@
 mod clock;
 mod directory;
 mod feed_host;
+mod feed_peers;
 mod follower;
 mod host;
 mod leave;
@@ -29,6 +30,7 @@
     StoredGroup,
 };
 pub use feed_host::FeedHost;
+pub use feed_peers::{PeerFeeds, StoreFollowers};
 pub use follower::{Follower, FollowerSettings, FollowerSink};
 pub use host::{HostMetrics, HostSettings, OpenError, ReplicaHost};
 pub use news::ViewSink;
--- a/crates/storage/tests/fleet/mod.rs
+++ b/crates/storage/tests/fleet/mod.rs
@@ -3,6 +3,8 @@
 // Each test program uses its own part of this.
 #![allow(dead_code)]
 
+pub mod following;
+
 use std::collections::BTreeSet;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -19,7 +21,7 @@
 };
 use sumacdrift_proto::{OneWay, Request, Response};
 use sumacdrift_storage::{
-    Admission, BeginTurn, FeedHost, LedgerClient, LedgerError, LedgerTimeouts, RelayHost,
+    Admission, BeginTurn, FeedHost, LedgerClient, LedgerError, LedgerTimeouts, PeerFeeds, RelayHost,
 };
 use sumacdrift_transport::{
     Acceptor, BoxedFuture, BoxedStream, Handler, MemoryNetwork, Network, TrafficCounters, Transport, serve,
@@ -86,7 +88,7 @@
 /// A node that keeps a replica and a feed.
 pub struct Node {
     pub replica: Mutex<Replica>,
-    pub feed: FeedHost,
+    pub feed: Arc<FeedHost>,
     pub requests: AtomicUsize,
     pub is_silent: AtomicBool,
     /// Milliseconds that every answer takes.
@@ -164,7 +166,7 @@
             replica.install(group.clone());
             let node = Arc::new(Node {
                 replica: Mutex::new(replica),
-                feed: FeedHost::new(Default::default(), logger()),
+                feed: Arc::new(FeedHost::new(Default::default(), logger())),
                 requests: AtomicUsize::new(0),
                 is_silent: AtomicBool::new(false),
                 delay: AtomicU64::new(0),
@@ -177,6 +179,22 @@
         Self { network, nodes, group }
     }
 
+    /// Lets every node take in other nodes' feeds; the first `store_followers` of them follow the store.
+    pub fn take_in_feeds(&self, store_followers: usize) {
+        let followers: Vec<Member> = self.group.members[..store_followers].to_vec();
+        for (node, member) in self.nodes.iter().zip(&self.group.members) {
+            let followers = followers.clone();
+            let peers = PeerFeeds {
+                node: member.node.clone(),
+                feed: Arc::clone(&node.feed),
+                transport: self.transport(),
+                store_followers: Arc::new(move || followers.clone()),
+                logger: logger(),
+            };
+            tokio::spawn(peers.run());
+        }
+    }
+
     pub fn transport(&self) -> Arc<Transport> {
         let network: Arc<dyn Network> = Arc::new(self.network.clone());
         Arc::new(Transport::new(network, Arc::new(TrafficCounters::default())))
--- a/crates/storage/tests/follower.rs
+++ b/crates/storage/tests/follower.rs
@@ -2,97 +2,12 @@
 
 mod fleet;
 
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bytes::Bytes;
 use fleet::Fleet;
-use sumacdrift_dissemination::{Changes, Item, ItemKind, Listed};
-use sumacdrift_storage::{FeedHost, Follower, FollowerSettings, FollowerSink};
-use tokio::task::JoinSet;
-
-/// Remembers what it is told, and how often the store was turned to.
-#[derive(Default)]
-struct Sink {
-    contents: Mutex<Vec<String>>,
-    store_used: AtomicUsize,
-    store_left: Arc<AtomicUsize>,
-}
-
-impl Sink {
-    fn has(&self, content: &str) -> bool {
-        self.contents.lock().expect("contents").iter().any(|known| known == content)
-    }
-
-    fn store_used(&self) -> usize {
-        self.store_used.load(Ordering::Relaxed)
-    }
-}
-
-struct CountedEnd(Arc<AtomicUsize>);
-
-impl Drop for CountedEnd {
-    fn drop(&mut self) {
-        self.0.fetch_add(1, Ordering::Relaxed);
-    }
-}
-
-impl FollowerSink for Sink {
-    fn take(&self, changes: Changes) {
-        let items = changes.changes.into_iter().filter_map(|change| change.item);
-        let contents = items.map(|item| String::from_utf8_lossy(&item.content).into_owned());
-        self.contents.lock().expect("contents").extend(contents);
-    }
-
-    fn knows_anything(&self) -> bool {
-        !self.contents.lock().expect("contents").is_empty()
-    }
-
-    fn follow_store(&self) -> JoinSet<()> {
-        self.store_used.fetch_add(1, Ordering::Relaxed);
-        let end = CountedEnd(Arc::clone(&self.store_left));
-        let mut tasks = JoinSet::new();
-        tasks.spawn(async move {
-            let _end = end;
-            std::future::pending().await
-        });
-        tasks
-    }
-}
-
-fn configuration(content: &str, revision: u64) -> Item {
-    Item::new(ItemKind::Configuration, "main", Bytes::copy_from_slice(content.as_bytes()), revision)
-}
-
-/// The store is heard, and holds this configuration.
-fn hears(feed: &FeedHost, content: &str, revision: u64) {
-    for (kind, items) in
-        [(ItemKind::Configuration, vec![configuration(content, revision)]), (ItemKind::Engine, Vec::new())]
-    {
-        feed.list(Listed { kind, items, revision, outage: Duration::ZERO });
-    }
-}
-
-fn follow(fleet: &Fleet, zone: usize) -> Arc<Sink> {
-    let sink = Arc::new(Sink::default());
-    let settings = FollowerSettings { node: "edge".to_owned(), zone: format!("z{zone}") };
-    let follower = Follower::new(
-        settings,
-        fleet.client(zone),
-        fleet.transport(),
-        Arc::clone(&sink) as Arc<dyn FollowerSink>,
-        fleet::logger(),
-    );
-    tokio::spawn(follower.run());
-    sink
-}
-
-async fn pass(time: Duration) {
-    tokio::time::sleep(time).await;
-}
-
-const MOMENT: Duration = Duration::from_millis(5);
+use fleet::following::{MOMENT, configuration, follow, hears, pass};
+use sumacdrift_dissemination::ItemKind;
 
 #[tokio::test(start_paused = true)]
 async fn a_change_at_the_own_zones_feed_is_known_at_once() {
