--- a/crates/dissemination/src/feed.rs
+++ b/crates/dissemination/src/feed.rs
@@ -87,6 +87,11 @@
         Snapshot { items: self.held.values().map(|held| held.item.clone()).collect() }
     }
 
+    /// An item.
+    pub fn item(&self, kind: ItemKind, name: &str) -> Option<&Item> {
+        self.held.get(&(kind as i32, name.to_owned())).map(|held| &held.item)
+    }
+
     /// The highest revision of the store that was heard of.
     pub fn revision(&self) -> u64 {
         self.revision
--- a/crates/dissemination/src/message.rs
+++ b/crates/dissemination/src/message.rs
@@ -11,6 +11,8 @@
     Configuration = 0,
     /// An engine.
     Engine = 1,
+    /// The groups of the ledger.
+    Groups = 2,
 }
 
 /// An object of the outside store. Its content means nothing here.
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -103,7 +103,7 @@
             info!(edge.logger, "turn refused"; "event" => "turn_refused", "call" => &head.id,
                 "reason" => %error, "program" => head.program.as_ref().map(|program| &program.program),
                 "budget" => head.program.as_ref().and_then(|program| program.token_budget),
-                "previous" => &head.previous, "epoch" => edge.ledger.group().epoch);
+                "previous" => &head.previous, "epoch" => head.program.as_ref().map(|program| edge.ledger.epoch_of(&program.program)));
             edge.metrics.gave_up(code_of(error));
             return refusal(edge, code_of(error));
         }
--- a/crates/ledger/src/group.rs
+++ b/crates/ledger/src/group.rs
@@ -1,4 +1,4 @@
-//! Which replicas form the group.
+//! Which replicas form a group.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -20,10 +20,15 @@
     pub joined: u64,
 }
 
+/// Number of a group among all groups of the ledger; the first one is 0.
+pub type GroupNumber = u32;
+
 /// A group of replicas. Its epoch rises with each change.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Group {
-    /// Number of the group; 0 where there is none yet.
+    /// Which of the groups it is.
+    pub number: GroupNumber,
+    /// Version of the group; 0 where there is none yet.
     pub epoch: u64,
     /// The members.
     pub members: Vec<Member>,
@@ -33,10 +38,15 @@
 pub(crate) const FOUNDING_EPOCH: u64 = 1;
 
 impl Group {
-    /// The first group.
+    /// The only group of a small ledger, at its first epoch.
     pub fn founded(members: Vec<Member>) -> Group {
+        Self::founded_as(0, members)
+    }
+
+    /// A group at its first epoch.
+    pub fn founded_as(number: GroupNumber, members: Vec<Member>) -> Group {
         let founders = members.into_iter().map(|member| Member { joined: FOUNDING_EPOCH, ..member });
-        Group { epoch: FOUNDING_EPOCH, members: sorted(founders.collect()) }
+        Group { number, epoch: FOUNDING_EPOCH, members: sorted(founders.collect()) }
     }
 
     /// Members that must have a record before it holds.
@@ -88,7 +98,7 @@
     /// The next group, without a member.
     pub fn without(&self, node: &str) -> Group {
         let members = self.members.iter().filter(|member| member.node != node).cloned().collect();
-        Group { epoch: self.epoch + 1, members }
+        Group { number: self.number, epoch: self.epoch + 1, members }
     }
 
     /// The group as a message.
@@ -99,7 +109,7 @@
             zone: member.zone.clone(),
             joined: member.joined,
         });
-        GroupMessage { epoch: self.epoch, members: members.collect() }
+        GroupMessage { epoch: self.epoch, members: members.collect(), number: self.number }
     }
 
     /// The group of a message; `None` where an address can't be read.
@@ -109,7 +119,8 @@
             let MemberMessage { node, zone, joined, .. } = member.clone();
             Some(Member { node, address, zone, joined })
         });
-        Some(Group { epoch: message.epoch, members: members.collect::<Option<Vec<_>>>()? })
+        let members = members.collect::<Option<Vec<_>>>()?;
+        Some(Group { number: message.number, epoch: message.epoch, members })
     }
 }
 
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -139,6 +139,17 @@
     /// The members.
     #[prost(message, repeated, tag = "2")]
     pub members: Vec<MemberMessage>,
+    /// Which of the groups it is.
+    #[prost(uint32, tag = "3")]
+    pub number: u32,
+}
+
+/// All groups of the ledger.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct GroupMapMessage {
+    /// The groups, by number.
+    #[prost(message, repeated, tag = "1")]
+    pub groups: Vec<GroupMessage>,
 }
 
 /// A request to a replica.
@@ -148,8 +159,11 @@
     #[prost(uint64, tag = "1")]
     pub epoch: u64,
     /// What is asked.
-    #[prost(oneof = "RequestKind", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "RequestKind", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub kind: Option<RequestKind>,
+    /// Number of the group that is asked.
+    #[prost(uint32, tag = "14")]
+    pub group: u32,
     /// What the asker tells besides, for whoever hosts the replica. Its content means nothing here.
     #[prost(bytes = "bytes", tag = "15")]
     pub news: Bytes,
@@ -182,6 +196,12 @@
     /// The content of kept turns.
     #[prost(message, tag = "9")]
     Contents(ContentsRequest),
+    /// The content of a chain of turns, from a member that can say for certain that it does not know the newest one.
+    #[prost(message, tag = "10")]
+    Find(ChainRequest),
+    /// Which groups are there? Answered by the replica's host.
+    #[prost(bool, tag = "11")]
+    Map(bool),
 }
 
 /// May a turn begin?
@@ -254,7 +274,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct LedgerReply {
     /// The answer.
-    #[prost(oneof = "ReplyKind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "ReplyKind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub kind: Option<ReplyKind>,
     /// What the replica's host tells in return for news. Its content means nothing here.
     #[prost(bytes = "bytes", tag = "15")]
@@ -291,6 +311,9 @@
     /// The replica has joined and has never voted, so it acknowledged nothing.
     #[prost(bool, tag = "9")]
     NeverVoted(bool),
+    /// All groups, as far as the replica's host knows them.
+    #[prost(message, tag = "10")]
+    Map(GroupMapMessage),
 }
 
 /// What a replica knows of a program at the begin of one of its turns.
--- a/crates/ledger/src/plan.rs
+++ b/crates/ledger/src/plan.rs
@@ -1,11 +1,13 @@
-//! Which change of the group a machine asks for: plain functions of what it sees.
+//! Which groups are founded, and which change of a group a machine asks for: plain functions of what it sees.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use sumacdrift_types::Timestamp;
 
 use crate::group::{Group, Member};
+use crate::map::GroupMap;
 
 /// A member that has answered nothing for this long gives its place to a machine that is no member. Longer than most
 /// outages, because the records on its disk are of no more use to the group then.
@@ -65,36 +67,113 @@
         2 * self.tolerated_losses + 1
     }
 
-    /// The first group, of as many zones as there are; equal on every machine that sees the same candidates.
-    pub fn founding_group(self, candidates: &[&Member]) -> Group {
-        let mut left: Vec<&Member> = candidates.to_vec();
-        left.sort_by(|one, other| one.node.cmp(&other.node));
-        let mut chosen: Vec<Member> = Vec::new();
-        while chosen.len() < self.size() && !left.is_empty() {
-            let in_zone = |member: &Member| chosen.iter().filter(|other| other.zone == member.zone).count();
-            let next = (0..left.len()).min_by_key(|position| in_zone(left[*position])).unwrap_or(0);
-            chosen.push(left.remove(next).clone());
+    /// Groups that so many machines make, so that the losses to be borne leave whoever takes a lost member's place.
+    fn groups(self, machines: usize) -> usize {
+        (machines.saturating_sub(self.tolerated_losses) / self.size()).max(1)
+    }
+
+    /// The first groups; equal on every machine that sees the same candidates.
+    ///
+    /// A machine is a member of one group at the most, as few sets of machines then exist whose loss at once would lose
+    /// a record. Each group is of as many zones as there are; machines that carry least are left out, and zones with many
+    /// machines left give first, so that no group is left with a single zone.
+    pub fn founding_map(self, candidates: &[Candidate]) -> GroupMap {
+        let mut left: Vec<&Candidate> = candidates.iter().collect();
+        left.sort_by(|one, other| one.member.node.cmp(&other.member.node));
+        let best = Capacity::best_of(candidates);
+        let mut groups = vec![Vec::new(); self.groups(left.len())];
+        for _ in 0..self.size() {
+            for chosen in &mut groups {
+                if let Some(place) = next_founder(chosen, &left, &best) {
+                    chosen.push(left.remove(place).member.clone());
+                }
+            }
         }
-        Group::founded(chosen)
+        let groups = groups.into_iter().zip(0..);
+        GroupMap::new(groups.map(|(members, number)| Group::founded_as(number, members)).collect())
     }
 
     /// What a machine that is not to be emptied should do about its place.
-    pub fn place_step(self, group: &Group, own: &Member, watch: &MemberWatch, now: Timestamp) -> PlaceStep {
+    pub fn place_step(self, map: &GroupMap, own: &Member, watch: &MemberWatch, now: Timestamp) -> PlaceStep {
         let change = |group: Group, reason| PlaceStep::Change { group, reason };
-        match group.member(&own.node) {
-            Some(member) if member.address == own.address => PlaceStep::Stay,
-            Some(_) => change(group.with(own.clone()), ChangeReason::Moved),
-            None if group.members.len() < self.size() => {
-                change(group.with(own.clone()), ChangeReason::Joined)
-            }
-            None => match watch.replaceable(group, now) {
-                Some(lost) => change(group.replacing(&lost, own.clone()), ChangeReason::ReplacedLost),
-                None => PlaceStep::Stay,
-            },
+        if let Some(group) = map.seat_of(&own.node) {
+            let is_there = group.member(&own.node).is_some_and(|member| member.address == own.address);
+            return match is_there {
+                true => PlaceStep::Stay,
+                false => change(group.with(own.clone()), ChangeReason::Moved),
+            };
+        }
+        let too_small = map.groups().iter().filter(|group| group.members.len() < self.size());
+        if let Some(group) = too_small.min_by_key(|group| (group.members.len(), in_zone(&group.members, own)))
+        {
+            return change(group.with(own.clone()), ChangeReason::Joined);
+        }
+        let lost = map.groups().iter().filter_map(|group| Some((group, watch.replaceable(group, now)?)));
+        match lost.min_by_key(|(group, _)| in_zone(&group.members, own)) {
+            Some((group, lost)) => change(group.replacing(&lost, own.clone()), ChangeReason::ReplacedLost),
+            None => PlaceStep::Stay,
         }
     }
 }
 
+/// A machine that may become a member of the first groups.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Candidate {
+    /// Who it is.
+    pub member: Member,
+    /// What it can carry.
+    pub capacity: Capacity,
+}
+
+/// What a machine can carry. A figure that is not known is 0.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Capacity {
+    /// Memory, in megabytes.
+    pub memory_megabytes: f64,
+    /// Processors.
+    pub processors: f64,
+    /// Link, in megabits a second.
+    pub link_megabits: f64,
+    /// Disk, in megabytes.
+    pub disk_megabytes: f64,
+}
+
+impl Capacity {
+    fn figures(&self) -> [f64; 4] {
+        [self.memory_megabytes, self.processors, self.link_megabits, self.disk_megabytes]
+    }
+
+    /// The most that any of the candidates has of each.
+    fn best_of(candidates: &[Candidate]) -> [f64; 4] {
+        candidates.iter().fold([0.0; 4], |best, candidate| {
+            let own = candidate.capacity.figures();
+            std::array::from_fn(|place| f64::max(best[place], own[place]))
+        })
+    }
+
+    /// The share of the best machine's that this one has of what it has least of.
+    fn share_of(&self, best: &[f64; 4]) -> f64 {
+        let known = self.figures().into_iter().zip(best).filter(|(_, best)| **best > 0.0);
+        known.map(|(own, best)| own / best).fold(1.0, f64::min)
+    }
+}
+
+fn in_zone(members: &[Member], own: &Member) -> usize {
+    members.iter().filter(|member| member.zone == own.zone).count()
+}
+
+/// The candidate that a group takes next: of a zone that it has fewest members of, and there the one that carries most,
+/// of the zone with most candidates left.
+fn next_founder(chosen: &[Member], left: &[&Candidate], best: &[f64; 4]) -> Option<usize> {
+    let left_in_zone = |zone: &str| left.iter().filter(|candidate| candidate.member.zone == zone).count();
+    (0..left.len()).min_by_key(|place| {
+        let Candidate { member, capacity } = left[*place];
+        // In tenths: small differences shall not decide.
+        let carries = (capacity.share_of(best) * 10.0).round() as u32;
+        (in_zone(chosen, member), Reverse(carries), Reverse(left_in_zone(&member.zone)))
+    })
+}
+
 /// What a member said when it was last asked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Heard {
--- a/crates/ledger/src/replica.rs
+++ b/crates/ledger/src/replica.rs
@@ -6,8 +6,8 @@
 
 use crate::group::{FOUNDING_EPOCH, Group};
 use crate::message::{
-    Begin, End, LedgerReply, LedgerRequest, Page, PageRequest, Push, Record, RecordKind, ReplyKind,
-    RequestKind, Standing, StatusReply, StoredCopy,
+    Begin, ChainRequest, End, LedgerReply, LedgerRequest, Page, PageRequest, Push, Record, RecordKind,
+    ReplyKind, RequestKind, Standing, StatusReply, StoredCopy,
 };
 use crate::state::{LedgerState, PageDetail};
 
@@ -83,6 +83,11 @@
         Vec::new()
     }
 
+    /// The node that the replica is on.
+    pub fn node(&self) -> &str {
+        &self.settings.node
+    }
+
     /// The group that the replica knows.
     pub fn group(&self) -> &Group {
         &self.group
@@ -155,6 +160,10 @@
 
     /// Answers a request at a time of day in milliseconds.
     pub fn handle(&mut self, request: LedgerRequest, now: u64) -> Step {
+        if !self.is_own_group(&request) {
+            // What another group decides is none of this replica's business.
+            return answer(ReplyKind::NotVoting(true));
+        }
         match request.kind {
             Some(RequestKind::Begin(begin)) => self.begin(request.epoch, begin, now),
             Some(RequestKind::End(end)) => self.end(request.epoch, end, now),
@@ -169,13 +178,18 @@
                 Step { commit: commit.into_iter().collect(), reply: reply(ReplyKind::Done(true)) }
             }
             Some(RequestKind::Status(_)) => answer(ReplyKind::Status(self.status())),
+            Some(RequestKind::Find(find)) => self.find(request.epoch, &find),
+            Some(RequestKind::Map(_)) => {
+                answer(ReplyKind::Failed("a replica knows only its group".to_owned()))
+            }
             None => answer(ReplyKind::Failed("the request is empty".to_owned())),
         }
     }
 
-    /// Adopts a newer group; returns the record to make durable.
+    /// Adopts a newer version of the replica's group; returns the record to make durable.
     pub fn install(&mut self, group: Group) -> Option<Record> {
-        if group.epoch <= self.group.epoch {
+        let is_other = self.group.epoch > 0 && group.number != self.group.number;
+        if is_other || group.epoch <= self.group.epoch {
             return None;
         }
         let record = group_record(&group);
@@ -183,6 +197,17 @@
         Some(record)
     }
 
+    /// Becomes a replica of another group, which the group that it knows has let go; what it knew of that one's
+    /// programs is forgotten. Returns the record to make durable.
+    pub fn switch_to(&mut self, group: Group) -> Option<Record> {
+        if group.number == self.group.number || self.group.epoch == 0 {
+            return self.install(group);
+        }
+        let record = group_record(&group);
+        self.adopt(group);
+        Some(record)
+    }
+
     /// Other members whose records must still be read before this replica may vote.
     pub fn sources_left(&self) -> usize {
         if self.is_complete() {
@@ -267,6 +292,13 @@
     }
 
     fn adopt(&mut self, group: Group) {
+        if group.number != self.group.number && self.group.epoch > 0 {
+            self.state.forget_programs();
+            self.complete_since = None;
+            self.never_voted_since = None;
+            self.is_leaving = false;
+            self.group = Group::default();
+        }
         if group.epoch > self.group.epoch {
             self.group = group;
             // What was read under an earlier group may lack what was acknowledged since.
@@ -300,6 +332,18 @@
         Step { commit: durable(record), reply: reply(kind) }
     }
 
+    /// Tells a chain, or for certain that its newest turn is not known here.
+    fn find(&self, epoch: u64, find: &ChainRequest) -> Step {
+        let chain = self.state.chain(&find.turn);
+        if !chain.turns.is_empty() {
+            return answer(ReplyKind::Chain(chain));
+        }
+        if !self.is_own_epoch(epoch) {
+            return self.wrong_epoch();
+        }
+        answer(if self.is_voting() { ReplyKind::Chain(chain) } else { ReplyKind::NotVoting(true) })
+    }
+
     fn page(&mut self, request: PageRequest, now: u64) -> Step {
         let newer = request.group.as_ref().and_then(Group::from_message);
         let commit = newer.and_then(|group| self.install(group));
@@ -321,6 +365,12 @@
         Step { commit, reply: reply(ReplyKind::Done(true)) }
     }
 
+    /// Whether a request is for the replica's group; a replica without one learns of its group by requests.
+    fn is_own_group(&self, request: &LedgerRequest) -> bool {
+        let is_about_the_node = matches!(request.kind, Some(RequestKind::Status(_)));
+        is_about_the_node || self.group.epoch == 0 || request.group == self.group.number
+    }
+
     fn is_own_epoch(&self, epoch: u64) -> bool {
         epoch == self.group.epoch || is_broken(Rule::LedgerServesOwnEpoch)
     }
--- a/crates/ledger/src/state.rs
+++ b/crates/ledger/src/state.rs
@@ -57,6 +57,12 @@
         self.kept.len()
     }
 
+    /// Forgets all programs and turns.
+    pub fn forget_programs(&mut self) {
+        self.programs.clear();
+        self.kept.clear();
+    }
+
     /// Notes a turn's begin; returns the time at which the record expires.
     pub fn begin(&mut self, turn: &TurnBegun, now: u64) -> u64 {
         let expires = expiry(turn.retention_millis, now);
--- a/crates/ledger/tests/plan.rs
+++ b/crates/ledger/tests/plan.rs
@@ -1,8 +1,11 @@
 //! Which change of the group a machine asks for.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
-use sumacdrift_ledger::{ChangeReason, Group, GroupPolicy, Member, MemberWatch, PlaceStep};
+use sumacdrift_ledger::{
+    Candidate, Capacity, ChangeReason, Group, GroupMap, GroupPolicy, Member, MemberWatch, PlaceStep,
+};
 use sumacdrift_types::Timestamp;
 
 fn member(node: &str, zone: &str) -> Member {
@@ -17,6 +20,15 @@
     Timestamp::default() + Duration::from_millis(millis)
 }
 
+fn candidate(node: &str, zone: &str, memory_megabytes: f64) -> Candidate {
+    let capacity = Capacity { memory_megabytes, ..Capacity::default() };
+    Candidate { member: member(node, zone), capacity }
+}
+
+fn only(group: Group) -> GroupMap {
+    GroupMap::new(vec![group])
+}
+
 fn five() -> Group {
     Group::founded(["a", "b", "c", "d", "e"].map(|node| member(node, "z")).to_vec())
 }
@@ -37,11 +49,12 @@
 fn founders_are_spread_over_zones() {
     let candidates =
         [("a1", "a"), ("a2", "a"), ("a3", "a"), ("b1", "b"), ("b2", "b"), ("c1", "c"), ("c2", "c")];
-    let candidates = candidates.map(|(node, zone)| member(node, zone));
-    let group = GroupPolicy::tolerating(2).founding_group(&candidates.iter().collect::<Vec<_>>());
-    assert_eq!(names(&group), ["a1", "a2", "b1", "b2", "c1"]);
-    let few = GroupPolicy::tolerating(2).founding_group(&[&candidates[0], &candidates[3]]);
-    assert_eq!(names(&few), ["a1", "b1"]);
+    let candidates = candidates.map(|(node, zone)| candidate(node, zone, 1.0));
+    let map = GroupPolicy::tolerating(2).founding_map(&candidates);
+    assert_eq!(map.groups().len(), 1);
+    assert_eq!(names(&map.groups()[0]), ["a1", "a2", "b1", "b2", "c1"]);
+    let few = GroupPolicy::tolerating(2).founding_map(&[candidates[0].clone(), candidates[3].clone()]);
+    assert_eq!(names(&few.groups()[0]), ["a1", "b1"]);
 }
 
 #[test]
@@ -49,17 +62,17 @@
     let policy = GroupPolicy::tolerating(2);
     let watch = MemberWatch::default();
     let small = five().without("c");
-    let step = policy.place_step(&small, &member("f", "z"), &watch, at(0));
+    let step = policy.place_step(&only(small), &member("f", "z"), &watch, at(0));
     let PlaceStep::Change { group, reason: ChangeReason::Joined } = step else { panic!("{step:?}") };
     assert_eq!(names(&group), ["a", "b", "d", "e", "f"]);
-    assert_eq!(policy.place_step(&five(), &member("f", "z"), &watch, at(0)), PlaceStep::Stay);
+    assert_eq!(policy.place_step(&only(five()), &member("f", "z"), &watch, at(0)), PlaceStep::Stay);
 }
 
 #[test]
 fn a_machine_at_another_address_takes_its_own_place() {
     let mut moved = member("c", "z");
     moved.address = ([127, 0, 0, 2], 1).into();
-    let step = GroupPolicy::tolerating(2).place_step(&five(), &moved, &MemberWatch::default(), at(0));
+    let step = GroupPolicy::tolerating(2).place_step(&only(five()), &moved, &MemberWatch::default(), at(0));
     let PlaceStep::Change { group, reason: ChangeReason::Moved } = step else { panic!("{step:?}") };
     assert_eq!(group.member("c").map(|member| member.address), Some(moved.address));
     assert_eq!(group.epoch, 2);
@@ -79,7 +92,7 @@
         }
         watch.silent("d", at(second * 1_000));
         watch.silent("e", at(second * 1_000));
-        let step = policy.place_step(&five(), &own, &watch, at(second * 1_000));
+        let step = policy.place_step(&only(five()), &own, &watch, at(second * 1_000));
         if second < 6 {
             assert_eq!(step, PlaceStep::Stay, "after {second} s");
             continue;
@@ -104,5 +117,86 @@
     watch.answered("c", true, at(9_000));
     watch.answered("d", true, at(9_000));
     watch.silent("e", at(9_000));
-    assert_eq!(policy.place_step(&five(), &member("f", "z"), &watch, at(9_000)), PlaceStep::Stay);
+    assert_eq!(policy.place_step(&only(five()), &member("f", "z"), &watch, at(9_000)), PlaceStep::Stay);
+}
+
+/// A fleet of so many machines in each zone.
+fn fleet(in_zones: &[usize]) -> Vec<Candidate> {
+    let machines = in_zones.iter().enumerate();
+    let of_zone = |(zone, count): (usize, &usize)| -> Vec<Candidate> {
+        (0..*count).map(|number| candidate(&format!("z{zone}-{number}"), &format!("z{zone}"), 1.0)).collect()
+    };
+    machines.flat_map(of_zone).collect()
+}
+
+#[test]
+fn many_machines_make_many_groups_each_of_different_zones() {
+    for (losses, zones, groups) in [
+        (2, vec![6, 5, 5, 5, 5, 5, 5], 6),
+        (2, vec![8, 7, 7, 7, 7], 6),
+        (2, vec![4, 4, 4], 2),
+        (2, vec![3, 3, 2], 1),
+        (1, vec![1, 1, 1], 1),
+        (1, vec![1, 1, 1, 1], 1),
+        (1, vec![10, 10], 6),
+    ] {
+        let policy = GroupPolicy::tolerating(losses);
+        let map = policy.founding_map(&fleet(&zones));
+        assert_eq!(map.groups().len(), groups, "{zones:?}");
+        let nodes: BTreeSet<&str> = map.members().map(|member| member.node.as_str()).collect();
+        assert_eq!(nodes.len(), groups * policy.size(), "a machine has one seat: {zones:?}");
+        for group in map.groups() {
+            let of: BTreeSet<&str> = group.members.iter().map(|member| member.zone.as_str()).collect();
+            assert_eq!(of.len(), policy.size().min(zones.len()), "{zones:?} {group:?}");
+        }
+    }
+}
+
+#[test]
+fn machines_that_carry_least_are_left_out_at_the_founding() {
+    let mut machines = fleet(&[4, 4, 4]);
+    for weak in [0, 5] {
+        machines[weak].capacity.memory_megabytes = 0.2;
+    }
+    let map = GroupPolicy::tolerating(2).founding_map(&machines);
+    for weak in [0, 5] {
+        assert_eq!(map.seat_of(&machines[weak].member.node), None);
+    }
+}
+
+#[test]
+fn programs_are_spread_evenly_over_groups() {
+    let map = GroupPolicy::tolerating(2).founding_map(&fleet(&[6, 5, 5, 5, 5, 5, 5]));
+    let mut counts = vec![0_usize; map.groups().len()];
+    for program in 0..6_000 {
+        let group = map.group_of(&format!("program-{program}")).expect("a group");
+        counts[group.number as usize] += 1;
+    }
+    assert!(counts.iter().all(|count| (900..1_100).contains(count)), "{counts:?}");
+}
+
+#[test]
+fn a_spare_machine_joins_the_smallest_group_and_takes_a_lost_members_place_in_any() {
+    let policy = GroupPolicy::tolerating(1);
+    let map = policy.founding_map(&fleet(&[3, 3, 3]));
+    assert_eq!(map.groups().len(), 2);
+    let spare = member("spare", "z0");
+    let shrunk = map.groups()[1].without(&map.groups()[1].members[0].node);
+    let step = policy.place_step(&map.with(shrunk), &spare, &MemberWatch::default(), at(0));
+    let PlaceStep::Change { group, reason: ChangeReason::Joined } = step else { panic!("{step:?}") };
+    assert_eq!((group.number, group.members.len()), (1, 3));
+    let mut watch = MemberWatch::default();
+    let lost = map.groups()[1].members[2].node.clone();
+    for second in 0..=7 {
+        for member in map.members() {
+            match member.node == lost && second > 0 {
+                true => watch.silent(&member.node, at(second * 1_000)),
+                false => watch.answered(&member.node, true, at(second * 1_000)),
+            }
+        }
+    }
+    let step = policy.place_step(&map, &spare, &watch, at(7_000));
+    let PlaceStep::Change { group, reason: ChangeReason::ReplacedLost } = step else { panic!("{step:?}") };
+    assert_eq!(group.number, 1);
+    assert!(group.member(&lost).is_none() && group.member("spare").is_some());
 }
--- a/crates/ledger/tests/replica.rs
+++ b/crates/ledger/tests/replica.rs
@@ -16,7 +16,7 @@
 }
 
 fn group(epoch: u64, nodes: &[(&str, u64)]) -> Group {
-    Group { epoch, members: nodes.iter().map(|(node, joined)| member(node, *joined)).collect() }
+    Group { number: 0, epoch, members: nodes.iter().map(|(node, joined)| member(node, *joined)).collect() }
 }
 
 fn replica(node: &str, is_first_start: bool) -> Replica {
--- a/crates/ledger/tests/world/mod.rs
+++ b/crates/ledger/tests/world/mod.rs
@@ -7,9 +7,9 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sumacdrift_ledger::{
-    Begin, BeginDecision, BeginQuorum, ContentsRequest, End, Group, GroupPolicy, KEPT_TURNS_CURSOR,
-    LedgerReply, LedgerRequest, Member, PageDetail, PageRequest, Push, Record, Replica, ReplicaSettings,
-    ReplyKind, RequestKind, RetainedTurn, TurnBegun, TurnEnded, copies_to_make,
+    Begin, BeginDecision, BeginQuorum, Candidate, Capacity, ContentsRequest, End, Group, GroupPolicy,
+    KEPT_TURNS_CURSOR, LedgerReply, LedgerRequest, Member, PageDetail, PageRequest, Push, Record, Replica,
+    ReplicaSettings, ReplyKind, RequestKind, RetainedTurn, TurnBegun, TurnEnded, copies_to_make,
 };
 
 pub const BUDGET: u64 = 1_000;
@@ -86,7 +86,9 @@
     pub fn new(seed: u64, tolerated_losses: usize) -> Self {
         let policy = GroupPolicy::tolerating(tolerated_losses);
         let nodes = ["a", "b", "c", "d", "e"].map(member);
-        let group = policy.founding_group(&nodes[..policy.size()].iter().collect::<Vec<_>>());
+        let founder = |member: &Member| Candidate { member: member.clone(), capacity: Capacity::default() };
+        let founders: Vec<Candidate> = nodes[..policy.size()].iter().map(founder).collect();
+        let group = Group::clone(&policy.founding_map(&founders).groups()[0]);
         let mut world = Self {
             tolerated_losses,
             random: ChaCha8Rng::seed_from_u64(seed),
--- a/crates/storage/src/asking.rs
+++ b/crates/storage/src/asking.rs
@@ -183,7 +183,7 @@
                 return reply;
             }
             if is_behind {
-                let install = encode(self.group.epoch, RequestKind::Install(self.group.to_message()));
+                let install = encode(&self.group, RequestKind::Install(self.group.to_message()));
                 let _ = ask(&self.transport, self.member.address, install, MEMBER_TIMEOUT).await;
                 continue;
             }
--- a/crates/storage/src/catch_up.rs
+++ b/crates/storage/src/catch_up.rs
@@ -80,7 +80,7 @@
     let mut records = 0;
     loop {
         let request = PageRequest { after, group: Some(group.to_message()), keys_only };
-        let request = encode(group.epoch, RequestKind::Page(request));
+        let request = encode(group, RequestKind::Page(request));
         let page = match ask(transport, member.address, request, PAGE_TIMEOUT).await {
             Some(ReplyKind::Page(page)) => page,
             Some(ReplyKind::NeverVoted(_)) => return MemberRead::NeverVoted,
@@ -108,7 +108,7 @@
 ) -> bool {
     for turns in turns.chunks(CONTENTS_AT_ONCE) {
         let request = ContentsRequest { turns: turns.to_vec() };
-        let request = encode(group.epoch, RequestKind::Contents(request));
+        let request = encode(group, RequestKind::Contents(request));
         let reply = ask(transport, member.address, request, PAGE_TIMEOUT).await;
         let Some(ReplyKind::Page(page)) = reply else { return false };
         if !take(host, page).await {
--- a/crates/storage/src/client.rs
+++ b/crates/storage/src/client.rs
@@ -1,4 +1,4 @@
-//! Asking the group whether a turn may begin, and telling it of its end.
+//! Asking a program's group whether a turn may begin, and telling it of its end.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
@@ -9,17 +9,18 @@
 use futures::stream::FuturesUnordered;
 use slog::{Logger, info};
 use sumacdrift_ledger::{
-    Begin, BeginDecision, BeginQuorum, ChainAssembly, ChainReply, ChainRequest, ChainStep, End, Group,
-    GroupMessage, Member, ReplyKind, RequestKind, TurnBegun, TurnEnded,
+    Begin, BeginDecision, BeginQuorum, ChainAssembly, ChainReply, End, Group, GroupMap, GroupMessage, Member,
+    ReplyKind, RequestKind, TurnBegun, TurnEnded,
 };
 use sumacdrift_transport::Transport;
 use sumacdrift_types::{Mechanism, SwitchedOff};
 use tokio::time::Instant;
 
 use crate::asking::Asking;
+use crate::known_map::KnownMap;
 use crate::news::ViewSink;
 use crate::reach::Reach;
-use crate::rpc::{ask, encode, encode_with};
+use crate::rpc::{ask, encode_to_node, encode_with};
 use crate::suspects::Suspects;
 
 /// Pause before all members are asked again.
@@ -83,11 +84,11 @@
     Unavailable,
 }
 
-/// Asks the ledger's group.
+/// Asks the ledger's groups.
 pub struct LedgerClient {
     transport: Arc<Transport>,
     reach: Arc<Reach>,
-    group: Mutex<Arc<Group>>,
+    map: KnownMap,
     zone: String,
     timeouts: LedgerTimeouts,
     suspects: Mutex<Suspects>,
@@ -113,7 +114,7 @@
         let suspects = Mutex::default();
         let views = OnceLock::new();
         let reach = Arc::new(Reach::new(Arc::clone(&transport), logger.clone()));
-        Self { transport, reach, group: Mutex::default(), zone, timeouts, suspects, views, off, logger }
+        Self { transport, reach, map: KnownMap::default(), zone, timeouts, suspects, views, off, logger }
     }
 
     /// Says who takes what the replicas' hosts tell of other nodes; once.
@@ -129,37 +130,60 @@
         }
     }
 
-    /// The group that the client knows.
-    pub fn group(&self) -> Arc<Group> {
-        Arc::clone(&self.group.lock().unwrap_or_else(PoisonError::into_inner))
+    /// The groups that the client knows.
+    pub fn map(&self) -> Arc<GroupMap> {
+        self.map.get()
+    }
+
+    /// Whether the client knows any group.
+    pub fn knows_groups(&self) -> bool {
+        !self.map().is_empty()
+    }
+
+    /// Epoch of a program's group; 0 where no group is known.
+    pub fn epoch_of(&self, program: &str) -> u64 {
+        self.group_of(program).epoch
+    }
+
+    /// A program's group; one without members where none is known.
+    fn group_of(&self, program: &str) -> Arc<Group> {
+        self.map().group_of(program).cloned().unwrap_or_default()
     }
 
     /// Adopts a group if it is newer.
     pub fn learn(&self, group: Group) {
-        let mut known = self.group.lock().unwrap_or_else(PoisonError::into_inner);
-        if group.epoch > known.epoch {
-            info!(self.logger, "ledger group adopted"; "event" => "group_adopted", "epoch" => group.epoch,
-                "members" => group.members.len());
-            *known = Arc::new(group);
+        let (number, epoch, members) = (group.number, group.epoch, group.members.len());
+        if self.map.learn(group) {
+            info!(self.logger, "ledger group adopted"; "event" => "group_adopted", "group" => number,
+                "epoch" => epoch, "members" => members);
         }
     }
 
-    /// Asks addresses that may be replicas for the group, all at once; returns when one told of a group, or all
-    /// have answered or were late.
+    /// Adopts the groups that are newer.
+    pub fn learn_map(&self, map: &GroupMap) {
+        if self.map.merge(map) {
+            let epochs: Vec<String> = map.groups().iter().map(|group| group.epoch.to_string()).collect();
+            info!(self.logger, "ledger groups adopted"; "event" => "groups_adopted",
+                "groups" => map.groups().len(), "epochs" => epochs.join(","));
+        }
+    }
+
+    /// Asks addresses that may be replicas for the groups, all at once; returns when one told of them, or all have
+    /// answered or were late.
     pub async fn learn_from(&self, seeds: &[SocketAddr]) {
-        let mut asking: FuturesUnordered<_> = seeds.iter().map(|seed| self.ask_for_group(*seed)).collect();
-        while let Some(group) = asking.next().await {
-            if let Some(group) = group {
-                self.learn(group);
+        let mut asking: FuturesUnordered<_> = seeds.iter().map(|seed| self.ask_for_map(*seed)).collect();
+        while let Some(map) = asking.next().await {
+            if let Some(map) = map.filter(|map| !map.is_empty()) {
+                self.learn_map(&map);
                 return;
             }
         }
     }
 
-    async fn ask_for_group(&self, seed: SocketAddr) -> Option<Group> {
-        let request = encode(0, RequestKind::Status(true));
+    async fn ask_for_map(&self, seed: SocketAddr) -> Option<GroupMap> {
+        let request = encode_to_node(RequestKind::Map(true));
         match ask(&self.transport, seed, request, SEED_TIMEOUT).await? {
-            ReplyKind::Status(status) => status.group.as_ref().and_then(Group::from_message),
+            ReplyKind::Map(message) => GroupMap::from_message(&message),
             _ => None,
         }
     }
@@ -167,7 +191,7 @@
     /// Asks whether a turn may run, again and again until there is an answer or `until` has come. Where nobody at all
     /// answers this node, that is said soon: another node may do better.
     pub async fn begin(&self, begin: BeginTurn, until: Instant) -> Result<Admission, LedgerError> {
-        let group = self.group();
+        let group = self.group_of(&begin.turn.program);
         let members: Vec<SocketAddr> = group.members.iter().map(|member| member.address).collect();
         tokio::select! {
             biased;
@@ -193,12 +217,15 @@
 
     async fn begin_patiently(&self, begin: BeginTurn, until: Instant) -> Result<Admission, LedgerError> {
         loop {
-            let group = self.group();
+            let group = self.group_of(&begin.turn.program);
             let deadline = until.min(Instant::now() + self.timeouts.round);
             let outcome = self.begin_in(&group, &begin, deadline).await;
             match outcome {
                 // There is a newer group.
                 None if Instant::now() < until => {}
+                Some(Err(LedgerError::UnknownPrevious)) if self.map().groups().len() > 1 => {
+                    return self.begin_from_elsewhere(&group, begin, until).await;
+                }
                 Some(Err(LedgerError::Unavailable)) if Instant::now() < until => {
                     tokio::time::sleep_until(until.min(Instant::now() + ROUND_PAUSE)).await;
                 }
@@ -208,7 +235,7 @@
         }
     }
 
-    async fn begin_in(
+    pub(crate) async fn begin_in(
         &self,
         group: &Arc<Group>,
         begin: &BeginTurn,
@@ -224,7 +251,7 @@
                 previous: begin.previous.clone(),
                 wants_chain,
             };
-            encode_with(group.epoch, RequestKind::Begin(request), begin.news.clone())
+            encode_with(group, RequestKind::Begin(request), begin.news.clone())
         };
         asking.begin(group.majority(), &request_for);
         let mut quorum = BeginQuorum::new(group.majority(), begin.budget_tokens, begin.turn.most_tokens);
@@ -283,53 +310,11 @@
         Ok(admission)
     }
 
-    /// Asks further members for the turns that are missing.
-    async fn complete_chain(
-        &self,
-        group: &Arc<Group>,
-        program: &str,
-        first: ChainReply,
-        deadline: Instant,
-    ) -> Result<ChainAssembly, LedgerError> {
-        let mut chain = ChainAssembly::default();
-        let mut step = chain.add(first);
-        while let ChainStep::Missing(turn) = step {
-            if Instant::now() >= deadline {
-                return Err(LedgerError::Unavailable);
-            }
-            let request = encode(group.epoch, RequestKind::Chain(ChainRequest { turn }));
-            let found = self.find_turn(group, program, request, deadline).await;
-            step = chain.add(found.ok_or(LedgerError::Unavailable)?);
-        }
-        Ok(chain)
-    }
-
-    /// Asks one member after the other, as an answer may be large.
-    async fn find_turn(
-        &self,
-        group: &Arc<Group>,
-        program: &str,
-        request: Bytes,
-        deadline: Instant,
-    ) -> Option<ChainReply> {
-        let request_for = |_: &Member| request.clone();
-        let mut asking = self.asking(group, program, deadline);
-        asking.begin(1, &request_for);
-        while let Some(answer) = asking.next(&request_for).await {
-            if let ReplyKind::Chain(chain) = answer
-                && !chain.turns.is_empty()
-            {
-                return Some(chain);
-            }
-        }
-        None
-    }
-
     /// Records a turn's end; returns once a majority has it on disk. `news` is told besides.
     pub async fn end(&self, turn: TurnEnded, news: Bytes) -> Result<(), LedgerError> {
         let deadline = Instant::now() + self.timeouts.end;
         loop {
-            let group = self.group();
+            let group = self.group_of(&turn.program);
             let round = deadline.min(Instant::now() + self.timeouts.round);
             match self.end_in(&group, &turn, news.clone(), round).await {
                 // There is a newer group.
@@ -350,7 +335,7 @@
         news: Bytes,
         deadline: Instant,
     ) -> Option<Result<(), LedgerError>> {
-        let request = encode_with(group.epoch, RequestKind::End(End { turn: Some(turn.clone()) }), news);
+        let request = encode_with(group, RequestKind::End(End { turn: Some(turn.clone()) }), news);
         let request_for = |_: &Member| request.clone();
         let mut asking = self.asking(group, &turn.program, deadline);
         asking.begin(group.majority(), &request_for);
@@ -373,14 +358,14 @@
         if message.epoch <= group.epoch {
             return false;
         }
-        if let Some(group) = Group::from_message(message) {
-            self.learn(group);
+        if let Some(newer) = Group::from_message(message).filter(|newer| newer.number == group.number) {
+            self.learn(newer);
         }
-        self.group().epoch > group.epoch
+        self.map().group(group.number).is_some_and(|known| known.epoch > group.epoch)
     }
 
     /// Begins to ask members; see [`Asking`].
-    fn asking(&self, group: &Arc<Group>, key: &str, deadline: Instant) -> Asking<'_> {
+    pub(crate) fn asking(&self, group: &Arc<Group>, key: &str, deadline: Instant) -> Asking<'_> {
         let order = self.suspects().order(group, &self.zone, key, Instant::now());
         Asking::new(self, Arc::clone(group), order, deadline)
     }
--- a/crates/storage/src/directory.rs
+++ b/crates/storage/src/directory.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 use std::pin::Pin;
 
-use sumacdrift_ledger::{Group, Member};
+use sumacdrift_ledger::{Capacity, GroupMap, Member};
 use tokio::sync::watch;
 
 /// Version of a stored object; only equality matters.
@@ -23,20 +23,22 @@
     Unavailable(String),
 }
 
-/// A group with the version that a change must name.
+/// All groups with the version that a change must name.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct StoredGroup {
-    /// The group.
-    pub group: Group,
+pub struct StoredMap {
+    /// The groups.
+    pub map: GroupMap,
     /// Version of the object.
     pub revision: Revision,
 }
 
-/// A replica that exists, whether or not it belongs to the group.
-#[derive(Debug, Clone, PartialEq, Eq)]
+/// A replica that exists, whether or not it belongs to a group.
+#[derive(Debug, Clone, PartialEq)]
 pub struct Registration {
     /// Who it is.
     pub member: Member,
+    /// What it can carry.
+    pub capacity: Capacity,
     /// Whether it may found a group.
     pub may_found: bool,
 }
@@ -51,12 +53,12 @@
 }
 
 /// What the directory is known to hold.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct DirectoryView {
     /// Whether the directory was read at all in this life.
     pub is_known: bool,
-    /// The group.
-    pub group: Option<StoredGroup>,
+    /// The groups.
+    pub map: Option<StoredMap>,
     /// Replicas that exist.
     pub registered: Vec<Registration>,
     /// Machines to be emptied.
@@ -69,8 +71,8 @@
     fn view(&self) -> watch::Receiver<DirectoryView>;
     /// Makes a replica known.
     fn register(&self, registration: Registration) -> DirectoryFuture<'_, ()>;
-    /// Replaces the group if its version is still the one given; `None` where there must be none yet.
-    fn replace_group(&self, group: Group, expected: Option<Revision>) -> DirectoryFuture<'_, ()>;
+    /// Replaces the groups if their version is still the one given; `None` where there must be none yet.
+    fn replace_map(&self, map: GroupMap, expected: Option<Revision>) -> DirectoryFuture<'_, ()>;
     /// Says how far a machine is emptied.
     fn report_retirement(&self, node: String, is_completed: bool) -> DirectoryFuture<'_, ()>;
 }
--- a/crates/storage/src/feed_host.rs
+++ b/crates/storage/src/feed_host.rs
@@ -72,6 +72,11 @@
         (feed.revision(), feed.snapshot())
     }
 
+    /// An item, if it is newer than a revision of the store.
+    pub(crate) fn item_since(&self, kind: ItemKind, name: &str, revision: u64) -> Option<Item> {
+        self.feed().item(kind, name).filter(|item| item.revision > revision).cloned()
+    }
+
     /// Whether what is held is up to date, see [`Feed::is_current`].
     pub fn is_current(&self) -> bool {
         self.feed().is_current()
--- a/crates/storage/src/follower.rs
+++ b/crates/storage/src/follower.rs
@@ -1,4 +1,4 @@
-//! Following the feed of a member of the ledger's group, so that not every node asks the outside store.
+//! Following the feed of a member of one of the ledger's groups, so that not every node asks the outside store.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -7,7 +7,8 @@
 use bytes::Bytes;
 use prost::Message;
 use slog::{Logger, info};
-use sumacdrift_dissemination::{Changes, FollowRequest, Heard, NextSource, SourceChoice};
+use sumacdrift_dissemination::{Changes, FollowRequest, Heard, ItemKind, NextSource, SourceChoice};
+use sumacdrift_ledger::Member;
 use sumacdrift_proto::{Request, Response};
 use sumacdrift_transport::Transport;
 use sumacdrift_types::{Timestamp, rendezvous_order};
@@ -15,6 +16,7 @@
 use tokio::time::Instant;
 
 use crate::client::LedgerClient;
+use crate::known_map::groups_of;
 
 /// How long a feed may wait for a change. Short, so that a feed that has died is noticed soon.
 pub(crate) const FEED_WAIT: Duration = Duration::from_millis(1000);
@@ -42,7 +44,7 @@
     pub zone: String,
 }
 
-/// Follows the feeds of the ledger's group.
+/// Follows the feeds of the ledger's members.
 pub struct Follower {
     settings: FollowerSettings,
     ledger: Arc<LedgerClient>,
@@ -104,15 +106,15 @@
         }
     }
 
-    /// Feeds in the order in which they are asked.
+    /// Feeds in the order in which they are asked: each member of a group has one.
     fn feeds(&self) -> Vec<SocketAddr> {
-        let group = self.ledger.group();
-        let name = |position: &usize| group.members[*position].node.as_bytes().to_vec();
-        let positions: Vec<usize> = (0..group.members.len()).collect();
-        let mut order = rendezvous_order(self.settings.node.as_bytes(), &positions, name);
+        let map = self.ledger.map();
+        let members: Vec<&Member> = map.members().collect();
+        let name = |member: &&Member| member.node.as_bytes().to_vec();
+        let mut order = rendezvous_order(self.settings.node.as_bytes(), &members, name);
         // The sort is stable: within a zone the order stays.
-        order.sort_by_key(|position| group.members[*position].zone != self.settings.zone);
-        order.into_iter().map(|position| group.members[position].address).collect()
+        order.sort_by_key(|member| member.zone != self.settings.zone);
+        order.into_iter().map(|member| member.address).collect()
     }
 
     async fn ask(&mut self, feed: SocketAddr, may_wait: bool) -> Heard {
@@ -131,11 +133,19 @@
         }
         (self.life, self.after) = (changes.life, changes.at);
         if changes.is_whole || !changes.changes.is_empty() {
+            self.learn_groups(&changes);
             self.sink.take(changes);
         }
         heard
     }
 
+    fn learn_groups(&self, changes: &Changes) {
+        let items = changes.changes.iter().filter_map(|change| change.item.as_ref());
+        for map in items.filter(|item| item.kind() == ItemKind::Groups).filter_map(groups_of) {
+            self.ledger.learn_map(&map);
+        }
+    }
+
     fn settled(&mut self, feed: SocketAddr) {
         if self.source != Some(feed) {
             info!(self.logger, "following a feed"; "event" => "dependency_regained", "dependency" => "feed",
--- a/crates/storage/src/host.rs
+++ b/crates/storage/src/host.rs
@@ -14,10 +14,11 @@
 use prometheus_client::registry::Registry;
 use prost::Message;
 use slog::{Logger, error, info, warn};
-use sumacdrift_dissemination::Snapshot;
+use sumacdrift_dissemination::{ItemKind, Snapshot};
 use sumacdrift_journal::{FolderDisk, Journal, JournalError, JournalFailure, JournalSettings, JournalWriter};
 use sumacdrift_ledger::{
-    LedgerReply, LedgerRequest, Member, Record, Replica, ReplicaSettings, ReplyKind, StoredCopy,
+    GroupMap, GroupMessage, GroupNumber, LedgerReply, LedgerRequest, Member, Record, Replica,
+    ReplicaSettings, ReplyKind, RequestKind, StoredCopy,
 };
 use sumacdrift_proto::{OneWay, Request, Response};
 use sumacdrift_telemetry::time_histogram;
@@ -28,6 +29,7 @@
 
 use crate::clock::wall_millis;
 use crate::feed_host::FeedHost;
+use crate::known_map::{GROUPS_ITEM, KnownMap, groups_item, groups_of};
 use crate::news::NewsBoard;
 
 /// Bytes written since the last snapshot that call for another one, at the least.
@@ -118,6 +120,7 @@
     metrics: HostMetrics,
     feed: Arc<FeedHost>,
     news: NewsBoard,
+    map: KnownMap,
     logger: Logger,
 }
 
@@ -149,8 +152,10 @@
             meter: SnapshotMeter::default(),
             metrics: HostMetrics::default(),
             news: NewsBoard::new(),
+            map: KnownMap::default(),
             logger,
         });
+        host.take_map_from_feed();
         host.commit(first).await.map_err(OpenError::FirstRecords)?;
         Ok(host)
     }
@@ -170,14 +175,35 @@
         self.replica().is_member()
     }
 
-    /// Nodes that follow the outside store, as far as is known here: the members of the group.
+    /// The groups that the node knows.
+    pub fn map(&self) -> Arc<GroupMap> {
+        self.map.get()
+    }
+
+    /// Takes in the groups as the directory holds them at a revision, and tells the followers of the feed.
+    pub(crate) fn know_map(&self, map: &GroupMap, revision: u64) {
+        self.map.merge(map);
+        self.feed.put(groups_item(map, revision));
+    }
+
+    /// Takes in the groups as the feed holds them: from the last life, or from another node.
+    pub(crate) fn take_map_from_feed(&self) {
+        let item = self.feed.item_since(ItemKind::Groups, GROUPS_ITEM, 0);
+        if let Some(map) = item.as_ref().and_then(groups_of) {
+            self.map.merge(&map);
+        }
+    }
+
+    /// Nodes that follow the outside store, as far as is known here: the members of the first group. So they are few,
+    /// of several zones, and replaced when they are lost.
     pub fn store_followers(&self) -> Vec<Member> {
-        self.replica().group().members.clone()
+        self.map().group(0).map(|group| group.members.clone()).unwrap_or_default()
     }
 
     /// Whether this node is one of them.
     pub fn follows_store(&self) -> bool {
-        self.is_member()
+        let node = self.replica().node().to_owned();
+        self.store_followers().iter().any(|member| member.node == node)
     }
 
     /// What other nodes may learn here.
@@ -292,7 +318,15 @@
         };
         self.metrics.requests.inc();
         let news = std::mem::take(&mut request.news);
-        let step = self.replica().handle(request, wall_millis());
+        if matches!(request.kind, Some(RequestKind::Map(_))) {
+            let kind = Some(ReplyKind::Map(self.map().to_message()));
+            return LedgerReply { kind, ..LedgerReply::default() };
+        }
+        let (group, epoch) = (request.group, request.epoch);
+        let mut step = self.replica().handle(request, wall_millis());
+        if let Some(newer) = self.newer_version(group, epoch, &step.reply) {
+            step.reply.kind = Some(ReplyKind::WrongEpoch(newer));
+        }
         let kind = match self.commit(step.commit).await {
             Ok(()) => step.reply.kind,
             Err(failure) => {
@@ -305,6 +339,19 @@
     }
 }
 
+impl ReplicaHost {
+    /// The version of a group that an asker should know of, where the replica is not of that group.
+    fn newer_version(&self, group: GroupNumber, epoch: u64, reply: &LedgerReply) -> Option<GroupMessage> {
+        let is_useless = matches!(reply.kind, Some(ReplyKind::NotVoting(_)));
+        if !is_useless || self.replica().group().number == group {
+            return None;
+        }
+        let map = self.map();
+        let known = map.group(group).filter(|known| known.epoch > epoch)?;
+        Some(known.to_message())
+    }
+}
+
 impl Handler for ReplicaHost {
     fn request(self: Arc<Self>, request: Request) -> Pin<Box<dyn Future<Output = Response> + Send>> {
         Box::pin(async move {
--- a/crates/storage/src/leave.rs
+++ b/crates/storage/src/leave.rs
@@ -70,7 +70,7 @@
         let mut after = KEPT_TURNS_CURSOR.to_owned();
         loop {
             let request = PageRequest { after, group: Some(self.group.to_message()), keys_only: true };
-            let request = encode(self.group.epoch, RequestKind::Page(request));
+            let request = encode(self.group, RequestKind::Page(request));
             let reply = ask(self.transport, member.address, request, PUSH_TIMEOUT).await;
             let Some(ReplyKind::Page(page)) = reply else { return BTreeSet::new() };
             held.extend(page.kept_turns);
@@ -93,7 +93,7 @@
 
     async fn push(&self, member: &Member, records: Vec<Record>) -> bool {
         let push = Push { records, group: Some(self.group.to_message()) };
-        let request = encode(self.group.epoch, RequestKind::Push(push));
+        let request = encode(self.group, RequestKind::Push(push));
         let reply = ask(self.transport, member.address, request, PUSH_TIMEOUT).await;
         matches!(reply, Some(ReplyKind::Done(_)))
     }
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod asking;
 mod catch_up;
+mod chain_search;
 mod client;
 mod clock;
 mod directory;
@@ -14,6 +15,7 @@
 mod feed_peers;
 mod follower;
 mod host;
+mod known_map;
 mod leave;
 mod news;
 mod reach;
@@ -27,7 +29,7 @@
 pub use clock::wall_millis;
 pub use directory::{
     DirectoryError, DirectoryFuture, DirectoryView, GroupDirectory, Registration, Retirement, Revision,
-    StoredGroup,
+    StoredMap,
 };
 pub use feed_host::FeedHost;
 pub use feed_peers::{PeerFeeds, StoreFollowers};
--- a/crates/storage/src/reach.rs
+++ b/crates/storage/src/reach.rs
@@ -13,7 +13,7 @@
 use sumacdrift_transport::Transport;
 use tokio::time::Instant;
 
-use crate::rpc::{ask_whole, encode};
+use crate::rpc::{ask_whole, encode_to_node};
 use crate::ways::{Way, Ways};
 
 /// The least time that a member may say nothing at all before another node is asked to ask it.
@@ -95,7 +95,7 @@
     }
 
     async fn probe_all(self: Arc<Self>, members: Vec<SocketAddr>) {
-        let question = encode(0, RequestKind::Status(true));
+        let question = encode_to_node(RequestKind::Status(true));
         let Some(first) = members.first().copied() else { return };
         let directly = members.iter().map(|member| self.directly(*member, &question, PROBE_WITHIN));
         // Whoever answers is noted where the answer arrives.
--- a/crates/storage/src/relay_host.rs
+++ b/crates/storage/src/relay_host.rs
@@ -32,9 +32,9 @@
     }
 
     async fn pass_on(&self, relay: Relay) -> Response {
-        let is_member = self.ledger.group().members.iter().any(|member| member.address == relay.to);
+        let is_member = self.ledger.map().members().any(|member| member.address == relay.to);
         if !is_member {
-            return refused(ResultCode::NotFound, "no member of the ledger's group has this address");
+            return refused(ResultCode::NotFound, "no member of the ledger's groups has this address");
         }
         let Ok(_room) = self.room.try_acquire() else {
             return refused(ResultCode::Overloaded, "too many questions are being passed on");
--- a/crates/storage/src/rpc.rs
+++ b/crates/storage/src/rpc.rs
@@ -5,21 +5,27 @@
 
 use bytes::Bytes;
 use prost::Message;
-use sumacdrift_ledger::{LedgerReply, LedgerRequest, ReplyKind, RequestKind};
+use sumacdrift_ledger::{Group, LedgerReply, LedgerRequest, ReplyKind, RequestKind};
 use sumacdrift_proto::{Request, Response};
 use sumacdrift_transport::Transport;
 
 /// Kept turns whose content travels in one message between replicas; one is some 20 KB.
 pub(crate) const CONTENTS_AT_ONCE: usize = 16;
 
-/// Encodes a request once for all members.
-pub(crate) fn encode(epoch: u64, kind: RequestKind) -> Bytes {
-    encode_with(epoch, kind, Bytes::new())
+/// Encodes a request to a group once for all its members.
+pub(crate) fn encode(group: &Group, kind: RequestKind) -> Bytes {
+    encode_with(group, kind, Bytes::new())
 }
 
 /// Encodes a request with news for the replica's host.
-pub(crate) fn encode_with(epoch: u64, kind: RequestKind, news: Bytes) -> Bytes {
-    Bytes::from(LedgerRequest { epoch, kind: Some(kind), news }.encode_to_vec())
+pub(crate) fn encode_with(group: &Group, kind: RequestKind, news: Bytes) -> Bytes {
+    let request = LedgerRequest { epoch: group.epoch, kind: Some(kind), group: group.number, news };
+    Bytes::from(request.encode_to_vec())
+}
+
+/// Encodes a request to a node, whichever group it belongs to.
+pub(crate) fn encode_to_node(kind: RequestKind) -> Bytes {
+    encode(&Group::default(), kind)
 }
 
 /// Sends a request; `None` where no answer came that makes sense.
--- a/crates/storage/src/upkeep.rs
+++ b/crates/storage/src/upkeep.rs
@@ -1,6 +1,6 @@
-//! Keeping the group whole: founding it, joining it, taking a lost member's place, catching up, leaving.
+//! Keeping groups whole: founding them, joining one, taking a lost member's place, catching up, leaving.
 //!
-//! Every change of the group is a compare-and-set at the [`GroupDirectory`]; what is done here only decides which
+//! Every change of a group is a compare-and-set at the [`GroupDirectory`]; what is done here only decides which
 //! change to ask for.
 
 use std::sync::Arc;
@@ -8,22 +8,26 @@
 
 use slog::{info, warn};
 use sumacdrift_ledger::{
-    ChangeReason, Group, GroupPolicy, Member, MemberWatch, PlaceStep, ReplyKind, RequestKind,
+    Candidate, Capacity, ChangeReason, Group, GroupMap, GroupPolicy, Member, MemberWatch, PlaceStep,
+    ReplyKind, RequestKind,
 };
 use sumacdrift_transport::Transport;
 use sumacdrift_types::Timestamp;
 use tokio::time::Instant;
 
 use crate::catch_up::catch_up;
-use crate::directory::{DirectoryError, DirectoryView, GroupDirectory, Registration, StoredGroup};
+use crate::directory::{DirectoryError, DirectoryView, GroupDirectory, Registration, StoredMap};
 use crate::host::ReplicaHost;
 use crate::leave::hand_over;
-use crate::rpc::{ask, encode};
+use crate::rpc::{ask, encode_to_node};
 
 /// How often the group is looked at.
 const ROUND: Duration = Duration::from_millis(250);
-/// How long founding waits for more machines.
-const FOUNDING_WAIT: Duration = Duration::from_secs(2);
+/// How long founding waits for more machines at the most.
+const FOUNDING_WAIT: Duration = Duration::from_secs(4);
+/// How long no further machine may have registered before the groups are founded: machines that start together register
+/// within a fraction of a second of each other.
+const FOUNDERS_SETTLED: Duration = Duration::from_millis(800);
 /// How often a machine that is no member asks whether the members are there.
 const WATCH_EVERY: Duration = Duration::from_secs(1);
 /// Longest time drawn before a machine asks for a change that others may want too.
@@ -43,6 +47,8 @@
 pub struct UpkeepSettings {
     /// This replica.
     pub own: Member,
+    /// What its machine can carry.
+    pub capacity: Capacity,
     /// How large the group is.
     pub policy: GroupPolicy,
 }
@@ -61,6 +67,9 @@
     wanted_since: Option<Instant>,
     is_retirement_reported: bool,
     has_handed_over: bool,
+    /// Machines that may found the groups, as many as were seen, and since when.
+    founders: usize,
+    founders_since: Instant,
 }
 
 impl Upkeep {
@@ -85,6 +94,8 @@
             wanted_since: None,
             is_retirement_reported: false,
             has_handed_over: false,
+            founders: 0,
+            founders_since: started,
         }
     }
 
@@ -104,12 +115,14 @@
     }
 
     async fn round(&mut self, view: &DirectoryView) {
-        if let Some(stored) = &view.group {
-            self.install(&stored.group).await;
+        self.host.take_map_from_feed();
+        if let Some(stored) = &view.map {
+            self.host.know_map(&stored.map, stored.revision);
+            self.install(&stored.map).await;
         }
         if view.is_known {
             self.register(view).await;
-            match &view.group {
+            match &view.map {
                 None => self.found(view).await,
                 Some(stored) => self.keep_place(view, stored).await,
             }
@@ -124,57 +137,81 @@
         replica.is_member() && !replica.is_voting()
     }
 
-    async fn install(&self, group: &Group) {
-        let record = self.host.replica().install(group.clone());
-        if let Some(record) = record {
-            info!(self.host.logger(), "group adopted"; "event" => "group_adopted", "epoch" => group.epoch,
-                "members" => members_text(group), "voting" => self.host.is_voting());
-            let _ = self.host.commit(vec![record]).await;
+    /// Adopts the newer version of the own group, or the group that the node has a seat in now.
+    async fn install(&self, map: &GroupMap) {
+        let (record, group) = {
+            let mut replica = self.host.replica();
+            let own = replica.group().clone();
+            let is_behind = map.group(own.number).is_some_and(|group| group.epoch < own.epoch);
+            if is_behind {
+                // The map is older than what is known here.
+                return;
+            }
+            let same = map.group(own.number).and_then(|group| replica.install(Group::clone(group)));
+            let seat = map.seat_of(&self.settings.own.node);
+            let other = seat.and_then(|group| replica.switch_to(Group::clone(group)));
+            (other.or(same), replica.group().clone())
+        };
+        let Some(record) = record else { return };
+        info!(self.host.logger(), "group adopted"; "event" => "group_adopted", "group" => group.number,
+            "epoch" => group.epoch, "members" => members_text(&group), "voting" => self.host.is_voting());
+        if let Err(failure) = self.host.commit(vec![record]).await {
+            warn!(self.host.logger(), "group not durable"; "event" => "commit_failed", "error" => failure);
         }
     }
 
     async fn register(&mut self, view: &DirectoryView) {
         let own = &self.settings.own;
         let known = view.registered.iter().any(|registration| registration.member.address == own.address);
-        if self.is_registered || known || view.group.is_some() {
+        if self.is_registered || known || view.map.is_some() {
             return;
         }
         let may_found = self.host.replica().may_found();
-        let registration = Registration { member: own.clone(), may_found };
+        let capacity = self.settings.capacity;
+        let registration = Registration { member: own.clone(), capacity, may_found };
         self.is_registered = self.directory.register(registration).await.is_ok();
     }
 
-    /// Founds the group with machines that were there at the first start, in different zones as far as possible.
+    /// Founds the groups with machines that were there at the first start. How many there are nobody says: the founding
+    /// waits for as long as the start of all machines takes.
     async fn found(&mut self, view: &DirectoryView) {
         if !self.host.replica().may_found() {
             return;
         }
-        let founders: Vec<&Member> = view
+        let founders: Vec<Candidate> = view
             .registered
             .iter()
             .filter(|registration| registration.may_found)
-            .map(|registration| &registration.member)
+            .map(|registration| Candidate {
+                member: registration.member.clone(),
+                capacity: registration.capacity,
+            })
             .collect();
+        if self.founders != founders.len() {
+            (self.founders, self.founders_since) = (founders.len(), Instant::now());
+        }
+        let has_settled = self.founders_since.elapsed() >= FOUNDERS_SETTLED;
         let has_waited = self.started.elapsed() >= FOUNDING_WAIT && !founders.is_empty();
-        if founders.len() < self.settings.policy.size() && !has_waited {
+        if !(has_waited || has_settled && founders.len() >= self.settings.policy.size()) {
             return;
         }
-        let first = founders.iter().map(|member| &member.node).min();
+        let first = founders.iter().map(|founder| &founder.member.node).min();
         let is_first = first == Some(&self.settings.own.node);
         // The first one founds; the others step in only if it does not.
-        if !is_first && self.started.elapsed() < FOUNDING_WAIT * 2 {
+        if !is_first && self.started.elapsed() < FOUNDING_WAIT + FOUNDERS_SETTLED {
             return;
         }
-        let group = self.settings.policy.founding_group(&founders);
-        self.replace_group(group, None, "founded").await;
+        let map = self.settings.policy.founding_map(&founders);
+        self.replace_map(map, None, "founded").await;
     }
 
-    async fn keep_place(&mut self, view: &DirectoryView, stored: &StoredGroup) {
+    async fn keep_place(&mut self, view: &DirectoryView, stored: &StoredMap) {
         let own = self.settings.own.clone();
         let known = self.host.replica().group().clone();
         let retirement = view.retirements.iter().find(|retirement| retirement.node == own.node);
         let is_leaving = retirement.is_some_and(|retirement| !retirement.is_completed);
-        if known.epoch > stored.group.epoch {
+        let stored_epoch = stored.map.group(known.number).map_or(0, |group| group.epoch);
+        if known.epoch > stored_epoch {
             // The directory's view lags behind a change that was made just now.
             if is_leaving && known.member(&own.node).is_none() {
                 self.complete_retirement(&known).await;
@@ -187,17 +224,18 @@
         if retirement.is_some() {
             return;
         }
-        if stored.group.member(&own.node).is_none() {
-            self.watch_members(&stored.group).await;
+        if stored.map.seat_of(&own.node).is_none() {
+            self.watch_members(&stored.map).await;
         }
-        let step = self.settings.policy.place_step(&stored.group, &own, &self.watch, self.now());
+        let step = self.settings.policy.place_step(&stored.map, &own, &self.watch, self.now());
         match step {
             PlaceStep::Stay => self.wanted_since = None,
             PlaceStep::Change { group, reason } => {
                 let wanted_since = *self.wanted_since.get_or_insert_with(Instant::now);
-                if wanted_since.elapsed() >= hesitation(&stored.group, &own, reason) {
+                if wanted_since.elapsed() >= hesitation(&group, &own, reason) {
                     self.wanted_since = None;
-                    let is_in = self.replace_group(group, Some(stored.revision), reason.name()).await;
+                    let next = stored.map.with(group);
+                    let is_in = self.replace_map(next, Some(stored.revision), reason.name()).await;
                     if is_in && reason == ChangeReason::Joined {
                         let standing = self.host.replica().joined_as_new();
                         let _ = self.host.commit(standing.into_iter().collect()).await;
@@ -207,19 +245,18 @@
         }
     }
 
-    /// Asks all members whether they are there.
-    async fn watch_members(&mut self, group: &Group) {
+    /// Asks the members of all groups whether they are there.
+    async fn watch_members(&mut self, map: &GroupMap) {
         if self.watched.is_some_and(|watched| watched.elapsed() < WATCH_EVERY) {
             return;
         }
         self.watched = Some(Instant::now());
-        let asked = group.members.iter().map(|member| {
-            let request = encode(group.epoch, RequestKind::Status(true));
-            ask(&self.transport, member.address, request, STATUS_TIMEOUT)
-        });
+        let request = encode_to_node(RequestKind::Status(true));
+        let asked =
+            map.members().map(|member| ask(&self.transport, member.address, request.clone(), STATUS_TIMEOUT));
         let replies = futures::future::join_all(asked).await;
         let now = self.now();
-        for (member, reply) in group.members.iter().zip(replies) {
+        for (member, reply) in map.members().zip(replies) {
             match reply {
                 Some(ReplyKind::Status(status)) if status.node == member.node => {
                     self.watch.answered(&member.node, status.is_voting, now);
@@ -237,27 +274,28 @@
     ///
     /// It stops voting before it is done: what it hands over must be all that it acknowledged, and nothing may come
     /// after it.
-    async fn leave(&mut self, stored: &StoredGroup) {
+    async fn leave(&mut self, stored: &StoredMap) {
         let own = self.settings.own.node.clone();
         if !self.is_retirement_reported {
             let reported = self.directory.report_retirement(own.clone(), false).await;
             self.is_retirement_reported = reported.is_ok();
         }
-        if stored.group.member(&own).is_none() {
-            self.complete_retirement(&stored.group).await;
+        let Some(group) = stored.map.seat_of(&own).cloned() else {
+            let left = self.host.replica().group().clone();
+            self.complete_retirement(&left).await;
             return;
-        }
-        if stored.group.members.len() == 1 {
+        };
+        if group.members.len() == 1 {
             return;
         }
         // Most of it goes over while the member still votes; what came meanwhile follows when it no longer does.
-        if !hand_over(&self.host, &self.transport, &stored.group, &own).await {
+        if !hand_over(&self.host, &self.transport, &group, &own).await {
             return;
         }
         self.host.replica().set_leaving(true);
-        let next = stored.group.without(&own);
-        let is_handed_over = hand_over(&self.host, &self.transport, &stored.group, &own).await;
-        let is_out = is_handed_over && self.replace_group(next, Some(stored.revision), "leaving").await;
+        let next = stored.map.with(group.without(&own));
+        let is_handed_over = hand_over(&self.host, &self.transport, &group, &own).await;
+        let is_out = is_handed_over && self.replace_map(next, Some(stored.revision), "leaving").await;
         if !is_out {
             // The change may still be made. What is acknowledged from now on must be handed over again.
             self.host.replica().set_leaving(false);
@@ -276,15 +314,15 @@
         }
     }
 
-    /// Asks that the group be changed; returns whether it surely is.
-    async fn replace_group(&self, group: Group, expected: Option<u64>, why: &'static str) -> bool {
-        let outcome = self.directory.replace_group(group.clone(), expected).await;
+    /// Asks that the groups be changed; returns whether they surely are.
+    async fn replace_map(&self, map: GroupMap, expected: Option<u64>, why: &'static str) -> bool {
+        let outcome = self.directory.replace_map(map.clone(), expected).await;
         let is_changed = outcome.is_ok();
         match outcome {
             Ok(()) => {
-                info!(self.host.logger(), "group changed"; "event" => "group_changed", "why" => why,
-                    "epoch" => group.epoch, "members" => members_text(&group));
-                self.install(&group).await;
+                info!(self.host.logger(), "groups changed"; "event" => "group_changed", "why" => why,
+                    "groups" => map_text(&map));
+                self.install(&map).await;
             }
             Err(DirectoryError::Conflict) => {
                 info!(self.host.logger(), "group was changed by another"; "event" => "group_conflict", "why" => why);
@@ -298,17 +336,24 @@
     }
 }
 
-/// How long a machine waits before it changes the group, so that several that want the same do not all ask for it, and
+/// How long a machine waits before it changes a group to this one, so that several that want the same do not all ask for it, and
 /// machines of zones with fewer members come first.
 fn hesitation(group: &Group, own: &Member, reason: ChangeReason) -> Duration {
     if reason == ChangeReason::Moved {
         return Duration::ZERO;
     }
-    let in_zone = group.members.iter().filter(|member| member.zone == own.zone).count();
+    let others = group.members.iter().filter(|member| member.node != own.node);
+    let in_zone = others.filter(|member| member.zone == own.zone).count();
     let zones_turn = ZONE_HESITATION * u32::try_from(in_zone).unwrap_or(u32::MAX);
     zones_turn + LONGEST_HESITATION.mul_f64(rand::random())
 }
 
+fn map_text(map: &GroupMap) -> String {
+    let groups = map.groups().iter();
+    let texts: Vec<String> = groups.map(|group| format!("{}:{}", group.epoch, members_text(group))).collect();
+    texts.join(" ")
+}
+
 fn members_text(group: &Group) -> String {
     let names: Vec<&str> = group.members.iter().map(|member| member.node.as_str()).collect();
     names.join(",")
--- a/crates/storage/tests/fleet/mod.rs
+++ b/crates/storage/tests/fleet/mod.rs
@@ -17,7 +17,7 @@
 use prost::Message;
 use slog::{Discard, Logger, o};
 use sumacdrift_ledger::{
-    Group, LedgerRequest, Member, Replica, ReplicaSettings, RetainedTurn, TurnBegun, TurnEnded,
+    Group, GroupMap, LedgerRequest, Member, Replica, ReplicaSettings, RetainedTurn, TurnBegun, TurnEnded,
 };
 use sumacdrift_proto::{OneWay, Request, Response};
 use sumacdrift_storage::{
@@ -141,29 +141,41 @@
     fn one_way(&self, _message: OneWay) {}
 }
 
-/// A whole group, one member in each zone `z0`, `z1`, …
+/// Whole groups, one member of each in each zone `z0`, `z1`, …
 pub struct Fleet {
     pub network: MemoryNetwork,
     pub nodes: Vec<Arc<Node>>,
+    /// The first group.
     pub group: Group,
+    pub map: GroupMap,
 }
 
 impl Fleet {
     pub async fn start(size: usize) -> Self {
-        let members = (0..size).map(|position| Member {
-            node: format!("n{position}"),
-            address: address(position),
-            zone: format!("z{position}"),
-            joined: 0,
-        });
-        let group = Group::founded(members.collect());
+        Self::start_groups(1, size).await
+    }
+
+    pub async fn start_groups(groups: usize, size: usize) -> Self {
+        let members = |number: usize| {
+            let positions = (0..size).map(move |zone| (number * size + zone, zone));
+            let members = positions.map(|(position, zone)| Member {
+                node: format!("n{position}"),
+                address: address(position),
+                zone: format!("z{zone}"),
+                joined: 0,
+            });
+            members.collect::<Vec<_>>()
+        };
+        let founded = (0..groups).zip(0..).map(|(place, number)| Group::founded_as(number, members(place)));
+        let map = GroupMap::new(founded.collect());
         let network = MemoryNetwork::new();
         let mut nodes = Vec::new();
-        for member in &group.members {
+        for member in map.members() {
             let settings = ReplicaSettings { node: member.node.clone(), is_first_start: true };
             let mut replica = Replica::new(settings);
             replica.started();
-            replica.install(group.clone());
+            let group = map.seat_of(&member.node).expect("a seat");
+            replica.install(Group::clone(group));
             let node = Arc::new(Node {
                 replica: Mutex::new(replica),
                 feed: Arc::new(FeedHost::new(Default::default(), logger())),
@@ -176,7 +188,8 @@
             tokio::spawn(serve(acceptor, handler, Arc::default(), CancellationToken::new()));
             nodes.push(node);
         }
-        Self { network, nodes, group }
+        let group = Group::clone(&map.groups()[0]);
+        Self { network, nodes, group, map }
     }
 
     /// Lets every node take in other nodes' feeds; the first `store_followers` of them follow the store.
@@ -205,7 +218,7 @@
         let timeouts =
             LedgerTimeouts { round: Duration::from_millis(900), end: Duration::from_millis(2_500) };
         let client = LedgerClient::new(self.transport(), format!("z{zone}"), timeouts, logger());
-        client.learn(self.group.clone());
+        client.learn_map(&self.map);
         Arc::new(client)
     }
 
@@ -216,7 +229,7 @@
         let timeouts =
             LedgerTimeouts { round: Duration::from_millis(900), end: Duration::from_millis(2_500) };
         let client = LedgerClient::new(transport, format!("z{zone}"), timeouts, logger());
-        client.learn(self.group.clone());
+        client.learn_map(&self.map);
         Arc::new(client)
     }
 
