The directory travels in feeds; edges wait for the founding before they turn to the store

Change: groups and retirements are items of the feeds; only the members of the first group, and machines that know no groups, ask the store.

--- a/crates/dissemination/src/feed.rs
+++ b/crates/dissemination/src/feed.rs
@@ -92,6 +92,12 @@
         self.held.get(&(kind as i32, name.to_owned())).map(|held| &held.item)
     }
 
+    /// The items of a kind.
+    pub fn items(&self, kind: ItemKind) -> impl Iterator<Item = &Item> {
+        let of_kind = self.held.iter().filter(move |((held_kind, _), _)| *held_kind == kind as i32);
+        of_kind.map(|(_, held)| &held.item)
+    }
+
     /// The highest revision of the store that was heard of.
     pub fn revision(&self) -> u64 {
         self.revision
--- a/crates/dissemination/src/message.rs
+++ b/crates/dissemination/src/message.rs
@@ -13,6 +13,8 @@
     Engine = 1,
     /// The groups of the ledger.
     Groups = 2,
+    /// A machine that is to be emptied.
+    Retirement = 3,
 }
 
 /// An object of the outside store. Its content means nothing here.
--- a/crates/dissemination/src/source_choice.rs
+++ b/crates/dissemination/src/source_choice.rs
@@ -8,8 +8,6 @@
 const TRIES: usize = 3;
 /// How long a follower that hears from the store itself leaves the feeds alone.
 const STORE_TIME: Duration = Duration::from_secs(2);
-/// How long a follower without anything waits for feeds to come up before it turns to the store.
-const START_PATIENCE: Duration = Duration::from_millis(1200);
 
 /// What asking a feed led to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -52,7 +50,7 @@
 /// every node would only add to its load: the follower goes round the feeds, one wait each.
 #[derive(Debug, Clone)]
 pub struct SourceChoice {
-    started: Timestamp,
+    patient_until: Timestamp,
     place: usize,
     silent_in_a_row: usize,
     stale_in_a_row: usize,
@@ -60,9 +58,15 @@
 }
 
 impl SourceChoice {
-    /// A follower that has asked nobody yet.
-    pub fn new(now: Timestamp) -> Self {
-        Self { started: now, place: 0, silent_in_a_row: 0, stale_in_a_row: 0, store_until: None }
+    /// A follower that has asked nobody yet, and waits so long for feeds to come up before it turns to the store.
+    pub fn new(now: Timestamp, start_patience: Duration) -> Self {
+        Self {
+            patient_until: now + start_patience,
+            place: 0,
+            silent_in_a_row: 0,
+            stale_in_a_row: 0,
+            store_until: None,
+        }
     }
 
     /// What to do next, with so many feeds known.
@@ -72,9 +76,8 @@
             return NextSource::Store { until };
         }
         if feeds == 0 {
-            let patience = self.started + START_PATIENCE;
-            if now < patience {
-                return NextSource::Wait { until: patience };
+            if now < self.patient_until {
+                return NextSource::Wait { until: self.patient_until };
             }
             return self.turn_to_store(now);
         }
--- a/crates/storage/src/directory.rs
+++ b/crates/storage/src/directory.rs
@@ -50,6 +50,8 @@
     pub node: String,
     /// Whether the system has said that it is done.
     pub is_completed: bool,
+    /// Version of the request.
+    pub revision: Revision,
 }
 
 /// What the directory is known to hold.
--- a/crates/storage/src/feed_host.rs
+++ b/crates/storage/src/feed_host.rs
@@ -72,9 +72,14 @@
         (feed.revision(), feed.snapshot())
     }
 
-    /// An item, if it is newer than a revision of the store.
-    pub(crate) fn item_since(&self, kind: ItemKind, name: &str, revision: u64) -> Option<Item> {
-        self.feed().item(kind, name).filter(|item| item.revision > revision).cloned()
+    /// An item.
+    pub(crate) fn item(&self, kind: ItemKind, name: &str) -> Option<Item> {
+        self.feed().item(kind, name).cloned()
+    }
+
+    /// The items of a kind.
+    pub(crate) fn items(&self, kind: ItemKind) -> Vec<Item> {
+        self.feed().items(kind).cloned().collect()
     }
 
     /// Whether what is held is up to date, see [`Feed::is_current`].
--- a/crates/storage/src/follower.rs
+++ b/crates/storage/src/follower.rs
@@ -16,7 +16,7 @@
 use tokio::time::Instant;
 
 use crate::client::LedgerClient;
-use crate::known_map::groups_of;
+use crate::directory_feed::groups_of;
 
 /// How long a feed may wait for a change. Short, so that a feed that has died is noticed soon.
 pub(crate) const FEED_WAIT: Duration = Duration::from_millis(1000);
@@ -42,6 +42,8 @@
     pub node: String,
     /// Its zone; feeds there come first.
     pub zone: String,
+    /// How long feeds are waited for at the start before the store is turned to.
+    pub start_patience: Duration,
 }
 
 /// Follows the feeds of the ledger's members.
@@ -83,7 +85,7 @@
 
     /// Runs for as long as the process.
     pub async fn run(mut self) {
-        let mut choice = SourceChoice::new(self.now());
+        let mut choice = SourceChoice::new(self.now(), self.settings.start_patience);
         loop {
             let feeds = self.feeds();
             match choice.next(feeds.len(), self.now()) {
--- a/crates/storage/src/host.rs
+++ b/crates/storage/src/host.rs
@@ -14,7 +14,7 @@
 use prometheus_client::registry::Registry;
 use prost::Message;
 use slog::{Logger, error, info, warn};
-use sumacdrift_dissemination::{ItemKind, Snapshot};
+use sumacdrift_dissemination::Snapshot;
 use sumacdrift_fleet_view::BoardNews;
 use sumacdrift_journal::{FolderDisk, Journal, JournalError, JournalFailure, JournalSettings, JournalWriter};
 use sumacdrift_ledger::{
@@ -29,8 +29,9 @@
 use tokio::time::Instant;
 
 use crate::clock::wall_millis;
+use crate::directory::DirectoryView;
 use crate::feed_host::FeedHost;
-use crate::known_map::{GROUPS_ITEM, KnownMap, groups_item, groups_of};
+use crate::known_map::KnownMap;
 use crate::news::NewsBoard;
 
 /// Bytes written since the last snapshot that call for another one, at the least.
@@ -156,7 +157,7 @@
             map: KnownMap::default(),
             logger,
         });
-        host.take_map_from_feed();
+        host.directory_from_feed();
         host.commit(first).await.map_err(OpenError::FirstRecords)?;
         Ok(host)
     }
@@ -181,18 +182,26 @@
         self.map.get()
     }
 
-    /// Takes in the groups as the directory holds them at a revision, and tells the followers of the feed.
-    pub(crate) fn know_map(&self, map: &GroupMap, revision: u64) {
-        self.map.merge(map);
-        self.feed.put(groups_item(map, revision));
+    /// Takes in what the directory holds, and tells the followers of the feed.
+    pub(crate) fn know_directory(&self, view: &DirectoryView) {
+        if let Some(stored) = &view.map {
+            self.map.merge(&stored.map);
+        }
+        self.feed.tell_directory(view);
     }
 
-    /// Takes in the groups as the feed holds them: from the last life, or from another node.
-    pub(crate) fn take_map_from_feed(&self) {
-        let item = self.feed.item_since(ItemKind::Groups, GROUPS_ITEM, 0);
-        if let Some(map) = item.as_ref().and_then(groups_of) {
-            self.map.merge(&map);
+    /// What the directory holds as far as other nodes or an earlier life told; takes it in.
+    pub(crate) fn directory_from_feed(&self) -> DirectoryView {
+        let view = self.feed.directory_view();
+        if let Some(stored) = &view.map {
+            self.map.merge(&stored.map);
         }
+        view
+    }
+
+    /// Whether this node asks the directory itself: it is one of those that follow the store, or knows none.
+    pub fn follows_directory(&self) -> bool {
+        self.follows_store() || self.store_followers().is_empty()
     }
 
     /// Nodes that follow the outside store, as far as is known here: the members of the first group. So they are few,
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -12,6 +12,7 @@
 mod client;
 mod clock;
 mod directory;
+mod directory_feed;
 mod feed_host;
 mod feed_peers;
 mod follower;
--- a/crates/storage/src/upkeep.rs
+++ b/crates/storage/src/upkeep.rs
@@ -107,7 +107,7 @@
         let _telling = AbortOnDropHandle::new(tokio::spawn(telling));
         let mut view = self.directory.view();
         loop {
-            let seen = view.borrow_and_update().clone();
+            let seen = self.seen(view.borrow_and_update().clone());
             self.round(&seen).await;
             self.host.observe();
             if self.tidied.elapsed() >= TIDY_EVERY {
@@ -118,10 +118,17 @@
         }
     }
 
+    /// What the directory holds: as it told itself, or as other nodes tell.
+    fn seen(&self, told: DirectoryView) -> DirectoryView {
+        if self.host.follows_directory() && told.is_known {
+            self.host.know_directory(&told);
+            return told;
+        }
+        self.host.directory_from_feed()
+    }
+
     async fn round(&mut self, view: &DirectoryView) {
-        self.host.take_map_from_feed();
         if let Some(stored) = &view.map {
-            self.host.know_map(&stored.map, stored.revision);
             self.install(&stored.map).await;
         }
         if view.is_known {
--- a/crates/storage/tests/fleet/following.rs
+++ b/crates/storage/tests/fleet/following.rs
@@ -75,7 +75,8 @@
 
 pub fn follow(fleet: &Fleet, zone: usize) -> Arc<Sink> {
     let sink = Arc::new(Sink::default());
-    let settings = FollowerSettings { node: "edge".to_owned(), zone: format!("z{zone}") };
+    let start_patience = Duration::from_millis(1200);
+    let settings = FollowerSettings { node: "edge".to_owned(), zone: format!("z{zone}"), start_patience };
     let follower = Follower::new(
         settings,
         fleet.client(zone),
