A replica's host turns new work away when its disk is behind

Change: HostAdmission (ledger): turns that want to begin are told Busy, with nothing recorded, when what waits would take the disk 250 ms (Little's law over the rate seen) or the disk stands still for that long; records that wait hold at most 6 % of the machine's memory.

--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -9,6 +9,7 @@
 //! Nothing here reads a clock, a socket or a disk.
 
 mod account;
+mod admission;
 mod begin;
 mod chain;
 mod copies;
@@ -20,6 +21,7 @@
 mod state;
 
 pub use account::ProgramAccount;
+pub use admission::{HostAdmission, RequestClass};
 pub use begin::{BeginDecision, BeginQuorum};
 pub use chain::{ChainAssembly, ChainStep};
 pub use copies::copies_to_make;
--- a/crates/storage/src/host.rs
+++ b/crates/storage/src/host.rs
@@ -18,13 +18,13 @@
 use sumacdrift_fleet_view::BoardNews;
 use sumacdrift_journal::{FolderDisk, Journal, JournalError, JournalFailure, JournalSettings, JournalWriter};
 use sumacdrift_ledger::{
-    GroupMap, GroupMessage, GroupNumber, LedgerReply, LedgerRequest, Member, Record, Replica,
-    ReplicaSettings, ReplyKind, RequestKind, StoredCopy,
+    GroupMap, GroupMessage, GroupNumber, HostAdmission, LedgerReply, LedgerRequest, Member, Record, Replica,
+    ReplicaSettings, ReplyKind, RequestClass, RequestKind, StoredCopy,
 };
 use sumacdrift_proto::{OneWay, Request, Response};
 use sumacdrift_telemetry::time_histogram;
 use sumacdrift_transport::Handler;
-use sumacdrift_types::{Problem, ResultCode};
+use sumacdrift_types::{Problem, ResultCode, Timestamp};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -53,6 +53,8 @@
     pub folder: PathBuf,
     /// Bytes that the journal may take.
     pub capacity_bytes: u64,
+    /// Bytes that records may hold in memory while they wait for the disk.
+    pub waiting_bytes: usize,
 }
 
 /// The replica could not be opened.
@@ -78,6 +80,7 @@
 /// Metrics of a replica.
 pub struct HostMetrics {
     requests: Counter,
+    busy: Counter,
     commits: Counter,
     commit_seconds: Histogram,
     is_voting: Gauge,
@@ -90,6 +93,7 @@
     fn default() -> Self {
         Self {
             requests: Counter::default(),
+            busy: Counter::default(),
             commits: Counter::default(),
             commit_seconds: time_histogram(),
             is_voting: Gauge::default(),
@@ -105,6 +109,7 @@
     pub fn register(&self, registry: &mut Registry) {
         let registry = registry.sub_registry_with_prefix("sumacdrift_ledger");
         registry.register("requests", "Requests of other nodes", self.requests.clone());
+        registry.register("busy", "Requests turned away because the disk is behind", self.busy.clone());
         registry.register("commits", "Batches of records made durable", self.commits.clone());
         registry.register("commit_seconds", "Time until records are durable", self.commit_seconds.clone());
         registry.register("voting", "Whether the replica votes", self.is_voting.clone());
@@ -123,9 +128,22 @@
     feed: Arc<FeedHost>,
     news: NewsBoard,
     map: KnownMap,
+    admission: Mutex<HostAdmission>,
+    started: Instant,
     logger: Logger,
 }
 
+/// A batch that waits for the disk, until whoever waits for it has its answer or left.
+struct WaitingBatch<'a> {
+    host: &'a ReplicaHost,
+}
+
+impl Drop for WaitingBatch<'_> {
+    fn drop(&mut self) {
+        self.host.admission().written(self.host.now());
+    }
+}
+
 impl ReplicaHost {
     /// Replays the journal.
     pub async fn open(settings: HostSettings, logger: Logger) -> Result<Arc<Self>, OpenError> {
@@ -155,6 +173,8 @@
             metrics: HostMetrics::default(),
             news: NewsBoard::new(),
             map: KnownMap::default(),
+            admission: Mutex::new(HostAdmission::new(settings.waiting_bytes)),
+            started: Instant::now(),
             logger,
         });
         host.directory_from_feed();
@@ -257,9 +277,13 @@
 
     /// Makes records durable.
     pub(crate) async fn commit(&self, records: Vec<Record>) -> Result<(), JournalFailure> {
+        let bytes = records.iter().map(Record::encoded_len).sum();
         let Some(done) = self.queue(records) else { return Ok(()) };
         let begun = Instant::now();
+        self.admission().queued(bytes, self.now());
+        let waiting = WaitingBatch { host: self };
         let outcome = done.await.unwrap_or_else(|_| Err("the writer has stopped".to_owned()));
+        drop(waiting);
         let taken = begun.elapsed();
         self.metrics.commits.inc();
         self.metrics.commit_seconds.observe(taken.as_secs_f64());
@@ -270,6 +294,24 @@
         outcome
     }
 
+    /// Whether a request is taken, or its asker is sent to other members at once.
+    fn takes(&self, request: &LedgerRequest) -> bool {
+        let class = match request.kind {
+            Some(RequestKind::Begin(_)) => RequestClass::NewWork,
+            _ => RequestClass::Other,
+        };
+        let is_recorded = matches!(request.kind, Some(RequestKind::Begin(_) | RequestKind::End(_)));
+        !is_recorded || self.admission().takes(class, request.encoded_len(), self.now())
+    }
+
+    fn admission(&self) -> MutexGuard<'_, HostAdmission> {
+        self.admission.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn now(&self) -> Timestamp {
+        Timestamp::default() + self.started.elapsed()
+    }
+
     /// Queues records; the receiver tells when the last one is durable. `None` where there are no records.
     fn queue(&self, records: Vec<Record>) -> Option<oneshot::Receiver<Result<(), JournalFailure>>> {
         let last = records.len().checked_sub(1)?;
@@ -337,6 +379,10 @@
             let kind = Some(ReplyKind::Map(self.map().to_message()));
             return LedgerReply { kind, ..LedgerReply::default() };
         }
+        if !self.takes(&request) {
+            self.metrics.busy.inc();
+            return LedgerReply { kind: Some(ReplyKind::Busy(true)), view: self.news.exchange(news) };
+        }
         let (group, epoch) = (request.group, request.epoch);
         let mut step = self.replica().handle(request, wall_millis());
         if let Some(newer) = self.newer_version(group, epoch, &step.reply) {
