--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -12,6 +12,7 @@
 use http_body_util::Full;
 use serde_json::json;
 use sumacdrift_ctl::cause::cause_of;
+use sumacdrift_ctl::groups::GroupsState;
 use sumacdrift_ctl::log::{LogLine, ReadLines, read_logs};
 use sumacdrift_ctl::metrics::read_metrics;
 use sumacdrift_ctl::story::story_of;
@@ -103,6 +104,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(CtlError::Runtime)?;
     let mut are_all_there = true;
+    let mut groups = GroupsState::default();
     for address in matches.get_many::<SocketAddr>("address").into_iter().flatten() {
         let text = match runtime.block_on(fetch_metrics(*address)) {
             Ok(text) => text,
@@ -113,6 +115,7 @@
             }
         };
         let metrics = read_metrics(&text);
+        groups.add(&address.to_string(), &metrics);
         if matches.get_flag("json") {
             println!("{}", json!({"address": address, "metrics": metrics}));
         } else {
@@ -120,6 +123,11 @@
             metrics.iter().for_each(|metric| println!("  {} {}", metric.name, metric.value));
         }
     }
+    if matches.get_flag("json") {
+        println!("{}", json!(groups));
+    } else {
+        groups.lines().iter().for_each(|line| println!("{line}"));
+    }
     Ok(if are_all_there { ExitCode::SUCCESS } else { ExitCode::from(UNREADABLE) })
 }
 
@@ -198,7 +206,7 @@
         )
         .subcommand(
             Command::new("status")
-                .about("shows the metrics of nodes, without buckets of histograms")
+                .about("shows the metrics of nodes, without buckets of histograms, and the ledger's groups")
                 .arg(
                     Arg::new("address")
                         .required(true)
--- a/crates/ctl/tests/reading.rs
+++ b/crates/ctl/tests/reading.rs
@@ -2,6 +2,7 @@
 
 use std::io::{Cursor, Read};
 
+use sumacdrift_ctl::groups::GroupsState;
 use sumacdrift_ctl::log::read_logs;
 use sumacdrift_ctl::metrics::read_metrics;
 use sumacdrift_ctl::story::story_of;
@@ -49,3 +50,32 @@
     let names: Vec<(&str, f64)> = metrics.iter().map(|metric| (metric.name.as_str(), metric.value)).collect();
     assert_eq!(names, [("calls_total", 7.0), ("seconds_sum", 1.5), ("given_up_total{code=\"4001\"}", 2.0)]);
 }
+
+fn storage_metrics(group: i64, voting: u8, programs: u32) -> String {
+    format!(
+        "# HELP sumacdrift_ledger_group Number of the group.\nsumacdrift_ledger_group {group}\n\
+         sumacdrift_ledger_voting {voting}\nsumacdrift_ledger_programs {programs}\n\
+         sumacdrift_ledger_epoch 4\nsumacdrift_ledger_requests_total 120\nsumacdrift_ledger_busy_total 3\n\
+         sumacdrift_ledger_waiting_bytes 512\n"
+    )
+}
+
+#[test]
+fn groups_are_shown_with_their_members_the_worst_first() {
+    let mut groups = GroupsState::default();
+    let nodes = [("a:1", 0, 1, 7), ("b:1", 1, 1, 9), ("c:1", 0, 1, 7), ("d:1", 1, 0, 2), ("e:1", -1, 0, 0)];
+    for (address, group, voting, programs) in nodes {
+        groups.add(address, &read_metrics(&storage_metrics(group, voting, programs)));
+    }
+    // An edge keeps no replica.
+    groups.add("f:1", &read_metrics("sumacdrift_edge_calls_total 12\n"));
+    insta::assert_snapshot!(groups.lines().join("\n"), @r"
+    group 1: 1 of 2 members vote
+      b:1 votes, epoch 4, 9 programs, 120 requests, 3 turned away, 512 bytes wait
+      d:1 does not vote, epoch 4, 2 programs, 120 requests, 3 turned away, 512 bytes wait
+    group 0: 2 of 2 members vote
+      a:1 votes, epoch 4, 7 programs, 120 requests, 3 turned away, 512 bytes wait
+      c:1 votes, epoch 4, 7 programs, 120 requests, 3 turned away, 512 bytes wait
+    no seat: e:1
+    ");
+}
--- a/crates/storage/src/host.rs
+++ b/crates/storage/src/host.rs
@@ -41,6 +41,8 @@
 
 /// A commit that takes longer is told: callers wait for it, and a sync should take milliseconds.
 const SLOW_COMMIT: Duration = Duration::from_millis(300);
+/// Shown as the number of the group where the node has no seat in any.
+const NO_SEAT: i64 = -1;
 /// Pause between two copies of the feed that are made durable.
 const COPY_PAUSE: Duration = Duration::from_millis(500);
 
@@ -87,6 +89,8 @@
     programs: Gauge,
     kept_turns: Gauge,
     epoch: Gauge,
+    group: Gauge,
+    waiting_bytes: Gauge,
 }
 
 impl Default for HostMetrics {
@@ -100,6 +104,8 @@
             programs: Gauge::default(),
             kept_turns: Gauge::default(),
             epoch: Gauge::default(),
+            group: Gauge::default(),
+            waiting_bytes: Gauge::default(),
         }
     }
 }
@@ -116,6 +122,9 @@
         registry.register("programs", "Programs known", self.programs.clone());
         registry.register("kept_turns", "Turns whose content is kept", self.kept_turns.clone());
         registry.register("epoch", "Epoch of the group", self.epoch.clone());
+        registry.register("group", "Number of the group; -1 where the node has no seat", self.group.clone());
+        let waiting = self.waiting_bytes.clone();
+        registry.register("waiting_bytes", "Bytes of records that wait for the disk", waiting);
     }
 }
 
@@ -268,6 +277,9 @@
         self.metrics.programs.set(number(replica.state().programs()));
         self.metrics.kept_turns.set(number(replica.state().kept_turns()));
         self.metrics.epoch.set(i64::try_from(replica.group().epoch).unwrap_or(i64::MAX));
+        let seat = replica.is_member().then(|| i64::from(replica.group().number));
+        self.metrics.group.set(seat.unwrap_or(NO_SEAT));
+        self.metrics.waiting_bytes.set(number(self.admission().waiting_bytes()));
     }
 
     /// The logger.
--- a/crates/storage/tests/fleet/mod.rs
+++ b/crates/storage/tests/fleet/mod.rs
@@ -93,6 +93,9 @@
     pub is_silent: AtomicBool,
     /// Milliseconds that every answer takes.
     pub delay: AtomicU64,
+    /// Milliseconds of work for each request; one is worked on at a time.
+    pub work: AtomicU64,
+    at_work: tokio::sync::Mutex<()>,
 }
 
 impl Node {
@@ -110,6 +113,11 @@
             return std::future::pending().await;
         }
         tokio::time::sleep(Duration::from_millis(self.delay.load(Ordering::Relaxed))).await;
+        let work = self.work.load(Ordering::Relaxed);
+        if work > 0 {
+            let _turn = self.at_work.lock().await;
+            tokio::time::sleep(Duration::from_millis(work)).await;
+        }
         let response = self.handle(request).await;
         if self.is_silent.load(Ordering::Relaxed) {
             return std::future::pending().await;
@@ -182,6 +190,8 @@
                 requests: AtomicUsize::new(0),
                 is_silent: AtomicBool::new(false),
                 delay: AtomicU64::new(0),
+                work: AtomicU64::new(0),
+                at_work: tokio::sync::Mutex::default(),
             });
             let acceptor = network.listen(member.address).await.expect("an address");
             let handler = Arc::new(NodeHandler(Arc::clone(&node)));
