Members of the second group stand in where none of those that follow the store hears it

Cause: by reading: with several groups only five machines follow the store; if it turns just these away in silence, or they are lost together, no other machine would hear of a configuration before one of them is replaced (six seconds, four are allowed). With one group, whose machines are all there may be, nothing changes.

Test on a virtual clock: how long a node has been without a source that hears the store, which its own hearing does not end.

--- a/crates/dissemination/src/feed.rs
+++ b/crates/dissemination/src/feed.rs
@@ -115,7 +115,12 @@
 
     /// Whether what is held is up to date: the store is heard, here or by a node whose feed is taken in.
     pub fn is_current(&self) -> bool {
-        self.hears_store() || self.peers.values().any(|hears_store| *hears_store)
+        self.hears_store() || self.has_current_peer()
+    }
+
+    /// Whether any feed that is taken in is of a node that hears from the store.
+    pub fn has_current_peer(&self) -> bool {
+        self.peers.values().any(|hears_store| *hears_store)
     }
 
     /// A feed of another node that was taken in says nothing more; returns whether that is news.
--- a/crates/storage/src/feed_host.rs
+++ b/crates/storage/src/feed_host.rs
@@ -18,6 +18,8 @@
 pub struct FeedHost {
     feed: Mutex<Feed>,
     news: watch::Sender<u64>,
+    /// Since when no feed that is taken in is of a node that hears from the store.
+    alone_since: Mutex<Option<Instant>>,
     started: Instant,
     logger: Logger,
 }
@@ -27,7 +29,8 @@
     pub fn new(snapshot: Snapshot, logger: Logger) -> Self {
         let mut feed = Feed::new(rand::random());
         feed.restore(snapshot);
-        Self { feed: Mutex::new(feed), news: watch::Sender::new(0), started: Instant::now(), logger }
+        let news = watch::Sender::new(0);
+        Self { feed: Mutex::new(feed), news, alone_since: Mutex::default(), started: Instant::now(), logger }
     }
 
     /// Takes in a list of all items of a kind.
@@ -87,6 +90,16 @@
         self.feed().is_current()
     }
 
+    /// For how long no feed that is taken in has been of a node that hears from the store, as far as was looked.
+    pub fn alone_for(&self) -> Duration {
+        let mut alone_since = self.alone_since.lock().unwrap_or_else(PoisonError::into_inner);
+        if self.feed().has_current_peer() {
+            *alone_since = None;
+            return Duration::ZERO;
+        }
+        alone_since.get_or_insert_with(Instant::now).elapsed()
+    }
+
     /// Tells of changes.
     pub fn news(&self) -> watch::Receiver<u64> {
         self.news.subscribe()
--- a/crates/storage/src/host.rs
+++ b/crates/storage/src/host.rs
@@ -41,6 +41,9 @@
 
 /// A commit that takes longer is told: callers wait for it, and a sync should take milliseconds.
 const SLOW_COMMIT: Duration = Duration::from_millis(300);
+/// How long nobody may have heard the store until members of the second group follow it too: longer than a feed takes to
+/// be given up, and well within the seconds in which a configuration must be in force.
+const STAND_IN_AFTER: Duration = Duration::from_millis(1800);
 /// Shown as the number of the group where the node has no seat in any.
 const NO_SEAT: i64 = -1;
 /// Pause between two copies of the feed that are made durable.
@@ -239,10 +242,16 @@
         self.map().group(0).map(|group| group.members.clone()).unwrap_or_default()
     }
 
-    /// Whether this node is one of them.
+    /// Whether this node is one of them, or stands in for them: a member of the second group follows the store while none
+    /// of those it takes feeds from has heard the store for a while.
     pub fn follows_store(&self) -> bool {
         let node = self.replica().node().to_owned();
-        self.store_followers().iter().any(|member| member.node == node)
+        let map = self.map();
+        match map.seat_of(&node).map(|group| group.number) {
+            Some(0) => true,
+            Some(1) => self.feed.alone_for() >= STAND_IN_AFTER,
+            _ => false,
+        }
     }
 
     /// What other nodes may learn here.
--- a/crates/storage/tests/feed_peers.rs
+++ b/crates/storage/tests/feed_peers.rs
@@ -102,3 +102,34 @@
     pass(NO_OLDER_THAN).await;
     assert!(fleet.nodes.iter().all(|node| node.feed.is_current()));
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_node_knows_for_how_long_none_of_its_sources_has_heard_the_store() {
+    let fleet = Fleet::start(5).await;
+    fleet.take_in_feeds(3);
+    for position in 0..3 {
+        hears(&fleet.nodes[position].feed, "first", 1);
+    }
+    pass(NO_OLDER_THAN).await;
+    let stands_in = &fleet.nodes[4].feed;
+    assert_eq!(stands_in.alone_for(), Duration::ZERO);
+    for node in &fleet.nodes[..3] {
+        node.feed.store_failed(ItemKind::Engine);
+    }
+    pass(MOMENT).await;
+    assert_eq!(stands_in.alone_for(), Duration::ZERO, "it is looked at from now on");
+    pass(Duration::from_secs(2)).await;
+    assert!(stands_in.alone_for() >= Duration::from_secs(2));
+    // What it hears itself does not end that: then it would go back and forth.
+    hears(stands_in, "heard alone", 2);
+    assert!(stands_in.alone_for() >= Duration::from_secs(2));
+    hears(&fleet.nodes[1].feed, "heard alone", 2);
+    pass(NO_OLDER_THAN).await;
+    assert_eq!(stands_in.alone_for(), Duration::ZERO);
+    // The same where they are gone altogether.
+    fleet.nodes[..3].iter().for_each(|node| node.silence(true));
+    pass(Duration::from_secs(2)).await;
+    stands_in.alone_for();
+    pass(Duration::from_secs(2)).await;
+    assert!(stands_in.alone_for() >= Duration::from_secs(2));
+}
