Read once more: one member order, one chain search, one place for views and the retry budget

Behaviour is as before; no assertion, bound or expectation changed.

Left: tell_board orders all members by hash on each telling of an edge; a cache by map would do.

--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::{CONNECTION, HOST, HeaderValue};
@@ -24,7 +25,7 @@
 use crate::turn::{OpenTurn, TurnRequest, code_of};
 
 /// When a caller is told to come back after a refusal that has nothing to do with engines.
-const COME_BACK_AFTER: std::time::Duration = std::time::Duration::from_millis(200);
+const COME_BACK_AFTER: Duration = Duration::from_millis(200);
 
 /// Answers one request.
 pub(crate) async fn serve_call<D: Dialect>(
@@ -100,10 +101,11 @@
     let (turn, body) = match begun {
         Ok(begun) => begun,
         Err(error) => {
+            let program = head.program.as_ref();
             info!(edge.logger, "turn refused"; "event" => "turn_refused", "call" => &head.id,
-                "reason" => %error, "program" => head.program.as_ref().map(|program| &program.program),
-                "budget" => head.program.as_ref().and_then(|program| program.token_budget),
-                "previous" => &head.previous, "epoch" => head.program.as_ref().map(|program| edge.ledger.epoch_of(&program.program)));
+                "reason" => %error, "program" => program.map(|program| &program.program),
+                "budget" => program.and_then(|program| program.token_budget), "previous" => &head.previous,
+                "epoch" => program.map(|program| edge.ledger.epoch_of(&program.program)));
             edge.metrics.gave_up(code_of(error));
             return match error {
                 LedgerError::GroupUnavailable { retry_after } => {
@@ -169,11 +171,7 @@
 }
 
 /// Says that a call has not run, and when to come back where that may help.
-fn refusal_until<D: Dialect>(
-    edge: &Edge<D>,
-    code: ResultCode,
-    retry_after: std::time::Duration,
-) -> Response<EdgeBody> {
+fn refusal_until<D: Dialect>(edge: &Edge<D>, code: ResultCode, retry_after: Duration) -> Response<EdgeBody> {
     let status = edge.dialect.status(code);
     let retry_after = (status.as_u16() == 503).then_some(retry_after);
     problem_answer(status, code, Ran::No, retry_after)
--- a/crates/ledger/src/map.rs
+++ b/crates/ledger/src/map.rs
@@ -64,15 +64,16 @@
 
     /// Adopts a newer version of a group; the first group of a map that is empty becomes its only one. Returns whether
     /// it was news.
-    pub fn learn(&mut self, group: Group) -> bool {
+    pub fn learn(&mut self, group: impl Into<Arc<Group>>) -> bool {
+        let group = group.into();
         if self.groups.is_empty() && group.number == 0 && group.epoch > 0 {
-            self.groups.push(Arc::new(group));
+            self.groups.push(group);
             return true;
         }
         let place = usize::try_from(group.number).unwrap_or(usize::MAX);
         match self.groups.get_mut(place) {
             Some(known) if group.epoch > known.epoch => {
-                *known = Arc::new(group);
+                *known = group;
                 true
             }
             _ => false,
@@ -85,7 +86,7 @@
             self.groups.clone_from(&other.groups);
             return true;
         }
-        let newer = other.groups.iter().filter(|group| self.learn(Group::clone(group)));
+        let newer = other.groups.iter().filter(|group| self.learn(Arc::clone(group)));
         newer.count() > 0
     }
 
--- a/crates/storage/src/asking.rs
+++ b/crates/storage/src/asking.rs
@@ -1,17 +1,17 @@
 //! One question to the group: as many members as are needed at first, the others when those are late or of no use.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use sumacdrift_ledger::{Group, LedgerReply, Member, ReplyKind, RequestKind};
+use sumacdrift_ledger::{Group, Member, ReplyKind, RequestKind};
 use sumacdrift_transport::Transport;
 use sumacdrift_types::Mechanism;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use crate::client::LedgerClient;
-use crate::news::ViewSink;
+use crate::news::{ViewSink, hand_view_on};
 use crate::reach::{LEAST_DETOUR, Reach};
 use crate::retry_budget::RetryBudget;
 use crate::rpc::{ask, encode};
@@ -162,7 +162,7 @@
             group: Arc::clone(&self.group),
             request: request_for(member),
             deadline: self.deadline,
-            retry_budget: self.client.shared_retry_budget(),
+            retry_budget: Arc::clone(self.client.retry_budget()),
         };
         let (position, sender) = (self.asked, self.sender.clone());
         self.asked += 1;
@@ -185,23 +185,17 @@
     group: Arc<Group>,
     request: Bytes,
     deadline: Instant,
-    retry_budget: Arc<Mutex<RetryBudget>>,
+    retry_budget: Arc<RetryBudget>,
 }
 
 impl MemberTask {
-    /// Whether the member may be asked again within the budget.
-    fn may_ask_again(&self) -> bool {
-        let mut budget = self.retry_budget.lock().unwrap_or_else(PoisonError::into_inner);
-        budget.may_ask_again(Instant::now())
-    }
-
     /// The member's answer. `failed` is told of the first attempt that was of no use.
     async fn run(self, failed: impl FnOnce()) -> Option<ReplyKind> {
         let mut failed = Some(failed);
         loop {
             let answer =
                 self.reach.ask(self.member.address, &self.request, MEMBER_TIMEOUT, self.detour_after).await;
-            let reply = answer.and_then(|answer| self.take_view(answer));
+            let reply = answer.and_then(|answer| hand_view_on(self.views.as_ref(), answer));
             let is_behind =
                 matches!(&reply, Some(ReplyKind::WrongEpoch(other)) if other.epoch < self.group.epoch);
             let is_useless = matches!(reply, None | Some(ReplyKind::Failed(_)));
@@ -218,17 +212,9 @@
                 failed();
             }
             tokio::time::sleep(ASK_AGAIN_AFTER).await;
-            if !self.may_ask_again() {
+            if !self.retry_budget.may_ask_again(Instant::now()) {
                 return reply;
             }
         }
     }
-
-    /// Hands on what came besides the answer, before the answer itself decides anything.
-    fn take_view(&self, answer: LedgerReply) -> Option<ReplyKind> {
-        if let Some(views) = self.views.as_ref().filter(|_| !answer.view.is_empty()) {
-            views.take(answer.view);
-        }
-        answer.kind
-    }
 }
--- a/crates/storage/src/boards.rs
+++ b/crates/storage/src/boards.rs
@@ -4,17 +4,17 @@
 //! each member would hear of each edge too seldom: there the edges of a zone all use one board of their zone, and the
 //! boards of the zones tell each other the sums.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use prost::Message;
-use sumacdrift_ledger::{GroupMap, Member, RequestKind};
+use sumacdrift_ledger::{GroupMap, Member};
 use sumacdrift_transport::Transport;
-use sumacdrift_types::rendezvous_order;
 
 use crate::host::ReplicaHost;
-use crate::rpc::{ask, encode_with};
+use crate::member_order::nearest_first;
+use crate::rpc::{ask, encode_news};
 
 /// Time between two tellings of one board to the others. What is told of engines is of little use when it is much older,
 /// and crosses zones.
@@ -28,20 +28,15 @@
 }
 
 /// Nodes whose boards the edges of a zone use, best first.
-pub(crate) fn boards_of(map: &GroupMap, zone: &str) -> Vec<Member> {
-    let members: Vec<Member> = map.members().cloned().collect();
-    let name = |member: &Member| member.node.as_bytes().to_vec();
-    let mut order = rendezvous_order(zone.as_bytes(), &members, name);
-    // The sort is stable: within a rank the order stays.
-    order.sort_by_key(|member| member.zone != zone);
-    order
+pub(crate) fn boards_of<'a>(map: &'a GroupMap, zone: &str) -> Vec<&'a Member> {
+    nearest_first(zone, zone, map.members())
 }
 
 /// The first board of each zone that has any.
-fn first_boards(map: &GroupMap) -> BTreeMap<String, Member> {
-    let zones: BTreeMap<&str, ()> = map.members().map(|member| (member.zone.as_str(), ())).collect();
-    let firsts = zones.into_keys().filter_map(|zone| Some((zone, boards_of(map, zone).into_iter().next()?)));
-    firsts.map(|(_, member)| (member.node.clone(), member)).collect()
+fn first_boards(map: &GroupMap) -> BTreeMap<&str, &Member> {
+    let zones: BTreeSet<&str> = map.members().map(|member| member.zone.as_str()).collect();
+    let firsts = zones.into_iter().filter_map(|zone| boards_of(map, zone).into_iter().next());
+    firsts.map(|member| (member.node.as_str(), member)).collect()
 }
 
 /// Tells other boards of the calls of the edges that use this node's. Runs for as long as the process.
@@ -56,14 +51,13 @@
         let Some(told) = host.board_news(&node) else { continue };
         let mut others = first_boards(&map);
         let heard_of = map.members().filter(|member| told.heard_of.contains(&member.node));
-        others.extend(heard_of.map(|member| (member.node.clone(), member.clone())));
-        others.remove(&node);
-        let news = told.news.encode_to_vec();
-        let request = encode_with(&Default::default(), RequestKind::News(true), news.into());
+        others.extend(heard_of.map(|member| (member.node.as_str(), member)));
+        others.remove(node.as_str());
+        let request = encode_news(told.news.encode_to_vec().into());
         for other in others.into_values() {
-            let (transport, request) = (Arc::clone(&transport), request.clone());
+            let (transport, request, address) = (Arc::clone(&transport), request.clone(), other.address);
             // A board that does not answer is told again soon.
-            tokio::spawn(async move { drop(ask(&transport, other.address, request, TELL_WITHIN).await) });
+            tokio::spawn(async move { drop(ask(&transport, address, request, TELL_WITHIN).await) });
         }
     }
 }
--- a/crates/storage/src/catch_up.rs
+++ b/crates/storage/src/catch_up.rs
@@ -5,10 +5,10 @@
 use slog::{info, warn};
 use sumacdrift_ledger::{ContentsRequest, Group, Member, Page, PageRequest, ReplyKind, RequestKind};
 use sumacdrift_transport::Transport;
-use sumacdrift_types::rendezvous_order;
 
 use crate::clock::wall_millis;
 use crate::host::ReplicaHost;
+use crate::member_order::by_key;
 use crate::rpc::{CONTENTS_AT_ONCE, ask, encode};
 
 /// Time for one page.
@@ -18,10 +18,9 @@
 pub(crate) async fn catch_up(host: &ReplicaHost, transport: &Transport, own_node: &str) -> bool {
     let group = host.replica().group().clone();
     // Several that have lost their records read different members first.
-    let name = |member: &Member| member.node.as_bytes().to_vec();
-    let mut others = rendezvous_order(own_node.as_bytes(), &group.members, name);
+    let mut others = by_key(own_node, &group.members);
     others.retain(|member| member.node != own_node);
-    for member in &others {
+    for member in others {
         if host.is_voting() {
             return true;
         }
--- a/crates/storage/src/chain_search.rs
+++ b/crates/storage/src/chain_search.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use slog::info;
@@ -11,6 +12,7 @@
 };
 use tokio::time::Instant;
 
+use crate::asking::Asking;
 use crate::begin_turn::{Admission, BeginTurn, LedgerError};
 use crate::client::LedgerClient;
 use crate::rpc::encode;
@@ -66,22 +68,12 @@
         // understands is asked.
         let is_only_group = self.map().groups().len() <= 1;
         let kind = if is_only_group { RequestKind::Chain(wanted) } else { RequestKind::Find(wanted) };
-        let request = encode(group, kind);
-        let request_for = |_: &Member| request.clone();
+        let enough_lacking = if is_only_group { usize::MAX } else { group.majority() };
         let mut asking = self.asking(group, program, deadline);
-        asking.begin(1, &request_for);
-        let mut lacking = 0;
-        while let Some(answer) = asking.next(&request_for).await {
-            let ReplyKind::Chain(chain) = answer else { continue };
-            if !chain.turns.is_empty() {
-                return Some(chain);
-            }
-            lacking += 1;
-            if !is_only_group && lacking >= group.majority() {
-                return None;
-            }
+        match search(&mut asking, encode(group, kind), 1, enough_lacking).await {
+            Search::Found(chain) => Some(chain),
+            Search::Nowhere | Search::Unsure => None,
         }
-        None
     }
 
     /// Asks all other groups at once.
@@ -107,24 +99,12 @@
 
     async fn find_in(&self, group: &Arc<Group>, turn: &str, deadline: Instant) -> (GroupNumber, Search) {
         let request = encode(group, RequestKind::Find(ChainRequest { turn: turn.to_owned() }));
-        let request_for = |_: &Member| request.clone();
         let mut asking = self.asking(group, turn, deadline);
-        asking.begin(group.majority(), &request_for);
-        let mut lacking = 0;
-        while let Some(answer) = asking.next(&request_for).await {
-            match answer {
-                ReplyKind::Chain(chain) if !chain.turns.is_empty() => {
-                    return (group.number, Search::Found(chain));
-                }
-                ReplyKind::Chain(_) => lacking += 1,
-                _ => {}
-            }
-            if lacking >= group.majority() {
-                asking.decided();
-                return (group.number, Search::Nowhere);
-            }
+        let found = search(&mut asking, request, group.majority(), group.majority()).await;
+        if matches!(found, Search::Nowhere) {
+            asking.decided();
         }
-        (group.number, Search::Unsure)
+        (group.number, found)
     }
 
     /// Begins a turn whose earlier turn the program's own group does not know: the chain is looked for in the other
@@ -151,3 +131,21 @@
         Ok(Admission { chain, ..admission })
     }
 }
+
+/// Asks so many members at first, more as they lack the turn, until one tells it or enough of them lack it.
+async fn search(asking: &mut Asking<'_>, request: Bytes, at_first: usize, enough_lacking: usize) -> Search {
+    let request_for = |_: &Member| request.clone();
+    asking.begin(at_first, &request_for);
+    let mut lacking = 0;
+    while let Some(answer) = asking.next(&request_for).await {
+        let ReplyKind::Chain(chain) = answer else { continue };
+        if !chain.turns.is_empty() {
+            return Search::Found(chain);
+        }
+        lacking += 1;
+        if lacking >= enough_lacking {
+            return Search::Nowhere;
+        }
+    }
+    Search::Unsure
+}
--- a/crates/storage/src/client.rs
+++ b/crates/storage/src/client.rs
@@ -21,10 +21,10 @@
 use crate::boards::{boards_of, has_boards};
 use crate::group_gate::{GroupGates, Passage};
 use crate::known_map::KnownMap;
-use crate::news::ViewSink;
+use crate::news::{ViewSink, hand_view_on};
 use crate::reach::Reach;
 use crate::retry_budget::RetryBudget;
-use crate::rpc::{ask, ask_whole, encode_to_node, encode_with};
+use crate::rpc::{ask, ask_whole, encode_news, encode_to_node, encode_with};
 use crate::suspects::Suspects;
 
 /// Pause before all members are asked again.
@@ -59,7 +59,7 @@
     timeouts: LedgerTimeouts,
     suspects: Mutex<Suspects>,
     gates: Mutex<GroupGates>,
-    retry_budget: Arc<Mutex<RetryBudget>>,
+    retry_budget: Arc<RetryBudget>,
     views: OnceLock<Arc<dyn ViewSink>>,
     off: SwitchedOff,
     logger: Logger,
@@ -223,13 +223,9 @@
         let boards = boards_of(&map, &self.zone);
         let sound = boards.iter().find(|member| !self.suspects().is_suspect(&member.node, now));
         let Some(board) = sound.or(boards.first()) else { return };
-        let request = encode_with(&Group::default(), RequestKind::News(true), news);
-        match ask_whole(&self.transport, board.address, request, BOARD_TIMEOUT).await {
-            Some(answer) => {
-                if let Some(views) = self.views().filter(|_| !answer.view.is_empty()) {
-                    views.take(answer.view);
-                }
-            }
+        match ask_whole(&self.transport, board.address, encode_news(news), BOARD_TIMEOUT).await {
+            // The answer to news says nothing.
+            Some(answer) => drop(hand_view_on(self.views().as_ref(), answer)),
             None => self.suspects().suspect(&board.node, Instant::now()),
         }
     }
@@ -402,12 +398,8 @@
         self.gates.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub(crate) fn retry_budget(&self) -> MutexGuard<'_, RetryBudget> {
-        self.retry_budget.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    pub(crate) fn shared_retry_budget(&self) -> Arc<Mutex<RetryBudget>> {
-        Arc::clone(&self.retry_budget)
+    pub(crate) fn retry_budget(&self) -> &Arc<RetryBudget> {
+        &self.retry_budget
     }
 
     pub(crate) fn views(&self) -> Option<Arc<dyn ViewSink>> {
--- a/crates/storage/src/feed_peers.rs
+++ b/crates/storage/src/feed_peers.rs
@@ -13,12 +13,12 @@
 use sumacdrift_dissemination::Changes;
 use sumacdrift_ledger::Member;
 use sumacdrift_transport::Transport;
-use sumacdrift_types::rendezvous_order;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 use crate::feed_host::FeedHost;
 use crate::follower::{FEED_WAIT, ask_feed};
+use crate::member_order::by_key;
 
 /// Feeds that a node which does not follow the store itself takes in: one may fall silent unnoticed for a second.
 const SOURCES: usize = 2;
@@ -80,8 +80,7 @@
     fn wanted(&self, left_out: &HashMap<SocketAddr, Instant>) -> Vec<SocketAddr> {
         let followers = (self.store_followers)();
         let follows_store = followers.iter().any(|member| member.node == self.node);
-        let name = |member: &Member| member.node.as_bytes().to_vec();
-        let mut others = rendezvous_order(self.node.as_bytes(), &followers, name);
+        let mut others = by_key(&self.node, &followers);
         others.retain(|member| member.node != self.node);
         if !follows_store {
             // The sort is stable: those that answered of late come first.
--- a/crates/storage/src/follower.rs
+++ b/crates/storage/src/follower.rs
@@ -8,15 +8,15 @@
 use prost::Message;
 use slog::{Logger, info};
 use sumacdrift_dissemination::{Changes, FollowRequest, Heard, ItemKind, NextSource, SourceChoice};
-use sumacdrift_ledger::Member;
 use sumacdrift_proto::{Request, Response};
 use sumacdrift_transport::Transport;
-use sumacdrift_types::{Timestamp, rendezvous_order};
+use sumacdrift_types::Timestamp;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
 use crate::client::LedgerClient;
 use crate::directory_feed::groups_of;
+use crate::member_order::nearest_first;
 
 /// How long a feed may wait for a change. Short, so that a feed that has died is noticed soon.
 pub(crate) const FEED_WAIT: Duration = Duration::from_millis(1000);
@@ -111,11 +111,7 @@
     /// Feeds in the order in which they are asked: each member of a group has one.
     fn feeds(&self) -> Vec<SocketAddr> {
         let map = self.ledger.map();
-        let members: Vec<&Member> = map.members().collect();
-        let name = |member: &&Member| member.node.as_bytes().to_vec();
-        let mut order = rendezvous_order(self.settings.node.as_bytes(), &members, name);
-        // The sort is stable: within a zone the order stays.
-        order.sort_by_key(|member| member.zone != self.settings.zone);
+        let order = nearest_first(&self.settings.zone, &self.settings.node, map.members());
         order.into_iter().map(|member| member.address).collect()
     }
 
--- a/crates/storage/src/host.rs
+++ b/crates/storage/src/host.rs
@@ -204,11 +204,6 @@
         self.replica().is_voting()
     }
 
-    /// Whether the replica belongs to the group.
-    pub fn is_member(&self) -> bool {
-        self.replica().is_member()
-    }
-
     /// The groups that the node knows.
     pub fn map(&self) -> Arc<GroupMap> {
         self.map.get()
--- a/crates/storage/src/news.rs
+++ b/crates/storage/src/news.rs
@@ -1,11 +1,12 @@
 //! What edges tell each other by way of the replicas: the host's board, and the port to whoever uses its views.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
 use prost::Message;
 use sumacdrift_fleet_view::{Board, BoardNews, BoardSizes, News};
+use sumacdrift_ledger::{LedgerReply, ReplyKind};
 use sumacdrift_types::Timestamp;
 use tokio::time::Instant;
 
@@ -21,6 +22,14 @@
     fn take(&self, view: Bytes);
 }
 
+/// Hands on what came besides an answer, before the answer itself decides anything; returns the answer.
+pub(crate) fn hand_view_on(views: Option<&Arc<dyn ViewSink>>, answer: LedgerReply) -> Option<ReplyKind> {
+    if let Some(views) = views.filter(|_| !answer.view.is_empty()) {
+        views.take(answer.view);
+    }
+    answer.kind
+}
+
 /// The board of a replica's host.
 pub(crate) struct NewsBoard {
     board: Mutex<Board>,
--- a/crates/storage/src/retry_budget.rs
+++ b/crates/storage/src/retry_budget.rs
@@ -3,6 +3,8 @@
 //! A token bucket filled by the questions themselves, as clients of RPC systems have it (Finagle and linkerd call it a
 //! retry budget): hedges and repeats of a node stay a share of what it asks anyhow.
 
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
 use tokio::time::Instant;
 
 /// Further questions allowed for each question that had to be asked: the tenth that the users ask for.
@@ -12,14 +14,17 @@
 /// Most that is saved up: one lost member makes a node hedge a few questions at once before it is suspected.
 const MOST_SAVED: f64 = 20.0;
 
-/// The budget of one node.
+/// The budget of one node, shared by its questions.
+#[derive(Debug, Default)]
+pub(crate) struct RetryBudget(Mutex<Bucket>);
+
 #[derive(Debug)]
-pub(crate) struct RetryBudget {
+struct Bucket {
     saved: f64,
     filled: Option<Instant>,
 }
 
-impl Default for RetryBudget {
+impl Default for Bucket {
     fn default() -> Self {
         Self { saved: MOST_SAVED, filled: None }
     }
@@ -27,21 +32,28 @@
 
 impl RetryBudget {
     /// So many questions had to be asked.
-    pub(crate) fn asked(&mut self, questions: usize) {
-        self.save(questions as f64 * SHARE);
+    pub(crate) fn asked(&self, questions: usize) {
+        self.bucket().save(questions as f64 * SHARE);
     }
 
     /// Whether one more question may be asked; if so, it is paid for.
-    pub(crate) fn may_ask_again(&mut self, now: Instant) -> bool {
-        let since = self.filled.replace(now).map_or(0.0, |filled| now.duration_since(filled).as_secs_f64());
-        self.save(since * RESERVE_PER_SECOND);
-        let may_ask = self.saved >= 1.0;
+    pub(crate) fn may_ask_again(&self, now: Instant) -> bool {
+        let mut bucket = self.bucket();
+        let since = bucket.filled.replace(now).map_or(0.0, |filled| now.duration_since(filled).as_secs_f64());
+        bucket.save(since * RESERVE_PER_SECOND);
+        let may_ask = bucket.saved >= 1.0;
         if may_ask {
-            self.saved -= 1.0;
+            bucket.saved -= 1.0;
         }
         may_ask
     }
 
+    fn bucket(&self) -> MutexGuard<'_, Bucket> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Bucket {
     fn save(&mut self, more: f64) {
         self.saved = (self.saved + more).min(MOST_SAVED);
     }
--- a/crates/storage/src/rpc.rs
+++ b/crates/storage/src/rpc.rs
@@ -23,6 +23,11 @@
     Bytes::from(request.encode_to_vec())
 }
 
+/// Encodes news for a node's board, with no question.
+pub(crate) fn encode_news(news: Bytes) -> Bytes {
+    encode_with(&Group::default(), RequestKind::News(true), news)
+}
+
 /// Encodes a request to a node, whichever group it belongs to.
 pub(crate) fn encode_to_node(kind: RequestKind) -> Bytes {
     encode(&Group::default(), kind)
--- a/crates/storage/src/suspects.rs
+++ b/crates/storage/src/suspects.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use sumacdrift_ledger::{Group, GroupNumber, Member};
-use sumacdrift_types::rendezvous_order;
 use tokio::time::Instant;
 
+use crate::member_order::nearest_first;
+
 /// How long a member that answered late or not at all is asked last.
 const SUSPECTED_FOR: Duration = Duration::from_secs(2);
 /// Weight of a new observation.
@@ -51,11 +52,10 @@
     /// The members in the order in which they are asked: those of the own zone first, the others by the key, so that
     /// all nodes ask the same of them for the same program, and suspects last.
     pub(crate) fn order(&self, group: &Group, zone: &str, key: &str, now: Instant) -> Vec<Member> {
-        let name = |member: &Member| member.node.as_bytes().to_vec();
-        let mut order = rendezvous_order(key.as_bytes(), &group.members, name);
+        let mut order = nearest_first(zone, key, &group.members);
         // The sort is stable: within a rank the order stays.
-        order.sort_by_key(|member| (self.is_suspect(&member.node, now), member.zone != zone));
-        order
+        order.sort_by_key(|member| self.is_suspect(&member.node, now));
+        order.into_iter().cloned().collect()
     }
 
     /// Whether a node was late or said nothing a moment ago.
--- a/crates/storage/tests/feed_peers.rs
+++ b/crates/storage/tests/feed_peers.rs
@@ -11,6 +11,17 @@
 /// A second before the limit that is asked of us; configurations come every 200 ms meanwhile.
 const NO_OLDER_THAN: Duration = Duration::from_secs(1);
 
+/// Five nodes; the first three follow the store, and heard one configuration.
+async fn five_of_which_three_follow_the_store() -> Fleet {
+    let fleet = Fleet::start(5).await;
+    fleet.take_in_feeds(3);
+    for position in 0..3 {
+        hears(&fleet.nodes[position].feed, "first", 1);
+    }
+    pass(NO_OLDER_THAN).await;
+    fleet
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_edge_stays_up_to_date_while_its_feeds_watch_of_the_store_is_silent() {
     let fleet = Fleet::start(3).await;
@@ -48,12 +59,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_node_that_does_not_follow_the_store_serves_what_those_hear_that_do() {
-    let fleet = Fleet::start(5).await;
-    fleet.take_in_feeds(3);
-    for position in 0..3 {
-        hears(&fleet.nodes[position].feed, "first", 1);
-    }
-    pass(NO_OLDER_THAN).await;
+    let fleet = five_of_which_three_follow_the_store().await;
     let edge = follow(&fleet, 4);
     pass(MOMENT).await;
     assert!(edge.has("first"));
@@ -65,12 +71,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_node_whose_sources_fall_silent_finds_another() {
-    let fleet = Fleet::start(5).await;
-    fleet.take_in_feeds(3);
-    for position in 0..3 {
-        hears(&fleet.nodes[position].feed, "first", 1);
-    }
-    pass(NO_OLDER_THAN).await;
+    let fleet = five_of_which_three_follow_the_store().await;
     for (revision, (silent, told)) in [([0, 1], 2), ([1, 2], 0), ([0, 2], 1)].into_iter().enumerate() {
         silent.iter().for_each(|position| fleet.nodes[*position].silence(true));
         pass(Duration::from_secs(3)).await;
@@ -105,12 +106,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_node_knows_for_how_long_none_of_its_sources_has_heard_the_store() {
-    let fleet = Fleet::start(5).await;
-    fleet.take_in_feeds(3);
-    for position in 0..3 {
-        hears(&fleet.nodes[position].feed, "first", 1);
-    }
-    pass(NO_OLDER_THAN).await;
+    let fleet = five_of_which_three_follow_the_store().await;
     let stands_in = &fleet.nodes[4].feed;
     assert_eq!(stands_in.alone_for(), Duration::ZERO);
     for node in &fleet.nodes[..3] {
