Evacuations of zones: engines there get nothing new until the operator takes it back

The nodes that follow the store watch one kind more where the settings name a bound; evacuations travel in the feeds with their revisions and lie on the members' disks. routing::Evacuations decides by revisions; an engine of an evacuated zone is never chosen, and the last check stands right before the send (a withheld call goes elsewhere and costs no try).

--- a/crates/calls/src/machine.rs
+++ b/crates/calls/src/machine.rs
@@ -38,6 +38,8 @@
     Spoiled,
     /// The engine ran it and answered with a server's error.
     ServerError,
+    /// The engine may not get the call any more since it was chosen; no byte was sent.
+    Withheld,
 }
 
 /// What has been given to the caller.
@@ -206,6 +208,7 @@
             return self.expired();
         }
         match failure {
+            Failure::Withheld => self.another_try(),
             Failure::NotSent if self.unsent < MAX_UNSENT => self.another_try(),
             Failure::NotSent => self.give_up(ResultCode::BackEndUnreachable),
             Failure::Rejected { .. } | Failure::WrongEngine if self.rejections < MAX_REJECTIONS => {
@@ -221,6 +224,8 @@
     fn note(&mut self, engine: &EngineId, failure: Failure) {
         self.under_way = None;
         match failure {
+            // Whoever chooses knows that it may not be chosen again.
+            Failure::Withheld => {}
             Failure::NotSent => {
                 self.unsent += 1;
                 self.turned_away.push(engine.clone());
--- a/crates/dissemination/src/feed.rs
+++ b/crates/dissemination/src/feed.rs
@@ -148,6 +148,7 @@
     pub fn merge(&mut self, changes: Changes, now: Timestamp) -> bool {
         let (was_current, before) = (self.is_current(), self.at);
         self.peers.insert(changes.life, changes.hears_store);
+        let known_to = told_up_to(&changes);
         if changes.is_whole {
             self.remove_unnamed(&changes, now);
         }
@@ -159,17 +160,16 @@
                 self.put(item);
             }
         }
-        self.knows_to(ItemKind::Configuration, changes.configurations_to);
-        self.knows_to(ItemKind::Engine, changes.engines_to);
+        for (kind, revision) in known_to {
+            self.knows_to(kind, revision);
+        }
         was_current != self.is_current() || self.at != before
     }
 
     /// Removes what another feed does not hold although it knows more.
     fn remove_unnamed(&mut self, changes: &Changes, now: Timestamp) {
         let outage = Duration::from_millis(changes.outage_millis);
-        for (kind, revision) in
-            [(ItemKind::Configuration, changes.configurations_to), (ItemKind::Engine, changes.engines_to)]
-        {
+        for (kind, revision) in told_up_to(changes) {
             let items = changes.changes.iter().filter_map(|change| change.item.as_ref());
             let names =
                 items.filter(|item| item.kind == kind as i32).map(|item| item.name.as_str()).collect();
@@ -287,17 +287,18 @@
         let is_whole = request.life != self.life || request.after < self.whole_since;
         let after = if is_whole { 0 } else { request.after };
         let mut changes: Vec<ItemChange> = Vec::new();
-        if !is_whole {
-            let removed = self
-                .removed
-                .iter()
-                .filter(|(position, key)| *position > after && !self.held.contains_key(key));
-            changes.extend(removed.map(|(_, (kind, name))| {
-                let revision = self.gone.get(&(*kind, name.clone())).copied().unwrap_or(0);
-                let item = Item { kind: *kind, name: name.clone(), revision, ..Item::default() };
-                ItemChange { item: Some(item), is_gone: true }
-            }));
-        }
+        // Whoever gets everything takes what is missing for gone. Of an evacuation that is not enough: a follower that
+        // heard of it in another feed takes it back only by its revision, as this feed may be behind that one.
+        let is_told = |kind: i32| !is_whole || kind == ItemKind::Evacuation as i32;
+        let removed = self
+            .removed
+            .iter()
+            .filter(|(position, key)| *position > after && is_told(key.0) && !self.held.contains_key(key));
+        changes.extend(removed.map(|(_, (kind, name))| {
+            let revision = self.gone.get(&(*kind, name.clone())).copied().unwrap_or(0);
+            let item = Item { kind: *kind, name: name.clone(), revision, ..Item::default() };
+            ItemChange { item: Some(item), is_gone: true }
+        }));
         let newer = self.held.values().filter(|held| held.position > after);
         changes.extend(newer.map(|held| ItemChange { item: Some(held.item.clone()), is_gone: false }));
         let is_recent = now.since(self.listed_at) < OUTAGE_MATTERS_FOR;
@@ -314,8 +315,18 @@
             hears_store: self.hears_store(),
             configurations_to: self.known_to(ItemKind::Configuration),
             engines_to: self.known_to(ItemKind::Engine),
+            evacuations_to: self.known_to(ItemKind::Evacuation),
             configuration_age_millis: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
             held_millis: 0,
         }
     }
 }
+
+/// The store's revision up to which changes tell everything, of each kind whose items may go.
+fn told_up_to(changes: &Changes) -> [(ItemKind, u64); 3] {
+    [
+        (ItemKind::Configuration, changes.configurations_to),
+        (ItemKind::Engine, changes.engines_to),
+        (ItemKind::Evacuation, changes.evacuations_to),
+    ]
+}
--- a/crates/dissemination/src/message.rs
+++ b/crates/dissemination/src/message.rs
@@ -15,6 +15,8 @@
     Groups = 2,
     /// A machine that is to be emptied.
     Retirement = 3,
+    /// A zone whose engines are to get nothing new.
+    Evacuation = 4,
 }
 
 /// An object of the outside store. Its content means nothing here.
@@ -105,6 +107,9 @@
     /// so much later.
     #[prost(uint64, tag = "11")]
     pub held_millis: u64,
+    /// The store's revision up to which all evacuations are among what was told; 0 where the feed never heard of them.
+    #[prost(uint64, tag = "12")]
+    pub evacuations_to: u64,
 }
 
 /// Everything a feed holds, for its next life.
--- a/crates/dissemination/tests/feed.rs
+++ b/crates/dissemination/tests/feed.rs
@@ -166,3 +166,54 @@
     }
     assert!(wholes > 10, "{wholes}");
 }
+
+fn evacuation(zone: &str, revision: u64) -> Item {
+    Item::new(ItemKind::Evacuation, zone, Bytes::from_static(b"{}"), revision)
+}
+
+/// A follower that heard of an evacuation elsewhere learns of its end by the revision, though it gets everything anew.
+#[test]
+fn the_end_of_an_evacuation_is_told_to_whoever_gets_everything() {
+    let mut feed = Feed::new(1);
+    feed.put(evacuation("z1", 5));
+    assert!(feed.remove(ItemKind::Evacuation, "z1", 7));
+    feed.put(engine("e", "x", 8));
+    assert!(feed.remove(ItemKind::Engine, "e", 9));
+    let changes = feed.changes(&FollowRequest { life: 99, after: 3, wait_millis: 0 }, at(1));
+    assert!(changes.is_whole);
+    let told: Vec<_> = changes.changes.iter().map(|change| (change.is_gone, change.item.clone())).collect();
+    assert_eq!(told.len(), 1, "engines that are gone are just missing: {told:?}");
+    let (is_gone, item) = &told[0];
+    let item = item.as_ref().expect("an item");
+    assert_eq!((*is_gone, item.kind(), item.revision), (true, ItemKind::Evacuation, 7));
+}
+
+/// A node's next life knows the evacuations of the one before, so that its followers do before their first choice.
+#[test]
+fn evacuations_outlast_the_process() {
+    let mut feed = Feed::new(1);
+    feed.put(evacuation("z1", 5));
+    let mut next = Feed::new(2);
+    next.restore(feed.snapshot());
+    let changes = next.changes(&FollowRequest::default(), at(1));
+    let items: Vec<_> = changes.changes.iter().filter_map(|change| change.item.as_ref()).collect();
+    assert_eq!(items.iter().map(|item| item.name.as_str()).collect::<Vec<_>>(), ["z1"]);
+}
+
+/// A node whose feed is behind neither takes an evacuation back nor brings one back in another node's feed.
+#[test]
+fn a_feed_that_is_behind_says_nothing_of_evacuations() {
+    let mut ahead = Feed::new(1);
+    ahead.put(evacuation("z1", 5));
+    let mut behind = Feed::new(2);
+    behind.list(
+        Listed { kind: ItemKind::Evacuation, items: Vec::new(), revision: 4, outage: Duration::ZERO },
+        at(1),
+    );
+    ahead.merge(behind.changes(&FollowRequest::default(), at(2)), at(2));
+    assert!(ahead.item(ItemKind::Evacuation, "z1").is_some());
+    behind.put(evacuation("z1", 5));
+    ahead.remove(ItemKind::Evacuation, "z1", 6);
+    ahead.merge(behind.changes(&FollowRequest::default(), at(3)), at(3));
+    assert!(ahead.item(ItemKind::Evacuation, "z1").is_none());
+}
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -149,7 +149,8 @@
     let mut run = EngineRun::begin(edge, placed);
     let request = engine_request(call, machine, placed);
     let deadline = edge.clock.instant(machine.deadline());
-    let sending = edge.pool.send(&placed.engine, placed.address, request);
+    let may_send = || edge.book().may_send(&placed.engine);
+    let sending = edge.pool.send(&placed.engine, placed.address, request, &may_send);
     let answer = match tokio::time::timeout_at(deadline, sending).await {
         Err(_) => {
             run.fail(Outcome::Faulty);
@@ -159,6 +160,11 @@
             run.fail(Outcome::Unreachable);
             return Err(Failure::NotSent);
         }
+        Ok(Err(SendError::Withheld)) => {
+            edge.metrics.withheld.inc();
+            run.fail(Outcome::Busy);
+            return Err(Failure::Withheld);
+        }
         Ok(Err(SendError::Lost)) => {
             run.fail(Outcome::Faulty);
             return Err(Failure::Lost);
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -8,7 +8,9 @@
 use slog::{Logger, info};
 use sumacdrift_access::{Knowledge, KnowledgeLimits};
 use sumacdrift_calls::EngineId;
-use sumacdrift_routing::{CallerLimits, EngineBook, EngineSpec, Outcome, RouteTable, Routes};
+use sumacdrift_routing::{
+    CallerLimits, EngineBook, EngineSpec, Evacuation, EvacuationChange, Outcome, RouteTable, Routes,
+};
 use sumacdrift_scheduling::HealthSettings;
 use sumacdrift_storage::{LedgerClient, QuotaClient};
 use sumacdrift_types::{Mechanism, SwitchedOff, Timestamp};
@@ -182,6 +184,36 @@
         }
     }
 
+    /// Engines of a zone get nothing new from now on.
+    pub fn evacuate(&self, evacuation: Evacuation, source: &'static str) {
+        let change = self.book().evacuate(evacuation, self.clock.now());
+        self.evacuations_changed(change, source);
+    }
+
+    /// An evacuation was taken back.
+    pub fn end_evacuation(&self, zone: &str, revision: u64, source: &'static str) {
+        let change = self.book().end_evacuation(zone, revision, self.clock.now());
+        self.evacuations_changed(change, source);
+    }
+
+    /// Takes in all evacuations that there were at a revision of the directory.
+    pub fn set_evacuations(&self, all: Vec<Evacuation>, known_to: u64, source: &'static str) {
+        let changes = self.book().set_evacuations(all, known_to, self.clock.now());
+        self.evacuations_changed(changes, source);
+    }
+
+    fn evacuations_changed(&self, changes: impl IntoIterator<Item = EvacuationChange>, source: &'static str) {
+        let now = self.clock.now();
+        for change in changes {
+            let event = if change.is_evacuated { "evacuation_begun" } else { "evacuation_ended" };
+            info!(self.logger, "evacuation of a zone"; "event" => event, "zone" => &*change.zone,
+                "revision" => change.revision, "source" => source,
+                "before_ms" => change.before.map(|before| now.since(before).as_millis() as u64));
+        }
+        let zones = self.book().evacuated_zones();
+        self.metrics.evacuated_zones.set(i64::try_from(zones).unwrap_or(i64::MAX));
+    }
+
     /// Closes connections that are no longer of use.
     pub fn sweep(&self) {
         let book = self.book();
--- a/crates/edge/src/engine_pool.rs
+++ b/crates/edge/src/engine_pool.rs
@@ -41,6 +41,8 @@
 pub(crate) enum SendError {
     /// No byte was sent.
     NotSent,
+    /// No byte was sent, as the engine may not get the call any more.
+    Withheld,
     /// It may have been received.
     Lost,
 }
@@ -97,18 +99,24 @@
         Self { off, resting: Mutex::default(), rest_limit: Mutex::default(), clock: Clock::default() }
     }
 
-    /// Sends a request and waits for the head of the answer.
+    /// Sends a request and waits for the head of the answer. `may_send` is asked right before the sending: a connection may
+    /// take a quarter of a second to come up.
     pub(crate) async fn send(
         self: &Arc<Self>,
         engine: &EngineId,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
+        may_send: &(dyn Fn() -> bool + Sync),
     ) -> Result<PoolAnswer, SendError> {
         let mut request = request;
         while let Some(Rested { mut sender, rested }) = self.take(engine) {
             if !matches!(tokio::time::timeout(READY_TIMEOUT, sender.ready()).await, Ok(Ok(()))) {
                 continue;
             }
+            if !may_send() {
+                self.rest_again(engine, sender);
+                return Err(SendError::Withheld);
+            }
             let sent = Instant::now();
             match sender.try_send_request(request).await {
                 Ok(answer) => return Ok(self.answer(engine, sender, answer)),
@@ -120,6 +128,10 @@
         }
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, connect(address)).await;
         let Ok(Some(mut sender)) = connecting else { return Err(SendError::NotSent) };
+        if !may_send() {
+            self.rest_again(engine, sender);
+            return Err(SendError::Withheld);
+        }
         let sent = Instant::now();
         match sender.try_send_request(request).await {
             Ok(answer) => Ok(self.answer(engine, sender, answer)),
@@ -130,6 +142,14 @@
         }
     }
 
+    /// A connection that was about to be used rests again.
+    fn rest_again(&self, engine: &EngineId, sender: Sender) {
+        let now = Instant::now();
+        let resting = Resting { sender, since: now, until: now + DEFAULT_REST };
+        let mut pool = self.resting.lock().unwrap_or_else(PoisonError::into_inner);
+        pool.entry(engine.clone()).or_default().push(resting);
+    }
+
     /// A request was reset; learns from it.
     fn lost(&self, rested: Option<Duration>, sent: Instant) -> SendError {
         if !self.off.allows(Mechanism::RestLimit) {
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -21,6 +21,8 @@
     pub(crate) events: Counter,
     pub(crate) failed_attempts: Counter,
     pub(crate) server_errors: Counter,
+    pub(crate) withheld: Counter,
+    pub(crate) evacuated_zones: Gauge,
     pub(crate) resumptions: Counter,
     pub(crate) under_way: Gauge,
     pub(crate) configuration: Gauge,
@@ -40,6 +42,8 @@
             events: Counter::default(),
             failed_attempts: Counter::default(),
             server_errors: Counter::default(),
+            withheld: Counter::default(),
+            evacuated_zones: Gauge::default(),
             resumptions: Counter::default(),
             under_way: Gauge::default(),
             configuration: Gauge::default(),
@@ -66,6 +70,16 @@
             "Answers of engines with a status of 500 and above",
             self.server_errors.clone(),
         );
+        registry.register(
+            "withheld",
+            "Calls that were not sent as their engine might not get them any more",
+            self.withheld.clone(),
+        );
+        registry.register(
+            "evacuated_zones",
+            "Zones whose engines get nothing new",
+            self.evacuated_zones.clone(),
+        );
         registry.register("resumptions", "Streams taken up again", self.resumptions.clone());
         registry.register("under_way", "Calls under way", self.under_way.clone());
         registry.register("configuration", "Version of the configuration", self.configuration.clone());
--- a/crates/mutants/src/lib.rs
+++ b/crates/mutants/src/lib.rs
@@ -62,6 +62,10 @@
     QuotaNeedsMajority,
     /// What other nodes admitted counts.
     QuotaTotalsCount,
+    /// An older report of an evacuation says nothing against a newer one.
+    EvacuationRevisionsCount,
+    /// An engine of an evacuated zone is never chosen.
+    EvacuatedZonesGetNothing,
 }
 
 impl Rule {
@@ -86,6 +90,9 @@
         Rule::QuotaTotalsCount,
     ];
 
+    /// Rules of the choice among engines.
+    pub const ROUTING: [Rule; 2] = [Rule::EvacuationRevisionsCount, Rule::EvacuatedZonesGetNothing];
+
     /// Rules of the node, which the fleet's simulation checks.
     pub const ALL: [Rule; 15] = [
         Rule::MajorityBeforeAcknowledgement,
--- a/crates/routing/src/book.rs
+++ b/crates/routing/src/book.rs
@@ -6,12 +6,14 @@
 
 use sumacdrift_calls::EngineId;
 use sumacdrift_fleet_view::{EngineLoad, Loads, PartHeld, PartIndex};
+use sumacdrift_mutants::{Rule, is_broken};
 use sumacdrift_scheduling::HealthSettings;
 use sumacdrift_types::{Mechanism, SwitchedOff, Timestamp};
 
 use crate::choice::{CALLS_OF_A_BEGINNING, Choice, HeldTokens, Placed, PlacementRequest, RequestedWork};
 use crate::engine::{Engine, EngineSpec, Outcome};
 use crate::estimate::Speeds;
+use crate::evacuation::{Evacuation, EvacuationChange, Evacuations};
 use crate::others::{BelievedLoads, OtherLoad, ToldTime};
 use crate::speeds::{LearnedSpeeds, StreamSeen};
 
@@ -33,6 +35,7 @@
     speeds: HashMap<Arc<str>, LearnedSpeeds>,
     others_told: ToldTime,
     parts: PartIndex,
+    evacuations: Evacuations,
     off: SwitchedOff,
 }
 
@@ -51,6 +54,7 @@
             speeds: HashMap::new(),
             others_told: ToldTime::default(),
             parts: PartIndex::new(MOST_PARTS, KEEP_PARTS_FOR),
+            evacuations: Evacuations::default(),
         }
     }
 
@@ -88,6 +92,42 @@
         }
     }
 
+    /// Engines of a zone get nothing new from now on; returns the change if it is news.
+    pub fn evacuate(&mut self, evacuation: Evacuation, now: Timestamp) -> Option<EvacuationChange> {
+        self.evacuations.begin(evacuation, now)
+    }
+
+    /// An evacuation was taken back; returns the change if it is news.
+    pub fn end_evacuation(&mut self, zone: &str, revision: u64, now: Timestamp) -> Option<EvacuationChange> {
+        self.evacuations.end(zone, revision, now)
+    }
+
+    /// Makes all evacuations known that there were at a revision of the directory; returns what changed.
+    pub fn set_evacuations(
+        &mut self,
+        all: Vec<Evacuation>,
+        known_to: u64,
+        now: Timestamp,
+    ) -> Vec<EvacuationChange> {
+        self.evacuations.replace_all(all, known_to, now)
+    }
+
+    /// Number of zones that are evacuated.
+    pub fn evacuated_zones(&self) -> usize {
+        self.evacuations.len()
+    }
+
+    /// Whether an engine may get a call at this moment: to be asked right before a call is sent, as what was known when
+    /// the engine was chosen may have changed while a connection was set up.
+    pub fn may_send(&self, id: &EngineId) -> bool {
+        let zone = self.engines.get(id).map(|engine| &engine.spec.zone);
+        zone.is_none_or(|zone| !self.is_evacuated(zone))
+    }
+
+    fn is_evacuated(&self, zone: &str) -> bool {
+        self.evacuations.is_evacuated(zone) && !is_broken(Rule::EvacuatedZonesGetNothing)
+    }
+
     /// Forgets engines that are gone and have no calls.
     pub fn forget_gone(&mut self, now: Timestamp, after: Duration) {
         self.engines.retain(|_, engine| {
@@ -128,7 +168,7 @@
         let others = BelievedLoads::among(of_service.map(|engine| engine.others), others_age);
         let off = self.off;
         let choice = Choice { off, request, speeds, events, zone_calls, others, others_age, held, now };
-        choice.best(self.engines.values())
+        choice.best(self.engines.values().filter(|engine| !self.is_evacuated(&engine.spec.zone)))
     }
 
     /// A call goes to an engine that has so many tokens of its prompt to read.
--- a/crates/routing/tests/engines.rs
+++ b/crates/routing/tests/engines.rs
@@ -1,65 +1,20 @@
 //! The choice among engines and what is believed of them.
 
+mod engines_for_tests;
+
 use std::time::Duration;
 
+use engines_for_tests::{NOW, book, book_without, chosen, request, spec};
 use sumacdrift_calls::EngineId;
 use sumacdrift_fleet_view::{EngineLoad, Loads, PartHeld, engine_key};
 use sumacdrift_routing::{EngineBook, EngineSpec, Outcome, PartNeed, PlacementRequest, RequestedWork};
-use sumacdrift_scheduling::HealthSettings;
-use sumacdrift_types::{Mechanism, SwitchedOff, Timestamp};
-
-const NOW: Timestamp = Timestamp(5_000_000);
-
-fn spec(id: &str, zone: &str) -> EngineSpec {
-    EngineSpec {
-        id: EngineId::new(id),
-        service: "s".into(),
-        address: ([10, 0, 0, 1], 80).into(),
-        zone: zone.into(),
-        slots: 4,
-        is_leaving: false,
-        report: 1,
-    }
-}
-
-fn book(engines: &[(&str, &str)]) -> EngineBook {
-    book_without(&[], engines)
-}
-
-fn book_without(off: &[Mechanism], engines: &[(&str, &str)]) -> EngineBook {
-    let health = HealthSettings { failures_to_open: 2, ..HealthSettings::default() };
-    let off: SwitchedOff = off.iter().copied().collect();
-    let mut book = EngineBook::without(off, health);
-    for (id, zone) in engines {
-        book.upsert(spec(id, zone), NOW);
-    }
-    book
-}
-
-/// A call that is answered as a whole.
-fn request(avoid: &[EngineId]) -> PlacementRequest<'_> {
-    PlacementRequest {
-        service: "s",
-        zone: "z1",
-        key: 1,
-        work: RequestedWork::Whole { usual: Duration::from_millis(40), is_sticky: false },
-        kilobytes: 1.0,
-        is_connected: &|_| true,
-        avoid,
-        rather_not: &[],
-        only: None,
-    }
-}
+use sumacdrift_types::Mechanism;
 
 /// A turn of the program `key`.
 fn turn(key: u64, parts: &[PartNeed]) -> PlacementRequest<'_> {
     PlacementRequest { key, work: RequestedWork::Stream { parts }, ..request(&[]) }
 }
 
-fn chosen(book: &EngineBook, request: &PlacementRequest<'_>, now: Timestamp) -> Option<String> {
-    book.choose(request, now).map(|placed| placed.engine.to_string())
-}
-
 /// A prompt of shared tokens and a line's own.
 fn prompt(own_tokens: u64) -> [PartNeed; 2] {
     [PartNeed { part: 1, tokens: 2_500 }, PartNeed { part: 2, tokens: own_tokens }]
--- a/crates/storage/src/follower.rs
+++ b/crates/storage/src/follower.rs
@@ -30,8 +30,9 @@
 pub trait FollowerSink: Send + Sync + 'static {
     /// Takes in changes of a feed.
     fn take(&self, changes: Changes);
-    /// Takes in the configuration, if it is among what a feed holds and newer.
-    fn take_configuration(&self, changes: &Changes);
+    /// Takes in what is newer of what a feed without the store holds: the configuration, and evacuations. What is missing
+    /// there says nothing.
+    fn take_newer(&self, changes: &Changes);
     /// The configuration taken in last was the store's newest at this time.
     fn confirmed(&self, as_of: Instant);
     /// Whether anything is known, from whomever.
@@ -130,7 +131,7 @@
         // What a feed without the store holds may be old; it serves only those that know nothing. Of the configuration
         // it says how old it is, and an older one is passed over: nobody waits for a node that hears all of the store.
         if heard == Heard::Stale && !is_same_feed && self.sink.knows_anything() {
-            self.sink.take_configuration(&changes);
+            self.sink.take_newer(&changes);
             self.confirmed(configuration_confirmed);
             return heard;
         }
--- a/crates/storage/tests/fleet/following.rs
+++ b/crates/storage/tests/fleet/following.rs
@@ -51,7 +51,7 @@
         self.contents.lock().expect("contents").extend(contents);
     }
 
-    fn take_configuration(&self, _changes: &Changes) {}
+    fn take_newer(&self, _changes: &Changes) {}
 
     fn confirmed(&self, as_of: Instant) {
         let mut confirmed = self.confirmed.lock().expect("a time");
--- a/test.sh
+++ b/test.sh
@@ -12,3 +12,4 @@
 cargo test --release --jobs "$jobs" -p sumacdrift-simulation --features mutants --test mutants
 cargo test --release --jobs "$jobs" -p sumacdrift-ledger --features mutants --test mutants
 cargo test --release --jobs "$jobs" -p sumacdrift-access --features mutants --test mutants
+cargo test --release --jobs "$jobs" -p sumacdrift-routing --features mutants --test mutants
