Permits for cold engines: all nodes together send one no more than it takes

Cause: nothing read how long an engine is cold. An engine's entry tells its coldness; behind an evacuation it is inferred. For each call to a cold engine an edge asks the nodes that count tenants' calls (QuotaCounters), one name an engine; QuotaLimit::within_bound leaves room for lost counters and late use. The last check before the send wants a valid permit.

--- a/crates/access/src/quota_counters.rs
+++ b/crates/access/src/quota_counters.rs
@@ -254,6 +254,21 @@
     }
 }
 
+/// Deciding nodes that may be lost within one window, each with what nobody else knows it admitted.
+const LOSSES_IN_A_WINDOW: f64 = 2.0;
+
+impl QuotaLimit {
+    /// The limit at a steady rate under which no window holds more than `bound` calls, though deciding nodes are lost and
+    /// admitted calls are made up to `late` after they were. Where nothing fits under the bound, none is admitted.
+    pub fn within_bound(per_second: f64, bound: f64, window: Duration, late: Duration) -> Self {
+        let stretched = 1.0 + late.as_secs_f64() / window.as_secs_f64();
+        let lost_share = LOSSES_IN_A_WINDOW * UNACKNOWLEDGED_SHARE;
+        let most = ((bound - LOSSES_IN_A_WINDOW * UNACKNOWLEDGED_CALLS) / (stretched + lost_share)).max(0.0);
+        let per_second = per_second.min(most / window.as_secs_f64());
+        Self { per_second, burst: most - per_second * window.as_secs_f64(), window }
+    }
+}
+
 /// Calls that a node admits before a majority has acknowledged them.
 fn unacknowledged_allowed(most: u64) -> u64 {
     (most as f64 * UNACKNOWLEDGED_SHARE + UNACKNOWLEDGED_CALLS) as u64
--- a/crates/access/tests/mutants.rs
+++ b/crates/access/tests/mutants.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use quota_world::play;
+use quota_world::{Counted, play};
 use sumacdrift_access::{
     AccessFacts, AccessTable, ApiKey, KnowledgeLimits, QuotaCall, QuotaCounters, QuotaLimit, QuotaVerdict,
     TenantSpec, decide,
@@ -59,7 +59,7 @@
         // Each of these two makes up for the other in the simulation.
         Rule::QuotaUnacknowledgedIsBounded => admitted_unacknowledged() > UNACKNOWLEDGED,
         Rule::QuotaNeedsMajority => decides_alone(),
-        _ => (0..SEEDS).any(|seed| play(seed, false).worst_excess > 0),
+        _ => (0..SEEDS).any(|seed| play(seed, Counted::Tenant, false).worst_excess > 0),
     })
 }
 
--- a/crates/access/tests/quota_simulation.rs
+++ b/crates/access/tests/quota_simulation.rs
@@ -3,7 +3,7 @@
 
 mod quota_world;
 
-use quota_world::play;
+use quota_world::{Counted, play};
 
 /// Seeds with faults.
 const SEEDS: u64 = 10_000;
@@ -11,15 +11,35 @@
 #[test]
 fn no_window_holds_more_than_it_may() {
     for seed in 0..SEEDS {
-        let outcome = play(seed, false);
+        let outcome = play(seed, Counted::Tenant, false);
         assert!(outcome.worst_excess <= 0, "seed {seed}: {} calls too many", outcome.worst_excess);
     }
 }
 
+/// A cold engine falls over above what all nodes together may send it in any second.
 #[test]
-fn without_faults_a_tenant_gets_what_it_may() {
+fn no_second_holds_more_than_a_cold_engine_takes() {
+    for seed in 0..SEEDS {
+        let outcome = play(seed, Counted::ColdEngine, false);
+        assert!(outcome.worst_excess <= 0, "seed {seed}: {} calls too many", outcome.worst_excess);
+    }
+}
+
+#[test]
+fn without_faults_a_cold_engine_gets_what_it_takes() {
+    for seed in 0..300 {
+        let outcome = play(seed, Counted::ColdEngine, true);
+        if outcome.demand > 1.0 {
+            let owed = outcome.owed * 0.8;
+            assert!(outcome.admitted as f64 >= owed, "seed {seed}: {} of {owed}", outcome.admitted);
+        }
+    }
+}
+
+#[test]
+fn without_faults_a_tenant_a_tenant_gets_what_it_may() {
     for seed in 0..300 {
-        let outcome = play(seed, true);
+        let outcome = play(seed, Counted::Tenant, true);
         let all = outcome.admitted + outcome.refused_within;
         if outcome.demand < 1.0 {
             let is_few = outcome.refused_within * 100 <= all;
--- a/crates/access/tests/quota_world/mod.rs
+++ b/crates/access/tests/quota_world/mod.rs
@@ -18,6 +18,8 @@
 /// What an edge waits for a node that says nothing before it asks the next one.
 const NEXT_AFTER_MILLIS: u64 = 80;
 const AVOIDED_MILLIS: u64 = 1_500;
+/// How late a permit for a call to a cold engine is used at the most.
+const LATE_MILLIS: u64 = 150;
 
 struct Dice(ChaCha8Rng);
 
@@ -41,6 +43,10 @@
 
 struct Plan {
     edges: u64,
+    /// Calls that any window may hold.
+    bound: f64,
+    /// An admitted call may be made up to so many milliseconds later.
+    late_millis: u64,
     /// Calls asked for, as a multiple of what the tenant usually sends; its limit is 1.6 times that.
     demand: f64,
     calls_each_step: f64,
@@ -63,9 +69,35 @@
     pub owed: f64,
 }
 
-fn plan(seed: u64, dice: &mut Dice) -> Plan {
-    let per_second = [2.0, 10.0, 40.0, 150.0][dice.below(4) as usize];
-    let limit = QuotaLimit { per_second, burst: per_second, window: WINDOW };
+/// What is counted.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Counted {
+    /// Calls of a tenant.
+    Tenant,
+    /// Calls to a cold engine.
+    ColdEngine,
+}
+
+/// The limit, what any window may hold, and how late an admitted call may be made.
+fn limits(counted: Counted, dice: &mut Dice) -> (QuotaLimit, f64, u64) {
+    match counted {
+        Counted::Tenant => {
+            let per_second = [2.0, 10.0, 40.0, 150.0][dice.below(4) as usize];
+            let limit = QuotaLimit { per_second, burst: per_second, window: WINDOW };
+            (limit, limit.most() as f64 * 1.1 + 20.0, 0)
+        }
+        Counted::ColdEngine => {
+            let per_second = [8.0, 26.0, 60.0][dice.below(3) as usize];
+            let bound = per_second * 1.5 + 5.0;
+            let late = Duration::from_millis(LATE_MILLIS);
+            (QuotaLimit::within_bound(per_second, bound, Duration::from_secs(1), late), bound, LATE_MILLIS)
+        }
+    }
+}
+
+fn plan(seed: u64, counted: Counted, dice: &mut Dice) -> Plan {
+    let (limit, bound, late_millis) = limits(counted, dice);
+    let per_second = limit.per_second;
     let demand = [0.9, 2.9, 7.5][dice.below(3) as usize];
     let mut faults = Vec::new();
     let first = dice.below(5) as usize;
@@ -89,6 +121,8 @@
         }));
     }
     Plan {
+        bound,
+        late_millis,
         edges: [8, 57, 295][(seed % 3) as usize],
         demand,
         calls_each_step: per_second / 1.6 * demand * STEP_MILLIS as f64 / 1e3,
@@ -186,13 +220,15 @@
 }
 
 /// Plays a seed, with its faults or without.
-pub fn play(seed: u64, is_calm: bool) -> Outcome {
+pub fn play(seed: u64, counted: Counted, is_calm: bool) -> Outcome {
     let mut dice = Dice(ChaCha8Rng::seed_from_u64(seed));
-    let mut plan = plan(seed, &mut dice);
+    let mut plan = plan(seed, counted, &mut dice);
     if is_calm {
         plan.faults.clear();
     }
     let (limit, demand) = (plan.limit, plan.demand);
+    let (bound, late_millis) = (plan.bound, plan.late_millis);
+    let window = u64::try_from(limit.window.as_millis()).expect("a window");
     let asked_for = Duration::from_millis(END_MILLIS - WARM_MILLIS);
     let owed_in_all = limit.per_second * asked_for.as_secs_f64() + limit.burst;
     let mut world = World::new(plan);
@@ -206,20 +242,26 @@
         owed += world.plan.calls_each_step * (0.5 + dice.below(1_000) as f64 / 1e3);
         while owed >= 1.0 {
             owed -= 1.0;
-            while asked.front().is_some_and(|sent: &u64| sent + 5_000 <= now) {
+            while asked.front().is_some_and(|sent: &u64| sent + window <= now) {
                 asked.pop_front();
             }
             asked.push_back(now);
             let is_within = asked.len() as u64 <= limit.most();
             let edge = dice.below(world.plan.edges);
             match world.ask(edge, now) {
-                Some((waited, QuotaVerdict::Granted { .. })) => ran.push(now + waited),
+                Some((waited, QuotaVerdict::Granted { .. })) => {
+                    // A permit that is older than that is of no use.
+                    let late = if late_millis > 0 { dice.below(late_millis + 1) } else { 0 };
+                    if late_millis == 0 || waited <= late {
+                        ran.push(now + waited.max(late));
+                    }
+                }
                 _ => refused_within += u64::from(is_within),
             }
         }
     }
     Outcome {
-        worst_excess: worst_excess(&mut ran, limit),
+        worst_excess: worst_excess(&mut ran, bound, window),
         refused_within,
         admitted: ran.len() as u64,
         demand,
@@ -228,15 +270,14 @@
 }
 
 /// Calls of the fullest window beyond what any may hold.
-fn worst_excess(ran: &mut [u64], limit: QuotaLimit) -> i64 {
+fn worst_excess(ran: &mut [u64], bound: f64, window: u64) -> i64 {
     ran.sort_unstable();
-    let most = limit.most() as f64 * 1.1 + 20.0;
     let (mut begin, mut fullest) = (0, 0);
     for end in 0..ran.len() {
-        while ran[end] - ran[begin] >= WINDOW.as_millis() as u64 {
+        while ran[end] - ran[begin] >= window {
             begin += 1;
         }
         fullest = fullest.max(end + 1 - begin);
     }
-    fullest as i64 - most as i64
+    fullest as i64 - bound as i64
 }
--- a/crates/bench/src/choices.rs
+++ b/crates/bench/src/choices.rs
@@ -78,6 +78,7 @@
         zone: zone.into(),
         slots: 16,
         is_leaving: false,
+        cold_left: Duration::ZERO,
         report: 1,
     }
 }
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use sumacdrift_calls::{CallHead, CallMachine, EngineId, Failure, Next};
 use sumacdrift_routing::{
-    Outcome, PartNeed, Placed, PlacementRequest, RequestedWork, Selected, UrgencyFacts, urgency,
+    Outcome, PartNeed, Permit, Placed, PlacementRequest, RequestedWork, Selected, UrgencyFacts, urgency,
 };
 use sumacdrift_types::{Mechanism, Timestamp, stable_hash};
 
@@ -93,16 +93,26 @@
     first: Next,
 ) -> Result<Answered<D>, Next> {
     let mut next = first;
+    let patience = call.edge.permits_awaited_until(machine);
     loop {
         let Next::Try { avoid, rather_not, only } = next else { return Err(next) };
         if let Err(code) = call.edge.is_still_admitted(&call.head, &call.caller) {
             return Err(machine.denied(code));
         }
-        let Some(placed) = choose(call, &avoid, &rather_not, only.as_ref()) else {
-            return Err(machine.no_engine());
+        if call.edge.clock.now() >= machine.deadline() {
+            return Err(machine.expired());
+        }
+        let tried = Tried { avoid: &avoid, rather_not: &rather_not, only: only.as_ref() };
+        let (placed, permit) = match place(call, machine, &tried, patience).await {
+            Place::At(placed, permit) => (placed, permit),
+            Place::Refused => {
+                next = Next::Try { avoid, rather_not, only };
+                continue;
+            }
+            Place::Nowhere => return Err(machine.no_engine()),
         };
         machine.sent(&placed.engine);
-        match try_engine(call, machine, &placed).await {
+        match try_engine(call, machine, &placed, permit).await {
             Ok(answered) => return Ok(answered),
             Err(failure) => {
                 let now = call.edge.clock.now();
@@ -113,12 +123,61 @@
     }
 }
 
-fn choose<D: Dialect>(
+/// What the tries before leave to choose from, see [`Next::Try`].
+struct Tried<'a> {
+    avoid: &'a [EngineId],
+    rather_not: &'a [EngineId],
+    only: Option<&'a EngineId>,
+}
+
+/// Where a call is to go.
+enum Place {
+    /// To this engine, by a permit where that one is cold.
+    At(Placed, Option<Permit>),
+    /// The engine that was chosen is cold and takes no more for now; others may be there.
+    Refused,
+    /// To none.
+    Nowhere,
+}
+
+/// Chooses an engine, and asks for a permit where it is cold. Where only cold engines are there that take no more for now,
+/// the next permit is waited for: a caller that is turned away has few tries.
+async fn place<D: Dialect>(
     call: &CallContext<D>,
-    avoid: &[EngineId],
-    rather_not: &[EngineId],
-    only: Option<&EngineId>,
-) -> Option<Placed> {
+    machine: &CallMachine,
+    tried: &Tried<'_>,
+    patience: Timestamp,
+) -> Place {
+    let edge = &call.edge;
+    let Some(placed) = choose(call, tried) else {
+        let now = edge.clock.now();
+        let again = with_request(call, tried, |request| edge.book().cold_again_at(request, now));
+        return match again.filter(|again| *again <= patience) {
+            Some(again) => {
+                tokio::time::sleep_until(edge.clock.instant(again)).await;
+                Place::Refused
+            }
+            None => Place::Nowhere,
+        };
+    };
+    let Some(cold) = placed.cold else { return Place::At(placed, None) };
+    match edge.permit(&call.head, &placed.engine, cold, machine).await {
+        Some(permit) => Place::At(placed, Some(permit)),
+        None => Place::Refused,
+    }
+}
+
+fn choose<D: Dialect>(call: &CallContext<D>, tried: &Tried<'_>) -> Option<Placed> {
+    let now = call.edge.clock.now();
+    with_request(call, tried, |request| call.edge.book().choose(request, now))
+}
+
+/// What the call needs of an engine.
+fn with_request<D: Dialect, T>(
+    call: &CallContext<D>,
+    tried: &Tried<'_>,
+    ask: impl FnOnce(&PlacementRequest<'_>) -> T,
+) -> T {
     let work = match call.selected.route.rules.kind.is_stream() {
         true => RequestedWork::Stream { parts: &call.parts },
         false => RequestedWork::Whole {
@@ -126,30 +185,30 @@
             is_sticky: call.is_about_something(),
         },
     };
-    let request = PlacementRequest {
+    ask(&PlacementRequest {
         service: &call.selected.service.name,
         zone: &call.edge.settings.zone,
         key: call.placement_key(),
         work,
         kilobytes: call.forwarded.body.len() as f64 / BYTES_PER_KILOBYTE,
         is_connected: &|engine| call.edge.pool.is_connected(engine),
-        avoid,
-        rather_not,
-        only,
-    };
-    call.edge.book().choose(&request, call.edge.clock.now())
+        avoid: tried.avoid,
+        rather_not: tried.rather_not,
+        only: tried.only,
+    })
 }
 
 async fn try_engine<D: Dialect>(
     call: &CallContext<D>,
     machine: &CallMachine,
     placed: &Placed,
+    permit: Option<Permit>,
 ) -> Result<Answered<D>, Failure> {
     let edge = &call.edge;
     let mut run = EngineRun::begin(edge, placed);
     let request = engine_request(call, machine, placed);
     let deadline = edge.clock.instant(machine.deadline());
-    let may_send = || edge.book().may_send(&placed.engine);
+    let may_send = || edge.book().may_send(&placed.engine, permit, edge.clock.now());
     let sending = edge.pool.send(&placed.engine, placed.address, request, &may_send);
     let answer = match tokio::time::timeout_at(deadline, sending).await {
         Err(_) => {
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -18,6 +18,7 @@
 use tokio::time::Instant;
 
 use crate::clock::Clock;
+use crate::cold_permit::ColdTolerance;
 use crate::dialect::Dialect;
 use crate::engine_pool::EnginePool;
 use crate::fleet_news::{TellTimes, follow_views};
@@ -49,6 +50,8 @@
     pub relay: Option<SocketAddr>,
     /// How old what is known of keys may be.
     pub knowledge: KnowledgeLimits,
+    /// How much more than told cold engines may get.
+    pub cold: ColdTolerance,
     /// Mechanisms that are switched off.
     pub off: SwitchedOff,
 }
@@ -120,8 +123,10 @@
     pub fn apply(&self, table: RouteTable, source: &'static str) -> bool {
         let (version, routes) = (table.version, table.routes());
         let (requires_keys, keys) = (table.access.requires_keys(), table.access.keys());
+        let cold_limits = table.cold_limits();
         let is_newer = self.routes().apply(table);
         if is_newer {
+            self.book().set_cold_limits(cold_limits);
             if !requires_keys || self.configuration_age().is_some() {
                 self.configured.send_replace(true);
             }
@@ -217,6 +222,8 @@
     /// Closes connections that are no longer of use.
     pub fn sweep(&self) {
         let book = self.book();
+        let cold = book.cold_engines(self.clock.now());
+        self.metrics.cold_engines.set(i64::try_from(cold).unwrap_or(i64::MAX));
         self.pool.sweep(|engine| book.spec(engine).is_some());
     }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -9,6 +9,7 @@
 mod attempt;
 mod call;
 mod clock;
+mod cold_permit;
 mod connections;
 mod dialect;
 mod edge;
@@ -27,6 +28,7 @@
 
 pub use answers::{EdgeBody, RelayError, problem_answer};
 pub use clock::Clock;
+pub use cold_permit::ColdTolerance;
 pub use dialect::{AnswerKind, BadCall, Dialect, EngineAttempt, KeyUse};
 pub use edge::{Edge, EdgeParts, EdgeSettings};
 pub use headers::forwardable;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -22,6 +22,9 @@
     pub(crate) failed_attempts: Counter,
     pub(crate) server_errors: Counter,
     pub(crate) withheld: Counter,
+    pub(crate) permits: Counter,
+    pub(crate) permits_refused: Counter,
+    pub(crate) cold_engines: Gauge,
     pub(crate) evacuated_zones: Gauge,
     pub(crate) resumptions: Counter,
     pub(crate) under_way: Gauge,
@@ -43,6 +46,9 @@
             failed_attempts: Counter::default(),
             server_errors: Counter::default(),
             withheld: Counter::default(),
+            permits: Counter::default(),
+            permits_refused: Counter::default(),
+            cold_engines: Gauge::default(),
             evacuated_zones: Gauge::default(),
             resumptions: Counter::default(),
             under_way: Gauge::default(),
@@ -80,6 +86,9 @@
             "Zones whose engines get nothing new",
             self.evacuated_zones.clone(),
         );
+        registry.register("permits", "Permits for calls to cold engines", self.permits.clone());
+        registry.register("permits_refused", "Permits that were not given", self.permits_refused.clone());
+        registry.register("cold_engines", "Engines that are cold", self.cold_engines.clone());
         registry.register("resumptions", "Streams taken up again", self.resumptions.clone());
         registry.register("under_way", "Calls under way", self.under_way.clone());
         registry.register("configuration", "Version of the configuration", self.configuration.clone());
--- a/crates/mutants/src/lib.rs
+++ b/crates/mutants/src/lib.rs
@@ -66,6 +66,10 @@
     EvacuationRevisionsCount,
     /// An engine of an evacuated zone is never chosen.
     EvacuatedZonesGetNothing,
+    /// Engines count as cold behind an evacuation.
+    EvacuatedEnginesComeBackCold,
+    /// A cold engine gets a call only by a permit that is not too old.
+    ColdEnginesNeedPermits,
 }
 
 impl Rule {
@@ -91,7 +95,12 @@
     ];
 
     /// Rules of the choice among engines.
-    pub const ROUTING: [Rule; 2] = [Rule::EvacuationRevisionsCount, Rule::EvacuatedZonesGetNothing];
+    pub const ROUTING: [Rule; 4] = [
+        Rule::EvacuationRevisionsCount,
+        Rule::EvacuatedZonesGetNothing,
+        Rule::EvacuatedEnginesComeBackCold,
+        Rule::ColdEnginesNeedPermits,
+    ];
 
     /// Rules of the node, which the fleet's simulation checks.
     pub const ALL: [Rule; 15] = [
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -6,6 +6,7 @@
 use sumacdrift_fleet_view::PartHeld;
 use sumacdrift_types::{Mechanism, SwitchedOff, Timestamp};
 
+use crate::cold::ColdLimit;
 use crate::engine::Engine;
 use crate::estimate::{CallWork, EngineFacts, Estimate, Speeds, estimate};
 use crate::others::BelievedLoads;
@@ -21,6 +22,8 @@
 pub(crate) const CALLS_OF_A_BEGINNING: f64 = 4.0;
 /// What a new connection costs: its set-up, and what engines spend on it.
 const CONNECTION_MILLIS: f64 = 5.0;
+/// What asking for a permit for a cold engine costs: an exchange with a node of the region.
+const PERMIT_MILLIS: f64 = 3.0;
 /// Share of the usual time that a call about something takes longer at an engine that has not seen it.
 const UNSEEN_SHARE: f64 = 0.15;
 
@@ -94,6 +97,8 @@
     pub candidates: usize,
     /// The least cost among the others that could have been chosen.
     pub next_best: Option<f64>,
+    /// What it takes while it is cold, where it is: the call needs a permit.
+    pub cold: Option<ColdLimit>,
 }
 
 /// What holds for all engines in one choice.
@@ -179,6 +184,7 @@
             others_age: self.others_age,
             candidates,
             next_best: next_best.is_finite().then_some(next_best),
+            cold: None,
         })
     }
 
@@ -211,7 +217,8 @@
             RequestedWork::Whole { .. } => WHOLE_SPREAD_SHARE,
             RequestedWork::Stream { .. } => SPREAD_SHARE,
         };
-        let cost = estimate.total() + spread * drawn * estimate.own_millis;
+        let permit = if engine.coldness.is_cold(self.now) { PERMIT_MILLIS } else { 0.0 };
+        let cost = estimate.total() + permit + spread * drawn * estimate.own_millis;
         Candidate { engine, facts, estimate, cost }
     }
 }
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -9,6 +9,7 @@
 use sumacdrift_scheduling::{Health, HealthSettings};
 use sumacdrift_types::Timestamp;
 
+use crate::cold::Coldness;
 use crate::others::OtherLoad;
 use crate::slowness::Slowness;
 
@@ -27,6 +28,8 @@
     pub slots: usize,
     /// Whether it said that it takes no new work.
     pub is_leaving: bool,
+    /// How much longer it is cold, as it said.
+    pub cold_left: Duration,
     /// Number of the engine's report that said so; later ones are higher.
     pub report: u64,
 }
@@ -55,6 +58,7 @@
     pub(crate) unread_tokens: u64,
     pub(crate) health: Health,
     pub(crate) unusable_since: Option<Timestamp>,
+    pub(crate) coldness: Coldness,
     slowness: Slowness,
     last_end: Option<LastEnd>,
     /// What other nodes told last of their calls there.
@@ -73,7 +77,10 @@
 
 impl Engine {
     pub(crate) fn new(spec: EngineSpec, health: HealthSettings, now: Timestamp) -> Self {
+        let mut coldness = Coldness::default();
+        coldness.told(spec.cold_left, now);
         Self {
+            coldness,
             key: engine_key(spec.id.as_str()),
             running: 0,
             unread_tokens: 0,
@@ -140,6 +147,9 @@
             (Some(since), Some(_)) => Some(since),
             (_, leaving) => leaving,
         };
+        if spec.report > self.spec.report {
+            self.coldness.told(spec.cold_left, now);
+        }
         self.spec = spec;
         has_changed
     }
--- a/crates/routing/src/routes.rs
+++ b/crates/routing/src/routes.rs
@@ -50,6 +50,7 @@
             name: service,
             max_connections: usize::MAX,
             tokens_per_event: 0,
+            cold: None,
         });
         Some(Selected { route: Arc::clone(route), service, version: table.version })
     }
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -7,6 +7,8 @@
 use sumacdrift_access::AccessTable;
 use sumacdrift_calls::CallRules;
 
+use crate::cold::ColdLimit;
+
 /// A service that gets a share of a route's calls.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WeightedService {
@@ -40,7 +42,7 @@
 }
 
 /// A service.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ServiceSpec {
     /// Its name.
     pub name: Arc<str>,
@@ -48,6 +50,8 @@
     pub max_connections: usize,
     /// Tokens that an event of its streams holds; 0 where it generates none.
     pub tokens_per_event: u64,
+    /// What its engines take while they are cold; `None` where they take as much as ever.
+    pub cold: Option<ColdLimit>,
 }
 
 /// What callers may send.
@@ -111,6 +115,12 @@
         self.services.get(name)
     }
 
+    /// What engines take while they are cold, of each service where that is less than usual.
+    pub fn cold_limits(&self) -> HashMap<Arc<str>, ColdLimit> {
+        let limits = self.services.values().filter_map(|service| Some((&service.name, service.cold?)));
+        limits.map(|(name, limit)| (Arc::clone(name), limit)).collect()
+    }
+
     /// Number of routes.
     pub fn routes(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- a/crates/routing/tests/engines_for_tests/mod.rs
+++ b/crates/routing/tests/engines_for_tests/mod.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use sumacdrift_calls::EngineId;
-use sumacdrift_routing::{EngineBook, EngineSpec, PlacementRequest, RequestedWork};
+use sumacdrift_routing::{EngineBook, EngineSpec, Permit, PlacementRequest, RequestedWork};
 use sumacdrift_scheduling::HealthSettings;
 use sumacdrift_types::{Mechanism, SwitchedOff, Timestamp};
 
@@ -18,6 +18,7 @@
         zone: zone.into(),
         slots: 4,
         is_leaving: false,
+        cold_left: Duration::ZERO,
         report: 1,
     }
 }
@@ -54,3 +55,8 @@
 pub fn chosen(book: &EngineBook, request: &PlacementRequest<'_>, now: Timestamp) -> Option<String> {
     book.choose(request, now).map(|placed| placed.engine.to_string())
 }
+
+/// Whether a call may be sent to an engine, by a permit or without one.
+pub fn may_send(book: &EngineBook, engine: &str, permit: Option<Permit>, now: Timestamp) -> bool {
+    book.may_send(&EngineId::new(engine), permit, now)
+}
--- a/crates/routing/tests/evacuation.rs
+++ b/crates/routing/tests/evacuation.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 
-use engines_for_tests::{NOW, book, chosen, request};
+use engines_for_tests::{NOW, book, chosen, may_send, request};
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -23,9 +23,9 @@
     for key in 0..20 {
         assert_eq!(chosen(&book, &PlacementRequest { key, ..request(&[]) }, NOW).as_deref(), Some("b"));
     }
-    assert!(!book.may_send(&EngineId::new("a")));
+    assert!(!may_send(&book, "a", None, NOW));
     assert!(!book.end_evacuation("z1", 5, NOW).expect("news").is_evacuated);
-    assert!(book.may_send(&EngineId::new("a")));
+    assert!(may_send(&book, "a", None, NOW));
     assert_eq!(chosen(&book, &request(&[]), NOW).as_deref(), Some("a"), "the own zone is nearer");
 }
 
@@ -53,11 +53,11 @@
     book.evacuate(evacuation("z1", 8), NOW);
     assert_eq!(book.end_evacuation("z1", 7, NOW), None);
     assert!(book.set_evacuations(Vec::new(), 7, NOW).is_empty(), "a listing that is behind");
-    assert!(!book.may_send(&EngineId::new("a")));
+    assert!(!may_send(&book, "a", None, NOW));
     assert_eq!(book.set_evacuations(Vec::new(), 9, NOW).len(), 1);
     assert_eq!(book.evacuate(evacuation("z1", 8), NOW), None);
     assert!(book.set_evacuations(vec![evacuation("z1", 8)], 8, NOW).is_empty(), "a listing that is behind");
-    assert!(book.may_send(&EngineId::new("a")));
+    assert!(may_send(&book, "a", None, NOW));
 }
 
 /// A report: a begin, an end, or everything at a revision.
@@ -97,6 +97,6 @@
             }
         }
         let is_evacuated = newest % 20 >= 10;
-        assert_eq!(!book.may_send(&EngineId::new("a")), is_evacuated, "seed {seed}, newest {newest}");
+        assert_eq!(!may_send(&book, "a", None, NOW), is_evacuated, "seed {seed}, newest {newest}");
     }
 }
--- a/crates/routing/tests/routes.rs
+++ b/crates/routing/tests/routes.rs
@@ -36,7 +36,7 @@
 }
 
 fn table(version: u64, routes: Vec<Route>) -> RouteTable {
-    let service = ServiceSpec { name: "s".into(), max_connections: 10, tokens_per_event: 0 };
+    let service = ServiceSpec { name: "s".into(), max_connections: 10, tokens_per_event: 0, cold: None };
     RouteTable::new(version, routes, vec![service], LIMITS)
 }
 
--- a/crates/routing/tests/stale_news.rs
+++ b/crates/routing/tests/stale_news.rs
@@ -39,6 +39,7 @@
             zone: "z".into(),
             slots: 64,
             is_leaving: false,
+            cold_left: Duration::ZERO,
             report: 1,
         };
         let book = |_| {
--- a/crates/types/src/mechanism.rs
+++ b/crates/types/src/mechanism.rs
@@ -36,10 +36,12 @@
     Suspects,
     /// Questions to the ledger go around a cut.
     Relays,
+    /// Cold engines get as many calls as they can take; without it they get none.
+    ColdPermits,
 }
 
 /// All of them with their names in settings.
-const NAMES: [(Mechanism, &str); 15] = [
+const NAMES: [(Mechanism, &str); 16] = [
     (Mechanism::HeldPrompts, "held-prompts"),
     (Mechanism::ToldPrompts, "told-prompts"),
     (Mechanism::ToldLoads, "told-loads"),
@@ -55,6 +57,7 @@
     (Mechanism::Hedging, "hedging"),
     (Mechanism::Suspects, "suspects"),
     (Mechanism::Relays, "relays"),
+    (Mechanism::ColdPermits, "cold-permits"),
 ];
 
 /// There is no mechanism of this name.
