Regions: calls bound to them, ways that are measured, the nearest first

Distances learns the way to each zone from connections as they are opened; it replaces the constant in the estimate and is taken off what teaches speeds. Kept turns that are bound: refused unless the whole group may have them; copies to a later member elsewhere are open.

--- a/crates/access/src/table.rs
+++ b/crates/access/src/table.rs
@@ -4,6 +4,8 @@
 use std::fmt;
 use std::sync::Arc;
 
+use sumacdrift_types::AllowedRegions;
+
 use crate::key::{ApiKey, KeyDigest, KeyDigester};
 use crate::quota_window::QuotaLimit;
 
@@ -18,6 +20,8 @@
     pub priority: Option<u32>,
     /// Calls that it may make; `None` where there is no limit.
     pub quota: Option<QuotaLimit>,
+    /// Regions in which its calls may be served and kept.
+    pub regions: AllowedRegions,
 }
 
 /// A tenant.
@@ -29,6 +33,8 @@
     pub priority: Option<u32>,
     /// Calls that it may make; `None` where there is no limit.
     pub quota: Option<QuotaLimit>,
+    /// Regions in which its calls may be served and kept.
+    pub regions: AllowedRegions,
 }
 
 /// The tenants of a configuration can't be told apart.
@@ -70,8 +76,8 @@
             if !names.insert(Arc::clone(&spec.name)) {
                 return Err(AccessTableError::SharedName { name: spec.name });
             }
-            let TenantSpec { name, keys, priority, quota } = spec;
-            let tenant = Arc::new(Tenant { name, priority, quota });
+            let TenantSpec { name, keys, priority, quota, regions } = spec;
+            let tenant = Arc::new(Tenant { name, priority, quota, regions });
             for key in &keys {
                 let earlier = tenants.insert(digester.digest(key), Arc::clone(&tenant));
                 if let Some(earlier) = earlier.filter(|earlier| earlier.name != tenant.name) {
--- a/crates/access/tests/decision.rs
+++ b/crates/access/tests/decision.rs
@@ -8,14 +8,20 @@
     AccessFacts, AccessRefusal, AccessTable, AccessTableError, ApiKey, Knowledge, KnowledgeLimits,
     QuotaLimit, TenantSpec, decide,
 };
-use sumacdrift_types::Timestamp;
+use sumacdrift_types::{AllowedRegions, Timestamp};
 
 const WITHIN: Duration = Duration::from_secs(5);
 const SECOND: Duration = Duration::from_secs(1);
 
 fn spec(name: &str, keys: &[&str]) -> TenantSpec {
     let keys = keys.iter().map(|key| ApiKey::new(key)).collect();
-    TenantSpec { name: Arc::from(name), keys, priority: None, quota: None }
+    TenantSpec {
+        name: Arc::from(name),
+        keys,
+        priority: None,
+        quota: None,
+        regions: AllowedRegions::default(),
+    }
 }
 
 fn table() -> AccessTable {
--- a/crates/access/tests/mutants.rs
+++ b/crates/access/tests/mutants.rs
@@ -12,14 +12,20 @@
     TenantSpec, decide,
 };
 use sumacdrift_mutants::{Rule, with_broken};
-use sumacdrift_types::Timestamp;
+use sumacdrift_types::{AllowedRegions, Timestamp};
 
 const SEEDS: u64 = 4_000;
 
 /// Whether a key still opens a route though nothing was heard of the store for longer than allowed.
 fn an_old_key_opens() -> bool {
     let key = ApiKey::new("k");
-    let spec = TenantSpec { name: Arc::from("t"), keys: vec![key.clone()], priority: None, quota: None };
+    let spec = TenantSpec {
+        name: Arc::from("t"),
+        keys: vec![key.clone()],
+        priority: None,
+        quota: None,
+        regions: AllowedRegions::default(),
+    };
     let table = AccessTable::new(vec![spec]).expect("a table");
     let within = Duration::from_secs(5);
     let facts = AccessFacts { key: Some(&key), is_public: false, age: Some(within * 2) };
--- a/crates/bench/src/choices.rs
+++ b/crates/bench/src/choices.rs
@@ -5,9 +5,9 @@
 use serde::Serialize;
 use sumacdrift_calls::EngineId;
 use sumacdrift_fleet_view::{EngineLoad, Loads, PartHeld, engine_key};
-use sumacdrift_routing::{EngineBook, EngineSpec, PartNeed, PlacementRequest, RequestedWork};
+use sumacdrift_routing::{EngineBook, EngineSpec, PartNeed, PlacementRequest, RequestedWork, TrafficPrices};
 use sumacdrift_scheduling::HealthSettings;
-use sumacdrift_types::Timestamp;
+use sumacdrift_types::{AllowedRegions, Location, SwitchedOff, Timestamp};
 
 /// Numbers of engines that are measured.
 pub(crate) const ENGINES: [usize; 3] = [12, 400, 3_900];
@@ -37,7 +37,7 @@
     for key in 0..CHOICES {
         let request = PlacementRequest {
             service: "s",
-            zone: "a",
+            regions: &AllowedRegions::default(),
             key: u64::from(key),
             work: RequestedWork::Stream { parts: &parts },
             kilobytes: 8.0,
@@ -54,7 +54,12 @@
 
 /// A book whose engines are in use and partly hold the prompt.
 fn book(engines: usize, now: Timestamp) -> EngineBook {
-    let mut book = EngineBook::new(HealthSettings::default());
+    let mut book = EngineBook::new(
+        Location::in_zone("a"),
+        TrafficPrices::default(),
+        SwitchedOff::default(),
+        HealthSettings::default(),
+    );
     let id = |engine: usize| format!("engine-{engine}");
     for engine in 0..engines {
         book.upsert(spec(&id(engine), ZONES[engine % ZONES.len()]), now);
--- a/crates/calls/src/machine.rs
+++ b/crates/calls/src/machine.rs
@@ -186,9 +186,9 @@
         }
     }
 
-    /// No engine can be chosen.
-    pub fn no_engine(&self) -> Next {
-        self.give_up(ResultCode::NoEngine)
+    /// No engine can be chosen, for this reason.
+    pub fn no_engine(&self, code: ResultCode) -> Next {
+        self.give_up(code)
     }
 
     /// The caller is not admitted any more.
--- a/crates/calls/tests/machine.rs
+++ b/crates/calls/tests/machine.rs
@@ -68,7 +68,7 @@
 
     let mut repeatable = machine(CallKind::Repeatable, 5);
     repeatable.failed(&engine("a"), Failure::Lost, START);
-    assert!(matches!(repeatable.no_engine(), Next::Fail { code: ResultCode::NoEngine }));
+    assert!(matches!(repeatable.no_engine(ResultCode::NoEngine), Next::Fail { code: ResultCode::NoEngine }));
 }
 
 #[test]
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -11,7 +11,7 @@
 use sumacdrift_routing::{
     Outcome, PartNeed, Permit, Placed, PlacementRequest, RequestedWork, Selected, UrgencyFacts, urgency,
 };
-use sumacdrift_types::{Mechanism, Timestamp, stable_hash};
+use sumacdrift_types::{AllowedRegions, Mechanism, ResultCode, Timestamp, stable_hash};
 
 use crate::access::Caller;
 use crate::dialect::{AnswerKind, Dialect, EngineAttempt, KeyUse};
@@ -54,6 +54,8 @@
     /// The prompt of a stream, empty for other calls.
     pub(crate) parts: Vec<PartNeed>,
     pub(crate) accepted: Timestamp,
+    /// Regions in which it may be served.
+    pub(crate) regions: AllowedRegions,
 }
 
 impl<D: Dialect> CallContext<D> {
@@ -62,6 +64,11 @@
         self.edge.usual_times().of(&self.selected.route.name)
     }
 
+    /// Why no engine can be chosen.
+    fn no_engine_code(&self) -> ResultCode {
+        if self.regions.are_all() { ResultCode::NoEngine } else { ResultCode::NoEngineInRegion }
+    }
+
     fn is_about_something(&self) -> bool {
         self.selected.route.is_sticky && self.head.affinity.is_some()
     }
@@ -109,7 +116,7 @@
                 next = Next::Try { avoid, rather_not, only };
                 continue;
             }
-            Place::Nowhere => return Err(machine.no_engine()),
+            Place::Nowhere => return Err(machine.no_engine(call.no_engine_code())),
         };
         machine.sent(&placed.engine);
         match try_engine(call, machine, &placed, permit).await {
@@ -187,7 +194,7 @@
     };
     ask(&PlacementRequest {
         service: &call.selected.service.name,
-        zone: &call.edge.settings.zone,
+        regions: &call.regions,
         key: call.placement_key(),
         work,
         kilobytes: call.forwarded.body.len() as f64 / BYTES_PER_KILOBYTE,
@@ -230,7 +237,7 @@
         }
         Ok(Ok(answer)) => answer,
     };
-    run.answered_on(answer.connection);
+    run.answered_on(answer.connection, answer.connected_in);
     let failure = match edge.dialect.read_answer(&answer.head, &call.head) {
         AnswerKind::Genuine => {
             return Ok(Answered { head: answer.head, body: answer.body, run });
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -13,7 +13,7 @@
 use sumacdrift_http_client::{HttpError, gather};
 use sumacdrift_routing::{PartNeed, Selected};
 use sumacdrift_storage::LedgerError;
-use sumacdrift_types::{Ran, ResultCode, Timestamp};
+use sumacdrift_types::{AllowedRegions, Ran, ResultCode, Timestamp};
 
 use crate::access::{Caller, Denied};
 use crate::answers::{EdgeBody, problem_answer};
@@ -82,7 +82,11 @@
             return problem_answer(edge.dialect.status(code), code, Ran::No, retry_after);
         }
     };
-    let incoming = Accepted { parts, head, caller, selected, machine, body, accepted };
+    let regions = match edge.regions_of(&head, &caller, &selected) {
+        Ok(regions) => regions,
+        Err(code) => return early(edge, &head, code),
+    };
+    let incoming = Accepted { parts, head, caller, selected, machine, body, accepted, regions };
     run_call(edge, incoming).await
 }
 
@@ -95,71 +99,86 @@
     machine: CallMachine,
     body: Bytes,
     accepted: Timestamp,
+    /// Regions in which it may be served.
+    regions: AllowedRegions,
 }
 
-async fn run_call<D: Dialect>(edge: &Arc<Edge<D>>, incoming: Accepted) -> Response<EdgeBody> {
-    let Accepted { parts, head, caller, selected, mut machine, body, accepted } = incoming;
-    if !selected.route.rules.kind.is_stream() {
-        let forwarded = Forwarded::new(&edge.dialect, &caller, &parts, body);
-        let parts = Vec::new();
-        let call = CallContext { edge: Arc::clone(edge), head, caller, selected, forwarded, parts, accepted };
+async fn run_call<D: Dialect>(edge: &Arc<Edge<D>>, mut incoming: Accepted) -> Response<EdgeBody> {
+    if !incoming.selected.route.rules.kind.is_stream() {
+        let (call, mut machine) = incoming.into_context(edge, Vec::new());
         return match run_plain(&call, &mut machine).await {
             Ok(answer) => answer,
             Err(next) => give_up(&call, &machine, &next),
         };
     }
-    let prompt = prompt_parts(&head);
+    let prompt = prompt_parts(&incoming.head);
     let asked = edge.clock.now();
-    let begun =
-        begin_turn(edge, &head, &caller, &selected, body, &prompt, machine.admission_deadline(asked)).await;
+    let begun = begin_turn(edge, &incoming, &prompt, asked).await;
     edge.metrics.ledger_seconds.observe(edge.clock.now().since(asked).as_secs_f64());
-    let (turn, body) = match begun {
-        Ok(begun) => begun,
-        Err(error) => {
-            let program = head.program.as_ref();
-            info!(edge.logger, "turn refused"; "event" => "turn_refused", "call" => &head.id,
-                "reason" => %error, "program" => program.map(|program| &program.program),
-                "budget" => program.and_then(|program| program.token_budget), "previous" => &head.previous,
-                "epoch" => program.map(|program| edge.ledger.epoch_of(&program.program)));
-            edge.metrics.gave_up(code_of(error));
-            return match error {
-                LedgerError::GroupUnavailable { retry_after } => {
-                    refusal_until(edge, code_of(error), retry_after)
-                }
-                _ => refusal(edge, code_of(error)),
-            };
+    let turn = match begun {
+        Ok((turn, body)) => {
+            incoming.body = body;
+            turn
         }
+        Err(error) => return refuse_turn(edge, &incoming.head, error),
     };
-    let forwarded = Forwarded::new(&edge.dialect, &caller, &parts, body);
-    let parts = prompt;
-    let call = CallContext { edge: Arc::clone(edge), head, caller, selected, forwarded, parts, accepted };
+    let (call, machine) = incoming.into_context(edge, prompt);
     match run_stream(call, machine, turn).await {
         Ok(answer) => answer,
         Err((call, machine, next)) => give_up(&call, &machine, &next),
     }
 }
 
-/// Begins a turn of a program; calls without a program go on without.
+impl Accepted {
+    /// The call as it goes to engines.
+    fn into_context<D: Dialect>(
+        self,
+        edge: &Arc<Edge<D>>,
+        prompt: Vec<PartNeed>,
+    ) -> (CallContext<D>, CallMachine) {
+        let Self { parts, head, caller, selected, machine, body, accepted, regions } = self;
+        let forwarded = Forwarded::new(&edge.dialect, &caller, &parts, body);
+        let edge = Arc::clone(edge);
+        let call = CallContext { edge, head, caller, selected, forwarded, parts: prompt, accepted, regions };
+        (call, machine)
+    }
+}
+
+/// Answers a turn that the ledger did not let begin.
+fn refuse_turn<D: Dialect>(edge: &Edge<D>, head: &CallHead, error: LedgerError) -> Response<EdgeBody> {
+    let program = head.program.as_ref();
+    info!(edge.logger, "turn refused"; "event" => "turn_refused", "call" => &head.id, "reason" => %error,
+        "program" => program.map(|program| &program.program),
+        "budget" => program.and_then(|program| program.token_budget), "previous" => &head.previous,
+        "epoch" => program.map(|program| edge.ledger.epoch_of(&program.program)));
+    let code = code_of(error);
+    edge.metrics.gave_up(code);
+    match error {
+        LedgerError::GroupUnavailable { retry_after } => refusal_until(edge, code, retry_after),
+        _ => refusal(edge, code),
+    }
+}
+
+/// Begins a turn of a program, and returns the body that engines get; calls without a program go on without.
 async fn begin_turn<D: Dialect>(
     edge: &Arc<Edge<D>>,
-    head: &CallHead,
-    caller: &Caller,
-    selected: &Selected,
-    body: Bytes,
-    parts: &[PartNeed],
-    until: Timestamp,
+    incoming: &Accepted,
+    prompt: &[PartNeed],
+    now: Timestamp,
 ) -> Result<(Option<OpenTurn>, Bytes), LedgerError> {
-    let Some(program) = &head.program else { return Ok((None, body)) };
-    let is_counted = program.token_budget.is_some() || selected.route.is_retained;
-    if !is_counted {
-        return Ok((None, body));
+    let Accepted { head, caller, selected, body, .. } = incoming;
+    let Some(program) = &head.program else { return Ok((None, body.clone())) };
+    let is_retained = selected.route.is_retained;
+    if program.token_budget.is_none() && !is_retained {
+        return Ok((None, body.clone()));
     }
-    let until = edge.clock.instant(until);
-    let news = edge.news_at_begin(parts);
-    let request = TurnRequest { head, program, caller, selected, input: &body, news };
-    let (turn, admission) = OpenTurn::begin(&edge.ledger, &edge.logger, request, until).await?;
-    let prompt = if selected.route.is_retained { admission.chain.into_prompt(&body) } else { body };
-    Ok((Some(turn), prompt))
+    let until = edge.clock.instant(incoming.machine.admission_deadline(now));
+    let news = edge.news_at_begin(prompt);
+    let request = TurnRequest { head, program, caller, selected, input: body, news };
+    let ledger = edge.ledger_for(&incoming.regions);
+    let (turn, admission) = OpenTurn::begin(ledger, &edge.logger, request, until).await?;
+    let body = if is_retained { admission.chain.into_prompt(body) } else { body.clone() };
+    Ok((Some(turn), body))
 }
 
 fn give_up<D: Dialect>(call: &CallContext<D>, machine: &CallMachine, next: &Next) -> Response<EdgeBody> {
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -10,10 +10,11 @@
 use sumacdrift_calls::EngineId;
 use sumacdrift_routing::{
     CallerLimits, EngineBook, EngineSpec, Evacuation, EvacuationChange, Outcome, RouteTable, Routes,
+    TrafficPrices,
 };
 use sumacdrift_scheduling::HealthSettings;
 use sumacdrift_storage::{LedgerClient, QuotaClient};
-use sumacdrift_types::{Mechanism, SwitchedOff, Timestamp};
+use sumacdrift_types::{AllowedRegions, Location, Mechanism, SwitchedOff, Timestamp};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -44,8 +45,10 @@
 pub struct EdgeSettings {
     /// Name of the node.
     pub node: String,
-    /// The node's zone.
-    pub zone: String,
+    /// Where the node stands.
+    pub location: Location,
+    /// What bytes to other zones and regions are worth.
+    pub prices: TrafficPrices,
     /// Where the node passes questions to the ledger on for others; `None` where it does not.
     pub relay: Option<SocketAddr>,
     /// How old what is known of keys may be.
@@ -73,6 +76,8 @@
     pub(crate) settings: EdgeSettings,
     pub(crate) dialect: D,
     pub(crate) ledger: Arc<LedgerClient>,
+    /// Asks the ledger for turns that are bound to regions: other edges, which may stand elsewhere, pass nothing of them on.
+    bound_ledger: Arc<LedgerClient>,
     pub(crate) logger: Logger,
     pub(crate) clock: Clock,
     pub(crate) pool: Arc<EnginePool>,
@@ -98,18 +103,21 @@
             slow_start: SLOW_START,
         };
         let off = parts.settings.off;
+        let (location, prices) = (parts.settings.location.clone(), parts.settings.prices);
+        let bound_ledger = Arc::new(parts.ledger.without_relays());
         let edge = Arc::new(Self {
             settings: parts.settings,
             quotas: QuotaClient::new(Arc::clone(&parts.ledger)),
             knowledge: Mutex::default(),
             dialect: parts.dialect,
             ledger: parts.ledger,
+            bound_ledger,
             logger: parts.logger,
             clock: Clock::default(),
             pool: Arc::new(EnginePool::new(off)),
             metrics: EdgeMetrics::default(),
             routes: Mutex::default(),
-            book: Mutex::new(EngineBook::without(off, health)),
+            book: Mutex::new(EngineBook::new(location, prices, off, health)),
             usual_times: Mutex::default(),
             tell_times: TellTimes::default(),
             configured: watch::Sender::new(false),
@@ -266,6 +274,15 @@
         self.is_stopping.load(Ordering::Acquire)
     }
 
+    /// The ledger for a call that may be served and kept in these regions.
+    pub(crate) fn ledger_for(&self, regions: &AllowedRegions) -> &Arc<LedgerClient> {
+        if regions.are_all() {
+            return &self.ledger;
+        }
+        self.bound_ledger.learn_map(&self.ledger.map());
+        &self.bound_ledger
+    }
+
     pub(crate) fn routes(&self) -> MutexGuard<'_, Routes> {
         self.routes.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/edge/src/engine_pool.rs
+++ b/crates/edge/src/engine_pool.rs
@@ -72,6 +72,8 @@
     pub(crate) head: response::Parts,
     pub(crate) body: Incoming,
     pub(crate) connection: UsedConnection,
+    /// How long the connection took to come up, where it is new.
+    pub(crate) connected_in: Option<Duration>,
 }
 
 /// A connection that carries an answer. Dropping it closes the connection, which tells the engine to stop.
@@ -119,22 +121,24 @@
             }
             let sent = Instant::now();
             match sender.try_send_request(request).await {
-                Ok(answer) => return Ok(self.answer(engine, sender, answer)),
+                Ok(answer) => return Ok(self.answer(engine, sender, answer, None)),
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
                     None => return Err(self.lost(Some(rested), sent)),
                 },
             }
         }
+        let connecting_since = Instant::now();
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, connect(address)).await;
         let Ok(Some(mut sender)) = connecting else { return Err(SendError::NotSent) };
+        let connected_in = connecting_since.elapsed();
         if !may_send() {
             self.rest_again(engine, sender);
             return Err(SendError::Withheld);
         }
         let sent = Instant::now();
         match sender.try_send_request(request).await {
-            Ok(answer) => Ok(self.answer(engine, sender, answer)),
+            Ok(answer) => Ok(self.answer(engine, sender, answer, Some(connected_in))),
             Err(mut error) => Err(match error.take_message() {
                 Some(_) => SendError::NotSent,
                 None => self.lost(None, sent),
@@ -202,6 +206,7 @@
         engine: &EngineId,
         sender: Sender,
         answer: http::Response<Incoming>,
+        connected_in: Option<Duration>,
     ) -> PoolAnswer {
         let (head, body) = answer.into_parts();
         let rest = if says_close(&head.headers) {
@@ -213,7 +218,7 @@
             }
         };
         let connection = UsedConnection { sender, engine: engine.clone(), pool: Arc::clone(self), rest };
-        PoolAnswer { head, body, connection }
+        PoolAnswer { head, body, connection, connected_in }
     }
 }
 
--- a/crates/edge/src/engine_run.rs
+++ b/crates/edge/src/engine_run.rs
@@ -30,6 +30,8 @@
     unread_tokens: u64,
     times: Option<EventTimes>,
     connection: Option<UsedConnection>,
+    /// What the way there took, which says nothing of the engine.
+    on_the_way: Duration,
     outcome: Outcome,
 }
 
@@ -46,13 +48,19 @@
             unread_tokens: placed.unread_tokens,
             times: None,
             connection: None,
+            on_the_way: Duration::ZERO,
             outcome: Outcome::Sound,
         }
     }
 
-    /// The answer comes on this connection.
-    pub(crate) fn answered_on(&mut self, connection: UsedConnection) {
+    /// The answer comes on this connection, which took so long to come up where it is new.
+    pub(crate) fn answered_on(&mut self, connection: UsedConnection, connected_in: Option<Duration>) {
         self.connection = Some(connection);
+        let mut book = self.edge.book();
+        if let Some(connected_in) = connected_in {
+            book.connected(&self.engine, connected_in);
+        }
+        self.on_the_way = book.round_trip(&self.engine) + connected_in.unwrap_or_default();
     }
 
     /// Why the engine was chosen.
@@ -75,7 +83,7 @@
     pub(crate) fn finish_stream(self) {
         if let Some(times) = self.times {
             let seen = StreamSeen {
-                first_millis: millis(times.first.since(self.sent)),
+                first_millis: millis(times.first.since(self.sent).saturating_sub(self.on_the_way)),
                 rest_millis: millis(times.last.since(times.first)),
                 events: times.events,
                 tokens_ahead: self.placed.tokens_ahead,
@@ -90,7 +98,8 @@
     pub(crate) fn finish_whole(self, usual: Option<Duration>) {
         let now = self.edge.clock.now();
         if let Some(usual) = usual.filter(|usual| !usual.is_zero()) {
-            let slowness = now.since(self.sent).as_secs_f64() / usual.as_secs_f64();
+            let taken = now.since(self.sent).saturating_sub(self.on_the_way);
+            let slowness = taken.as_secs_f64() / usual.as_secs_f64();
             self.edge.book().observe_whole(&self.engine, slowness, now);
         }
         self.finish();
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -20,6 +20,7 @@
 mod listener;
 mod metrics;
 mod plain;
+mod regions;
 mod report;
 mod rest_limit;
 mod stream;
--- a/crates/edge/src/turn.rs
+++ b/crates/edge/src/turn.rs
@@ -58,12 +58,14 @@
 /// can write another tenant's.
 const TENANT_SEPARATOR: char = '\u{1f}';
 
-/// A program's or turn's name in the ledger: a tenant's names are its own, so that no tenant goes on from the turns of
-/// another or spends its budget.
-fn name_in_ledger(caller: &Caller, name: &str) -> String {
-    match &caller.tenant {
-        Some(tenant) => format!("{}{TENANT_SEPARATOR}{name}", tenant.name),
-        None => name.to_owned(),
+impl Caller {
+    /// A program's or turn's name in the ledger: a tenant's names are its own, so that no tenant goes on from the turns of
+    /// another or spends its budget.
+    pub(crate) fn name_in_ledger(&self, name: &str) -> String {
+        match &self.tenant {
+            Some(tenant) => format!("{}{TENANT_SEPARATOR}{name}", tenant.name),
+            None => name.to_owned(),
+        }
     }
 }
 
@@ -76,7 +78,7 @@
         until: Instant,
     ) -> Result<(Self, Admission), LedgerError> {
         let TurnRequest { head, program, caller, selected, input, news } = request;
-        let named = |name: &str| name_in_ledger(caller, name);
+        let named = |name: &str| caller.name_in_ledger(name);
         let route = &selected.route;
         let retention = if route.retention.is_zero() { DEFAULT_RETENTION } else { route.retention };
         let retention_millis = u64::try_from(retention.as_millis()).unwrap_or(u64::MAX);
--- a/crates/mutants/src/lib.rs
+++ b/crates/mutants/src/lib.rs
@@ -70,6 +70,8 @@
     EvacuatedEnginesComeBackCold,
     /// A cold engine gets a call only by a permit that is not too old.
     ColdEnginesNeedPermits,
+    /// Calls are served only in the regions that they are bound to.
+    WorkStaysInItsRegions,
 }
 
 impl Rule {
@@ -95,11 +97,12 @@
     ];
 
     /// Rules of the choice among engines.
-    pub const ROUTING: [Rule; 4] = [
+    pub const ROUTING: [Rule; 5] = [
         Rule::EvacuationRevisionsCount,
         Rule::EvacuatedZonesGetNothing,
         Rule::EvacuatedEnginesComeBackCold,
         Rule::ColdEnginesNeedPermits,
+        Rule::WorkStaysInItsRegions,
     ];
 
     /// Rules of the node, which the fleet's simulation checks.
--- a/crates/routing/src/book.rs
+++ b/crates/routing/src/book.rs
@@ -8,10 +8,11 @@
 use sumacdrift_fleet_view::{EngineLoad, Loads, PartHeld, PartIndex};
 use sumacdrift_mutants::{Rule, is_broken};
 use sumacdrift_scheduling::HealthSettings;
-use sumacdrift_types::{Mechanism, SwitchedOff, Timestamp};
+use sumacdrift_types::{Location, Mechanism, SwitchedOff, Timestamp};
 
 use crate::choice::{CALLS_OF_A_BEGINNING, Choice, HeldTokens, Placed, PlacementRequest, RequestedWork};
 use crate::cold::{ColdLimit, Permit};
+use crate::distance::{Distances, TrafficPrices};
 use crate::engine::{Engine, EngineSpec, Outcome};
 use crate::estimate::Speeds;
 use crate::evacuation::{Evacuation, EvacuationChange, Evacuations};
@@ -38,19 +39,16 @@
     parts: PartIndex,
     evacuations: Evacuations,
     cold_limits: HashMap<Arc<str>, ColdLimit>,
+    distances: Distances,
     off: SwitchedOff,
 }
 
 impl EngineBook {
-    /// No engines yet.
-    pub fn new(health: HealthSettings) -> Self {
-        Self::without(SwitchedOff::default(), health)
-    }
-
-    /// No engines yet, and some mechanisms switched off.
-    pub fn without(off: SwitchedOff, health: HealthSettings) -> Self {
+    /// No engines yet, at a node that stands there; some mechanisms may be switched off.
+    pub fn new(location: Location, prices: TrafficPrices, off: SwitchedOff, health: HealthSettings) -> Self {
         Self {
             off,
+            distances: Distances::new(location, prices),
             engines: BTreeMap::new(),
             health,
             speeds: HashMap::new(),
@@ -160,7 +158,7 @@
     pub fn cold_again_at(&self, request: &PlacementRequest<'_>, now: Timestamp) -> Option<Timestamp> {
         let of_service = self.engines.values().filter(|engine| &*engine.spec.service == request.service);
         let could_serve = of_service.filter(|engine| {
-            !self.is_evacuated(&engine.spec.zone)
+            self.is_allowed(engine, request)
                 && engine.is_usable(now)
                 && !request.avoid.contains(&engine.spec.id)
                 && request.only.is_none_or(|only| engine.spec.id == *only)
@@ -168,6 +166,29 @@
         could_serve.filter_map(|engine| engine.coldness.closed_until(now)).min()
     }
 
+    /// Whether calls that are served in certain regions may go to an engine, by where it stands. Nothing makes up for that:
+    /// not even the last engine left is chosen elsewhere.
+    fn is_allowed(&self, engine: &Engine, request: &PlacementRequest<'_>) -> bool {
+        let zone = &engine.spec.zone;
+        let region = self.distances.location().places.region_of(zone);
+        let is_in_region = request.regions.allow(region) || is_broken(Rule::WorkStaysInItsRegions);
+        is_in_region && !self.is_evacuated(zone)
+    }
+
+    /// A connection to an engine took so long.
+    pub fn connected(&mut self, id: &EngineId, took: Duration) {
+        if let Some(engine) = self.engines.get(id) {
+            self.distances.connected(&engine.spec.zone, took.as_secs_f64() * 1e3);
+        }
+    }
+
+    /// There and back to an engine, without its own time.
+    pub fn round_trip(&self, id: &EngineId) -> Duration {
+        let zone = self.engines.get(id).map(|engine| &engine.spec.zone);
+        let millis = zone.map_or(0.0, |zone| self.distances.round_trip_millis(zone));
+        Duration::from_secs_f64(millis / 1e3)
+    }
+
     fn is_cold(&self, engine: &Engine, now: Timestamp) -> bool {
         self.cold_limits.contains_key(&engine.spec.service) && engine.coldness.is_cold(now)
     }
@@ -237,9 +258,10 @@
         let others_age = self.others_told.age(now);
         let others = BelievedLoads::among(of_service.map(|engine| engine.others), others_age);
         let off = self.off;
-        let choice = Choice { off, request, speeds, events, zone_calls, others, others_age, held, now };
-        let may_get_any =
-            |engine: &&Engine| !self.is_evacuated(&engine.spec.zone) && self.is_open(engine, now);
+        let distances = &self.distances;
+        let choice =
+            Choice { off, request, distances, speeds, events, zone_calls, others, others_age, held, now };
+        let may_get_any = |engine: &&Engine| self.is_allowed(engine, request) && self.is_open(engine, now);
         let mut placed = choice.best(self.engines.values().filter(may_get_any))?;
         placed.cold = self.cold_limit(&placed.engine, now);
         Some(placed)
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -4,9 +4,10 @@
 
 use sumacdrift_calls::EngineId;
 use sumacdrift_fleet_view::PartHeld;
-use sumacdrift_types::{Mechanism, SwitchedOff, Timestamp};
+use sumacdrift_types::{AllowedRegions, Mechanism, SwitchedOff, Timestamp};
 
 use crate::cold::ColdLimit;
+use crate::distance::{Distances, Way};
 use crate::engine::Engine;
 use crate::estimate::{CallWork, EngineFacts, Estimate, Speeds, estimate};
 use crate::others::BelievedLoads;
@@ -58,8 +59,8 @@
 pub struct PlacementRequest<'a> {
     /// The service.
     pub service: &'a str,
-    /// The node's zone.
-    pub zone: &'a str,
+    /// Regions in which it may be served.
+    pub regions: &'a AllowedRegions,
     /// Number of what the call is about: for equal costs, equal numbers prefer the same engine.
     pub key: u64,
     /// The work.
@@ -105,6 +106,7 @@
 pub(crate) struct Choice<'a> {
     pub(crate) off: SwitchedOff,
     pub(crate) request: &'a PlacementRequest<'a>,
+    pub(crate) distances: &'a Distances,
     pub(crate) speeds: Speeds,
     pub(crate) events: f64,
     /// Calls that cross zones if this one does.
@@ -201,7 +203,11 @@
             running: engine.running as f64 + others.running,
             slots: engine.spec.slots as f64,
             slowness: if self.off.allows(Mechanism::Slowness) { engine.slowness(self.now) } else { 1.0 },
-            is_in_zone: *engine.spec.zone == *self.request.zone || !self.off.allows(Mechanism::Zones),
+            way: if self.off.allows(Mechanism::Zones) {
+                self.distances.way_to(&engine.spec.zone)
+            } else {
+                Way::IN_ZONE
+            },
         };
         let work = CallWork {
             events: self.events,
--- a/crates/routing/src/estimate.rs
+++ b/crates/routing/src/estimate.rs
@@ -1,5 +1,7 @@
 //! When a call would end at an engine, and what that costs the other calls there: one plain function, in milliseconds.
 
+use crate::distance::Way;
+
 /// What is known of an engine as a place for a call.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct EngineFacts {
@@ -13,8 +15,8 @@
     pub slots: f64,
     /// How many times longer than usual for its service it takes.
     pub slowness: f64,
-    /// Whether it stands in the node's zone.
-    pub is_in_zone: bool,
+    /// The way there.
+    pub way: Way,
 }
 
 /// What a call asks of an engine.
@@ -48,16 +50,10 @@
     pub own_millis: f64,
     /// By which the other calls under way there end later, together.
     pub others_millis: f64,
-    /// What the way to another zone is worth.
+    /// What the way to another zone or region is worth.
     pub zone_millis: f64,
 }
 
-/// Milliseconds of one program's time that a kilobyte between zones is worth. It is a rate of exchange, not a
-/// time: bytes between zones are paid for.
-const ZONE_MILLIS_PER_KILOBYTE: f64 = 0.15;
-/// The way to another zone and back, at the least.
-const ZONE_WAY_MILLIS: f64 = 2.0;
-
 impl Estimate {
     /// What is compared between engines; the least is best.
     pub fn total(&self) -> f64 {
@@ -78,10 +74,7 @@
     // Others generate nothing while this prompt is read, and a little slower afterwards.
     let slower_steps = work.events * speeds.event_millis_per_call * engine.slowness;
     let others = engine.running * (engine.unread_tokens * read_millis + slower_steps);
-    let zone = work.zone_calls * (ZONE_WAY_MILLIS + work.zone_kilobytes * ZONE_MILLIS_PER_KILOBYTE);
-    Estimate {
-        own_millis: waiting + first + reading + generating,
-        others_millis: others,
-        zone_millis: if engine.is_in_zone { 0.0 } else { zone },
-    }
+    let way = engine.way;
+    let zone = work.zone_calls * (way.round_trip_millis + work.zone_kilobytes * way.millis_per_kilobyte);
+    Estimate { own_millis: waiting + first + reading + generating, others_millis: others, zone_millis: zone }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,6 +7,7 @@
 mod book;
 mod choice;
 mod cold;
+mod distance;
 mod engine;
 mod estimate;
 mod evacuation;
@@ -21,6 +22,7 @@
 pub use book::EngineBook;
 pub use choice::{PartNeed, Placed, PlacementRequest, RequestedWork};
 pub use cold::{ColdLimit, PERMIT_LASTS, Permit};
+pub use distance::{TrafficPrices, Way};
 pub use engine::{EngineSpec, Outcome};
 pub use estimate::{CallWork, EngineFacts, Estimate, Speeds, estimate};
 pub use evacuation::{Evacuation, EvacuationChange};
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -7,6 +7,8 @@
 use sumacdrift_access::AccessTable;
 use sumacdrift_calls::CallRules;
 
+use sumacdrift_types::AllowedRegions;
+
 use crate::cold::ColdLimit;
 
 /// A service that gets a share of a route's calls.
@@ -39,6 +41,8 @@
     pub is_retained: bool,
     /// How long a program's records are kept.
     pub retention: Duration,
+    /// Regions in which its calls may be served and kept.
+    pub regions: AllowedRegions,
 }
 
 /// A service.
--- a/crates/routing/tests/engines.rs
+++ b/crates/routing/tests/engines.rs
@@ -4,17 +4,12 @@
 
 use std::time::Duration;
 
-use engines_for_tests::{NOW, book, book_without, chosen, request, spec};
+use engines_for_tests::{NOW, book, book_without, chosen, request, spec, turn};
 use sumacdrift_calls::EngineId;
 use sumacdrift_fleet_view::{EngineLoad, Loads, PartHeld, engine_key};
-use sumacdrift_routing::{EngineBook, EngineSpec, Outcome, PartNeed, PlacementRequest, RequestedWork};
+use sumacdrift_routing::{EngineBook, EngineSpec, Outcome, PartNeed, PlacementRequest};
 use sumacdrift_types::Mechanism;
 
-/// A turn of the program `key`.
-fn turn(key: u64, parts: &[PartNeed]) -> PlacementRequest<'_> {
-    PlacementRequest { key, work: RequestedWork::Stream { parts }, ..request(&[]) }
-}
-
 /// A prompt of shared tokens and a line's own.
 fn prompt(own_tokens: u64) -> [PartNeed; 2] {
     [PartNeed { part: 1, tokens: 2_500 }, PartNeed { part: 2, tokens: own_tokens }]
--- a/crates/routing/tests/engines_for_tests/mod.rs
+++ b/crates/routing/tests/engines_for_tests/mod.rs
@@ -1,13 +1,18 @@
 //! Engines, a book of them, and plain requests.
 #![allow(dead_code)]
 
+use std::sync::LazyLock;
 use std::time::Duration;
 
 use sumacdrift_calls::EngineId;
-use sumacdrift_routing::{EngineBook, EngineSpec, Permit, PlacementRequest, RequestedWork};
+use sumacdrift_routing::{
+    EngineBook, EngineSpec, PartNeed, Permit, PlacementRequest, RequestedWork, TrafficPrices,
+};
 use sumacdrift_scheduling::HealthSettings;
-use sumacdrift_types::{Mechanism, SwitchedOff, Timestamp};
+use sumacdrift_types::{AllowedRegions, Location, Mechanism, SwitchedOff, Timestamp};
 
+/// No region is better than another.
+pub static ANYWHERE: LazyLock<AllowedRegions> = LazyLock::new(AllowedRegions::default);
 pub const NOW: Timestamp = Timestamp(5_000_000);
 
 pub fn spec(id: &str, zone: &str) -> EngineSpec {
@@ -30,7 +35,7 @@
 pub fn book_without(off: &[Mechanism], engines: &[(&str, &str)]) -> EngineBook {
     let health = HealthSettings { failures_to_open: 2, ..HealthSettings::default() };
     let off: SwitchedOff = off.iter().copied().collect();
-    let mut book = EngineBook::without(off, health);
+    let mut book = EngineBook::new(Location::in_zone("z1"), TrafficPrices::default(), off, health);
     for (id, zone) in engines {
         book.upsert(spec(id, zone), NOW);
     }
@@ -41,7 +46,7 @@
 pub fn request(avoid: &[EngineId]) -> PlacementRequest<'_> {
     PlacementRequest {
         service: "s",
-        zone: "z1",
+        regions: &ANYWHERE,
         key: 1,
         work: RequestedWork::Whole { usual: Duration::from_millis(40), is_sticky: false },
         kilobytes: 1.0,
@@ -56,6 +61,11 @@
     book.choose(request, now).map(|placed| placed.engine.to_string())
 }
 
+/// A turn of the program `key`.
+pub fn turn(key: u64, parts: &[PartNeed]) -> PlacementRequest<'_> {
+    PlacementRequest { key, work: RequestedWork::Stream { parts }, ..request(&[]) }
+}
+
 /// Whether a call may be sent to an engine, by a permit or without one.
 pub fn may_send(book: &EngineBook, engine: &str, permit: Option<Permit>, now: Timestamp) -> bool {
     book.may_send(&EngineId::new(engine), permit, now)
--- a/crates/routing/tests/estimate.rs
+++ b/crates/routing/tests/estimate.rs
@@ -1,7 +1,7 @@
 //! The estimate of when a call ends, and what it learns from.
 
 use sumacdrift_routing::{
-    CallWork, EngineFacts, FitBounds, LearnedSpeeds, LineFit, Speeds, StreamSeen, estimate,
+    CallWork, EngineFacts, FitBounds, LearnedSpeeds, LineFit, Speeds, StreamSeen, Way, estimate,
 };
 
 /// An engine that reads 40 tokens in a millisecond.
@@ -20,7 +20,7 @@
         running: 0.0,
         slots: 16.0,
         slowness: 1.0,
-        is_in_zone: true,
+        way: Way::IN_ZONE,
     }
 }
 
@@ -68,7 +68,10 @@
 #[test]
 fn a_slow_engine_and_another_zone_cost() {
     assert!(total(EngineFacts { slowness: 2.0, ..idle() }) > 1.9 * total(idle()));
-    assert!(total(EngineFacts { is_in_zone: false, ..idle() }) > total(idle()));
+    let way = Way { round_trip_millis: 2.0, millis_per_kilobyte: 0.15 };
+    let in_another_zone = EngineFacts { way, ..idle() };
+    assert_eq!(estimate(&in_another_zone, &WORK, &SPEEDS).zone_millis, 2.0 + 20.0 * 0.15);
+    assert!(total(in_another_zone) > total(idle()));
 }
 
 const BOUNDS: FitBounds = FitBounds { slope: (0.001, 1.0), intercept: (0.0, 500.0) };
--- a/crates/routing/tests/mutants.rs
+++ b/crates/routing/tests/mutants.rs
@@ -10,7 +10,8 @@
 use engines_for_tests::{NOW, book, chosen, may_send, request, spec};
 use sumacdrift_calls::EngineId;
 use sumacdrift_mutants::{Rule, with_broken};
-use sumacdrift_routing::{ColdLimit, EngineBook, EngineSpec, Evacuation};
+use sumacdrift_routing::{ColdLimit, EngineBook, EngineSpec, Evacuation, PlacementRequest};
+use sumacdrift_types::{AllowedRegions, RegionName};
 
 fn evacuation(revision: u64) -> Evacuation {
     Evacuation { zone: Arc::from("z1"), revision }
@@ -53,9 +54,17 @@
     may_send(&book, "a", None, NOW)
 }
 
+/// Whether a call that is bound to another region is served here.
+fn a_bound_call_is_served_elsewhere() -> bool {
+    let west = AllowedRegions::only([RegionName::new("west").expect("a name")]);
+    let book = book(&[("a", "z1")]);
+    chosen(&book, &PlacementRequest { regions: &west, ..request(&[]) }, NOW).is_some()
+}
+
 #[test]
 fn every_broken_rule_is_noticed() {
     assert!(!an_evacuated_engine_is_chosen() && !an_old_listing_counts());
+    assert!(!a_bound_call_is_served_elsewhere());
     assert!(!a_returning_engine_is_warm() && !a_cold_engine_needs_no_permit());
     for rule in Rule::ROUTING {
         let is_noticed = with_broken(rule, || match rule {
@@ -63,6 +72,7 @@
             Rule::EvacuationRevisionsCount => an_old_listing_counts(),
             Rule::EvacuatedEnginesComeBackCold => a_returning_engine_is_warm(),
             Rule::ColdEnginesNeedPermits => a_cold_engine_needs_no_permit(),
+            Rule::WorkStaysInItsRegions => a_bound_call_is_served_elsewhere(),
             other => panic!("{other:?} has no check"),
         });
         assert!(is_noticed, "{rule:?} was broken and nothing noticed");
--- a/crates/routing/tests/routes.rs
+++ b/crates/routing/tests/routes.rs
@@ -4,6 +4,7 @@
 
 use sumacdrift_calls::{CallKind, CallRules};
 use sumacdrift_routing::{CallerLimits, Route, RouteTable, Routes, ServiceSpec, WeightedService};
+use sumacdrift_types::AllowedRegions;
 
 const LIMITS: CallerLimits = CallerLimits {
     header_bytes: 16 << 10,
@@ -32,6 +33,7 @@
         is_sticky: false,
         is_retained: false,
         retention: Duration::ZERO,
+        regions: AllowedRegions::default(),
     }
 }
 
--- a/crates/routing/tests/stale_news.rs
+++ b/crates/routing/tests/stale_news.rs
@@ -6,9 +6,11 @@
 use rand_chacha::ChaCha8Rng;
 use sumacdrift_calls::EngineId;
 use sumacdrift_fleet_view::{Board, BoardSizes, News, View};
-use sumacdrift_routing::{EngineBook, EngineSpec, Outcome, PartNeed, PlacementRequest, RequestedWork};
+use sumacdrift_routing::{
+    EngineBook, EngineSpec, Outcome, PartNeed, PlacementRequest, RequestedWork, TrafficPrices,
+};
 use sumacdrift_scheduling::HealthSettings;
-use sumacdrift_types::Timestamp;
+use sumacdrift_types::{AllowedRegions, Location, SwitchedOff, Timestamp};
 
 const EDGES: usize = 8;
 const ENGINES: usize = 12;
@@ -43,7 +45,12 @@
             report: 1,
         };
         let book = |_| {
-            let mut book = EngineBook::new(HealthSettings::default());
+            let mut book = EngineBook::new(
+                Location::in_zone("z"),
+                TrafficPrices::default(),
+                SwitchedOff::default(),
+                HealthSettings::default(),
+            );
             for engine in 0..ENGINES {
                 book.upsert(spec(engine), Timestamp::default());
             }
@@ -66,7 +73,7 @@
             let parts = [PartNeed { part: self.random.random(), tokens: 500 }];
             let request = PlacementRequest {
                 service: "s",
-                zone: "z",
+                regions: &AllowedRegions::default(),
                 key: self.random.random(),
                 work: RequestedWork::Stream { parts: &parts },
                 kilobytes: 1.0,
--- a/crates/storage/src/boards.rs
+++ b/crates/storage/src/boards.rs
@@ -11,6 +11,7 @@
 use prost::Message;
 use sumacdrift_ledger::{GroupMap, Member};
 use sumacdrift_transport::Transport;
+use sumacdrift_types::Location;
 
 use crate::host::ReplicaHost;
 use crate::member_order::nearest_first;
@@ -28,14 +29,15 @@
 }
 
 /// Nodes whose boards the edges of a zone use, best first.
-pub(crate) fn boards_of<'a>(map: &'a GroupMap, zone: &str) -> Vec<&'a Member> {
-    nearest_first(zone, zone, map.members())
+pub(crate) fn boards_of<'a>(map: &'a GroupMap, location: &Location) -> Vec<&'a Member> {
+    nearest_first(location, &location.zone, map.members())
 }
 
 /// The first board of each zone that has any.
 fn first_boards(map: &GroupMap) -> BTreeMap<&str, &Member> {
     let zones: BTreeSet<&str> = map.members().map(|member| member.zone.as_str()).collect();
-    let firsts = zones.into_iter().filter_map(|zone| boards_of(map, zone).into_iter().next());
+    let firsts =
+        zones.into_iter().filter_map(|zone| boards_of(map, &Location::in_zone(zone)).into_iter().next());
     firsts.map(|member| (member.node.as_str(), member)).collect()
 }
 
--- a/crates/storage/src/client.rs
+++ b/crates/storage/src/client.rs
@@ -13,7 +13,7 @@
     ReplyKind, RequestKind, TurnEnded,
 };
 use sumacdrift_transport::Transport;
-use sumacdrift_types::{Mechanism, SwitchedOff};
+use sumacdrift_types::{Location, Mechanism, SwitchedOff};
 use tokio::time::Instant;
 
 use crate::asking::Asking;
@@ -55,7 +55,7 @@
     transport: Arc<Transport>,
     reach: Arc<Reach>,
     map: KnownMap,
-    zone: String,
+    location: Location,
     timeouts: LedgerTimeouts,
     suspects: Mutex<Suspects>,
     gates: Mutex<GroupGates>,
@@ -67,15 +67,20 @@
 
 impl LedgerClient {
     /// A client that knows no group yet.
-    pub fn new(transport: Arc<Transport>, zone: String, timeouts: LedgerTimeouts, logger: Logger) -> Self {
-        Self::without(SwitchedOff::default(), transport, zone, timeouts, logger)
+    pub fn new(
+        transport: Arc<Transport>,
+        location: Location,
+        timeouts: LedgerTimeouts,
+        logger: Logger,
+    ) -> Self {
+        Self::without(SwitchedOff::default(), transport, location, timeouts, logger)
     }
 
     /// A client that knows no group yet, with some mechanisms switched off.
     pub fn without(
         off: SwitchedOff,
         transport: Arc<Transport>,
-        zone: String,
+        location: Location,
         timeouts: LedgerTimeouts,
         logger: Logger,
     ) -> Self {
@@ -86,7 +91,7 @@
             transport,
             reach,
             map: KnownMap::default(),
-            zone,
+            location,
             timeouts,
             suspects,
             gates,
@@ -97,6 +102,18 @@
         }
     }
 
+    /// A client of the same groups that never asks by way of other nodes, and shares nothing else with this one.
+    pub fn without_relays(&self) -> Self {
+        let (transport, location) = (Arc::clone(&self.transport), self.location.clone());
+        Self::without(
+            self.off.with(Mechanism::Relays),
+            transport,
+            location,
+            self.timeouts,
+            self.logger.clone(),
+        )
+    }
+
     /// Says who takes what the replicas' hosts tell of other nodes; once.
     pub fn tell_views_to(&self, sink: Arc<dyn ViewSink>) {
         // A second sink would be a defect of the caller; the first one stays.
@@ -220,7 +237,7 @@
     pub async fn tell_board(&self, news: Bytes) {
         let map = self.map();
         let now = Instant::now();
-        let boards = boards_of(&map, &self.zone);
+        let boards = boards_of(&map, &self.location);
         let sound = boards.iter().find(|member| !self.suspects().is_suspect(&member.node, now));
         let Some(board) = sound.or(boards.first()) else { return };
         match ask_whole(&self.transport, board.address, encode_news(news), BOARD_TIMEOUT).await {
@@ -381,7 +398,7 @@
 
     /// Begins to ask members; see [`Asking`].
     pub(crate) fn asking(&self, group: &Arc<Group>, key: &str, deadline: Instant) -> Asking<'_> {
-        let order = self.suspects().order(group, &self.zone, key, Instant::now());
+        let order = self.suspects().order(group, &self.location, key, Instant::now());
         Asking::new(self, Arc::clone(group), order, deadline)
     }
 
--- a/crates/storage/src/follower.rs
+++ b/crates/storage/src/follower.rs
@@ -10,7 +10,7 @@
 use sumacdrift_dissemination::{Changes, FollowRequest, Heard, ItemKind, NextSource, SourceChoice};
 use sumacdrift_proto::{Request, Response};
 use sumacdrift_transport::Transport;
-use sumacdrift_types::Timestamp;
+use sumacdrift_types::{Location, Timestamp};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
@@ -46,8 +46,8 @@
 pub struct FollowerSettings {
     /// Name of this node, by which followers are spread over the feeds.
     pub node: String,
-    /// Its zone; feeds there come first.
-    pub zone: String,
+    /// Where it stands; feeds nearby come first.
+    pub location: Location,
     /// How long feeds are waited for at the start before the store is turned to.
     pub start_patience: Duration,
 }
@@ -117,7 +117,7 @@
     /// Feeds in the order in which they are asked: each member of a group has one.
     fn feeds(&self) -> Vec<SocketAddr> {
         let map = self.ledger.map();
-        let order = nearest_first(&self.settings.zone, &self.settings.node, map.members());
+        let order = nearest_first(&self.settings.location, &self.settings.node, map.members());
         order.into_iter().map(|member| member.address).collect()
     }
 
--- a/crates/storage/src/suspects.rs
+++ b/crates/storage/src/suspects.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use sumacdrift_ledger::{Group, GroupNumber, Member};
+use sumacdrift_types::Location;
 use tokio::time::Instant;
 
 use crate::member_order::nearest_first;
@@ -49,10 +50,10 @@
         (LEAST_HEDGE + usual).min(LONGEST_HEDGE)
     }
 
-    /// The members in the order in which they are asked: those of the own zone first, the others by the key, so that
-    /// all nodes ask the same of them for the same program, and suspects last.
-    pub(crate) fn order(&self, group: &Group, zone: &str, key: &str, now: Instant) -> Vec<Member> {
-        let mut order = nearest_first(zone, key, &group.members);
+    /// The members in the order in which they are asked: the nearest first, of equally near ones by the key, so that all
+    /// nodes of a place ask the same of them for the same program, and suspects last.
+    pub(crate) fn order(&self, group: &Group, location: &Location, key: &str, now: Instant) -> Vec<Member> {
+        let mut order = nearest_first(location, key, &group.members);
         // The sort is stable: within a rank the order stays.
         order.sort_by_key(|member| self.is_suspect(&member.node, now));
         order.into_iter().cloned().collect()
--- a/crates/storage/tests/fleet/following.rs
+++ b/crates/storage/tests/fleet/following.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use sumacdrift_dissemination::{Changes, Item, ItemKind, Listed};
 use sumacdrift_storage::{FeedHost, Follower, FollowerSettings, FollowerSink};
+use sumacdrift_types::Location;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
@@ -90,7 +91,11 @@
 pub fn follow(fleet: &Fleet, zone: usize) -> Arc<Sink> {
     let sink = Arc::new(Sink::default());
     let start_patience = Duration::from_millis(1200);
-    let settings = FollowerSettings { node: "edge".to_owned(), zone: format!("z{zone}"), start_patience };
+    let settings = FollowerSettings {
+        node: "edge".to_owned(),
+        location: Location::in_zone(&format!("z{zone}")),
+        start_patience,
+    };
     let follower = Follower::new(
         settings,
         fleet.client(zone),
--- a/crates/storage/tests/fleet/mod.rs
+++ b/crates/storage/tests/fleet/mod.rs
@@ -26,6 +26,7 @@
 use sumacdrift_transport::{
     Acceptor, BoxedFuture, BoxedStream, Handler, MemoryNetwork, Network, TrafficCounters, Transport, serve,
 };
+use sumacdrift_types::Location;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -226,7 +227,8 @@
     /// A client in the zone of a member.
     pub fn client(&self, zone: usize) -> Arc<LedgerClient> {
         let timeouts = LedgerTimeouts::default();
-        let client = LedgerClient::new(self.transport(), format!("z{zone}"), timeouts, logger());
+        let client =
+            LedgerClient::new(self.transport(), Location::in_zone(&format!("z{zone}")), timeouts, logger());
         client.learn_map(&self.map);
         Arc::new(client)
     }
@@ -236,7 +238,7 @@
         let network: Arc<dyn Network> = Arc::new(CutNetwork { network: self.network.clone(), cut });
         let transport = Arc::new(Transport::new(network, Arc::new(TrafficCounters::default())));
         let timeouts = LedgerTimeouts::default();
-        let client = LedgerClient::new(transport, format!("z{zone}"), timeouts, logger());
+        let client = LedgerClient::new(transport, Location::in_zone(&format!("z{zone}")), timeouts, logger());
         client.learn_map(&self.map);
         Arc::new(client)
     }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -7,6 +7,7 @@
 mod ids;
 mod mechanism;
 mod outcome;
+mod places;
 mod rendezvous;
 mod result_code;
 mod time;
@@ -19,6 +20,7 @@
 };
 pub use mechanism::{Mechanism, SwitchedOff, UnknownMechanism, names as mechanism_names};
 pub use outcome::{Problem, Ran};
+pub use places::{AllowedRegions, Location, Nearness, Places};
 pub use rendezvous::{rendezvous_order, stable_hash};
 pub use result_code::ResultCode;
 pub use time::Timestamp;
--- a/crates/types/src/mechanism.rs
+++ b/crates/types/src/mechanism.rs
@@ -95,6 +95,11 @@
     pub fn allows(self, mechanism: Mechanism) -> bool {
         self.0 & bit(mechanism) == 0
     }
+
+    /// The same with one more mechanism switched off.
+    pub fn with(self, mechanism: Mechanism) -> Self {
+        Self(self.0 | bit(mechanism))
+    }
 }
 
 impl FromIterator<Mechanism> for SwitchedOff {
--- a/crates/types/src/result_code.rs
+++ b/crates/types/src/result_code.rs
@@ -107,6 +107,12 @@
     RetryBudgetExhausted = 4008, 503, "Retry budget exhausted";
     /// The call was cancelled because its caller left or its program was ended.
     Cancelled = 4009, 499, "Cancelled";
+    /// No engine can be used in the regions in which the call may be served.
+    NoEngineInRegion = 4010, 503, "No engine in an allowed region";
+    /// There is no region in which both the route and the tenant allow the call to be served.
+    NoCommonRegion = 4011, 503, "No region is allowed";
+    /// A turn can't be kept only in the regions in which it may be: its ledger group has members elsewhere.
+    NotKeptInRegion = 4012, 503, "Can't be kept in an allowed region";
     /// The node is stopping and takes no new work.
     NodeStopping = 5001, 503, "Node is stopping";
     /// The program's shard has no leader at the moment.
