Ledger groups survive the loss of a zone where the settings ask for it

GroupPolicy::surviving_zones: no zone holds more members of a group than the group can lose, at founding, joining and replacing. Tests: 10,000 fleets with losses, emptied and added machines, each step checked against the loss of each zone; the mutant (the rule left out) is noticed.

--- a/crates/ledger/src/plan.rs
+++ b/crates/ledger/src/plan.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use sumacdrift_mutants::{Rule, is_broken};
 use sumacdrift_types::Timestamp;
 
 use crate::group::{Group, Member};
@@ -17,6 +18,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct GroupPolicy {
     tolerated_losses: usize,
+    /// Whether a whole zone may be lost at once.
+    survives_zone: bool,
 }
 
 /// What a machine should do about its place in the group.
@@ -58,7 +61,19 @@
 impl GroupPolicy {
     /// A policy for so many lost machines; at least one loss is always tolerated.
     pub fn tolerating(losses: usize) -> Self {
-        Self { tolerated_losses: losses.max(1) }
+        Self { tolerated_losses: losses.max(1), survives_zone: false }
+    }
+
+    /// The same where whole zones may be lost at once too: no zone then ever holds more members of a group than the group
+    /// can lose, even if the group stays smaller for it.
+    pub fn surviving_zones(self, zones: usize) -> Self {
+        Self { survives_zone: zones > 0, ..self }
+    }
+
+    /// Whether a machine may be one of these members by its zone.
+    fn has_room(self, members: &[Member], own: &Member) -> bool {
+        let has_few = in_zone(members, own) < self.tolerated_losses;
+        !self.survives_zone || has_few || is_broken(Rule::LedgerZonesHoldFewMembers)
     }
 
     /// Members of a whole group: a majority is left after the losses. Odd, because of an even number a split into
@@ -84,7 +99,7 @@
         let mut groups = vec![Vec::new(); self.groups(left.len())];
         for _ in 0..self.size() {
             for chosen in &mut groups {
-                if let Some(place) = next_founder(chosen, &left, &best) {
+                if let Some(place) = self.next_founder(chosen, &left, &best) {
                     chosen.push(left.remove(place).member.clone());
                 }
             }
@@ -93,6 +108,19 @@
         GroupMap::new(groups.map(|(members, number)| Group::founded_as(number, members)).collect())
     }
 
+    /// The candidate that a group takes next, if any may join: of a zone that it has fewest members of, and there the one that carries most,
+    /// of the zone with most candidates left.
+    fn next_founder(self, chosen: &[Member], left: &[&Candidate], best: &[f64; 4]) -> Option<usize> {
+        let left_in_zone = |zone: &str| left.iter().filter(|candidate| candidate.member.zone == zone).count();
+        let may_join = |place: &usize| self.has_room(chosen, &left[*place].member);
+        (0..left.len()).filter(may_join).min_by_key(|place| {
+            let Candidate { member, capacity } = left[*place];
+            // In tenths: small differences shall not decide.
+            let carries = (capacity.share_of(best) * 10.0).round() as u32;
+            (in_zone(chosen, member), Reverse(carries), Reverse(left_in_zone(&member.zone)))
+        })
+    }
+
     /// What a machine that is not to be emptied should do about its place.
     pub fn place_step(self, map: &GroupMap, own: &Member, watch: &MemberWatch, now: Timestamp) -> PlaceStep {
         let change = |group: Group, reason| PlaceStep::Change { group, reason };
@@ -103,12 +131,19 @@
                 false => change(group.with(own.clone()), ChangeReason::Moved),
             };
         }
-        let too_small = map.groups().iter().filter(|group| group.members.len() < self.size());
+        let too_small = map
+            .groups()
+            .iter()
+            .filter(|group| group.members.len() < self.size() && self.has_room(&group.members, own));
         if let Some(group) = too_small.min_by_key(|group| (group.members.len(), in_zone(&group.members, own)))
         {
             return change(group.with(own.clone()), ChangeReason::Joined);
         }
-        let lost = map.groups().iter().filter_map(|group| Some((group, watch.replaceable(group, now)?)));
+        let lost = map.groups().iter().filter_map(|group| {
+            let lost =
+                watch.lost(group, now).find(|lost| self.has_room(&group.without(lost).members, own))?;
+            Some((group, lost))
+        });
         match lost.min_by_key(|(group, _)| in_zone(&group.members, own)) {
             Some((group, lost)) => change(group.replacing(&lost, own.clone()), ChangeReason::ReplacedLost),
             None => PlaceStep::Stay,
@@ -162,18 +197,6 @@
     members.iter().filter(|member| member.zone == own.zone).count()
 }
 
-/// The candidate that a group takes next: of a zone that it has fewest members of, and there the one that carries most,
-/// of the zone with most candidates left.
-fn next_founder(chosen: &[Member], left: &[&Candidate], best: &[f64; 4]) -> Option<usize> {
-    let left_in_zone = |zone: &str| left.iter().filter(|candidate| candidate.member.zone == zone).count();
-    (0..left.len()).min_by_key(|place| {
-        let Candidate { member, capacity } = left[*place];
-        // In tenths: small differences shall not decide.
-        let carries = (capacity.share_of(best) * 10.0).round() as u32;
-        (in_zone(chosen, member), Reverse(carries), Reverse(left_in_zone(&member.zone)))
-    })
-}
-
 /// What a member said when it was last asked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Heard {
@@ -202,17 +225,16 @@
         heard.is_voting = false;
     }
 
-    /// A member whose place may be taken: it is lost, and those that answer and vote are enough for the machine that
-    /// takes its place to read everything.
-    fn replaceable(&self, group: &Group, now: Timestamp) -> Option<String> {
+    /// Members whose places may be taken: they are lost, and those that answer and vote are enough for the machine that
+    /// takes a place to read everything.
+    fn lost(&self, group: &Group, now: Timestamp) -> impl Iterator<Item = String> {
         let heard = |member: &Member| self.heard.get(&member.node);
         let voting = group.members.iter().filter(|member| heard(member).is_some_and(|heard| heard.is_voting));
-        if voting.count() < group.sources_to_catch_up() {
-            return None;
-        }
-        let is_lost = |member: &&Member| {
+        let may_be_read = voting.count() >= group.sources_to_catch_up();
+        let is_lost = move |member: &&Member| {
             heard(member).is_some_and(|heard| heard.is_silent && now.since(heard.at) >= LOST_AFTER)
         };
-        group.members.iter().find(is_lost).map(|member| member.node.clone())
+        let lost = group.members.iter().filter(is_lost).filter(move |_| may_be_read);
+        lost.map(|member| member.node.clone())
     }
 }
--- a/crates/mutants/src/lib.rs
+++ b/crates/mutants/src/lib.rs
@@ -54,6 +54,8 @@
     LedgerNeverVotedIsTrue,
     /// A ledger replica stops voting before it hands over and leaves.
     LedgerLeavesInSilence,
+    /// No zone holds more members of a group than the group can lose.
+    LedgerZonesHoldFewMembers,
     /// A key opens nothing where what is known of keys is too old.
     AccessAgeIsBounded,
     /// A node admits few calls that a majority of those that count has not acknowledged.
@@ -76,7 +78,7 @@
 
 impl Rule {
     /// Rules of the program ledger, which has a simulation of its own.
-    pub const LEDGER: [Rule; 9] = [
+    pub const LEDGER: [Rule; 10] = [
         Rule::LedgerVoteNeedsRecords,
         Rule::LedgerReadsEnough,
         Rule::LedgerPagesAreComplete,
@@ -86,6 +88,7 @@
         Rule::LedgerCommitsBeforeReply,
         Rule::LedgerNeverVotedIsTrue,
         Rule::LedgerLeavesInSilence,
+        Rule::LedgerZonesHoldFewMembers,
     ];
 
     /// Rules of keys and quotas.
