--- a/crates/edge/src/access.rs
+++ b/crates/edge/src/access.rs
@@ -19,6 +19,11 @@
 /// The same where no node that counts calls answered.
 const COME_BACK_WHEN_UNCOUNTED: Duration = Duration::from_millis(200);
 
+/// Share of a call's time, as a divisor, for which it waits at the most until enough is known of keys, and the longest such
+/// time: what is left is enough for its run, or for another try elsewhere.
+const PATIENCE_SHARE: u32 = 3;
+const LONGEST_PATIENCE: Duration = Duration::from_millis(1000);
+
 /// A call is not admitted; it has not run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Denied {
@@ -52,6 +57,30 @@
         Ok(Caller { key, is_public, tenant, has_checked_key })
     }
 
+    /// The same; where too little is known of keys it is waited for a while, as a store that was away may be back at any moment
+    /// and callers have few tries: a tool's call of 1.2 s with one retry outlasts 0.4 s by retrying, and twice that by waiting.
+    pub(crate) async fn admit_patiently(
+        &self,
+        head: &CallHead,
+        key: Option<ApiKey>,
+        is_public: bool,
+        machine: &CallMachine,
+    ) -> Result<Caller, Denied> {
+        let mut confirmations = self.confirmations();
+        let now = self.clock.now();
+        let patience = (machine.deadline().since(now) / PATIENCE_SHARE).min(LONGEST_PATIENCE);
+        let until = self.clock.instant(now + patience);
+        loop {
+            let admitted = self.admit(head, key.clone(), is_public);
+            let is_too_old =
+                matches!(&admitted, Err(denied) if denied.code == ResultCode::ConfigurationTooOld);
+            let is_news = is_too_old && tokio::time::timeout_at(until, confirmations.changed()).await.is_ok();
+            if !is_news {
+                return admitted;
+            }
+        }
+    }
+
     /// Whether a caller that was admitted would be admitted now: a key that was withdrawn meanwhile opens nothing more.
     pub(crate) fn is_still_admitted(&self, head: &CallHead, caller: &Caller) -> Result<(), ResultCode> {
         let (decided, _) = self.decide_access(&head.id, caller.key.as_ref(), caller.is_public);
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -71,7 +71,8 @@
         Err(_) => return early(edge, &head, ResultCode::RequestTooSlow),
     };
     let key = edge.dialect.read_key(&parts.headers);
-    let admitted = edge.admit(&head, key, selected.route.is_public);
+    let is_public = selected.route.is_public;
+    let admitted = edge.admit_patiently(&head, key, is_public, &machine).await;
     let counted = match admitted {
         Ok(caller) => edge.count_call(&head, &caller, &machine).await.map(|()| caller),
         Err(refused) => Err(refused),
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -155,6 +155,11 @@
         }
     }
 
+    /// Tells whenever the configuration was confirmed.
+    pub(crate) fn confirmations(&self) -> watch::Receiver<bool> {
+        self.configured.subscribe()
+    }
+
     /// How long ago the configuration in force was known to be the store's newest; `None` where it never was.
     pub fn configuration_age(&self) -> Option<Duration> {
         self.knowledge().age(self.clock.now())
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -109,6 +109,11 @@
         );
     }
 
+    /// Calls taken so far.
+    pub fn calls(&self) -> u64 {
+        self.calls.get()
+    }
+
     pub(crate) fn gave_up(&self, code: ResultCode) {
         self.given_up.get_or_create(&CodeLabel { code: code.number() }).inc();
     }
