Feeds are followed by way of another node where no member is reached

RelayedQuestion, one hop as before; ages stay safe, as an answer is made no earlier than it was asked for. Test: follower.rs, a node that is cut off from all members; it turned to the store before.

--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -19,6 +19,6 @@
 pub use frame::{Frame, FrameBody};
 pub use request::{
     EngineReply, EngineRequest, FleetReply, FleetRequest, Founder, Founding, GroupMessage, OneWay, Relay,
-    Request, Response, ShardRequest,
+    RelayedQuestion, Request, Response, ShardRequest,
 };
 pub use wire::{DecodeError, Wire};
--- a/crates/proto/src/request.rs
+++ b/crates/proto/src/request.rs
@@ -12,8 +12,8 @@
 
 use founding::FoundingMessage;
 pub use founding::{Founder, Founding};
-pub use relay::Relay;
 use relay::RelayMessage;
+pub use relay::{Relay, RelayedQuestion};
 
 use crate::basic::{CallMessage, ProblemMessage, RunnerMessage};
 use crate::command::CommandMessage;
--- a/crates/proto/src/request/relay.rs
+++ b/crates/proto/src/request/relay.rs
@@ -7,15 +7,24 @@
 
 use crate::wire::{DecodeError, Wire};
 
-/// A question to a replica of the program ledger, by way of the node that gets this.
+/// A question that is passed on; the bytes are a message of the crate that asks.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RelayedQuestion {
+    /// To a replica of the program ledger.
+    Ledger(Bytes),
+    /// To a feed, for what its follower does not know yet.
+    Follow(Bytes),
+}
+
+/// A question to a member of one of the ledger's groups, by way of the node that gets this.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Relay {
     /// Who is to answer. The node in between asks it directly: there is no further hop.
     pub to: SocketAddr,
     /// How long the answer is waited for.
     pub within: Duration,
-    /// The question; the bytes are a message of the ledger crate.
-    pub ledger: Bytes,
+    /// The question.
+    pub question: RelayedQuestion,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -26,21 +35,33 @@
     pub within_millis: u64,
     #[prost(bytes = "bytes", tag = "3")]
     pub ledger: Bytes,
+    /// A question to a feed, in place of one to the ledger.
+    #[prost(bytes = "bytes", optional, tag = "4")]
+    pub follow: Option<Bytes>,
 }
 
 impl Wire for Relay {
     type Message = RelayMessage;
 
     fn to_wire(&self) -> RelayMessage {
+        let (ledger, follow) = match &self.question {
+            RelayedQuestion::Ledger(question) => (question.clone(), None),
+            RelayedQuestion::Follow(question) => (Bytes::new(), Some(question.clone())),
+        };
         RelayMessage {
             to: self.to.to_string(),
             within_millis: u64::try_from(self.within.as_millis()).unwrap_or(u64::MAX),
-            ledger: self.ledger.clone(),
+            ledger,
+            follow,
         }
     }
 
     fn from_wire(message: RelayMessage) -> Result<Self, DecodeError> {
         let to = message.to.parse().map_err(|_| DecodeError::Invalid("to"))?;
-        Ok(Relay { to, within: Duration::from_millis(message.within_millis), ledger: message.ledger })
+        let question = match message.follow {
+            Some(question) => RelayedQuestion::Follow(question),
+            None => RelayedQuestion::Ledger(message.ledger),
+        };
+        Ok(Relay { to, within: Duration::from_millis(message.within_millis), question })
     }
 }
--- a/crates/storage/src/follower.rs
+++ b/crates/storage/src/follower.rs
@@ -23,6 +23,8 @@
 pub(crate) const FEED_WAIT: Duration = Duration::from_millis(500);
 /// How much longer than that an answer is waited for.
 const FEED_MARGIN: Duration = Duration::from_millis(300);
+/// How long feeds are then asked by way of other nodes before one is asked directly again.
+const AROUND_FOR: Duration = Duration::from_secs(2);
 /// Pause after an answer that could not wait for a change.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
@@ -64,6 +66,8 @@
     after: u64,
     source: Option<SocketAddr>,
     store: Option<JoinSet<()>>,
+    /// Until when feeds are asked by way of other nodes: none answered this node itself a moment ago.
+    around_until: Option<Instant>,
 }
 
 impl Follower {
@@ -86,6 +90,7 @@
             after: 0,
             source: None,
             store: None,
+            around_until: None,
         }
     }
 
@@ -123,7 +128,7 @@
 
     async fn ask(&mut self, feed: SocketAddr, may_wait: bool) -> Heard {
         let wait = if may_wait { FEED_WAIT } else { Duration::ZERO };
-        let told = ask_feed(&self.transport, feed, self.life, self.after, wait).await;
+        let told = self.ask_by_any_way(feed, wait).await;
         let Some(ToldChanges { changes, configuration_confirmed }) = told else { return self.lost(feed) };
         self.ledger.heard_anyone();
         let heard = if changes.is_current { Heard::Current } else { Heard::Stale };
@@ -147,6 +152,27 @@
         heard
     }
 
+    /// Asks a feed itself, and by way of another node where it does not answer. A node that is cut off from all members would
+    /// else know too little of keys after some seconds, and turn its callers away.
+    async fn ask_by_any_way(&mut self, feed: SocketAddr, wait: Duration) -> Option<ToldChanges> {
+        let goes_around = self.around_until.is_some_and(|until| until > Instant::now());
+        if !goes_around {
+            let told = ask_feed(&self.transport, feed, self.life, self.after, wait).await;
+            if told.is_some() {
+                return told;
+            }
+        }
+        let question = follow_request(self.life, self.after, wait);
+        let asked = Instant::now();
+        let answer = self.ledger.reach().follow_around(feed, question, wait + FEED_MARGIN).await;
+        let told = answer.and_then(|answer| told_changes(answer, asked));
+        if told.is_some() && !goes_around {
+            info!(self.logger, "feed followed around a cut"; "event" => "feed_around", "feed" => %feed);
+            self.around_until = Some(Instant::now() + AROUND_FOR);
+        }
+        told
+    }
+
     fn confirmed(&self, as_of: Option<Instant>) {
         if let Some(as_of) = as_of {
             self.sink.confirmed(as_of);
@@ -207,19 +233,24 @@
     after: u64,
     wait: Duration,
 ) -> Option<ToldChanges> {
-    let wait_millis = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
-    let request = FollowRequest { life, after, wait_millis };
-    let request = Request::Follow(Bytes::from(request.encode_to_vec()));
+    let request = Request::Follow(follow_request(life, after, wait));
     let asked = Instant::now();
     match transport.request(feed, request, wait + FEED_MARGIN).await {
-        Ok(Response::Changes(bytes)) => {
-            let changes = Changes::decode(bytes).ok()?;
-            Some(ToldChanges { configuration_confirmed: confirmed_at(&changes, asked), changes })
-        }
+        Ok(Response::Changes(bytes)) => told_changes(bytes, asked),
         _ => None,
     }
 }
 
+fn follow_request(life: u64, after: u64, wait: Duration) -> Bytes {
+    let wait_millis = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+    Bytes::from(FollowRequest { life, after, wait_millis }.encode_to_vec())
+}
+
+fn told_changes(answer: Bytes, asked: Instant) -> Option<ToldChanges> {
+    let changes = Changes::decode(answer).ok()?;
+    Some(ToldChanges { configuration_confirmed: confirmed_at(&changes, asked), changes })
+}
+
 /// When the configuration told was known to be the newest, by this node's clock. The way there and back may have taken
 /// any time, and so may a pause of either process: the answer was made no earlier than it was asked for, and so long
 /// afterwards as the feed held the question.
--- a/crates/storage/src/reach.rs
+++ b/crates/storage/src/reach.rs
@@ -9,7 +9,7 @@
 use prost::Message;
 use slog::{Logger, info};
 use sumacdrift_ledger::{LedgerReply, RequestKind};
-use sumacdrift_proto::{Relay, Request, Response};
+use sumacdrift_proto::{Relay, RelayedQuestion, Request, Response};
 use sumacdrift_transport::Transport;
 use tokio::time::Instant;
 
@@ -37,8 +37,8 @@
 }
 
 /// What came of asking by way of other nodes.
-enum Relayed {
-    Answered(LedgerReply),
+enum Relayed<T> {
+    Answered(T),
     /// They answered, and did not reach the member.
     NotReached,
     /// They did not answer either.
@@ -98,8 +98,10 @@
         let question = encode_to_node(RequestKind::Status(true));
         let Some(first) = members.first().copied() else { return };
         let directly = members.iter().map(|member| self.directly(*member, &question, PROBE_WITHIN));
+        let asked = RelayedQuestion::Ledger(question.clone());
         // Whoever answers is noted where the answer arrives.
-        let _ = tokio::join!(join_all(directly), self.by_relays(first, &question, PROBE_WITHIN / 2));
+        let _ =
+            tokio::join!(join_all(directly), self.by_relays(first, asked, PROBE_WITHIN / 2, ledger_reply));
     }
 
     async fn directly(&self, to: SocketAddr, request: &Bytes, within: Duration) -> Option<LedgerReply> {
@@ -136,8 +138,26 @@
         }
     }
 
+    /// Asks a feed by way of other nodes, for an answer that may wait so long.
+    pub(crate) async fn follow_around(
+        &self,
+        to: SocketAddr,
+        question: Bytes,
+        within: Duration,
+    ) -> Option<Bytes> {
+        let read = |response| match response {
+            Response::Changes(changes) => Some(changes),
+            _ => None,
+        };
+        match self.by_relays(to, RelayedQuestion::Follow(question), within, read).await {
+            Relayed::Answered(changes) => Some(changes),
+            Relayed::NotReached | Relayed::NoRelay => None,
+        }
+    }
+
     async fn around(&self, to: SocketAddr, request: &Bytes) -> Option<LedgerReply> {
-        match self.by_relays(to, request, RELAYED_WITHIN).await {
+        let question = RelayedQuestion::Ledger(request.clone());
+        match self.by_relays(to, question, RELAYED_WITHIN, ledger_reply).await {
             Relayed::Answered(answer) => {
                 if self.ways().heard_around(to, Instant::now()) {
                     info!(self.logger, "member reached around a cut"; "event" => "way_around", "member" => %to);
@@ -152,28 +172,35 @@
         }
     }
 
-    async fn by_relays(&self, to: SocketAddr, request: &Bytes, within: Duration) -> Relayed {
+    async fn by_relays<T>(
+        &self,
+        to: SocketAddr,
+        question: RelayedQuestion,
+        within: Duration,
+        read: impl Fn(Response) -> Option<T>,
+    ) -> Relayed<T> {
         let mut outcome = Relayed::NoRelay;
         for _ in 0..RELAYS_A_QUESTION {
             let Some(relay) = self.ways().relay() else { return outcome };
-            let question = Relay { to, within, ledger: request.clone() };
+            let asked = Relay { to, within, question: question.clone() };
             let waiting = within + RELAY_MARGIN;
-            match self.transport.request(relay, Request::Relay(question), waiting).await {
-                Ok(Response::Ledger(bytes)) => match LedgerReply::decode(bytes) {
-                    Ok(answer) => {
-                        self.ways().heard_anyone();
-                        return Relayed::Answered(answer);
-                    }
-                    Err(_) => outcome = Relayed::NotReached,
-                },
-                Ok(_) => {
-                    self.ways().heard_anyone();
-                    outcome = Relayed::NotReached;
+            if let Ok(response) = self.transport.request(relay, Request::Relay(asked), waiting).await {
+                self.ways().heard_anyone();
+                match read(response) {
+                    Some(answer) => return Relayed::Answered(answer),
+                    None => outcome = Relayed::NotReached,
                 }
-                Err(_) => {}
             }
             self.ways().relay_failed(relay);
         }
         outcome
     }
 }
+
+/// A replica's answer that was passed on.
+fn ledger_reply(response: Response) -> Option<LedgerReply> {
+    match response {
+        Response::Ledger(bytes) => LedgerReply::decode(bytes).ok(),
+        _ => None,
+    }
+}
--- a/crates/storage/src/relay_host.rs
+++ b/crates/storage/src/relay_host.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use slog::info;
-use sumacdrift_proto::{OneWay, Relay, Request, Response};
+use sumacdrift_proto::{OneWay, Relay, RelayedQuestion, Request, Response};
 use sumacdrift_transport::Handler;
 use sumacdrift_types::{Problem, ResultCode};
 use tokio::sync::Semaphore;
@@ -40,7 +40,11 @@
             return refused(ResultCode::Overloaded, "too many questions are being passed on");
         };
         let within = relay.within.min(LONGEST_WAIT);
-        let answer = self.ledger.transport().request(relay.to, Request::Ledger(relay.ledger), within).await;
+        let question = match relay.question {
+            RelayedQuestion::Ledger(question) => Request::Ledger(question),
+            RelayedQuestion::Follow(question) => Request::Follow(question),
+        };
+        let answer = self.ledger.transport().request(relay.to, question, within).await;
         match answer {
             Ok(answer) => answer,
             Err(error) => {
--- a/crates/storage/tests/fleet/following.rs
+++ b/crates/storage/tests/fleet/following.rs
@@ -6,12 +6,13 @@
 
 use bytes::Bytes;
 use sumacdrift_dissemination::{Changes, Item, ItemKind, Listed};
-use sumacdrift_storage::{FeedHost, Follower, FollowerSettings, FollowerSink};
+use sumacdrift_storage::{FeedHost, Follower, FollowerSettings, FollowerSink, LedgerClient};
+use sumacdrift_transport::Transport;
 use sumacdrift_types::Location;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
-use super::{Fleet, logger};
+use super::{Cut, Fleet, logger};
 
 /// Remembers what it is told, and how often the store was turned to.
 #[derive(Default)]
@@ -89,6 +90,10 @@
 }
 
 pub fn follow(fleet: &Fleet, zone: usize) -> Arc<Sink> {
+    follow_with(zone, fleet.client(zone), fleet.transport())
+}
+
+fn follow_with(zone: usize, client: Arc<LedgerClient>, transport: Arc<Transport>) -> Arc<Sink> {
     let sink = Arc::new(Sink::default());
     let start_patience = Duration::from_millis(1200);
     let settings = FollowerSettings {
@@ -96,17 +101,20 @@
         location: Location::in_zone(&format!("z{zone}")),
         start_patience,
     };
-    let follower = Follower::new(
-        settings,
-        fleet.client(zone),
-        fleet.transport(),
-        Arc::clone(&sink) as Arc<dyn FollowerSink>,
-        logger(),
-    );
+    let follower =
+        Follower::new(settings, client, transport, Arc::clone(&sink) as Arc<dyn FollowerSink>, logger());
     tokio::spawn(follower.run());
     sink
 }
 
+/// A follower at a node that is cut off from some others, which another node passes questions on for.
+pub async fn follow_cut_off(fleet: &Fleet, zone: usize, cut: &Cut) -> Arc<Sink> {
+    let client = fleet.cut_client(zone, cut.clone());
+    let (relay, _) = fleet.relay(0, fleet.client(zone)).await;
+    client.learn_relays(vec![relay]);
+    follow_with(zone, client, fleet.cut_transport(cut.clone()))
+}
+
 pub async fn pass(time: Duration) {
     tokio::time::sleep(time).await;
 }
--- a/crates/storage/tests/fleet/mod.rs
+++ b/crates/storage/tests/fleet/mod.rs
@@ -235,14 +235,19 @@
 
     /// A client in the zone of a member that does not reach these members itself.
     pub fn cut_client(&self, zone: usize, cut: Cut) -> Arc<LedgerClient> {
-        let network: Arc<dyn Network> = Arc::new(CutNetwork { network: self.network.clone(), cut });
-        let transport = Arc::new(Transport::new(network, Arc::new(TrafficCounters::default())));
+        let transport = self.cut_transport(cut);
         let timeouts = LedgerTimeouts::default();
         let client = LedgerClient::new(transport, Location::in_zone(&format!("z{zone}")), timeouts, logger());
         client.learn_map(&self.map);
         Arc::new(client)
     }
 
+    /// The network as a node sees it that does not reach these members.
+    pub fn cut_transport(&self, cut: Cut) -> Arc<Transport> {
+        let network: Arc<dyn Network> = Arc::new(CutNetwork { network: self.network.clone(), cut });
+        Arc::new(Transport::new(network, Arc::new(TrafficCounters::default())))
+    }
+
     /// A node that passes questions on, with a client of its own; ends with the token.
     pub async fn relay(&self, position: usize, client: Arc<LedgerClient>) -> (SocketAddr, CancellationToken) {
         let at = address(RELAYS_FROM + position);
--- a/crates/storage/tests/follower.rs
+++ b/crates/storage/tests/follower.rs
@@ -5,8 +5,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use fleet::Fleet;
-use fleet::following::{MOMENT, configuration, follow, hears, pass};
+use fleet::following::{MOMENT, configuration, follow, follow_cut_off, hears, pass};
+use fleet::{Cut, Fleet};
 use sumacdrift_dissemination::ItemKind;
 
 #[tokio::test(start_paused = true)]
@@ -93,3 +93,30 @@
     assert!(sink.has("second"));
     assert_eq!(sink.store_used(), 0);
 }
+
+/// A node that is cut off from all members hears of them by way of another node, so that it goes on knowing how old its
+/// configuration is.
+#[tokio::test(start_paused = true)]
+async fn a_node_that_is_cut_off_from_all_members_follows_around_the_cut() {
+    let fleet = Fleet::start(3).await;
+    for node in &fleet.nodes {
+        hears(&node.feed, "first", 1);
+    }
+    let cut = Cut::of(&[0, 1, 2]);
+    let sink = follow_cut_off(&fleet, 1, &cut).await;
+    pass(Duration::from_secs(2)).await;
+    assert!(sink.has("first"));
+    for content in ["second", "third"] {
+        let revision = if content == "second" { 2 } else { 3 };
+        fleet.nodes.iter().for_each(|node| node.feed.put(configuration(content, revision)));
+        pass(Duration::from_secs(1)).await;
+        assert!(sink.has(content), "{content}");
+    }
+    assert_eq!(sink.store_used(), 0);
+    // The cut heals, and the members are asked directly again.
+    cut.set(&[]);
+    pass(Duration::from_secs(4)).await;
+    fleet.nodes.iter().for_each(|node| node.feed.put(configuration("fourth", 4)));
+    pass(MOMENT).await;
+    assert!(sink.has("fourth"));
+}
--- a/crates/storage/tests/relay.rs
+++ b/crates/storage/tests/relay.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use fleet::{Cut, Fleet, ask};
 use sumacdrift_ledger::TurnEnded;
-use sumacdrift_proto::{Relay, Request, Response};
+use sumacdrift_proto::{Relay, RelayedQuestion, Request, Response};
 use sumacdrift_storage::{Admission, BeginTurn, LedgerClient, LedgerError};
 
 /// A turn of a program that may generate so many tokens that few turns fit.
@@ -119,7 +119,11 @@
     let fleet = Fleet::start(3).await;
     let (near, _) = fleet.relay(0, fleet.client(0)).await;
     let (far, _) = fleet.relay(1, fleet.client(1)).await;
-    let to_relay = Relay { to: far, within: Duration::from_secs(1), ledger: Bytes::from_static(b"x") };
+    let to_relay = Relay {
+        to: far,
+        within: Duration::from_secs(1),
+        question: RelayedQuestion::Ledger(Bytes::from_static(b"x")),
+    };
     let answer = fleet.transport().request(near, Request::Relay(to_relay), Duration::from_secs(2)).await;
     assert!(matches!(answer, Ok(Response::Failed(_))), "{answer:?}");
     let plain = fleet.transport().request(near, Request::Ledger(Bytes::new()), Duration::from_secs(2)).await;
