A ledger group never spreads to a region in which it has no member

GroupPolicy::place_step takes Places: neither a group that is too small nor a lost member's place is open to a machine of a region without members. Tests: two in plan.rs (red before: the step was a change), a mutant.

--- a/crates/ledger/src/plan.rs
+++ b/crates/ledger/src/plan.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use sumacdrift_mutants::{Rule, is_broken};
-use sumacdrift_types::Timestamp;
+use sumacdrift_types::{Nearness, Places, Timestamp};
 
 use crate::group::{Group, Member};
 use crate::map::GroupMap;
@@ -122,7 +122,17 @@
     }
 
     /// What a machine that is not to be emptied should do about its place.
-    pub fn place_step(self, map: &GroupMap, own: &Member, watch: &MemberWatch, now: Timestamp) -> PlaceStep {
+    ///
+    /// A group never spreads to a region in which it has no member: what it keeps may be bound to the regions it is in, and
+    /// whoever joins reads all of it.
+    pub fn place_step(
+        self,
+        places: &Places,
+        map: &GroupMap,
+        own: &Member,
+        watch: &MemberWatch,
+        now: Timestamp,
+    ) -> PlaceStep {
         let change = |group: Group, reason| PlaceStep::Change { group, reason };
         if let Some(group) = map.seat_of(&own.node) {
             let is_there = group.member(&own.node).is_some_and(|member| member.address == own.address);
@@ -131,15 +141,14 @@
                 false => change(group.with(own.clone()), ChangeReason::Moved),
             };
         }
-        let too_small = map
-            .groups()
-            .iter()
-            .filter(|group| group.members.len() < self.size() && self.has_room(&group.members, own));
+        let at_home = || map.groups().iter().filter(|group| is_at_home(places, group, own));
+        let too_small =
+            at_home().filter(|group| group.members.len() < self.size() && self.has_room(&group.members, own));
         if let Some(group) = too_small.min_by_key(|group| (group.members.len(), in_zone(&group.members, own)))
         {
             return change(group.with(own.clone()), ChangeReason::Joined);
         }
-        let lost = map.groups().iter().filter_map(|group| {
+        let lost = at_home().filter_map(|group| {
             let lost =
                 watch.lost(group, now).find(|lost| self.has_room(&group.without(lost).members, own))?;
             Some((group, lost))
@@ -151,6 +160,13 @@
     }
 }
 
+/// Whether a group has members in a machine's region, or none at all.
+fn is_at_home(places: &Places, group: &Group, own: &Member) -> bool {
+    let is_near = |member: &Member| places.nearness(&member.zone, &own.zone) != Nearness::Elsewhere;
+    let is_empty = group.members.is_empty();
+    is_empty || group.members.iter().any(is_near) || is_broken(Rule::LedgerStaysInItsRegions)
+}
+
 /// A machine that may become a member of the first groups.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Candidate {
--- a/crates/ledger/tests/mutants.rs
+++ b/crates/ledger/tests/mutants.rs
@@ -4,15 +4,21 @@
 mod world;
 mod zone_world;
 
+use std::sync::Arc;
+
+use sumacdrift_ledger::{Group, GroupMap, GroupPolicy, Member, MemberWatch, PlaceStep};
 use sumacdrift_mutants::{Rule, with_broken};
+use sumacdrift_types::{Places, RegionName, Timestamp};
 use world::World;
 
 const SEEDS: u64 = 400;
 const STEPS: usize = 1_500;
 
 fn breaks_a_rule(rule: Rule, seed: u64) -> bool {
-    if rule == Rule::LedgerZonesHoldFewMembers {
-        return zone_world::play(seed).is_err();
+    match rule {
+        Rule::LedgerZonesHoldFewMembers => return zone_world::play(seed).is_err(),
+        Rule::LedgerStaysInItsRegions => return spreads_to_another_region(),
+        _ => {}
     }
     let run = std::panic::catch_unwind(|| {
         let mut world = World::new(seed, 1);
@@ -21,6 +27,22 @@
     run.is_err()
 }
 
+/// Whether a machine joins a group that has no member in its region.
+fn spreads_to_another_region() -> bool {
+    let region = |name: &str| RegionName::new(name).expect("a name");
+    let places = Places::new([("z1", "a"), ("z2", "b")].map(|(zone, of)| (Arc::from(zone), region(of))));
+    let member = |node: &str, zone: &str| Member {
+        node: node.to_owned(),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: zone.to_owned(),
+        joined: 0,
+    };
+    let map = GroupMap::new(vec![Group::founded(vec![member("a", "z1")])]);
+    let (policy, watch) = (GroupPolicy::tolerating(1), MemberWatch::default());
+    let step = policy.place_step(&places, &map, &member("b", "z2"), &watch, Timestamp::default());
+    step != PlaceStep::Stay
+}
+
 #[test]
 fn every_broken_rule_is_noticed() {
     std::panic::set_hook(Box::new(|_| {}));
--- a/crates/ledger/tests/plan.rs
+++ b/crates/ledger/tests/plan.rs
@@ -1,12 +1,13 @@
 //! Which change of the group a machine asks for.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use sumacdrift_ledger::{
     Candidate, Capacity, ChangeReason, Group, GroupMap, GroupPolicy, Member, MemberWatch, PlaceStep,
 };
-use sumacdrift_types::Timestamp;
+use sumacdrift_types::{Places, RegionName, Timestamp};
 
 fn member(node: &str, zone: &str) -> Member {
     Member { node: node.to_owned(), address: ([127, 0, 0, 1], 1).into(), zone: zone.to_owned(), joined: 0 }
@@ -62,17 +63,26 @@
     let policy = GroupPolicy::tolerating(2);
     let watch = MemberWatch::default();
     let small = five().without("c");
-    let step = policy.place_step(&only(small), &member("f", "z"), &watch, at(0));
+    let step = policy.place_step(&Places::default(), &only(small), &member("f", "z"), &watch, at(0));
     let PlaceStep::Change { group, reason: ChangeReason::Joined } = step else { panic!("{step:?}") };
     assert_eq!(names(&group), ["a", "b", "d", "e", "f"]);
-    assert_eq!(policy.place_step(&only(five()), &member("f", "z"), &watch, at(0)), PlaceStep::Stay);
+    assert_eq!(
+        policy.place_step(&Places::default(), &only(five()), &member("f", "z"), &watch, at(0)),
+        PlaceStep::Stay
+    );
 }
 
 #[test]
 fn a_machine_at_another_address_takes_its_own_place() {
     let mut moved = member("c", "z");
     moved.address = ([127, 0, 0, 2], 1).into();
-    let step = GroupPolicy::tolerating(2).place_step(&only(five()), &moved, &MemberWatch::default(), at(0));
+    let step = GroupPolicy::tolerating(2).place_step(
+        &Places::default(),
+        &only(five()),
+        &moved,
+        &MemberWatch::default(),
+        at(0),
+    );
     let PlaceStep::Change { group, reason: ChangeReason::Moved } = step else { panic!("{step:?}") };
     assert_eq!(group.member("c").map(|member| member.address), Some(moved.address));
     assert_eq!(group.epoch, 2);
@@ -92,7 +102,7 @@
         }
         watch.silent("d", at(second * 1_000));
         watch.silent("e", at(second * 1_000));
-        let step = policy.place_step(&only(five()), &own, &watch, at(second * 1_000));
+        let step = policy.place_step(&Places::default(), &only(five()), &own, &watch, at(second * 1_000));
         if second < 6 {
             assert_eq!(step, PlaceStep::Stay, "after {second} s");
             continue;
@@ -117,7 +127,10 @@
     watch.answered("c", true, at(9_000));
     watch.answered("d", true, at(9_000));
     watch.silent("e", at(9_000));
-    assert_eq!(policy.place_step(&only(five()), &member("f", "z"), &watch, at(9_000)), PlaceStep::Stay);
+    assert_eq!(
+        policy.place_step(&Places::default(), &only(five()), &member("f", "z"), &watch, at(9_000)),
+        PlaceStep::Stay
+    );
 }
 
 /// A fleet of so many machines in each zone.
@@ -182,7 +195,8 @@
     assert_eq!(map.groups().len(), 2);
     let spare = member("spare", "z0");
     let shrunk = map.groups()[1].without(&map.groups()[1].members[0].node);
-    let step = policy.place_step(&map.with(shrunk), &spare, &MemberWatch::default(), at(0));
+    let step =
+        policy.place_step(&Places::default(), &map.with(shrunk), &spare, &MemberWatch::default(), at(0));
     let PlaceStep::Change { group, reason: ChangeReason::Joined } = step else { panic!("{step:?}") };
     assert_eq!((group.number, group.members.len()), (1, 3));
     let mut watch = MemberWatch::default();
@@ -195,8 +209,49 @@
             }
         }
     }
-    let step = policy.place_step(&map, &spare, &watch, at(7_000));
+    let step = policy.place_step(&Places::default(), &map, &spare, &watch, at(7_000));
     let PlaceStep::Change { group, reason: ChangeReason::ReplacedLost } = step else { panic!("{step:?}") };
     assert_eq!(group.number, 1);
     assert!(group.member(&lost).is_none() && group.member("spare").is_some());
 }
+
+fn two_regions() -> Places {
+    let region = |name: &str| RegionName::new(name).expect("a name");
+    Places::new([("a1", "a"), ("a2", "a"), ("b1", "b")].map(|(zone, of)| (Arc::from(zone), region(of))))
+}
+
+/// What a group keeps may be bound to the regions it is in, and a new member reads all of it.
+#[test]
+fn a_group_never_spreads_to_another_region() {
+    let policy = GroupPolicy::tolerating(2);
+    let places = two_regions();
+    let watch = MemberWatch::default();
+    let small = Group::founded(["a", "b", "c"].map(|node| member(node, "a1")).to_vec());
+    let step =
+        |zone: &str| policy.place_step(&places, &only(small.clone()), &member("f", zone), &watch, at(0));
+    assert_eq!(step("b1"), PlaceStep::Stay);
+    assert_eq!(step("unknown"), PlaceStep::Stay);
+    let PlaceStep::Change { group, .. } = step("a2") else { panic!("{:?}", step("a2")) };
+    assert_eq!(names(&group), ["a", "b", "c", "f"]);
+}
+
+/// The same where it takes a lost member's place.
+#[test]
+fn a_lost_member_is_not_replaced_from_another_region() {
+    let policy = GroupPolicy::tolerating(1);
+    let places = two_regions();
+    let group = Group::founded(["a", "b", "c"].map(|node| member(node, "a1")).to_vec());
+    let mut watch = MemberWatch::default();
+    for (node, is_lost) in [("a", true), ("b", false), ("c", false)] {
+        watch.answered(node, true, at(0));
+        if is_lost {
+            watch.silent(node, at(1));
+        } else {
+            watch.answered(node, true, at(60_000));
+        }
+    }
+    let step =
+        |zone: &str| policy.place_step(&places, &only(group.clone()), &member("f", zone), &watch, at(60_000));
+    assert_eq!(step("b1"), PlaceStep::Stay);
+    assert!(matches!(step("a2"), PlaceStep::Change { reason: ChangeReason::ReplacedLost, .. }));
+}
--- a/crates/ledger/tests/zone_world/mod.rs
+++ b/crates/ledger/tests/zone_world/mod.rs
@@ -7,7 +7,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sumacdrift_ledger::{Candidate, Capacity, GroupMap, GroupPolicy, Member, MemberWatch, PlaceStep};
-use sumacdrift_types::Timestamp;
+use sumacdrift_types::{Places, Timestamp};
 
 const STEPS: usize = 30;
 /// Long enough that a silent member counts as lost.
@@ -71,7 +71,8 @@
             if self.down.contains(&own.node) {
                 continue;
             }
-            if let PlaceStep::Change { group, .. } = self.policy.place_step(&self.map, &own, &watch, self.now)
+            if let PlaceStep::Change { group, .. } =
+                self.policy.place_step(&Places::default(), &self.map, &own, &watch, self.now)
             {
                 self.map = self.map.with(group);
             }
--- a/crates/mutants/src/lib.rs
+++ b/crates/mutants/src/lib.rs
@@ -56,6 +56,8 @@
     LedgerLeavesInSilence,
     /// No zone holds more members of a group than the group can lose.
     LedgerZonesHoldFewMembers,
+    /// A group never spreads to a region in which it has no member.
+    LedgerStaysInItsRegions,
     /// A key opens nothing where what is known of keys is too old.
     AccessAgeIsBounded,
     /// A node admits few calls that a majority of those that count has not acknowledged.
@@ -78,7 +80,7 @@
 
 impl Rule {
     /// Rules of the program ledger, which has a simulation of its own.
-    pub const LEDGER: [Rule; 10] = [
+    pub const LEDGER: [Rule; 11] = [
         Rule::LedgerVoteNeedsRecords,
         Rule::LedgerReadsEnough,
         Rule::LedgerPagesAreComplete,
@@ -89,6 +91,7 @@
         Rule::LedgerNeverVotedIsTrue,
         Rule::LedgerLeavesInSilence,
         Rule::LedgerZonesHoldFewMembers,
+        Rule::LedgerStaysInItsRegions,
     ];
 
     /// Rules of keys and quotas.
--- a/crates/storage/src/upkeep.rs
+++ b/crates/storage/src/upkeep.rs
@@ -12,7 +12,7 @@
     ReplyKind, RequestKind,
 };
 use sumacdrift_transport::Transport;
-use sumacdrift_types::Timestamp;
+use sumacdrift_types::{Places, Timestamp};
 use tokio::time::Instant;
 
 use crate::catch_up::catch_up;
@@ -51,6 +51,8 @@
     pub capacity: Capacity,
     /// How large the group is.
     pub policy: GroupPolicy,
+    /// The region of each zone.
+    pub places: Arc<Places>,
 }
 
 /// The upkeep of one replica.
@@ -225,7 +227,13 @@
         if stored.map.seat_of(&own.node).is_none() {
             self.watch_members(&stored.map).await;
         }
-        let step = self.settings.policy.place_step(&stored.map, &own, &self.watch, self.now());
+        let step = self.settings.policy.place_step(
+            &self.settings.places,
+            &stored.map,
+            &own,
+            &self.watch,
+            self.now(),
+        );
         match step {
             PlaceStep::Stay => self.wanted_since = None,
             PlaceStep::Change { group, reason } => {
