One line for each caller that is denied, with how long it waited

A call that waited for what must be known of keys logged and counted a denial for each look, also where it was let in at last. Edge::admit decides without saying so and reports once, with waited_ms.

--- a/crates/edge/src/access.rs
+++ b/crates/edge/src/access.rs
@@ -44,22 +44,22 @@
     pub(crate) has_checked_key: bool,
 }
 
-impl<D: Dialect> Edge<D> {
-    /// Admits a caller, or not, by what is known now.
-    pub(crate) fn admit(
-        &self,
-        head: &CallHead,
-        key: Option<ApiKey>,
-        is_public: bool,
-    ) -> Result<Caller, Denied> {
-        let (decided, has_checked_key) = self.decide_access(&head.id, key.as_ref(), is_public);
-        let tenant = decided.map_err(denied)?;
-        Ok(Caller { key, is_public, tenant, has_checked_key })
-    }
+/// What is decided of a caller, and by what.
+struct AccessDecision {
+    outcome: Result<Option<Arc<Tenant>>, AccessRefusal>,
+    /// Whether keys are checked at all.
+    requires_keys: bool,
+    /// Version of the configuration in force.
+    version: Option<u64>,
+    /// How old it is.
+    age: Option<Duration>,
+}
 
-    /// The same; where too little is known of keys it is waited for a while, as a store that was away may be back at any moment
-    /// and callers have few tries: a tool's call of 1.2 s with one retry outlasts 0.4 s by retrying, and twice that by waiting.
-    pub(crate) async fn admit_patiently(
+impl<D: Dialect> Edge<D> {
+    /// Admits a caller, or not, by what is known of its key. Where too little is known it is waited for a while, as a store that
+    /// was away may be back at any moment and callers have few tries: a tool's call of 1.2 s with one retry outlasts 0.4 s by
+    /// retrying, and twice that by waiting.
+    pub(crate) async fn admit(
         &self,
         head: &CallHead,
         key: Option<ApiKey>,
@@ -67,44 +67,56 @@
         machine: &CallMachine,
     ) -> Result<Caller, Denied> {
         let mut confirmations = self.confirmations();
-        let now = self.clock.now();
-        let patience = (machine.deadline().since(now) / PATIENCE_SHARE).min(LONGEST_PATIENCE);
-        let until = self.clock.instant(now + patience);
-        loop {
-            let admitted = self.admit(head, key.clone(), is_public);
-            let is_too_old =
-                matches!(&admitted, Err(denied) if denied.code == ResultCode::ConfigurationTooOld);
-            let is_news = is_too_old && tokio::time::timeout_at(until, confirmations.changed()).await.is_ok();
-            if !is_news {
-                return admitted;
+        let begun = self.clock.now();
+        let patience = (machine.deadline().since(begun) / PATIENCE_SHARE).min(LONGEST_PATIENCE);
+        let until = self.clock.instant(begun + patience);
+        let decided = loop {
+            let decided = self.decide_access(key.as_ref(), is_public);
+            let is_too_old = matches!(decided.outcome, Err(AccessRefusal::TooOld));
+            if !is_too_old || tokio::time::timeout_at(until, confirmations.changed()).await.is_err() {
+                break decided;
             }
-        }
+        };
+        let has_checked_key = decided.requires_keys;
+        let waited = self.clock.now().since(begun);
+        let tenant = self.report_access(&head.id, key.is_some(), waited, decided).map_err(denied)?;
+        Ok(Caller { key, is_public, tenant, has_checked_key })
     }
 
     /// Whether a caller that was admitted would be admitted now: a key that was withdrawn meanwhile opens nothing more.
     pub(crate) fn is_still_admitted(&self, head: &CallHead, caller: &Caller) -> Result<(), ResultCode> {
-        let (decided, _) = self.decide_access(&head.id, caller.key.as_ref(), caller.is_public);
-        decided.map(drop).map_err(AccessRefusal::code)
+        let decided = self.decide_access(caller.key.as_ref(), caller.is_public);
+        let outcome = self.report_access(&head.id, caller.key.is_some(), Duration::ZERO, decided);
+        outcome.map(drop).map_err(AccessRefusal::code)
     }
 
-    fn decide_access(
-        &self,
-        call: &str,
-        key: Option<&ApiKey>,
-        is_public: bool,
-    ) -> (Result<Option<Arc<Tenant>>, AccessRefusal>, bool) {
-        let Some(table) = self.routes().table().cloned() else { return (Ok(None), false) };
+    fn decide_access(&self, key: Option<&ApiKey>, is_public: bool) -> AccessDecision {
+        let table = self.routes().table().cloned();
         let age = self.configuration_age();
         let facts = AccessFacts { key, is_public, age };
-        let decided = decide(&table.access, facts, self.settings.knowledge);
-        if let Err(refusal) = &decided {
+        let outcome =
+            table.as_ref().map_or(Ok(None), |table| decide(&table.access, facts, self.settings.knowledge));
+        let requires_keys = table.as_ref().is_some_and(|table| table.access.requires_keys());
+        AccessDecision { outcome, requires_keys, version: table.map(|table| table.version), age }
+    }
+
+    /// Says why a caller is denied, if it is.
+    fn report_access(
+        &self,
+        call: &str,
+        has_key: bool,
+        waited: Duration,
+        decided: AccessDecision,
+    ) -> Result<Option<Arc<Tenant>>, AccessRefusal> {
+        let AccessDecision { outcome, version, age, .. } = decided;
+        if let Err(refusal) = &outcome {
             self.metrics.gave_up(refusal.code());
             info!(self.logger, "caller denied"; "event" => "access_refused", "call" => call,
-                "code" => refusal.code().number(), "reason" => %refusal, "has_key" => key.is_some(),
-                "version" => table.version, "age_ms" => age.map(millis),
+                "code" => refusal.code().number(), "reason" => %refusal, "has_key" => has_key,
+                "version" => version, "age_ms" => age.map(millis), "waited_ms" => millis(waited),
                 "limit_ms" => self.settings.knowledge.known_key.map(millis));
         }
-        (decided, table.access.requires_keys())
+        outcome
     }
 
     /// Counts a call for its tenant, unless that would be beyond the tenant's quota.
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -72,7 +72,7 @@
     };
     let key = edge.dialect.read_key(&parts.headers);
     let is_public = selected.route.is_public;
-    let admitted = edge.admit_patiently(&head, key, is_public, &machine).await;
+    let admitted = edge.admit(&head, key, is_public, &machine).await;
     let counted = match admitted {
         Ok(caller) => edge.count_call(&head, &caller, &machine).await.map(|()| caller),
         Err(refused) => Err(refused),
