Of too many zones those are forgotten whose evacuation is over

Cause: beyond 1,024 remembered zones the first by name was forgotten, though it might be evacuated. Found on reading; no fleet has that many. Test in evacuation.rs, red before.

--- a/crates/routing/src/evacuation.rs
+++ b/crates/routing/src/evacuation.rs
@@ -9,7 +9,7 @@
 use sumacdrift_mutants::{Rule, is_broken};
 use sumacdrift_types::Timestamp;
 
-/// Zones that are remembered after the end of their evacuation; fleets have fewer, so none is forgotten in practice.
+/// Zones that are remembered; of more than that, those whose evacuation is over are forgotten. Fleets have fewer.
 const MOST_ZONES: usize = 1024;
 
 /// An evacuation as the directory describes it.
@@ -110,7 +110,7 @@
             return None;
         }
         if before.is_none() && self.zones.len() >= MOST_ZONES {
-            self.zones.pop_first();
+            self.zones.retain(|_, state| state.is_evacuated);
         }
         self.zones.insert(Arc::clone(&zone), ZoneState { revision, heard: now, is_evacuated });
         let was_evacuated = before.is_some_and(|before| before.is_evacuated);
--- a/crates/routing/tests/evacuation.rs
+++ b/crates/routing/tests/evacuation.rs
@@ -60,6 +60,19 @@
     assert!(may_send(&book, "a", None, NOW));
 }
 
+/// However many zones were ever evacuated, one that is stays so.
+#[test]
+fn what_is_forgotten_is_over() {
+    let mut book = book(&[("a", "z1")]);
+    book.evacuate(evacuation("z1", 1), NOW);
+    for zone in 0..3_000_u64 {
+        let name = format!("z1-{zone}");
+        book.evacuate(evacuation(&name, 2 + zone * 2), NOW);
+        book.end_evacuation(&name, 3 + zone * 2, NOW);
+    }
+    assert!(!may_send(&book, "a", None, NOW));
+}
+
 /// A report: a begin, an end, or everything at a revision.
 enum Report {
     Begin(u64),
