Feeds go around a cut only where the ledger's questions do

Where all nodes start at once, members are late because they tell everybody everything; each edge that was not answered in time had three others ask for the whole feed again. A node that knows nothing does not go around, nor does one whose questions to the ledger reach the members.

--- a/crates/storage/src/follower.rs
+++ b/crates/storage/src/follower.rs
@@ -162,6 +162,12 @@
                 return told;
             }
         }
+        // A node that knows nothing yet would be told everything. Where all nodes start at once, members are late because they
+        // tell everybody everything, and to be asked for more of that would keep them so.
+        // Nor is it any use where questions to the ledger reach the members: then they are late, and not cut off.
+        if !self.sink.knows_anything() || self.ledger.reaches_members() {
+            return None;
+        }
         let question = follow_request(self.life, self.after, wait);
         let asked = Instant::now();
         let answer = self.ledger.reach().follow_around(feed, question, wait + FEED_MARGIN).await;
