--- a/crates/storage/src/follower.rs
+++ b/crates/storage/src/follower.rs
@@ -164,8 +164,7 @@
         }
         // A node that knows nothing yet would be told everything. Where all nodes start at once, members are late because they
         // tell everybody everything, and to be asked for more of that would keep them so.
-        // Nor is it any use where questions to the ledger reach the members: then they are late, and not cut off.
-        if !self.sink.knows_anything() || self.ledger.reaches_members() {
+        if !self.sink.knows_anything() {
             return None;
         }
         let question = follow_request(self.life, self.after, wait);
--- a/crates/storage/src/reach.rs
+++ b/crates/storage/src/reach.rs
@@ -150,10 +150,7 @@
             _ => None,
         };
         match self.by_relays(to, RelayedQuestion::Follow(question), within, read).await {
-            Relayed::Answered(changes) => {
-                self.ways().heard_around(to, Instant::now());
-                Some(changes)
-            }
+            Relayed::Answered(changes) => Some(changes),
             Relayed::NotReached | Relayed::NoRelay => None,
         }
     }
