A new machine takes a lost member's place by what the voting members miss, and in its own time

Cause: a machine that comes in the place of one that went counted silence from its own start, for 6 s, whatever the deployment allows (4 s on the smallest). Until it voted, one more lost disk left one voter of three, and the others waited for each other for good. Members now look each 500 ms whether the others of their group are there and tell it with their status; a machine without a seat takes the place of a member that it doesn't hear itself and that all voting members have missed for so long: 0.35 of the time allowed, 1 s to 2 s, where it started empty, 6 s as before where it was complete. One member that hears it keeps it in its place; a new mutant.

--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -31,9 +31,12 @@
 pub use message::{
     Begin, BeginVote, ChainReply, ChainRequest, ContentsRequest, End, GroupMapMessage, GroupMessage,
     KnownTurn, LedgerReply, LedgerRequest, MemberMessage, Page, PageRequest, Push, Record, RecordKind,
-    ReplyKind, RequestKind, RetainedTurn, Standing, StatusReply, StoredCopy, TurnBegun, TurnEnded,
+    ReplyKind, RequestKind, RetainedTurn, SilentMember, Standing, StatusReply, StoredCopy, TurnBegun,
+    TurnEnded,
+};
+pub use plan::{
+    Candidate, Capacity, ChangeReason, GroupPolicy, MemberTold, MemberWatch, Patience, PlaceStep,
 };
-pub use plan::{Candidate, Capacity, ChangeReason, GroupPolicy, MemberWatch, PlaceStep};
 pub use quota_message::{QuotaAnswer, QuotaDecision, QuotaQuestion, QuotaTotals, TenantTotalMessage};
 pub use replica::{Replica, ReplicaSettings, Step};
 pub use state::{KEPT_TURNS_CURSOR, LedgerState, PageDetail};
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -404,4 +404,21 @@
     /// The group that it knows.
     #[prost(message, optional, tag = "4")]
     pub group: Option<GroupMessage>,
+    /// Whether it looks if other members are there.
+    #[prost(bool, tag = "5")]
+    pub is_watching: bool,
+    /// Members that it finds silent.
+    #[prost(message, repeated, tag = "6")]
+    pub silent: Vec<SilentMember>,
+}
+
+/// A member that says nothing.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct SilentMember {
+    /// Its node.
+    #[prost(string, tag = "1")]
+    pub node: String,
+    /// Milliseconds since it was heard last.
+    #[prost(uint64, tag = "2")]
+    pub millis: u64,
 }
--- a/crates/ledger/src/plan.rs
+++ b/crates/ledger/src/plan.rs
@@ -13,6 +13,12 @@
 /// A member that has answered nothing for this long gives its place to a machine that is no member. Longer than most
 /// outages, because the records on its disk are of no more use to the group then.
 const LOST_AFTER: Duration = Duration::from_secs(6);
+/// Share of the time until a new machine must be complete after which it counts a silent member as lost. The rest is for
+/// noticing, for the change of the group and for reading.
+const LOST_SHARE: f64 = 0.35;
+/// Least and longest such time: a process that ends is back within a second, and reading takes seconds where much is kept.
+const LEAST_LOST_AFTER: Duration = Duration::from_secs(1);
+const LONGEST_LOST_AFTER: Duration = Duration::from_secs(2);
 
 /// How many machines may be lost at once while the ledger goes on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -22,6 +28,29 @@
     survives_zone: bool,
 }
 
+/// How long a machine lets members be silent until it takes the place of one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Patience {
+    lost_after: Duration,
+}
+
+impl Patience {
+    /// Of a machine that was complete before, as a spare or a member: it waits longer than most outages.
+    pub const LONG: Self = Self { lost_after: LOST_AFTER };
+
+    /// Of a machine that started empty and must be complete in so much time: it came because another one went, and the
+    /// group can lose a disk less until it votes.
+    pub fn of_new_machine(complete_within: Duration) -> Self {
+        let lost_after = complete_within.mul_f64(LOST_SHARE);
+        Self { lost_after: lost_after.clamp(LEAST_LOST_AFTER, LONGEST_LOST_AFTER) }
+    }
+
+    /// How long a member must have said nothing.
+    pub fn lost_after(self) -> Duration {
+        self.lost_after
+    }
+}
+
 /// What a machine should do about its place in the group.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PlaceStep {
@@ -131,6 +160,7 @@
         map: &GroupMap,
         own: &Member,
         watch: &MemberWatch,
+        patience: Patience,
         now: Timestamp,
     ) -> PlaceStep {
         let change = |group: Group, reason| PlaceStep::Change { group, reason };
@@ -149,8 +179,9 @@
             return change(group.with(own.clone()), ChangeReason::Joined);
         }
         let lost = at_home().filter_map(|group| {
-            let lost =
-                watch.lost(group, now).find(|lost| self.has_room(&group.without(lost).members, own))?;
+            let lost = watch
+                .lost(group, patience, now)
+                .find(|lost| self.has_room(&group.without(lost).members, own))?;
             Some((group, lost))
         });
         match lost.min_by_key(|(group, _)| in_zone(&group.members, own)) {
@@ -213,15 +244,24 @@
     members.iter().filter(|member| member.zone == own.zone).count()
 }
 
+/// What a member tells of itself and of the others.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct MemberTold {
+    /// Whether it votes.
+    pub is_voting: bool,
+    /// How long each member that it finds silent has said nothing to it; `None` where it doesn't look.
+    pub silent: Option<BTreeMap<String, Duration>>,
+}
+
 /// What a member said when it was last asked.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 struct Heard {
     at: Timestamp,
     is_silent: bool,
-    is_voting: bool,
+    told: MemberTold,
 }
 
-/// When members of the group answered last, as a machine that is no member sees it.
+/// When members of the group answered last, as one machine sees it.
 #[derive(Debug, Clone, Default)]
 pub struct MemberWatch {
     heard: BTreeMap<String, Heard>,
@@ -229,32 +269,57 @@
 
 impl MemberWatch {
     /// A member answered. Returns whether it was silent before.
-    pub fn answered(&mut self, node: &str, is_voting: bool, now: Timestamp) -> bool {
-        let before = self.heard.insert(node.to_owned(), Heard { at: now, is_silent: false, is_voting });
+    pub fn answered(&mut self, node: &str, told: MemberTold, now: Timestamp) -> bool {
+        let before = self.heard.insert(node.to_owned(), Heard { at: now, is_silent: false, told });
         before.is_some_and(|before| before.is_silent)
     }
 
     /// A member did not answer. Returns whether that is news.
     pub fn silent(&mut self, node: &str, now: Timestamp) -> bool {
-        let is_new = !self.heard.contains_key(node);
-        let heard = self.heard.entry(node.to_owned());
-        let heard = heard.or_insert(Heard { at: now, is_silent: true, is_voting: false });
-        let is_news = is_new || !heard.is_silent;
+        let unknown = Heard { at: now, is_silent: false, told: MemberTold::default() };
+        let heard = self.heard.entry(node.to_owned()).or_insert(unknown);
+        let is_news = !heard.is_silent;
         heard.is_silent = true;
-        heard.is_voting = false;
+        heard.told = MemberTold::default();
         is_news
     }
 
+    /// How long each member that is silent has said nothing.
+    pub fn silences(&self, now: Timestamp) -> BTreeMap<String, Duration> {
+        let silent = self.heard.iter().filter(|(_, heard)| heard.is_silent);
+        silent.map(|(node, heard)| (node.clone(), now.since(heard.at))).collect()
+    }
+
     /// Members whose places may be taken: they are lost, and those that answer and vote are enough for the machine that
     /// takes a place to read everything.
-    fn lost(&self, group: &Group, now: Timestamp) -> impl Iterator<Item = String> {
+    ///
+    /// A machine that has just come has heard nothing for long itself, so what counts is what the voting members say:
+    /// one that any of them hears is cut off from this machine only. Where none of them looks, the machine's own
+    /// watch counts, with the longest patience.
+    fn lost(&self, group: &Group, patience: Patience, now: Timestamp) -> impl Iterator<Item = String> {
         let heard = |member: &Member| self.heard.get(&member.node);
-        let voting = group.members.iter().filter(|member| heard(member).is_some_and(|heard| heard.is_voting));
-        let may_be_read = voting.count() >= group.sources_to_catch_up();
+        let voting: Vec<&Heard> =
+            group.members.iter().filter_map(heard).filter(|heard| heard.told.is_voting).collect();
+        let may_be_read = voting.len() >= group.sources_to_catch_up();
         let is_lost = move |member: &&Member| {
-            heard(member).is_some_and(|heard| heard.is_silent && now.since(heard.at) >= LOST_AFTER)
+            let Some(own) = heard(member).filter(|own| own.is_silent) else { return false };
+            let witnesses: Vec<Duration> = voting
+                .iter()
+                .filter_map(|witness| {
+                    let silent = witness.told.silent.as_ref()?;
+                    // What it said then is older now.
+                    let told = silent.get(&member.node).map(|silence| *silence + now.since(witness.at));
+                    Some(told.unwrap_or_default())
+                })
+                .collect();
+            let own_silence = now.since(own.at);
+            match witnesses.iter().min() {
+                Some(least) if !is_broken(Rule::LedgerLostHasWitnesses) => *least >= patience.lost_after,
+                Some(_) => own_silence >= patience.lost_after,
+                None => own_silence >= LOST_AFTER,
+            }
         };
         let lost = group.members.iter().filter(is_lost).filter(move |_| may_be_read);
-        lost.map(|member| member.node.clone())
+        lost.map(|member| member.node.clone()).collect::<Vec<_>>().into_iter()
     }
 }
--- a/crates/ledger/src/replica.rs
+++ b/crates/ledger/src/replica.rs
@@ -149,6 +149,11 @@
         self.is_leaving = is_leaving && !is_broken(Rule::LedgerLeavesInSilence);
     }
 
+    /// Whether the replica was never complete on this disk: the machine is new, or lost what it had.
+    pub fn is_new(&self) -> bool {
+        self.complete_since.is_none()
+    }
+
     /// Whether the replica holds what it acknowledged as a founding member, and so may found a group.
     pub fn may_found(&self) -> bool {
         self.complete_since == Some(FOUNDING_EPOCH)
@@ -405,6 +410,7 @@
             is_voting: self.is_voting(),
             may_found: self.may_found(),
             group: (self.group.epoch > 0).then(|| self.group.to_message()),
+            ..StatusReply::default()
         }
     }
 }
--- a/crates/ledger/tests/mutants.rs
+++ b/crates/ledger/tests/mutants.rs
@@ -1,12 +1,13 @@
 //! Each rule of the ledger broken once: the simulation must notice.
 #![cfg(feature = "mutants")]
 
+mod cut_off;
 mod world;
 mod zone_world;
 
 use std::sync::Arc;
 
-use sumacdrift_ledger::{Group, GroupMap, GroupPolicy, Member, MemberWatch, PlaceStep};
+use sumacdrift_ledger::{Group, GroupMap, GroupPolicy, Member, MemberWatch, Patience, PlaceStep};
 use sumacdrift_mutants::{Rule, with_broken};
 use sumacdrift_types::{Places, RegionName, Timestamp};
 use world::World;
@@ -18,6 +19,7 @@
     match rule {
         Rule::LedgerZonesHoldFewMembers => return zone_world::play(seed).is_err(),
         Rule::LedgerStaysInItsRegions => return spreads_to_another_region(),
+        Rule::LedgerLostHasWitnesses => return cut_off::takes_the_place_of_a_member_that_others_hear(),
         _ => {}
     }
     let run = std::panic::catch_unwind(|| {
@@ -39,7 +41,8 @@
     };
     let map = GroupMap::new(vec![Group::founded(vec![member("a", "z1")])]);
     let (policy, watch) = (GroupPolicy::tolerating(1), MemberWatch::default());
-    let step = policy.place_step(&places, &map, &member("b", "z2"), &watch, Timestamp::default());
+    let step =
+        policy.place_step(&places, &map, &member("b", "z2"), &watch, Patience::LONG, Timestamp::default());
     step != PlaceStep::Stay
 }
 
--- a/crates/ledger/tests/plan.rs
+++ b/crates/ledger/tests/plan.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use sumacdrift_ledger::{
-    Candidate, Capacity, ChangeReason, Group, GroupMap, GroupPolicy, Member, MemberWatch, PlaceStep,
+    Candidate, Capacity, ChangeReason, Group, GroupMap, GroupPolicy, Member, MemberTold, MemberWatch,
+    Patience, PlaceStep,
 };
 use sumacdrift_types::{Places, RegionName, Timestamp};
 
@@ -21,6 +22,11 @@
     Timestamp::default() + Duration::from_millis(millis)
 }
 
+/// What a member tells that looks at nobody else.
+fn told(is_voting: bool) -> MemberTold {
+    MemberTold { is_voting, silent: None }
+}
+
 fn candidate(node: &str, zone: &str, memory_megabytes: f64) -> Candidate {
     let capacity = Capacity { memory_megabytes, ..Capacity::default() };
     Candidate { member: member(node, zone), capacity }
@@ -63,11 +69,19 @@
     let policy = GroupPolicy::tolerating(2);
     let watch = MemberWatch::default();
     let small = five().without("c");
-    let step = policy.place_step(&Places::default(), &only(small), &member("f", "z"), &watch, at(0));
+    let step =
+        policy.place_step(&Places::default(), &only(small), &member("f", "z"), &watch, Patience::LONG, at(0));
     let PlaceStep::Change { group, reason: ChangeReason::Joined } = step else { panic!("{step:?}") };
     assert_eq!(names(&group), ["a", "b", "d", "e", "f"]);
     assert_eq!(
-        policy.place_step(&Places::default(), &only(five()), &member("f", "z"), &watch, at(0)),
+        policy.place_step(
+            &Places::default(),
+            &only(five()),
+            &member("f", "z"),
+            &watch,
+            Patience::LONG,
+            at(0)
+        ),
         PlaceStep::Stay
     );
 }
@@ -81,6 +95,7 @@
         &only(five()),
         &moved,
         &MemberWatch::default(),
+        Patience::LONG,
         at(0),
     );
     let PlaceStep::Change { group, reason: ChangeReason::Moved } = step else { panic!("{step:?}") };
@@ -93,16 +108,23 @@
     let policy = GroupPolicy::tolerating(2);
     let mut watch = MemberWatch::default();
     for node in ["a", "b", "c", "d", "e"] {
-        watch.answered(node, true, at(0));
+        watch.answered(node, told(true), at(0));
     }
     let own = member("f", "z");
     for second in 1..=7 {
         for node in ["a", "b", "c"] {
-            watch.answered(node, true, at(second * 1_000));
+            watch.answered(node, told(true), at(second * 1_000));
         }
         watch.silent("d", at(second * 1_000));
         watch.silent("e", at(second * 1_000));
-        let step = policy.place_step(&Places::default(), &only(five()), &own, &watch, at(second * 1_000));
+        let step = policy.place_step(
+            &Places::default(),
+            &only(five()),
+            &own,
+            &watch,
+            Patience::LONG,
+            at(second * 1_000),
+        );
         if second < 6 {
             assert_eq!(step, PlaceStep::Stay, "after {second} s");
             continue;
@@ -119,16 +141,23 @@
     let policy = GroupPolicy::tolerating(2);
     let mut watch = MemberWatch::default();
     for node in ["a", "b", "c", "d", "e"] {
-        watch.answered(node, true, at(0));
+        watch.answered(node, told(true), at(0));
     }
     // Two lost their disks and have no vote yet: who took the silent one's place could not read enough.
-    watch.answered("a", false, at(9_000));
-    watch.answered("b", false, at(9_000));
-    watch.answered("c", true, at(9_000));
-    watch.answered("d", true, at(9_000));
+    watch.answered("a", told(false), at(9_000));
+    watch.answered("b", told(false), at(9_000));
+    watch.answered("c", told(true), at(9_000));
+    watch.answered("d", told(true), at(9_000));
     watch.silent("e", at(9_000));
     assert_eq!(
-        policy.place_step(&Places::default(), &only(five()), &member("f", "z"), &watch, at(9_000)),
+        policy.place_step(
+            &Places::default(),
+            &only(five()),
+            &member("f", "z"),
+            &watch,
+            Patience::LONG,
+            at(9_000)
+        ),
         PlaceStep::Stay
     );
 }
@@ -195,8 +224,14 @@
     assert_eq!(map.groups().len(), 2);
     let spare = member("spare", "z0");
     let shrunk = map.groups()[1].without(&map.groups()[1].members[0].node);
-    let step =
-        policy.place_step(&Places::default(), &map.with(shrunk), &spare, &MemberWatch::default(), at(0));
+    let step = policy.place_step(
+        &Places::default(),
+        &map.with(shrunk),
+        &spare,
+        &MemberWatch::default(),
+        Patience::LONG,
+        at(0),
+    );
     let PlaceStep::Change { group, reason: ChangeReason::Joined } = step else { panic!("{step:?}") };
     assert_eq!((group.number, group.members.len()), (1, 3));
     let mut watch = MemberWatch::default();
@@ -205,11 +240,11 @@
         for member in map.members() {
             let _is_news = match member.node == lost && second > 0 {
                 true => watch.silent(&member.node, at(second * 1_000)),
-                false => watch.answered(&member.node, true, at(second * 1_000)),
+                false => watch.answered(&member.node, told(true), at(second * 1_000)),
             };
         }
     }
-    let step = policy.place_step(&Places::default(), &map, &spare, &watch, at(7_000));
+    let step = policy.place_step(&Places::default(), &map, &spare, &watch, Patience::LONG, at(7_000));
     let PlaceStep::Change { group, reason: ChangeReason::ReplacedLost } = step else { panic!("{step:?}") };
     assert_eq!(group.number, 1);
     assert!(group.member(&lost).is_none() && group.member("spare").is_some());
@@ -227,8 +262,9 @@
     let places = two_regions();
     let watch = MemberWatch::default();
     let small = Group::founded(["a", "b", "c"].map(|node| member(node, "a1")).to_vec());
-    let step =
-        |zone: &str| policy.place_step(&places, &only(small.clone()), &member("f", zone), &watch, at(0));
+    let step = |zone: &str| {
+        policy.place_step(&places, &only(small.clone()), &member("f", zone), &watch, Patience::LONG, at(0))
+    };
     assert_eq!(step("b1"), PlaceStep::Stay);
     assert_eq!(step("unknown"), PlaceStep::Stay);
     let PlaceStep::Change { group, .. } = step("a2") else { panic!("{:?}", step("a2")) };
@@ -243,15 +279,23 @@
     let group = Group::founded(["a", "b", "c"].map(|node| member(node, "a1")).to_vec());
     let mut watch = MemberWatch::default();
     for (node, is_lost) in [("a", true), ("b", false), ("c", false)] {
-        watch.answered(node, true, at(0));
+        watch.answered(node, told(true), at(0));
         if is_lost {
             watch.silent(node, at(1));
         } else {
-            watch.answered(node, true, at(60_000));
+            watch.answered(node, told(true), at(60_000));
         }
     }
-    let step =
-        |zone: &str| policy.place_step(&places, &only(group.clone()), &member("f", zone), &watch, at(60_000));
+    let step = |zone: &str| {
+        policy.place_step(
+            &places,
+            &only(group.clone()),
+            &member("f", zone),
+            &watch,
+            Patience::LONG,
+            at(60_000),
+        )
+    };
     assert_eq!(step("b1"), PlaceStep::Stay);
     assert!(matches!(step("a2"), PlaceStep::Change { reason: ChangeReason::ReplacedLost, .. }));
 }
--- a/crates/ledger/tests/zone_world/mod.rs
+++ b/crates/ledger/tests/zone_world/mod.rs
@@ -6,7 +6,9 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use sumacdrift_ledger::{Candidate, Capacity, GroupMap, GroupPolicy, Member, MemberWatch, PlaceStep};
+use sumacdrift_ledger::{
+    Candidate, Capacity, GroupMap, GroupPolicy, Member, MemberTold, MemberWatch, Patience, PlaceStep,
+};
 use sumacdrift_types::{Places, Timestamp};
 
 const STEPS: usize = 30;
@@ -72,7 +74,7 @@
                 continue;
             }
             if let PlaceStep::Change { group, .. } =
-                self.policy.place_step(&Places::default(), &self.map, &own, &watch, self.now)
+                self.policy.place_step(&Places::default(), &self.map, &own, &watch, Patience::LONG, self.now)
             {
                 self.map = self.map.with(group);
             }
@@ -94,10 +96,14 @@
         let mut watch = MemberWatch::default();
         for member in self.map.members() {
             if self.down.contains(&member.node) {
-                watch.answered(&member.node, true, Timestamp::default());
+                watch.answered(
+                    &member.node,
+                    MemberTold { is_voting: true, silent: None },
+                    Timestamp::default(),
+                );
                 watch.silent(&member.node, self.now);
             } else {
-                watch.answered(&member.node, true, self.now);
+                watch.answered(&member.node, MemberTold { is_voting: true, silent: None }, self.now);
             }
         }
         watch
--- a/crates/mutants/src/lib.rs
+++ b/crates/mutants/src/lib.rs
@@ -58,6 +58,8 @@
     LedgerZonesHoldFewMembers,
     /// A group never spreads to a region in which it has no member.
     LedgerStaysInItsRegions,
+    /// A member that others of the group hear is not lost.
+    LedgerLostHasWitnesses,
     /// A key opens nothing where what is known of keys is too old.
     AccessAgeIsBounded,
     /// A node admits few calls that a majority of those that count has not acknowledged.
@@ -80,7 +82,7 @@
 
 impl Rule {
     /// Rules of the program ledger, which has a simulation of its own.
-    pub const LEDGER: [Rule; 11] = [
+    pub const LEDGER: [Rule; 12] = [
         Rule::LedgerVoteNeedsRecords,
         Rule::LedgerReadsEnough,
         Rule::LedgerPagesAreComplete,
@@ -92,6 +94,7 @@
         Rule::LedgerLeavesInSilence,
         Rule::LedgerZonesHoldFewMembers,
         Rule::LedgerStaysInItsRegions,
+        Rule::LedgerLostHasWitnesses,
     ];
 
     /// Rules of keys and quotas.
--- a/crates/storage/src/host.rs
+++ b/crates/storage/src/host.rs
@@ -1,5 +1,6 @@
 //! One replica with its journal, answering other nodes.
 
+use std::collections::BTreeMap;
 use std::future::Future;
 use std::path::PathBuf;
 use std::pin::Pin;
@@ -21,7 +22,7 @@
 };
 use sumacdrift_ledger::{
     GroupMap, GroupMessage, GroupNumber, HostAdmission, LedgerReply, LedgerRequest, Member, Record, Replica,
-    ReplicaSettings, ReplyKind, RequestClass, RequestKind, StoredCopy,
+    ReplicaSettings, ReplyKind, RequestClass, RequestKind, SilentMember, StatusReply, StoredCopy,
 };
 use sumacdrift_proto::{OneWay, Request, Response};
 use sumacdrift_telemetry::time_histogram;
@@ -149,6 +150,8 @@
     quotas: QuotaHost,
     map: KnownMap,
     admission: Mutex<HostAdmission>,
+    /// Since when each member that this node finds silent has said nothing; `None` until it has looked.
+    silences: Mutex<Option<BTreeMap<String, Instant>>>,
     started: Instant,
     logger: Logger,
 }
@@ -206,6 +209,7 @@
             quotas,
             map: KnownMap::default(),
             admission: Mutex::new(HostAdmission::new(settings.waiting_bytes)),
+            silences: Mutex::default(),
             started: Instant::now(),
             logger,
         });
@@ -317,6 +321,25 @@
         &self.logger
     }
 
+    /// Notes since when members that this node finds silent have said nothing, for whoever asks for its status.
+    pub(crate) fn tell_silences(&self, silences: BTreeMap<String, Instant>) {
+        *self.silences.lock().unwrap_or_else(PoisonError::into_inner) = Some(silences);
+    }
+
+    /// Adds what this node sees of the other members to its status.
+    fn complete_status(&self, status: &mut StatusReply) {
+        let silences = self.silences.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(silences) = silences.as_ref() else { return };
+        status.is_watching = true;
+        status.silent = silences
+            .iter()
+            .map(|(node, since)| {
+                let millis = u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX);
+                SilentMember { node: node.clone(), millis }
+            })
+            .collect();
+    }
+
     /// Makes records durable.
     pub(crate) async fn commit(&self, records: Vec<Record>) -> Result<(), JournalFailure> {
         let bytes = records.iter().map(Record::encoded_len).sum();
@@ -438,6 +461,9 @@
         if let Some(newer) = self.newer_version(group, epoch, &step.reply) {
             step.reply.kind = Some(ReplyKind::WrongEpoch(newer));
         }
+        if let Some(ReplyKind::Status(status)) = &mut step.reply.kind {
+            self.complete_status(status);
+        }
         let kind = match self.commit(step.commit).await {
             Ok(()) => step.reply.kind,
             Err(failure) => {
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -23,6 +23,7 @@
 mod leave;
 mod member_answers;
 mod member_order;
+mod member_watcher;
 mod news;
 mod quota_client;
 mod quota_host;
--- a/crates/storage/src/upkeep.rs
+++ b/crates/storage/src/upkeep.rs
@@ -8,18 +8,18 @@
 
 use slog::{info, warn};
 use sumacdrift_ledger::{
-    Candidate, Capacity, ChangeReason, Group, GroupMap, GroupPolicy, Member, MemberWatch, PlaceStep,
-    ReplyKind, RequestKind,
+    Candidate, Capacity, ChangeReason, Group, GroupMap, GroupPolicy, Member, Patience, PlaceStep,
 };
 use sumacdrift_transport::Transport;
-use sumacdrift_types::{Places, Timestamp};
+use sumacdrift_types::Places;
+use tokio::task::JoinSet;
 use tokio::time::Instant;
 
 use crate::catch_up::catch_up;
 use crate::directory::{DirectoryError, DirectoryView, GroupDirectory, Registration, StoredMap};
 use crate::host::ReplicaHost;
 use crate::leave::hand_over;
-use crate::rpc::{ask, encode_to_node};
+use crate::member_watcher::MemberWatcher;
 
 /// How often the group is looked at.
 const ROUND: Duration = Duration::from_millis(250);
@@ -28,14 +28,10 @@
 /// How long no further machine may have registered before the groups are founded: machines that start together register
 /// within a fraction of a second of each other.
 const FOUNDERS_SETTLED: Duration = Duration::from_millis(800);
-/// How often a machine that is no member asks whether the members are there.
-const WATCH_EVERY: Duration = Duration::from_secs(1);
 /// Longest time drawn before a machine asks for a change that others may want too.
 const LONGEST_HESITATION: Duration = Duration::from_millis(200);
 /// How much later a machine asks for each member that its zone has.
 const ZONE_HESITATION: Duration = Duration::from_millis(200);
-/// Time for an answer about who a member is.
-const STATUS_TIMEOUT: Duration = Duration::from_millis(400);
 /// A replica that is not complete reads others only after this time, so that no request that an earlier life took
 /// part in can still gather votes.
 const QUIET_BEFORE_CATCH_UP: Duration = Duration::from_millis(1100);
@@ -67,8 +63,7 @@
     started: Instant,
     tidied: Instant,
     is_registered: bool,
-    watch: MemberWatch,
-    watched: Option<Instant>,
+    watcher: Arc<MemberWatcher>,
     wanted_since: Option<Instant>,
     is_retirement_reported: bool,
     has_handed_over: bool,
@@ -86,6 +81,8 @@
         directory: Arc<dyn GroupDirectory>,
     ) -> Self {
         let started = Instant::now();
+        let own = settings.own.node.clone();
+        let watcher = Arc::new(MemberWatcher::new(Arc::clone(&host), Arc::clone(&transport), own));
         Self {
             settings,
             host,
@@ -94,8 +91,7 @@
             started,
             tidied: started,
             is_registered: false,
-            watch: MemberWatch::default(),
-            watched: None,
+            watcher,
             wanted_since: None,
             is_retirement_reported: false,
             has_handed_over: false,
@@ -107,7 +103,11 @@
     /// Runs for as long as the process.
     pub async fn run(mut self) {
         info!(self.host.logger(), "keeping a place in the ledger"; "event" => "upkeep_begun",
-            "complete_within_ms" => self.settings.complete_within.as_millis() as u64);
+            "complete_within_ms" => self.settings.complete_within.as_millis() as u64,
+            "lost_after_ms" => self.patience().lost_after().as_millis() as u64);
+        // Ends with this task.
+        let mut watching = JoinSet::new();
+        watching.spawn(Arc::clone(&self.watcher).run());
         let mut view = self.directory.view();
         loop {
             let seen = self.seen(view.borrow_and_update().clone());
@@ -229,15 +229,13 @@
         if retirement.is_some() {
             return;
         }
-        if stored.map.seat_of(&own.node).is_none() {
-            self.watch_members(&stored.map).await;
-        }
         let step = self.settings.policy.place_step(
             &self.settings.places,
             &stored.map,
             &own,
-            &self.watch,
-            self.now(),
+            &self.watcher.watch(),
+            self.patience(),
+            self.watcher.now(),
         );
         match step {
             PlaceStep::Stay => self.wanted_since = None,
@@ -256,39 +254,14 @@
         }
     }
 
-    /// Asks the members of all groups whether they are there.
-    async fn watch_members(&mut self, map: &GroupMap) {
-        if self.watched.is_some_and(|watched| watched.elapsed() < WATCH_EVERY) {
-            return;
-        }
-        self.watched = Some(Instant::now());
-        let request = encode_to_node(RequestKind::Status(true));
-        let asked =
-            map.members().map(|member| ask(&self.transport, member.address, request.clone(), STATUS_TIMEOUT));
-        let replies = futures::future::join_all(asked).await;
-        let now = self.now();
-        for (member, reply) in map.members().zip(replies) {
-            match reply {
-                Some(ReplyKind::Status(status)) if status.node == member.node => {
-                    if self.watch.answered(&member.node, status.is_voting, now) {
-                        info!(self.host.logger(), "member answers again"; "event" => "member_heard",
-                            "member" => &member.node, "voting" => status.is_voting);
-                    }
-                }
-                _ => {
-                    if self.watch.silent(&member.node, now) {
-                        info!(self.host.logger(), "member says nothing"; "event" => "member_silent",
-                            "member" => &member.node);
-                    }
-                }
-            }
+    /// How long members may be silent until this machine takes the place of one.
+    fn patience(&self) -> Patience {
+        match self.host.replica().is_new() {
+            true => Patience::of_new_machine(self.settings.complete_within),
+            false => Patience::LONG,
         }
     }
 
-    fn now(&self) -> Timestamp {
-        Timestamp::default() + self.started.elapsed()
-    }
-
     /// Hands everything over and leaves the group; then the machine is empty.
     ///
     /// It stops voting before it is done: what it hands over must be all that it acknowledged, and nothing may come
