--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -30,9 +30,9 @@
 pub use map::GroupMap;
 pub use message::{
     Begin, BeginVote, ChainReply, ChainRequest, ContentsRequest, End, GroupMapMessage, GroupMessage,
-    KnownTurn, LedgerReply, LedgerRequest, MemberMessage, Page, PageRequest, Push, Record, RecordKind,
-    ReplyKind, RequestKind, RetainedTurn, SilentMember, Standing, StatusReply, StoredCopy, TurnBegun,
-    TurnEnded,
+    KnownTurn, LedgerReply, LedgerRequest, MemberMessage, Page, PageRequest, Push, Reading, Record,
+    RecordKind, ReplyKind, RequestKind, RetainedTurn, SilentMember, Standing, StatusReply, StoredCopy,
+    TurnBegun, TurnEnded,
 };
 pub use plan::{
     Candidate, Capacity, ChangeReason, GroupPolicy, MemberTold, MemberWatch, Patience, PlaceStep,
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -59,7 +59,7 @@
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Record {
     /// The entry.
-    #[prost(oneof = "RecordKind", tags = "1, 2, 3, 4, 5")]
+    #[prost(oneof = "RecordKind", tags = "1, 2, 3, 4, 5, 6")]
     pub kind: Option<RecordKind>,
     /// Milliseconds left to keep it, where it travels; time of day of its expiry, where it lies in a journal.
     #[prost(uint64, tag = "15")]
@@ -91,6 +91,9 @@
     /// The newest copy of what another system holds.
     #[prost(message, tag = "5")]
     Copy(StoredCopy),
+    /// Which members have been read.
+    #[prost(message, tag = "6")]
+    Reading(Reading),
 }
 
 /// What the replica is as the member that joined at this epoch.
@@ -104,6 +107,17 @@
     pub never_voted: bool,
 }
 
+/// Members whose records a replica without a vote has read to the end.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Reading {
+    /// Epoch at which they were read; it says nothing at another one.
+    #[prost(uint64, tag = "1")]
+    pub epoch: u64,
+    /// Their nodes.
+    #[prost(string, repeated, tag = "2")]
+    pub sources: Vec<String>,
+}
+
 /// A copy of what another system holds, for nodes that start while it is down. Its content means nothing here.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct StoredCopy {
--- a/crates/ledger/src/replica.rs
+++ b/crates/ledger/src/replica.rs
@@ -7,8 +7,8 @@
 use crate::group::{FOUNDING_EPOCH, Group};
 use crate::map::GroupMap;
 use crate::message::{
-    Begin, ChainRequest, End, LedgerReply, LedgerRequest, Page, PageRequest, Push, Record, RecordKind,
-    ReplyKind, RequestKind, Standing, StatusReply, StoredCopy,
+    Begin, ChainRequest, End, LedgerReply, LedgerRequest, Page, PageRequest, Push, Reading, Record,
+    RecordKind, ReplyKind, RequestKind, Standing, StatusReply, StoredCopy,
 };
 use crate::state::{LedgerState, PageDetail};
 
@@ -69,6 +69,11 @@
             Some(RecordKind::Standing(standing)) if standing.never_voted => {
                 self.never_voted_since = Some(standing.joined);
             }
+            Some(RecordKind::Reading(reading)) => {
+                if reading.epoch == self.group.epoch {
+                    self.caught_up_with.extend(reading.sources.iter().cloned());
+                }
+            }
             Some(RecordKind::Standing(standing)) => {
                 self.complete_since = Some(standing.joined);
             }
@@ -112,16 +117,12 @@
         })
     }
 
-    /// Notes that the replica has just joined the group that it knows, by its own doing and into no lost member's
-    /// place: it has never voted as this member. Returns the record to make durable.
-    pub fn joined_as_new(&mut self) -> Option<Record> {
-        let joined = self.group.member(&self.settings.node)?.joined;
-        if self.complete_since == Some(joined) {
-            return None;
-        }
-        self.never_voted_since = Some(joined);
-        let standing = Standing { joined, never_voted: true };
-        Some(Record { kind: Some(RecordKind::Standing(standing)), expiry_millis: 0 })
+    /// Notes that the replica is about to ask for a seat as a new member, into no lost member's place: whoever joins at that
+    /// epoch has never voted as that member. Returns the record to make durable before it asks, as the change may be made
+    /// even where nobody answers.
+    pub fn join_as_new(&mut self, epoch: u64) -> Record {
+        self.never_voted_since = Some(epoch);
+        never_voted_record(epoch)
     }
 
     /// Whether all records of any member were read at the group's epoch.
@@ -257,15 +258,15 @@
         page.kept_turns.iter().filter(|turn| !self.state.keeps(turn)).cloned().collect()
     }
 
-    /// Notes that all records of a member were read at an epoch, and are durable. Returns the record that makes the
-    /// replica a voter, once enough members were read.
+    /// Notes that all records of a member were read at an epoch, and are durable. Returns the record to make durable: of
+    /// what has been read, or the one that makes the replica a voter once enough members were.
     pub fn source_read(&mut self, node: &str, epoch: u64) -> Option<Record> {
         let joined = self.group.member(&self.settings.node).map(|member| member.joined)?;
         if !self.may_catch_up(epoch) {
             return None;
         }
         self.caught_up_with.insert(node.to_owned());
-        (self.sources_left() == 0).then(|| self.complete(joined))
+        Some(if self.sources_left() == 0 { self.complete(joined) } else { self.reading_record() })
     }
 
     /// Notes that a member said, at an epoch, that it has never voted. Returns the record that makes the replica a
@@ -300,6 +301,10 @@
     pub fn snapshot(&self, now: u64) -> Vec<Record> {
         let mut records = vec![group_record(&self.group)];
         records.extend(self.complete_since.map(standing_record));
+        records.extend(self.never_voted_since.map(never_voted_record));
+        if self.has_read_any() {
+            records.push(self.reading_record());
+        }
         let mut after = String::new();
         loop {
             let page = self.state.page(&after, PageDetail::Whole, now);
@@ -316,6 +321,13 @@
         standing_record(joined)
     }
 
+    /// Which members were read so far. A second disk that is lost meanwhile may be the one that was read.
+    fn reading_record(&self) -> Record {
+        let sources = self.caught_up_with.iter().cloned().collect();
+        let reading = Reading { epoch: self.group.epoch, sources };
+        Record { kind: Some(RecordKind::Reading(reading)), expiry_millis: 0 }
+    }
+
     fn adopt(&mut self, group: Group) {
         if group.number != self.group.number && self.group.epoch > 0 {
             self.state.forget_programs();
@@ -431,6 +443,10 @@
     Record { kind: Some(RecordKind::Group(group.to_message())), expiry_millis: 0 }
 }
 
+fn never_voted_record(joined: u64) -> Record {
+    Record { kind: Some(RecordKind::Standing(Standing { joined, never_voted: true })), expiry_millis: 0 }
+}
+
 fn standing_record(joined: u64) -> Record {
     Record { kind: Some(RecordKind::Standing(Standing { joined, never_voted: false })), expiry_millis: 0 }
 }
--- a/crates/ledger/src/state.rs
+++ b/crates/ledger/src/state.rs
@@ -83,7 +83,7 @@
             Some(RecordKind::Begun(turn)) => self.begin_until(turn, record.expiry_millis),
             Some(RecordKind::Ended(turn)) => self.end_until(turn, record.expiry_millis),
             Some(RecordKind::Copy(copy)) => self.keep(copy),
-            Some(RecordKind::Group(_) | RecordKind::Standing(_)) | None => false,
+            Some(RecordKind::Group(_) | RecordKind::Standing(_) | RecordKind::Reading(_)) | None => false,
         }
     }
 
--- a/crates/storage/src/catch_up.rs
+++ b/crates/storage/src/catch_up.rs
@@ -28,7 +28,7 @@
         if host.replica().has_read(&member.node) {
             continue;
         }
-        let standing = match read_member(host, transport, &group, member).await {
+        let record = match read_member(host, transport, &group, member).await {
             MemberRead::Failed(answer) => {
                 warn!(host.logger(), "member could not be read"; "event" => "catch_up_failed",
                     "member" => &member.node, "epoch" => group.epoch, "answer" => %answer,
@@ -36,19 +36,19 @@
                 continue;
             }
             MemberRead::NeverVoted => {
-                let standing = host.replica().source_never_voted(&member.node, group.epoch);
+                let record = host.replica().source_never_voted(&member.node, group.epoch);
                 info!(host.logger(), "member has never voted"; "event" => "catch_up_needless",
-                    "member" => &member.node, "epoch" => group.epoch, "votes_now" => standing.is_some());
-                standing
+                    "member" => &member.node, "epoch" => group.epoch, "votes_now" => host.is_voting());
+                record
             }
             MemberRead::Whole { records } => {
-                let standing = host.replica().source_read(&member.node, group.epoch);
+                let record = host.replica().source_read(&member.node, group.epoch);
                 info!(host.logger(), "member read"; "event" => "catch_up_read", "member" => &member.node,
-                    "epoch" => group.epoch, "records" => records, "votes_now" => standing.is_some());
-                standing
+                    "epoch" => group.epoch, "records" => records, "votes_now" => host.is_voting());
+                record
             }
         };
-        if host.commit(standing.into_iter().collect()).await.is_err() {
+        if host.commit(record.into_iter().collect()).await.is_err() {
             return false;
         }
     }
--- a/crates/storage/src/upkeep.rs
+++ b/crates/storage/src/upkeep.rs
@@ -243,17 +243,25 @@
                 let wanted_since = *self.wanted_since.get_or_insert_with(Instant::now);
                 if wanted_since.elapsed() >= hesitation(&group, &own, reason) {
                     self.wanted_since = None;
-                    let next = stored.map.with(group);
-                    let is_in = self.replace_map(next, Some(stored.revision), reason.name()).await;
-                    if is_in && reason == ChangeReason::Joined {
-                        let standing = self.host.replica().joined_as_new();
-                        let _ = self.host.commit(standing.into_iter().collect()).await;
-                    }
+                    self.take_place(stored, group, reason).await;
                 }
             }
         }
     }
 
+    /// Asks for the change that gives this machine a seat, or another address.
+    async fn take_place(&self, stored: &StoredMap, group: Group, reason: ChangeReason) {
+        if reason == ChangeReason::Joined {
+            let standing = self.host.replica().join_as_new(group.epoch);
+            if let Err(failure) = self.host.commit(vec![standing]).await {
+                warn!(self.host.logger(), "not joining, as nothing is durable here"; "event" => "commit_failed",
+                    "error" => failure);
+                return;
+            }
+        }
+        self.replace_map(stored.map.with(group), Some(stored.revision), reason.name()).await;
+    }
+
     /// How long members may be silent until this machine takes the place of one.
     fn patience(&self) -> Patience {
         match self.host.replica().is_new() {
--- a/crates/storage/tests/machines/mod.rs
+++ b/crates/storage/tests/machines/mod.rs
@@ -230,6 +230,11 @@
         }
     }
 
+    /// Changes of the groups are made and not answered, or answered again.
+    pub fn lose_answers(&self, are_lost: bool) {
+        self.directory.lose_answers(are_lost);
+    }
+
     /// Asks that a machine be emptied.
     pub fn retire(&self, name: &str) {
         let retirement = Retirement { node: name.to_owned(), is_completed: false, revision: 1_000 };
