--- a/crates/journal/src/disk.rs
+++ b/crates/journal/src/disk.rs
@@ -13,6 +13,8 @@
     fn list(&mut self) -> io::Result<Vec<SegmentNumber>>;
     /// The content of a segment, from its start on, and its length in bytes.
     fn read(&mut self, segment: SegmentNumber) -> io::Result<(Box<dyn Read>, u64)>;
+    /// Makes durable whatever a segment of an earlier life holds.
+    fn settle(&mut self, segment: SegmentNumber) -> io::Result<()>;
     /// Makes an empty segment that later appends go to.
     fn create(&mut self, segment: SegmentNumber) -> io::Result<()>;
     /// Appends to the segment created last.
@@ -70,6 +72,10 @@
         Ok((Box::new(BufReader::new(file)), length))
     }
 
+    fn settle(&mut self, segment: SegmentNumber) -> io::Result<()> {
+        OpenOptions::new().write(true).open(self.path(segment))?.sync_data()
+    }
+
     fn create(&mut self, segment: SegmentNumber) -> io::Result<()> {
         let file = OpenOptions::new().create(true).write(true).truncate(true).open(self.path(segment))?;
         file.sync_all()?;
--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -59,6 +59,10 @@
             torn_bytes += usize::try_from(bytes - end).unwrap_or(usize::MAX);
             closed.push_back(Segment { number, bytes });
         }
+        if let Some(last) = closed.back() {
+            // The process that wrote it may have ended before its sync did, and what was replayed is gone by from now on.
+            disk.settle(last.number)?;
+        }
         let number = closed.back().map_or(0, |last: &Segment| last.number + 1);
         disk.create(number)?;
         let current = Segment { number, bytes: 0 };
--- a/crates/journal/src/writer.rs
+++ b/crates/journal/src/writer.rs
@@ -1,7 +1,7 @@
 //! Commits records in batches on a thread of their own: while one sync runs, the next batch gathers.
 
 use std::sync::mpsc::{Receiver, Sender, channel};
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::JoinHandle;
 
 use bytes::Bytes;
@@ -16,7 +16,28 @@
 pub type Committed = Box<dyn FnOnce(Result<(), JournalFailure>) + Send>;
 
 /// The outcome of a failed commit in a form that can be handed to many.
-pub type JournalFailure = String;
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{reason}")]
+pub struct JournalFailure {
+    reason: Arc<str>,
+    /// Whether nothing more is committed in this life of the process.
+    pub is_final: bool,
+}
+
+impl JournalFailure {
+    /// The writer has ended.
+    pub fn stopped() -> Self {
+        Self { reason: Arc::from(WriterStopped.to_string()), is_final: true }
+    }
+}
+
+impl From<JournalError> for JournalFailure {
+    fn from(error: JournalError) -> Self {
+        // A full journal has room again behind its next snapshot.
+        let is_final = !matches!(error, JournalError::Full(_));
+        Self { reason: Arc::from(error.to_string()), is_final }
+    }
+}
 
 /// The writer's thread has ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -147,7 +168,7 @@
         return;
     }
     let outcome = journal.commit(batch.iter().map(|(record, _)| &record[..]));
-    let outcome = outcome.map_err(|error: JournalError| error.to_string());
+    let outcome = outcome.map_err(JournalFailure::from);
     for (_, committed) in batch {
         committed(outcome.clone());
     }
--- a/crates/journal/tests/journal.rs
+++ b/crates/journal/tests/journal.rs
@@ -61,6 +61,22 @@
     }
 }
 
+#[test]
+fn what_was_replayed_once_is_not_lost_by_power() {
+    for seed in 0..200 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let disk = SimulatedDisk::default();
+        let (mut journal, _, _) = replay(&disk);
+        // The process ends before its sync does; the file is as it wrote it.
+        disk.fail_next_sync();
+        assert!(journal.commit([&b"not synced"[..]]).is_err());
+        let (_, replayed, _) = replay(&disk);
+        disk.lose_power(&mut random);
+        let (_, records, _) = replay(&disk);
+        assert_eq!(records, replayed, "seed {seed}: what the process went by is gone");
+    }
+}
+
 #[test]
 fn a_torn_record_ends_its_segment_and_no_other() {
     let disk = SimulatedDisk::default();
--- a/crates/journal/tests/simulated_disk/mod.rs
+++ b/crates/journal/tests/simulated_disk/mod.rs
@@ -75,6 +75,15 @@
         Ok((Box::new(io::Cursor::new(bytes)), length))
     }
 
+    fn settle(&mut self, segment: SegmentNumber) -> io::Result<()> {
+        let mut state = self.state();
+        let content = state.segments.get_mut(&segment).ok_or(io::ErrorKind::NotFound)?;
+        for write in std::mem::take(&mut content.unsynced) {
+            content.synced.extend_from_slice(&write);
+        }
+        Ok(())
+    }
+
     fn create(&mut self, segment: SegmentNumber) -> io::Result<()> {
         let mut state = self.state();
         state.segments.insert(segment, Content::default());
--- a/crates/storage/src/host.rs
+++ b/crates/storage/src/host.rs
@@ -30,6 +30,7 @@
 use sumacdrift_types::{Problem, ResultCode, Timestamp};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 use crate::clock::wall_millis;
 use crate::directory::DirectoryView;
@@ -42,6 +43,8 @@
 const SNAPSHOT_AFTER_BYTES: u64 = 48 << 20;
 /// Bytes written since the last snapshot, as a multiple of its size, that call for another one.
 const SNAPSHOT_GROWTH: u64 = 2;
+/// Share of what the journal may take that calls for one in any case: the snapshot must fit beside what it replaces.
+const SNAPSHOT_AT_SHARE: u64 = 3;
 
 /// A commit that takes longer is told: callers wait for it, and a sync should take milliseconds.
 const SLOW_COMMIT: Duration = Duration::from_millis(300);
@@ -144,6 +147,7 @@
     replica: Mutex<Replica>,
     writer: JournalWriter,
     meter: SnapshotMeter,
+    capacity_bytes: u64,
     metrics: HostMetrics,
     feed: Arc<FeedHost>,
     news: NewsBoard,
@@ -152,6 +156,7 @@
     admission: Mutex<HostAdmission>,
     /// Since when each member that this node finds silent has said nothing; `None` until it has looked.
     silences: Mutex<Option<BTreeMap<String, Instant>>>,
+    journal_failed: CancellationToken,
     started: Instant,
     logger: Logger,
 }
@@ -192,6 +197,9 @@
             }
             Err(_) => unreadable += 1,
         })?;
+        // What earlier lives wrote takes room until the next snapshot too.
+        let meter = SnapshotMeter::default();
+        meter.since_snapshot.store(journal.total_bytes(), Ordering::Relaxed);
         let first = replica.started();
         let quotas = QuotaHost::new(replica.node());
         replica.expire(wall_millis());
@@ -203,13 +211,15 @@
             feed: Arc::new(FeedHost::new(snapshot, logger.clone())),
             replica: Mutex::new(replica),
             writer: start_writer(journal),
-            meter: SnapshotMeter::default(),
+            meter,
+            capacity_bytes: settings.capacity_bytes,
             metrics: HostMetrics::default(),
             news: NewsBoard::new(),
             quotas,
             map: KnownMap::default(),
             admission: Mutex::new(HostAdmission::new(settings.waiting_bytes)),
             silences: Mutex::default(),
+            journal_failed: CancellationToken::new(),
             started: Instant::now(),
             logger,
         });
@@ -223,6 +233,12 @@
         self.replica.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns when nothing more can be made durable: the process must end and begin anew with what its disk holds. One
+    /// that stayed would look like a member that votes, and answer nobody.
+    pub async fn journal_failed(&self) {
+        self.journal_failed.cancelled().await;
+    }
+
     /// Name of the node.
     pub fn node(&self) -> String {
         self.replica().node().to_owned()
@@ -291,7 +307,7 @@
             let content = Bytes::from(snapshot.encode_to_vec());
             let record = self.replica().keep(StoredCopy { number, content });
             if let Err(failure) = self.commit(record.into_iter().collect()).await {
-                error!(self.logger, "copy not durable"; "event" => "commit_failed", "error" => failure);
+                error!(self.logger, "copy not durable"; "event" => "commit_failed", "error" => %failure);
             }
             tokio::time::sleep(COPY_PAUSE).await;
         }
@@ -347,7 +363,10 @@
         let begun = Instant::now();
         self.admission().queued(bytes, self.now());
         let waiting = WaitingBatch { host: self };
-        let outcome = done.await.unwrap_or_else(|_| Err("the writer has stopped".to_owned()));
+        let outcome = done.await.unwrap_or_else(|_| Err(JournalFailure::stopped()));
+        if outcome.as_ref().is_err_and(|failure| failure.is_final) {
+            self.journal_failed.cancel();
+        }
         drop(waiting);
         let taken = begun.elapsed();
         self.metrics.commits.inc();
@@ -402,7 +421,8 @@
         self.replica().expire(wall_millis());
         let grown = self.meter.since_snapshot.load(Ordering::Relaxed);
         let last = self.meter.last_snapshot.load(Ordering::Relaxed);
-        if grown >= SNAPSHOT_AFTER_BYTES.max(last * SNAPSHOT_GROWTH) {
+        let by_growth = SNAPSHOT_AFTER_BYTES.max(last * SNAPSHOT_GROWTH);
+        if grown >= by_growth.min(self.capacity_bytes / SNAPSHOT_AT_SHARE) {
             self.snapshot().await;
         }
     }
@@ -419,7 +439,7 @@
         let records = self.replica().snapshot(wall_millis());
         self.meter.since_snapshot.store(0, Ordering::Relaxed);
         if let Err(failure) = self.commit(records).await {
-            error!(self.logger, "snapshot failed"; "event" => "snapshot_failed", "error" => failure);
+            error!(self.logger, "snapshot failed"; "event" => "snapshot_failed", "error" => %failure);
             return;
         }
         let written = self.meter.since_snapshot.swap(0, Ordering::Relaxed);
@@ -467,8 +487,8 @@
         let kind = match self.commit(step.commit).await {
             Ok(()) => step.reply.kind,
             Err(failure) => {
-                error!(self.logger, "record not durable"; "event" => "commit_failed", "error" => &failure);
-                Some(ReplyKind::Failed(failure))
+                error!(self.logger, "record not durable"; "event" => "commit_failed", "error" => %failure);
+                Some(ReplyKind::Failed(failure.to_string()))
             }
         };
         // Looked up as late as possible: the answer travels now.
--- a/crates/storage/src/upkeep.rs
+++ b/crates/storage/src/upkeep.rs
@@ -161,7 +161,7 @@
         info!(self.host.logger(), "group adopted"; "event" => "group_adopted", "group" => group.number,
             "epoch" => group.epoch, "members" => members_text(&group), "voting" => self.host.is_voting());
         if let Err(failure) = self.host.commit(vec![record]).await {
-            warn!(self.host.logger(), "group not durable"; "event" => "commit_failed", "error" => failure);
+            warn!(self.host.logger(), "group not durable"; "event" => "commit_failed", "error" => %failure);
         }
     }
 
@@ -255,7 +255,7 @@
             let standing = self.host.replica().join_as_new(group.epoch);
             if let Err(failure) = self.host.commit(vec![standing]).await {
                 warn!(self.host.logger(), "not joining, as nothing is durable here"; "event" => "commit_failed",
-                    "error" => failure);
+                    "error" => %failure);
                 return;
             }
         }
--- a/crates/storage/tests/machines/disk.rs
+++ b/crates/storage/tests/machines/disk.rs
@@ -16,6 +16,7 @@
 struct State {
     segments: BTreeMap<SegmentNumber, Segment>,
     current: SegmentNumber,
+    fails_next_sync: bool,
 }
 
 #[derive(Clone, Default)]
@@ -26,6 +27,14 @@
         self.0.lock().expect("a disk")
     }
 
+    pub fn fail_next_sync(&self) {
+        self.state().fails_next_sync = true;
+    }
+
+    pub fn bytes(&self) -> usize {
+        self.state().segments.values().map(|segment| segment.bytes.len()).sum()
+    }
+
     pub fn lose_unsynced(&self) {
         self.state().segments.values_mut().for_each(|segment| segment.bytes.truncate(segment.synced));
     }
@@ -42,6 +51,13 @@
         Ok((Box::new(io::Cursor::new(bytes)), length))
     }
 
+    fn settle(&mut self, segment: SegmentNumber) -> io::Result<()> {
+        let mut state = self.state();
+        let segment = state.segments.get_mut(&segment).ok_or(io::ErrorKind::NotFound)?;
+        segment.synced = segment.bytes.len();
+        Ok(())
+    }
+
     fn create(&mut self, segment: SegmentNumber) -> io::Result<()> {
         let mut state = self.state();
         state.segments.insert(segment, Segment::default());
@@ -58,6 +74,9 @@
 
     fn sync(&mut self) -> io::Result<()> {
         let mut state = self.state();
+        if std::mem::take(&mut state.fails_next_sync) {
+            return Err(io::Error::other("the sync failed"));
+        }
         let current = state.current;
         let segment = state.segments.get_mut(&current).ok_or(io::ErrorKind::NotFound)?;
         segment.synced = segment.bytes.len();
--- a/crates/storage/tests/machines/mod.rs
+++ b/crates/storage/tests/machines/mod.rs
@@ -16,7 +16,7 @@
 
 use bytes::Bytes;
 use directory::SharedDirectory;
-use disk::MemoryDisk;
+pub use disk::MemoryDisk;
 use slog::{Discard, Logger, o};
 use sumacdrift_journal::JournalWriter;
 use sumacdrift_ledger::{
@@ -150,15 +150,8 @@
         let machine = self.machines.get_mut(name).expect("a machine");
         let is_first_start = is_first_start && !machine.has_started;
         machine.has_started = true;
-        let settings = HostSettings {
-            replica: ReplicaSettings { node: name.to_owned(), is_first_start },
-            folder: Default::default(),
-            capacity_bytes: DISK_BYTES,
-            waiting_bytes: WAITING_BYTES,
-        };
-        let disk = machine.disk.clone();
-        let host = ReplicaHost::open_on(disk, JournalWriter::in_place, settings, logger.clone()).await;
-        let host = host.expect("a host");
+        let replica = ReplicaSettings { node: name.to_owned(), is_first_start };
+        let host = open(machine.disk.clone(), replica, DISK_BYTES, &logger).await;
         network.set_reachable(machine.address, true);
         let acceptor = network.listen(machine.address).await.expect("an address");
         let transport = Arc::new(Transport::new(Arc::new(network), Arc::new(TrafficCounters::default())));
@@ -338,6 +331,35 @@
     }
 }
 
+async fn open(
+    disk: MemoryDisk,
+    replica: ReplicaSettings,
+    capacity_bytes: u64,
+    logger: &Logger,
+) -> Arc<ReplicaHost> {
+    let settings =
+        HostSettings { replica, folder: Default::default(), capacity_bytes, waiting_bytes: WAITING_BYTES };
+    let host = ReplicaHost::open_on(disk, JournalWriter::in_place, settings, logger.clone()).await;
+    host.expect("a host")
+}
+
+/// A host alone, of a machine that is not new.
+pub async fn open_host(disk: MemoryDisk, node: &str, capacity_bytes: u64) -> Arc<ReplicaHost> {
+    let replica = ReplicaSettings { node: node.to_owned(), is_first_start: false };
+    open(disk, replica, capacity_bytes, &Logger::root(Discard, o!())).await
+}
+
+/// The end of a kept turn that is soon forgotten.
+pub fn ended(turn: &str, input: Bytes) -> TurnEnded {
+    TurnEnded {
+        program: "program".to_owned(),
+        turn: turn.to_owned(),
+        tokens: 1,
+        retention_millis: 0,
+        retained: Some(RetainedTurn { input, ..RetainedTurn::default() }),
+    }
+}
+
 /// Pause between two turns.
 const TURN_PAUSE: Duration = Duration::from_millis(200);
 
