An engine's life is its name and its start; a younger life begins anew

Cause: an engine may start again under its name. A report with a lower count was dropped as held up, and one that was leaving never took work again, so a restarted engine stayed as it had been, with its slots, failures, coldness, running calls and held prompts. EngineId holds the start too: the book, connections, held prompts, loads told by others and tries of a call are kept by life. The younger of two lives runs, whatever either counts; an entry of an earlier one changes nothing, but where it says that it leaves, the engine gets nothing new until the younger reports (clocks may step back). Entries go by name. A list is compared by a set of names. A list of engines is no longer compared pair by pair.

--- a/crates/calls/src/head.rs
+++ b/crates/calls/src/head.rs
@@ -1,34 +1,76 @@
 //! What a caller says about a call.
 
+use std::borrow::Cow;
 use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// One life of an engine. A restarted engine is another one.
+/// When a life of an engine began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Default)]
+pub struct EngineStart {
+    /// Milliseconds of the time of day by the engine's own clock; 0 where it doesn't say.
+    pub unix_millis: u64,
+}
+
+impl EngineStart {
+    /// Whether the engine says when it began.
+    pub fn is_known(self) -> bool {
+        self.unix_millis > 0
+    }
+}
+
+/// One life of an engine. An engine that was started again is another one, also under the same name: it holds and knows
+/// nothing of what the earlier one did.
 #[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct EngineId(Arc<str>);
+pub struct EngineId {
+    name: Arc<str>,
+    start: EngineStart,
+}
 
 impl EngineId {
-    /// The id as the engine tells it.
-    pub fn new(text: &str) -> Self {
-        Self(Arc::from(text))
+    /// The only life of an engine that doesn't say when it began.
+    pub fn new(name: &str) -> Self {
+        Self::started(name, EngineStart::default())
+    }
+
+    /// The life of an engine that began then.
+    pub fn started(name: &str, start: EngineStart) -> Self {
+        Self { name: Arc::from(name), start }
     }
 
-    /// The id as text.
+    /// The name that all lives of the engine share, as it tells it.
     pub fn as_str(&self) -> &str {
-        &self.0
+        &self.name
+    }
+
+    /// When this life began.
+    pub fn start(&self) -> EngineStart {
+        self.start
+    }
+
+    /// Whether two lives are of the same engine.
+    pub fn is_same_engine(&self, other: &EngineId) -> bool {
+        self.name == other.name
+    }
+
+    /// A text that no two lives share.
+    pub fn life_text(&self) -> Cow<'_, str> {
+        match self.start.is_known() {
+            true => Cow::Owned(format!("{}@{}", self.name, self.start.unix_millis)),
+            false => Cow::Borrowed(&self.name),
+        }
     }
 }
 
 impl fmt::Display for EngineId {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str(&self.0)
+        formatter.write_str(&self.name)
     }
 }
 
 impl fmt::Debug for EngineId {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str(&self.0)
+        formatter.write_str(&self.life_text())
     }
 }
 
--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -10,6 +10,6 @@
 mod rules;
 
 pub use events::{EventSplitter, StreamEvent};
-pub use head::{CallHead, EngineId, ProgramHead, PromptPart, TokenUsage};
+pub use head::{CallHead, EngineId, EngineStart, ProgramHead, PromptPart, TokenUsage};
 pub use machine::{CallMachine, Failure, Next};
 pub use rules::{CallKind, CallRules};
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -9,8 +9,8 @@
 use sumacdrift_access::{Knowledge, KnowledgeLimits};
 use sumacdrift_calls::EngineId;
 use sumacdrift_routing::{
-    CallerLimits, EngineBook, EngineSpec, Evacuation, EvacuationChange, Outcome, RouteTable, Routes,
-    TrafficPrices,
+    CallerLimits, EngineBook, EngineSpec, EntryChange, Evacuation, EvacuationChange, Outcome, RouteTable,
+    Routes, TrafficPrices,
 };
 use sumacdrift_scheduling::HealthSettings;
 use sumacdrift_storage::{LedgerClient, QuotaClient};
@@ -188,10 +188,22 @@
 
     /// Takes in one engine.
     pub fn upsert_engine(&self, spec: EngineSpec) {
-        let (id, is_leaving) = (spec.id.clone(), spec.is_leaving);
-        if self.book().upsert(spec, self.clock.now()) {
-            info!(self.logger, "engine changed"; "event" => "engine_changed", "engine" => %id,
-                "leaving" => is_leaving);
+        let (id, is_leaving, report) = (spec.id.clone(), spec.is_leaving, spec.report);
+        match self.book().upsert(spec, self.clock.now()) {
+            EntryChange::Nothing => {}
+            EntryChange::Changed => {
+                info!(self.logger, "engine changed"; "event" => "engine_changed", "engine" => %id,
+                    "leaving" => is_leaving);
+            }
+            EntryChange::StartedAgain => {
+                info!(self.logger, "engine started again"; "event" => "engine_started_again", "engine" => %id,
+                    "start_unix_ms" => id.start().unix_millis, "report" => report, "leaving" => is_leaving);
+            }
+            EntryChange::EarlierLifeLeaves => {
+                info!(self.logger, "an earlier life of an engine says that it leaves";
+                    "event" => "earlier_life_leaves", "engine" => %id,
+                    "start_unix_ms" => id.start().unix_millis, "report" => report);
+            }
         }
     }
 
@@ -202,6 +214,13 @@
         }
     }
 
+    /// The directory's entry of an engine can't be read any more.
+    pub fn withdraw_engine(&self, id: &EngineId) {
+        if self.book().withdraw(id, self.clock.now()) {
+            info!(self.logger, "engine withdrawn"; "event" => "engine_withdrawn", "engine" => %id);
+        }
+    }
+
     /// Engines of a zone get nothing new from now on.
     pub fn evacuate(&self, evacuation: Evacuation, source: &'static str) {
         let change = self.book().evacuate(evacuation, self.clock.now());
--- a/crates/edge/src/fleet_news.rs
+++ b/crates/edge/src/fleet_news.rs
@@ -63,7 +63,7 @@
 
 /// What an engine holds of a prompt that it has read, and of its answer, which stands behind the prompt's last part.
 pub(crate) fn held_parts(engine: &EngineId, parts: &[PartNeed], answer_tokens: u64) -> Vec<PartHeld> {
-    let engine = engine_key(engine.as_str());
+    let engine = engine_key(&engine.life_text());
     let last = parts.len().saturating_sub(1);
     let tokens_of = |place: usize, part: &PartNeed| {
         let answer = if place == last { answer_tokens } else { 0 };
--- a/crates/routing/src/book.rs
+++ b/crates/routing/src/book.rs
@@ -10,6 +10,9 @@
 use sumacdrift_types::{Location, Mechanism, SwitchedOff, Timestamp};
 
 mod eligibility;
+mod lives;
+
+pub use lives::EntryChange;
 
 use crate::choice::{CALLS_OF_A_BEGINNING, Choice, HeldTokens, Placed, PlacementRequest, RequestedWork};
 use crate::cold::ColdLimit;
@@ -20,10 +23,6 @@
 use crate::others::{BelievedLoads, OtherLoad, ToldTime};
 use crate::speeds::{LearnedSpeeds, StreamSeen};
 
-/// Outages of the directory shorter than this leave no engine out that is there.
-const SHORTEST_OUTAGE: Duration = Duration::from_secs(1);
-/// Time that engines take to report again after an outage of the directory.
-const REPORT_AGAIN_TIME: Duration = Duration::from_millis(1700);
 /// Parts of prompts that are remembered, and for how long since their last use.
 const MOST_PARTS: usize = 1024;
 const KEEP_PARTS_FOR: Duration = Duration::from_secs(30);
@@ -60,40 +59,6 @@
         }
     }
 
-    /// Takes in an engine's entry in the directory; returns whether it changes what is believed.
-    pub fn upsert(&mut self, spec: EngineSpec, now: Timestamp) -> bool {
-        if let Some(engine) = self.engines.get_mut(&spec.id) {
-            return engine.update(spec, now);
-        }
-        self.engines.insert(spec.id.clone(), Engine::new(spec, self.health, now));
-        true
-    }
-
-    /// The directory no longer has an engine.
-    pub fn remove(&mut self, id: &EngineId, now: Timestamp) -> bool {
-        let Some(engine) = self.engines.get_mut(id) else { return false };
-        let was_usable = engine.is_usable(now);
-        engine.unusable_since = Some(engine.unusable_since.map_or(now, |since| since.min(now)));
-        was_usable
-    }
-
-    /// Makes the whole directory known: engines that are not in it are gone.
-    ///
-    /// After an outage of the directory engines may be missing only because they could not report meanwhile. They
-    /// stay in use for the time that an engine takes to report again.
-    pub fn replace_all(&mut self, specs: Vec<EngineSpec>, outage: Duration, now: Timestamp) {
-        let grace = if outage >= SHORTEST_OUTAGE { REPORT_AGAIN_TIME } else { Duration::ZERO };
-        for (id, engine) in &mut self.engines {
-            if !specs.iter().any(|spec| spec.id == *id) {
-                let gone = now + grace;
-                engine.unusable_since = Some(engine.unusable_since.map_or(gone, |since| since.min(gone)));
-            }
-        }
-        for spec in specs {
-            self.upsert(spec, now);
-        }
-    }
-
     /// A connection to an engine took so long.
     pub fn connected(&mut self, id: &EngineId, took: Duration) {
         if let Some(engine) = self.engines.get(id) {
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -12,8 +12,6 @@
 use crate::estimate::{CallWork, EngineFacts, Estimate, Speeds, estimate};
 use crate::others::BelievedLoads;
 
-/// How long an engine that left the directory may still be used where no other is left.
-const LAST_RESORT_TIME: Duration = Duration::from_millis(1200);
 /// Share of an estimate by which engines differ for a call at random, so that nodes that know the same do not all
 /// choose the same one.
 const SPREAD_SHARE: f64 = 0.05;
@@ -131,7 +129,7 @@
             &|engine| self.is_fresh(engine) && engine.is_usable(self.now) && self.is_sound(engine),
             &|engine| self.is_fresh(engine) && engine.is_usable(self.now),
             &|engine| engine.is_usable(self.now),
-            &|engine| engine.unusable_since.is_none_or(|since| self.now.since(since) < LAST_RESORT_TIME),
+            &|engine| engine.is_last_resort(self.now),
         ];
         tiers.iter().find_map(|tier| self.cheapest(candidates.iter().copied().filter(|engine| tier(engine))))
     }
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -58,6 +58,8 @@
     pub(crate) unread_tokens: u64,
     pub(crate) health: Health,
     pub(crate) unusable_since: Option<Timestamp>,
+    /// Whether it gets nothing at all until its entry is there again.
+    is_withdrawn: bool,
     pub(crate) coldness: Coldness,
     slowness: Slowness,
     last_end: Option<LastEnd>,
@@ -72,6 +74,8 @@
     failed_in_a_row: u32,
 }
 
+/// How long an engine that left the directory may still be used where no other is left.
+const LAST_RESORT_TIME: Duration = Duration::from_millis(1200);
 /// How long the end of a call says something to others.
 const END_COUNTS_FOR: Duration = Duration::from_secs(2);
 
@@ -81,11 +85,12 @@
         coldness.told(spec.cold_left, now);
         Self {
             coldness,
-            key: engine_key(spec.id.as_str()),
+            key: engine_key(&spec.id.life_text()),
             running: 0,
             unread_tokens: 0,
             health: Health::new(health),
             unusable_since: spec.is_leaving.then_some(now),
+            is_withdrawn: false,
             slowness: Slowness::usual(now),
             last_end: None,
             others: OtherLoad::default(),
@@ -132,6 +137,31 @@
         self.slowness.observe(seen, noise, now);
     }
 
+    /// It takes no new work from now on, unless its directory's entry says so anew.
+    pub(crate) fn retire(&mut self, at: Timestamp) -> bool {
+        let was_usable = self.is_usable(at);
+        self.unusable_since = Some(self.unusable_since.map_or(at, |since| since.min(at)));
+        was_usable
+    }
+
+    /// It takes no new work from now on, not even as the last resort.
+    pub(crate) fn withdraw(&mut self, now: Timestamp) -> bool {
+        self.is_withdrawn = true;
+        self.retire(now)
+    }
+
+    /// Whether it may get a call where no other is left: it takes new work, or left only just now.
+    pub(crate) fn is_last_resort(&self, now: Timestamp) -> bool {
+        let left_just_now = self.unusable_since.is_none_or(|since| now.since(since) < LAST_RESORT_TIME);
+        left_just_now && !self.is_withdrawn
+    }
+
+    /// A younger life of the engine was seen: this one is over, whatever it said.
+    pub(crate) fn superseded(&mut self, now: Timestamp) {
+        self.withdraw(now);
+        self.spec.is_leaving = false;
+    }
+
     /// Takes in a newer entry of the directory; returns whether it changes what is believed.
     pub(crate) fn update(&mut self, spec: EngineSpec, now: Timestamp) -> bool {
         let is_old = spec.report < self.spec.report;
@@ -140,6 +170,7 @@
             // A report that was held up on its way; an engine that leaves does not change its mind.
             return false;
         }
+        self.is_withdrawn = false;
         let leaving_since = spec.is_leaving.then_some(now);
         let has_changed = self.spec.is_leaving != spec.is_leaving
             || (self.unusable_since.is_some() && leaving_since.is_none());
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -19,7 +19,7 @@
 mod table;
 mod urgency;
 
-pub use book::EngineBook;
+pub use book::{EngineBook, EntryChange};
 pub use choice::{PartNeed, Placed, PlacementRequest, RequestedWork};
 pub use cold::{ColdLimit, PERMIT_LASTS, Permit};
 pub use distance::{TrafficPrices, Way};
--- a/crates/routing/tests/engines.rs
+++ b/crates/routing/tests/engines.rs
@@ -7,7 +7,7 @@
 use engines_for_tests::{NOW, book, book_without, chosen, request, spec, turn};
 use sumacdrift_calls::EngineId;
 use sumacdrift_fleet_view::{EngineLoad, Loads, PartHeld, engine_key};
-use sumacdrift_routing::{EngineBook, EngineSpec, Outcome, PartNeed, PlacementRequest};
+use sumacdrift_routing::{EngineBook, EngineSpec, EntryChange, Outcome, PartNeed, PlacementRequest};
 use sumacdrift_types::Mechanism;
 
 /// A prompt of shared tokens and a line's own.
@@ -128,7 +128,7 @@
     let mut book = book(&[("a", "z1"), ("b", "z1")]);
     book.upsert(EngineSpec { is_leaving: true, report: 2, ..spec("a", "z1") }, NOW);
     let late = EngineSpec { report: 3, ..spec("a", "z1") };
-    assert!(!book.upsert(late, NOW));
+    assert_eq!(book.upsert(late, NOW), EntryChange::Nothing);
     assert_eq!(chosen(&book, &request(&[]), NOW).as_deref(), Some("b"));
     assert_eq!(book.usable("s", NOW), 1);
 }
@@ -137,7 +137,7 @@
 fn a_report_that_was_held_up_changes_nothing() {
     let mut book = book(&[("a", "z1")]);
     book.upsert(EngineSpec { report: 9, is_leaving: true, ..spec("a", "z1") }, NOW);
-    assert!(!book.upsert(EngineSpec { report: 8, ..spec("a", "z1") }, NOW));
+    assert_eq!(book.upsert(EngineSpec { report: 8, ..spec("a", "z1") }, NOW), EntryChange::Nothing);
 }
 
 #[test]
@@ -152,7 +152,7 @@
 fn an_engine_that_reappears_is_used_again() {
     let mut book = book(&[("a", "z1"), ("b", "z1")]);
     book.remove(&EngineId::new("a"), NOW);
-    assert!(book.upsert(EngineSpec { report: 2, ..spec("a", "z1") }, NOW));
+    assert_eq!(book.upsert(EngineSpec { report: 2, ..spec("a", "z1") }, NOW), EntryChange::Changed);
     assert_eq!(book.usable("s", NOW), 2);
 }
 
