--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -206,7 +206,7 @@
     /// There is a newer group.
     #[prost(message, tag = "7")]
     Install(GroupMessage),
-    /// Who are you, and which group do you know?
+    /// Who are you, and which group do you know? `false` from a machine that waits for a seat.
     #[prost(bool, tag = "8")]
     Status(bool),
     /// The content of kept turns.
@@ -424,6 +424,9 @@
     /// Members that it finds silent.
     #[prost(message, repeated, tag = "6")]
     pub silent: Vec<SilentMember>,
+    /// Whether its process was asked to stop and offers its seat.
+    #[prost(bool, tag = "7")]
+    pub offers_seat: bool,
 }
 
 /// A member that says nothing.
--- a/crates/ledger/src/plan.rs
+++ b/crates/ledger/src/plan.rs
@@ -32,17 +32,20 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Patience {
     lost_after: Duration,
+    /// Whether it takes the seat of a member that is about to stop.
+    takes_offers: bool,
 }
 
 impl Patience {
     /// Of a machine that was complete before, as a spare or a member: it waits longer than most outages.
-    pub const LONG: Self = Self { lost_after: LOST_AFTER };
+    pub const LONG: Self = Self { lost_after: LOST_AFTER, takes_offers: false };
 
     /// Of a machine that started empty and must be complete in so much time: it came because another one went, and the
     /// group can lose a disk less until it votes.
     pub fn of_new_machine(complete_within: Duration) -> Self {
         let lost_after = complete_within.mul_f64(LOST_SHARE);
-        Self { lost_after: lost_after.clamp(LEAST_LOST_AFTER, LONGEST_LOST_AFTER) }
+        let lost_after = lost_after.clamp(LEAST_LOST_AFTER, LONGEST_LOST_AFTER);
+        Self { lost_after, takes_offers: true }
     }
 
     /// How long a member must have said nothing.
@@ -249,6 +252,8 @@
 pub struct MemberTold {
     /// Whether it votes.
     pub is_voting: bool,
+    /// Whether it is about to stop and offers its seat.
+    pub offers_seat: bool,
     /// How long each member that it finds silent has said nothing to it; `None` where it doesn't look.
     pub silent: Option<BTreeMap<String, Duration>>,
 }
@@ -298,11 +303,18 @@
     /// watch counts, with the longest patience.
     fn lost(&self, group: &Group, patience: Patience, now: Timestamp) -> impl Iterator<Item = String> {
         let heard = |member: &Member| self.heard.get(&member.node);
-        let voting: Vec<&Heard> =
-            group.members.iter().filter_map(heard).filter(|heard| heard.told.is_voting).collect();
+        // Who offers its seat is about to go.
+        let stays_and_votes = |heard: &&Heard| heard.told.is_voting && !heard.told.offers_seat;
+        let voting: Vec<&Heard> = group.members.iter().filter_map(heard).filter(stays_and_votes).collect();
         let may_be_read = voting.len() >= group.sources_to_catch_up();
         let is_lost = move |member: &&Member| {
-            let Some(own) = heard(member).filter(|own| own.is_silent) else { return false };
+            let Some(own) = heard(member) else { return false };
+            if own.told.offers_seat && patience.takes_offers {
+                return true;
+            }
+            if !own.is_silent {
+                return false;
+            }
             let witnesses: Vec<Duration> = voting
                 .iter()
                 .filter_map(|witness| {
--- a/crates/ledger/tests/cut_off/mod.rs
+++ b/crates/ledger/tests/cut_off/mod.rs
@@ -13,7 +13,8 @@
 /// What a voting member tells that finds these silent for so many milliseconds.
 pub fn told(silent: &[(&str, u64)]) -> MemberTold {
     let silent = silent.iter().map(|(node, millis)| ((*node).to_owned(), Duration::from_millis(*millis)));
-    MemberTold { is_voting: true, silent: Some(silent.collect::<BTreeMap<_, _>>()) }
+    let silent = Some(silent.collect::<BTreeMap<_, _>>());
+    MemberTold { is_voting: true, silent, ..MemberTold::default() }
 }
 
 /// What a machine without a seat does about a group of a, b and c, by what it saw.
--- a/crates/ledger/tests/lost_members.rs
+++ b/crates/ledger/tests/lost_members.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use cut_off::{step, takes_the_place_of_a_member_that_others_hear, told};
-use sumacdrift_ledger::{MemberWatch, Patience, PlaceStep};
+use sumacdrift_ledger::{MemberTold, MemberWatch, Patience, PlaceStep};
 use sumacdrift_types::Timestamp;
 
 const COMPLETE_WITHIN: Duration = Duration::from_secs(4);
@@ -39,6 +39,19 @@
     assert!(!takes_the_place_of_a_member_that_others_hear());
 }
 
+#[test]
+fn only_a_new_machine_takes_a_seat_that_is_offered() {
+    let mut watch = MemberWatch::default();
+    watch.answered("a", told(&[]), at(0));
+    watch.answered("b", told(&[]), at(0));
+    watch.answered("c", MemberTold { offers_seat: true, ..told(&[]) }, at(0));
+    assert_ne!(step(&watch, Patience::of_new_machine(COMPLETE_WITHIN), at(0)), PlaceStep::Stay);
+    assert_eq!(step(&watch, Patience::LONG, at(0)), PlaceStep::Stay);
+    // The others must be enough to read everything from.
+    watch.answered("b", MemberTold { is_voting: false, ..told(&[]) }, at(0));
+    assert_eq!(step(&watch, Patience::of_new_machine(COMPLETE_WITHIN), at(0)), PlaceStep::Stay);
+}
+
 #[test]
 fn a_machine_that_was_complete_before_waits_longer_than_most_outages() {
     assert_eq!(step(&watch(5_500, 5_500), Patience::LONG, at(0)), PlaceStep::Stay);
--- a/crates/ledger/tests/plan.rs
+++ b/crates/ledger/tests/plan.rs
@@ -24,7 +24,7 @@
 
 /// What a member tells that looks at nobody else.
 fn told(is_voting: bool) -> MemberTold {
-    MemberTold { is_voting, silent: None }
+    MemberTold { is_voting, ..MemberTold::default() }
 }
 
 fn candidate(node: &str, zone: &str, memory_megabytes: f64) -> Candidate {
--- a/crates/ledger/tests/zone_world/mod.rs
+++ b/crates/ledger/tests/zone_world/mod.rs
@@ -98,12 +98,16 @@
             if self.down.contains(&member.node) {
                 watch.answered(
                     &member.node,
-                    MemberTold { is_voting: true, silent: None },
+                    MemberTold { is_voting: true, ..MemberTold::default() },
                     Timestamp::default(),
                 );
                 watch.silent(&member.node, self.now);
             } else {
-                watch.answered(&member.node, MemberTold { is_voting: true, silent: None }, self.now);
+                watch.answered(
+                    &member.node,
+                    MemberTold { is_voting: true, ..MemberTold::default() },
+                    self.now,
+                );
             }
         }
         watch
--- a/crates/storage/src/host.rs
+++ b/crates/storage/src/host.rs
@@ -4,7 +4,7 @@
 use std::future::Future;
 use std::path::PathBuf;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -51,6 +51,8 @@
 /// How long nobody may have heard the store until members of the second group follow it too: longer than a feed takes to
 /// be given up, and well within the seconds in which a configuration must be in force.
 const STAND_IN_AFTER: Duration = Duration::from_millis(1800);
+/// How long a machine that waits for a seat counts as there since it asked: it asks four times a second.
+const SEAT_WANTED_FOR: Duration = Duration::from_secs(1);
 /// Shown as the number of the group where the node has no seat in any.
 const NO_SEAT: i64 = -1;
 /// Pause between two copies of the feed that are made durable.
@@ -154,6 +156,9 @@
     quotas: QuotaHost,
     map: KnownMap,
     admission: Mutex<HostAdmission>,
+    /// When a machine that waits for a seat asked last, and whether this node offers its own.
+    seat_wanted: Mutex<Option<Instant>>,
+    offers_seat: AtomicBool,
     /// Since when each member that this node finds silent has said nothing; `None` until it has looked.
     silences: Mutex<Option<BTreeMap<String, Instant>>>,
     journal_failed: CancellationToken,
@@ -218,6 +223,8 @@
             quotas,
             map: KnownMap::default(),
             admission: Mutex::new(HostAdmission::new(settings.waiting_bytes)),
+            seat_wanted: Mutex::default(),
+            offers_seat: AtomicBool::new(false),
             silences: Mutex::default(),
             journal_failed: CancellationToken::new(),
             started: Instant::now(),
@@ -337,6 +344,17 @@
         &self.logger
     }
 
+    /// Whether a machine asked of late that waits for a seat.
+    pub(crate) fn is_seat_wanted(&self) -> bool {
+        let wanted = *self.seat_wanted.lock().unwrap_or_else(PoisonError::into_inner);
+        wanted.is_some_and(|wanted| wanted.elapsed() < SEAT_WANTED_FOR)
+    }
+
+    /// Tells whoever waits for a seat that it may have this node's.
+    pub(crate) fn offer_own_seat(&self) {
+        self.offers_seat.store(true, Ordering::Relaxed);
+    }
+
     /// Notes since when members that this node finds silent have said nothing, for whoever asks for its status.
     pub(crate) fn tell_silences(&self, silences: BTreeMap<String, Instant>) {
         *self.silences.lock().unwrap_or_else(PoisonError::into_inner) = Some(silences);
@@ -344,6 +362,7 @@
 
     /// Adds what this node sees of the other members to its status.
     fn complete_status(&self, status: &mut StatusReply) {
+        status.offers_seat = self.offers_seat.load(Ordering::Relaxed);
         let silences = self.silences.lock().unwrap_or_else(PoisonError::into_inner);
         let Some(silences) = silences.as_ref() else { return };
         status.is_watching = true;
@@ -476,6 +495,9 @@
             self.metrics.busy.inc();
             return LedgerReply { kind: Some(ReplyKind::Busy(true)), view: self.news.exchange(news) };
         }
+        if matches!(request.kind, Some(RequestKind::Status(false))) {
+            *self.seat_wanted.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
+        }
         let (group, epoch) = (request.group, request.epoch);
         let mut step = self.replica().handle(request, wall_millis());
         if let Some(newer) = self.newer_version(group, epoch, &step.reply) {
--- a/crates/storage/src/member_watcher.rs
+++ b/crates/storage/src/member_watcher.rs
@@ -75,7 +75,8 @@
             Some(group) => group.members.iter().filter(|member| member.node != self.own).collect(),
             None => map.members().collect(),
         };
-        let request = encode_to_node(RequestKind::Status(true));
+        let waits_for_seat = map.seat_of(&self.own).is_none() && self.host.replica().is_new();
+        let request = encode_to_node(RequestKind::Status(!waits_for_seat));
         let asked = members.iter().map(|member| self.ask_one(member, &request));
         join_all(asked).await;
         self.host.tell_silences(self.silences());
@@ -114,5 +115,5 @@
     let silent =
         status.silent.into_iter().map(|SilentMember { node, millis }| (node, Duration::from_millis(millis)));
     let silent = status.is_watching.then(|| silent.collect());
-    MemberTold { is_voting: status.is_voting, silent }
+    MemberTold { is_voting: status.is_voting, offers_seat: status.offers_seat, silent }
 }
--- a/crates/storage/tests/machines/mod.rs
+++ b/crates/storage/tests/machines/mod.rs
@@ -25,7 +25,7 @@
 use sumacdrift_proto::{OneWay, Request, Response};
 use sumacdrift_storage::{
     BeginTurn, GroupDirectory, HostSettings, LedgerClient, LedgerError, LedgerTimeouts, PeerFeeds,
-    ReplicaHost, Retirement, StoreFollowers, Upkeep, UpkeepSettings,
+    ReplicaHost, Retirement, StoreFollowers, Upkeep, UpkeepSettings, offer_seat,
 };
 use sumacdrift_transport::{Handler, MemoryNetwork, Network, TrafficCounters, Transport, serve};
 use sumacdrift_types::{Location, Places};
@@ -51,6 +51,7 @@
 
 struct Process {
     host: Arc<ReplicaHost>,
+    transport: Arc<Transport>,
     stop: CancellationToken,
     tasks: JoinSet<()>,
 }
@@ -176,6 +177,7 @@
             complete_within: terms.complete_within,
         };
         let directory: Arc<dyn GroupDirectory> = Arc::new(directory);
+        let own_transport = Arc::clone(&transport);
         let upkeep = Upkeep::new(settings, Arc::clone(&host), transport, directory);
         let (stop, mut tasks) = (CancellationToken::new(), JoinSet::new());
         tasks.spawn(upkeep.run());
@@ -183,7 +185,7 @@
         tasks.spawn(Arc::clone(&host).keep_feed());
         let handler = Arc::new(SlowHost { host: Arc::clone(&host), answer_takes: terms.answer_takes });
         tasks.spawn(serve(acceptor, handler, Arc::default(), stop.clone()));
-        machine.process = Some(Process { host, stop, tasks });
+        machine.process = Some(Process { host, transport: own_transport, stop, tasks });
     }
 
     /// Ends a machine's process without a word; what it had not synced may be gone.
@@ -197,6 +199,14 @@
         machine.disk.lose_unsynced();
     }
 
+    /// Stops a machine's process as planned and takes the machine away with its disk.
+    pub async fn stop_and_remove(&mut self, name: &str) {
+        if let Some(process) = self.machines.get(name).and_then(|machine| machine.process.as_ref()) {
+            offer_seat(&process.host, &process.transport).await;
+        }
+        self.remove(name).await;
+    }
+
     /// Empties the disk of a machine whose process does not run.
     pub fn wipe(&mut self, name: &str) {
         let machine = self.machines.get_mut(name).expect("a machine");
