--- a/crates/ledger/src/plan.rs
+++ b/crates/ledger/src/plan.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use sumacdrift_mutants::{Rule, is_broken};
@@ -175,8 +176,11 @@
             };
         }
         let at_home = || map.groups().iter().filter(|group| is_at_home(places, group, own));
-        let too_small =
-            at_home().filter(|group| group.members.len() < self.size() && self.has_room(&group.members, own));
+        // Beside a member that may be lost it would be one of two that can't vote if another disk is lost, with nobody left to
+        // take a place. Soon that member is heard again, or its place is free.
+        let is_too_small =
+            |group: &&Arc<Group>| group.members.len() < self.size() && !watch.finds_any_silent(group);
+        let too_small = at_home().filter(|group| is_too_small(group) && self.has_room(&group.members, own));
         if let Some(group) = too_small.min_by_key(|group| (group.members.len(), in_zone(&group.members, own)))
         {
             return change(group.with(own.clone()), ChangeReason::Joined);
@@ -289,6 +293,12 @@
         is_news
     }
 
+    /// Whether any member of a group says nothing.
+    fn finds_any_silent(&self, group: &Group) -> bool {
+        let heard = |member: &Member| self.heard.get(&member.node);
+        group.members.iter().filter_map(heard).any(|heard| heard.is_silent)
+    }
+
     /// How long each member that is silent has said nothing.
     pub fn silences(&self, now: Timestamp) -> BTreeMap<String, Duration> {
         let silent = self.heard.iter().filter(|(_, heard)| heard.is_silent);
--- a/crates/storage/src/member_watcher.rs
+++ b/crates/storage/src/member_watcher.rs
@@ -2,6 +2,7 @@
 //! its place.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -34,12 +35,20 @@
     own: String,
     started: Instant,
     watch: Mutex<MemberWatch>,
+    has_looked: AtomicBool,
 }
 
 impl MemberWatcher {
     /// A watcher of a node that has not looked yet.
     pub(crate) fn new(host: Arc<ReplicaHost>, transport: Arc<Transport>, own: String) -> Self {
-        Self { host, transport, own, started: Instant::now(), watch: Mutex::default() }
+        Self {
+            host,
+            transport,
+            own,
+            started: Instant::now(),
+            watch: Mutex::default(),
+            has_looked: AtomicBool::new(false),
+        }
     }
 
     /// Runs for as long as the process.
@@ -57,6 +66,11 @@
         self.watch.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether the members were looked at, so that those which say nothing are known.
+    pub(crate) fn has_looked(&self) -> bool {
+        self.has_looked.load(Ordering::Relaxed)
+    }
+
     /// The time that [`MemberWatch`] counts by.
     pub(crate) fn now(&self) -> Timestamp {
         Timestamp::default() + self.started.elapsed()
@@ -80,6 +94,7 @@
         let asked = members.iter().map(|member| self.ask_one(member, &request));
         join_all(asked).await;
         self.host.tell_silences(self.silences());
+        self.has_looked.store(!members.is_empty(), Ordering::Relaxed);
     }
 
     async fn ask_one(&self, member: &Member, request: &bytes::Bytes) {
--- a/crates/storage/src/upkeep.rs
+++ b/crates/storage/src/upkeep.rs
@@ -229,6 +229,9 @@
         if retirement.is_some() {
             return;
         }
+        if stored.map.seat_of(&own.node).is_none() && !self.watcher.has_looked() {
+            return;
+        }
         let step = self.settings.policy.place_step(
             &self.settings.places,
             &stored.map,
--- a/crates/storage/tests/machines/mod.rs
+++ b/crates/storage/tests/machines/mod.rs
@@ -92,6 +92,8 @@
     network: MemoryNetwork,
     directory: SharedDirectory,
     machines: BTreeMap<String, Machine>,
+    /// Machines that were ever added; no address is used twice.
+    added: u8,
     logger: Logger,
     turns: usize,
     kept: Vec<String>,
@@ -105,6 +107,7 @@
             network: MemoryNetwork::new(),
             directory: SharedDirectory::default(),
             machines: BTreeMap::new(),
+            added: 0,
             logger: Logger::root(Discard, o!()),
             turns: 0,
             kept: Vec::new(),
@@ -128,7 +131,8 @@
 
     /// A machine that does not run yet, with an empty disk.
     pub fn add(&mut self, name: &str, zone: usize) {
-        let position = u8::try_from(self.machines.len() + 1).expect("few machines");
+        self.added += 1;
+        let position = self.added;
         let machine = Machine {
             zone: format!("z{zone}"),
             address: ([10, 0, 0, position], 1).into(),
