--- a/crates/ledger/src/plan.rs
+++ b/crates/ledger/src/plan.rs
@@ -293,6 +293,11 @@
         is_news
     }
 
+    /// Forgets machines that are not looked at any more.
+    pub fn keep_only(&mut self, looked_at: &[&Member]) {
+        self.heard.retain(|node, _| looked_at.iter().any(|member| member.node == *node));
+    }
+
     /// Whether any member of a group says nothing.
     fn finds_any_silent(&self, group: &Group) -> bool {
         let heard = |member: &Member| self.heard.get(&member.node);
--- a/crates/storage/src/member_watcher.rs
+++ b/crates/storage/src/member_watcher.rs
@@ -93,6 +93,7 @@
         let request = encode_to_node(RequestKind::Status(!waits_for_seat));
         let asked = members.iter().map(|member| self.ask_one(member, &request));
         join_all(asked).await;
+        self.watch().keep_only(&members);
         self.host.tell_silences(self.silences());
         self.has_looked.store(!members.is_empty(), Ordering::Relaxed);
     }
