--- a/crates/routing/src/book.rs
+++ b/crates/routing/src/book.rs
@@ -20,6 +20,7 @@
 use crate::engine::{Engine, EngineSpec, Outcome};
 use crate::estimate::Speeds;
 use crate::evacuation::Evacuations;
+use crate::names::SharedNames;
 use crate::others::{BelievedLoads, OtherLoad, ToldTime};
 use crate::speeds::{LearnedSpeeds, StreamSeen};
 
@@ -32,7 +33,9 @@
 /// The engines there are.
 #[derive(Debug)]
 pub struct EngineBook {
-    engines: BTreeMap<EngineId, Engine>,
+    /// Boxed, as the tree keeps almost half of its places empty.
+    engines: BTreeMap<EngineId, Box<Engine>>,
+    names: SharedNames,
     health: HealthSettings,
     speeds: HashMap<Arc<str>, LearnedSpeeds>,
     others_told: ToldTime,
@@ -50,6 +53,7 @@
             off,
             distances: Distances::new(location, prices),
             engines: BTreeMap::new(),
+            names: SharedNames::default(),
             health,
             speeds: HashMap::new(),
             others_told: ToldTime::default(),
@@ -79,6 +83,7 @@
             let is_long_gone = engine.unusable_since.is_some_and(|since| now.since(since) >= after);
             engine.running > 0 || engine.spec.is_leaving || !is_long_gone
         });
+        self.names.forget_unused();
     }
 
     /// Engines of a service that take new work.
@@ -116,7 +121,7 @@
         let choice =
             Choice { off, request, distances, speeds, events, zone_calls, others, others_age, held, now };
         let may_get_any = |engine: &&Engine| self.is_allowed(engine, request) && self.is_open(engine, now);
-        let mut placed = choice.best(self.engines.values().filter(may_get_any))?;
+        let mut placed = choice.best(self.engines.values().map(Box::as_ref).filter(may_get_any))?;
         placed.cold = self.cold_limit(&placed.engine, now);
         Some(placed)
     }
@@ -212,7 +217,9 @@
             }
         };
         let says_something = |load: &EngineLoad| load.running + load.failed + load.served > 0;
-        Loads { engines: self.engines.values().map(load_of).filter(says_something).collect() }
+        Loads {
+            engines: self.engines.values().map(Box::as_ref).map(load_of).filter(says_something).collect(),
+        }
     }
 }
 
--- a/crates/routing/src/book/lives.rs
+++ b/crates/routing/src/book/lives.rs
@@ -32,9 +32,11 @@
 
 impl EngineBook {
     /// Takes in an engine's entry in the directory.
-    pub fn upsert(&mut self, spec: EngineSpec, now: Timestamp) -> EntryChange {
+    pub fn upsert(&mut self, mut spec: EngineSpec, now: Timestamp) -> EntryChange {
+        self.names.share(&mut spec.service);
+        self.names.share(&mut spec.zone);
         let Some(known) = self.youngest(&spec.id).cloned() else {
-            self.engines.insert(spec.id.clone(), Engine::new(spec, self.health, now));
+            self.insert(spec, now);
             return EntryChange::Changed;
         };
         if spec.id.start() < known.start() {
@@ -45,10 +47,15 @@
             return if has_changed { EntryChange::Changed } else { EntryChange::Nothing };
         }
         self.lives(&spec.id).for_each(|earlier| earlier.superseded(now));
-        self.engines.insert(spec.id.clone(), Engine::new(spec, self.health, now));
+        self.insert(spec, now);
         EntryChange::StartedAgain
     }
 
+    fn insert(&mut self, spec: EngineSpec, now: Timestamp) {
+        let engine = Box::new(Engine::new(spec, self.health, now));
+        self.engines.insert(engine.spec.id.clone(), engine);
+    }
+
     /// An entry of an earlier life never replaces a younger one. Where it says that the engine leaves, the engine gets
     /// nothing new until the younger life reports again: clocks may have stepped back between the two.
     fn told_by_earlier_life(&mut self, spec: &EngineSpec, known: &EngineId, now: Timestamp) -> EntryChange {
@@ -99,6 +106,6 @@
     /// All lives of an engine that are known.
     fn lives(&mut self, id: &EngineId) -> impl Iterator<Item = &mut Engine> {
         let lives = self.engines.range_mut(EngineId::new(id.as_str())..);
-        lives.take_while(|(life, _)| life.is_same_engine(id)).map(|(_, engine)| engine)
+        lives.take_while(|(life, _)| life.is_same_engine(id)).map(|(_, engine)| engine.as_mut())
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -12,6 +12,7 @@
 mod estimate;
 mod evacuation;
 mod line_fit;
+mod names;
 mod others;
 mod routes;
 mod slowness;
