A member that is gone and has nobody in its place is given up by those that are left

Cause: a machine that came before another one left stands in a group that was short; when that other one then stops as planned and is taken away, nobody waits for its place. The group of three stays with one member gone, and one lost disk leaves one voter for good. The class is any loss for which no successor comes.

The majority stays the same number. What the one that went and one other acknowledged alone would be at too few, so each member reads all others once behind the change. MemberWatch has a module of its own.

--- a/crates/ledger/src/group.rs
+++ b/crates/ledger/src/group.rs
@@ -101,6 +101,13 @@
         Group { number: self.number, epoch: self.epoch + 1, members }
     }
 
+    /// Members of an earlier version of the group that are not in this one and have nobody in their place.
+    pub fn departed_since(&self, earlier: &Group) -> Vec<String> {
+        let is_shrunk = self.number == earlier.number && self.members.len() < earlier.members.len();
+        let gone = earlier.members.iter().filter(|member| is_shrunk && self.member(&member.node).is_none());
+        gone.map(|member| member.node.clone()).collect()
+    }
+
     /// The group as a message.
     pub fn to_message(&self) -> GroupMessage {
         let members = self.members.iter().map(|member| MemberMessage {
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -15,6 +15,7 @@
 mod copies;
 mod group;
 mod map;
+mod member_watch;
 mod message;
 mod plan;
 mod quota_message;
@@ -28,15 +29,14 @@
 pub use copies::copies_to_make;
 pub use group::{Group, GroupNumber, Member};
 pub use map::GroupMap;
+pub use member_watch::{MemberTold, MemberWatch};
 pub use message::{
     Begin, BeginVote, ChainReply, ChainRequest, ContentsRequest, End, GroupMapMessage, GroupMessage,
     KnownTurn, LedgerReply, LedgerRequest, MemberMessage, Page, PageRequest, Push, Reading, Record,
     RecordKind, ReplyKind, RequestKind, RetainedTurn, SilentMember, Standing, StatusReply, StoredCopy,
     TurnBegun, TurnEnded,
 };
-pub use plan::{
-    Candidate, Capacity, ChangeReason, GroupPolicy, MemberTold, MemberWatch, Patience, PlaceStep,
-};
+pub use plan::{Candidate, Capacity, ChangeReason, GroupPolicy, Patience, PlaceStep};
 pub use quota_message::{QuotaAnswer, QuotaDecision, QuotaQuestion, QuotaTotals, TenantTotalMessage};
 pub use replica::{Replica, ReplicaSettings, Step};
 pub use state::{KEPT_TURNS_CURSOR, LedgerState, PageDetail};
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -175,7 +175,7 @@
     #[prost(uint64, tag = "1")]
     pub epoch: u64,
     /// What is asked.
-    #[prost(oneof = "RequestKind", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 16")]
+    #[prost(oneof = "RequestKind", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 16, 17")]
     pub kind: Option<RequestKind>,
     /// Number of the group that is asked.
     #[prost(uint32, tag = "14")]
@@ -227,6 +227,9 @@
     /// Calls that another host of the group let in. Taken in by the replica's host.
     #[prost(message, tag = "16")]
     QuotaTotals(QuotaTotals),
+    /// The member of this name stops as planned in a moment. Taken in by the replica's host.
+    #[prost(string, tag = "17")]
+    Stopping(String),
 }
 
 /// May a turn begin?
--- a/crates/ledger/src/plan.rs
+++ b/crates/ledger/src/plan.rs
@@ -1,7 +1,6 @@
 //! Which groups are founded, and which change of a group a machine asks for: plain functions of what it sees.
 
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,10 +9,11 @@
 
 use crate::group::{Group, Member};
 use crate::map::GroupMap;
+use crate::member_watch::MemberWatch;
 
 /// A member that has answered nothing for this long gives its place to a machine that is no member. Longer than most
 /// outages, because the records on its disk are of no more use to the group then.
-const LOST_AFTER: Duration = Duration::from_secs(6);
+pub(crate) const LOST_AFTER: Duration = Duration::from_secs(6);
 /// Share of the time until a new machine must be complete after which it counts a silent member as lost. The rest is for
 /// noticing, for the change of the group and for reading.
 const LOST_SHARE: f64 = 0.35;
@@ -32,9 +32,9 @@
 /// How long a machine lets members be silent until it takes the place of one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Patience {
-    lost_after: Duration,
+    pub(crate) lost_after: Duration,
     /// Whether it takes the seat of a member that is about to stop.
-    takes_offers: bool,
+    pub(crate) takes_offers: bool,
 }
 
 impl Patience {
@@ -78,6 +78,8 @@
     Joined,
     /// A member has answered nothing for long.
     ReplacedLost,
+    /// A member is gone and no machine takes its place.
+    GivenUp,
 }
 
 impl ChangeReason {
@@ -87,6 +89,7 @@
             ChangeReason::Moved => "moved",
             ChangeReason::Joined => "joined",
             ChangeReason::ReplacedLost => "replaced a lost member",
+            ChangeReason::GivenUp => "gave up a lost member",
         }
     }
 }
@@ -170,9 +173,15 @@
         let change = |group: Group, reason| PlaceStep::Change { group, reason };
         if let Some(group) = map.seat_of(&own.node) {
             let is_there = group.member(&own.node).is_some_and(|member| member.address == own.address);
-            return match is_there {
-                true => PlaceStep::Stay,
-                false => change(group.with(own.clone()), ChangeReason::Moved),
+            if !is_there {
+                return change(group.with(own.clone()), ChangeReason::Moved);
+            }
+            // Of an odd number: as many as before must then agree, and any one of those that are left may lose its disk.
+            let is_odd = group.members.len() % 2 == 1 && group.members.len() > 1;
+            let gone = watch.given_up(group, &own.node, patience.lost_after, now).filter(|_| is_odd);
+            return match gone {
+                Some(gone) => change(group.without(&gone), ChangeReason::GivenUp),
+                None => PlaceStep::Stay,
             };
         }
         let at_home = || map.groups().iter().filter(|group| is_at_home(places, group, own));
@@ -250,103 +259,3 @@
 fn in_zone(members: &[Member], own: &Member) -> usize {
     members.iter().filter(|member| member.zone == own.zone).count()
 }
-
-/// What a member tells of itself and of the others.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct MemberTold {
-    /// Whether it votes.
-    pub is_voting: bool,
-    /// Whether it is about to stop and offers its seat.
-    pub offers_seat: bool,
-    /// How long each member that it finds silent has said nothing to it; `None` where it doesn't look.
-    pub silent: Option<BTreeMap<String, Duration>>,
-}
-
-/// What a member said when it was last asked.
-#[derive(Debug, Clone, PartialEq, Eq)]
-struct Heard {
-    at: Timestamp,
-    is_silent: bool,
-    told: MemberTold,
-}
-
-/// When members of the group answered last, as one machine sees it.
-#[derive(Debug, Clone, Default)]
-pub struct MemberWatch {
-    heard: BTreeMap<String, Heard>,
-}
-
-impl MemberWatch {
-    /// A member answered. Returns whether it was silent before.
-    pub fn answered(&mut self, node: &str, told: MemberTold, now: Timestamp) -> bool {
-        let before = self.heard.insert(node.to_owned(), Heard { at: now, is_silent: false, told });
-        before.is_some_and(|before| before.is_silent)
-    }
-
-    /// A member did not answer. Returns whether that is news.
-    pub fn silent(&mut self, node: &str, now: Timestamp) -> bool {
-        let unknown = Heard { at: now, is_silent: false, told: MemberTold::default() };
-        let heard = self.heard.entry(node.to_owned()).or_insert(unknown);
-        let is_news = !heard.is_silent;
-        heard.is_silent = true;
-        heard.told = MemberTold::default();
-        is_news
-    }
-
-    /// Forgets machines that are not looked at any more.
-    pub fn keep_only(&mut self, looked_at: &[&Member]) {
-        self.heard.retain(|node, _| looked_at.iter().any(|member| member.node == *node));
-    }
-
-    /// Whether any member of a group says nothing.
-    fn finds_any_silent(&self, group: &Group) -> bool {
-        let heard = |member: &Member| self.heard.get(&member.node);
-        group.members.iter().filter_map(heard).any(|heard| heard.is_silent)
-    }
-
-    /// How long each member that is silent has said nothing.
-    pub fn silences(&self, now: Timestamp) -> BTreeMap<String, Duration> {
-        let silent = self.heard.iter().filter(|(_, heard)| heard.is_silent);
-        silent.map(|(node, heard)| (node.clone(), now.since(heard.at))).collect()
-    }
-
-    /// Members whose places may be taken: they are lost, and those that answer and vote are enough for the machine that
-    /// takes a place to read everything.
-    ///
-    /// A machine that has just come has heard nothing for long itself, so what counts is what the voting members say:
-    /// one that any of them hears is cut off from this machine only. Where none of them looks, the machine's own
-    /// watch counts, with the longest patience.
-    fn lost(&self, group: &Group, patience: Patience, now: Timestamp) -> impl Iterator<Item = String> {
-        let heard = |member: &Member| self.heard.get(&member.node);
-        // Who offers its seat is about to go.
-        let stays_and_votes = |heard: &&Heard| heard.told.is_voting && !heard.told.offers_seat;
-        let voting: Vec<&Heard> = group.members.iter().filter_map(heard).filter(stays_and_votes).collect();
-        let may_be_read = voting.len() >= group.sources_to_catch_up();
-        let is_lost = move |member: &&Member| {
-            let Some(own) = heard(member) else { return false };
-            if own.told.offers_seat && patience.takes_offers {
-                return true;
-            }
-            if !own.is_silent {
-                return false;
-            }
-            let witnesses: Vec<Duration> = voting
-                .iter()
-                .filter_map(|witness| {
-                    let silent = witness.told.silent.as_ref()?;
-                    // What it said then is older now.
-                    let told = silent.get(&member.node).map(|silence| *silence + now.since(witness.at));
-                    Some(told.unwrap_or_default())
-                })
-                .collect();
-            let own_silence = now.since(own.at);
-            match witnesses.iter().min() {
-                Some(least) if !is_broken(Rule::LedgerLostHasWitnesses) => *least >= patience.lost_after,
-                Some(_) => own_silence >= patience.lost_after,
-                None => own_silence >= LOST_AFTER,
-            }
-        };
-        let lost = group.members.iter().filter(is_lost).filter(move |_| may_be_read);
-        lost.map(|member| member.node.clone()).collect::<Vec<_>>().into_iter()
-    }
-}
--- a/crates/ledger/src/replica.rs
+++ b/crates/ledger/src/replica.rs
@@ -193,6 +193,9 @@
             Some(RequestKind::Quota(_) | RequestKind::QuotaTotals(_)) => {
                 answer(ReplyKind::Failed("a replica counts no calls".to_owned()))
             }
+            Some(RequestKind::Stopping(_)) => {
+                answer(ReplyKind::Failed("a replica watches no other".to_owned()))
+            }
             None => answer(ReplyKind::Failed("the request is empty".to_owned())),
         }
     }
--- a/crates/storage/src/catch_up.rs
+++ b/crates/storage/src/catch_up.rs
@@ -28,7 +28,8 @@
         if host.replica().has_read(&member.node) {
             continue;
         }
-        let record = match read_member(host, transport, &group, member).await {
+        let keys_only = host.replica().has_read_any();
+        let record = match read_member(host, transport, &group, member, keys_only).await {
             MemberRead::Failed(answer) => {
                 warn!(host.logger(), "member could not be read"; "event" => "catch_up_failed",
                     "member" => &member.node, "epoch" => group.epoch, "answer" => %answer,
@@ -55,6 +56,27 @@
     host.is_voting()
 }
 
+/// Reads all other members of the group, as a replica that votes: what it and a member that is gone acknowledged alone may be
+/// at too few of those that are left. Returns whether every one of them was read whole.
+pub(crate) async fn read_others(host: &ReplicaHost, transport: &Transport, own_node: &str) -> bool {
+    let group = host.replica().group().clone();
+    for member in group.members.iter().filter(|member| member.node != own_node) {
+        match read_member(host, transport, &group, member, true).await {
+            MemberRead::Whole { records } => {
+                info!(host.logger(), "member read, as another one is gone"; "event" => "member_reread",
+                    "member" => &member.node, "epoch" => group.epoch, "records" => records);
+            }
+            MemberRead::NeverVoted => {}
+            MemberRead::Failed(answer) => {
+                warn!(host.logger(), "member could not be read"; "event" => "member_reread_failed",
+                    "member" => &member.node, "epoch" => group.epoch, "answer" => %answer);
+                return false;
+            }
+        }
+    }
+    true
+}
+
 /// What reading a member led to.
 enum MemberRead {
     /// All its records are durable here.
@@ -75,8 +97,8 @@
     transport: &Transport,
     group: &Group,
     member: &Member,
+    keys_only: bool,
 ) -> MemberRead {
-    let keys_only = host.replica().has_read_any();
     let mut after = String::new();
     let mut records = 0;
     loop {
--- a/crates/storage/src/host.rs
+++ b/crates/storage/src/host.rs
@@ -1,6 +1,6 @@
 //! One replica with its journal, answering other nodes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::future::Future;
 use std::path::PathBuf;
 use std::pin::Pin;
@@ -161,6 +161,8 @@
     offers_seat: AtomicBool,
     /// Since when each member that this node finds silent has said nothing; `None` until it has looked.
     silences: Mutex<Option<BTreeMap<String, Instant>>>,
+    /// Members that said that they stop, until the watcher takes that in.
+    stops: Mutex<BTreeSet<String>>,
     journal_failed: CancellationToken,
     started: Instant,
     logger: Logger,
@@ -226,6 +228,7 @@
             seat_wanted: Mutex::default(),
             offers_seat: AtomicBool::new(false),
             silences: Mutex::default(),
+            stops: Mutex::default(),
             journal_failed: CancellationToken::new(),
             started: Instant::now(),
             logger,
@@ -355,6 +358,20 @@
         self.offers_seat.store(true, Ordering::Relaxed);
     }
 
+    /// A member of this group said that it stops as planned.
+    fn note_stop(&self, node: &str) {
+        if self.replica().group().member(node).is_none() {
+            return;
+        }
+        info!(self.logger, "member stops as planned"; "event" => "member_stops", "member" => node);
+        self.stops.lock().unwrap_or_else(PoisonError::into_inner).insert(node.to_owned());
+    }
+
+    /// Members that said so since this was asked last.
+    pub(crate) fn take_stops(&self) -> BTreeSet<String> {
+        std::mem::take(&mut *self.stops.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
     /// Notes since when members that this node finds silent have said nothing, for whoever asks for its status.
     pub(crate) fn tell_silences(&self, silences: BTreeMap<String, Instant>) {
         *self.silences.lock().unwrap_or_else(PoisonError::into_inner) = Some(silences);
@@ -489,6 +506,10 @@
                 self.quotas.heard(told.clone());
                 return LedgerReply { kind: Some(ReplyKind::Done(true)), ..LedgerReply::default() };
             }
+            Some(RequestKind::Stopping(node)) => {
+                self.note_stop(node);
+                return LedgerReply { kind: Some(ReplyKind::Done(true)), ..LedgerReply::default() };
+            }
             _ => {}
         }
         if !self.takes(&request) {
--- a/crates/storage/src/member_watcher.rs
+++ b/crates/storage/src/member_watcher.rs
@@ -93,6 +93,8 @@
         let request = encode_to_node(RequestKind::Status(!waits_for_seat));
         let asked = members.iter().map(|member| self.ask_one(member, &request));
         join_all(asked).await;
+        // Behind the answers, which the members may have given before they said so.
+        self.host.take_stops().iter().for_each(|member| self.watch().stops(member));
         self.watch().keep_only(&members);
         self.host.tell_silences(self.silences());
         self.has_looked.store(!members.is_empty(), Ordering::Relaxed);
--- a/crates/storage/src/upkeep.rs
+++ b/crates/storage/src/upkeep.rs
@@ -15,7 +15,7 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
-use crate::catch_up::catch_up;
+use crate::catch_up::{catch_up, read_others};
 use crate::directory::{DirectoryError, DirectoryView, GroupDirectory, Registration, StoredMap};
 use crate::host::ReplicaHost;
 use crate::leave::hand_over;
@@ -67,6 +67,8 @@
     wanted_since: Option<Instant>,
     is_retirement_reported: bool,
     has_handed_over: bool,
+    /// Members that went without anyone in their place, until the members that are left were read.
+    departed: Vec<String>,
     /// Machines that may found the groups, as many as were seen, and since when.
     founders: usize,
     founders_since: Instant,
@@ -95,6 +97,7 @@
             wanted_since: None,
             is_retirement_reported: false,
             has_handed_over: false,
+            departed: Vec::new(),
             founders: 0,
             founders_since: started,
         }
@@ -144,6 +147,19 @@
         if self.needs_catch_up() && self.started.elapsed() >= QUIET_BEFORE_CATCH_UP {
             let _ = catch_up(&self.host, &self.transport, &self.settings.own.node).await;
         }
+        self.make_up_for_departed(view).await;
+    }
+
+    /// Reads the members that are left where one went that handed nothing over: a machine that is emptied does.
+    async fn make_up_for_departed(&mut self, view: &DirectoryView) {
+        let is_emptied = |node: &String| view.retirements.iter().any(|retirement| retirement.node == *node);
+        self.departed.retain(|node| !is_emptied(node));
+        if self.departed.is_empty() || !self.host.is_voting() {
+            return;
+        }
+        if read_others(&self.host, &self.transport, &self.settings.own.node).await {
+            self.departed.clear();
+        }
     }
 
     fn needs_catch_up(&self) -> bool {
@@ -152,12 +168,14 @@
     }
 
     /// Adopts the newer version of the own group, or the group that the node has a seat in now.
-    async fn install(&self, map: &GroupMap) {
-        let (record, group) = {
+    async fn install(&mut self, map: &GroupMap) {
+        let (before, record, group) = {
             let mut replica = self.host.replica();
-            (replica.follow_map(map), replica.group().clone())
+            let before = replica.group().clone();
+            (before, replica.follow_map(map), replica.group().clone())
         };
         let Some(record) = record else { return };
+        self.departed.extend(group.departed_since(&before));
         info!(self.host.logger(), "group adopted"; "event" => "group_adopted", "group" => group.number,
             "epoch" => group.epoch, "members" => members_text(&group), "voting" => self.host.is_voting());
         if let Err(failure) = self.host.commit(vec![record]).await {
@@ -253,7 +271,7 @@
     }
 
     /// Asks for the change that gives this machine a seat, or another address.
-    async fn take_place(&self, stored: &StoredMap, group: Group, reason: ChangeReason) {
+    async fn take_place(&mut self, stored: &StoredMap, group: Group, reason: ChangeReason) {
         if reason == ChangeReason::Joined {
             let standing = self.host.replica().join_as_new(group.epoch);
             if let Err(failure) = self.host.commit(vec![standing]).await {
@@ -265,9 +283,10 @@
         self.replace_map(stored.map.with(group), Some(stored.revision), reason.name()).await;
     }
 
-    /// How long members may be silent until this machine takes the place of one.
+    /// How long members may be silent until this machine takes the place of one, or as a member gives one up that stopped.
     fn patience(&self) -> Patience {
-        match self.host.replica().is_new() {
+        let replica = self.host.replica();
+        match replica.is_new() || replica.is_member() {
             true => Patience::of_new_machine(self.settings.complete_within),
             false => Patience::LONG,
         }
@@ -318,7 +337,7 @@
     }
 
     /// Asks that the groups be changed; returns whether they surely are.
-    async fn replace_map(&self, map: GroupMap, expected: Option<u64>, why: &'static str) -> bool {
+    async fn replace_map(&mut self, map: GroupMap, expected: Option<u64>, why: &'static str) -> bool {
         let outcome = self.directory.replace_map(map.clone(), expected).await;
         let is_changed = outcome.is_ok();
         match outcome {
--- a/crates/storage/tests/machines/mod.rs
+++ b/crates/storage/tests/machines/mod.rs
@@ -203,11 +203,17 @@
         machine.disk.lose_unsynced();
     }
 
-    /// Stops a machine's process as planned and takes the machine away with its disk.
-    pub async fn stop_and_remove(&mut self, name: &str) {
+    /// Stops a machine's process as planned.
+    pub async fn stop(&mut self, name: &str) {
         if let Some(process) = self.machines.get(name).and_then(|machine| machine.process.as_ref()) {
             offer_seat(&process.host, &process.transport).await;
         }
+        self.lose_power(name).await;
+    }
+
+    /// Stops a machine's process as planned and takes the machine away with its disk.
+    pub async fn stop_and_remove(&mut self, name: &str) {
+        self.stop(name).await;
         self.remove(name).await;
     }
 
