A feed's answer looks at what changed, not at all it holds

Cause: each follower is answered at each change, and each answer went through all items: work a second grows with engines times followers times changes.

A feed remembers its latest 1,024 changes by position; a follower that is further behind is answered as before.

Test: followers that are up to thousands of changes behind hold what the feed holds.

--- a/crates/bench/src/choices.rs
+++ b/crates/bench/src/choices.rs
@@ -10,7 +10,7 @@
 use sumacdrift_types::{AllowedRegions, Location, SwitchedOff, Timestamp};
 
 /// Numbers of engines that are measured.
-pub(crate) const ENGINES: [usize; 3] = [12, 400, 3_900];
+pub(crate) const ENGINES: [usize; 5] = [12, 400, 3_900, 8_714, 17_428];
 /// Choices that are timed.
 const CHOICES: u32 = 2_000;
 /// Zones over which the engines are spread.
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,6 +5,7 @@
 mod checks;
 mod choices;
 pub mod demo;
+mod feed_answers;
 mod fleet;
 pub mod overhead;
 mod program_run;
--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -16,6 +16,7 @@
 };
 
 use crate::choices::{ChoiceSlope, ENGINES, measure_choices};
+use crate::feed_answers::{FeedAnswerSlope, ITEMS, measure_feed_answers};
 
 /// Turns of the programs that are measured.
 const TURNS: [u32; 3] = [10, 100, 510];
@@ -80,6 +81,8 @@
     pub bids: Vec<BidSlope>,
     /// Choices among engines at an edge.
     pub choices: Vec<ChoiceSlope>,
+    /// Answers of a feed.
+    pub feed_answers: Vec<FeedAnswerSlope>,
     /// Bytes of a replication heartbeat on the wire.
     pub heartbeat_bytes: usize,
 }
@@ -93,6 +96,7 @@
         membership: FLEETS.into_iter().map(measure_membership).collect::<Result<_, _>>()?,
         bids: QUEUES.into_iter().map(measure_bids).collect::<Result<_, _>>()?,
         choices: ENGINES.into_iter().map(measure_choices).collect(),
+        feed_answers: ITEMS.into_iter().map(measure_feed_answers).collect(),
         heartbeat_bytes: heartbeat_bytes(),
     })
 }
@@ -335,6 +339,9 @@
         for one in &self.choices {
             table.push_str(&format!("choice among {:>5} engines: {:.2} us\n", one.engines, one.micros));
         }
+        for one in &self.feed_answers {
+            table.push_str(&format!("answer of a feed of {:>5} items: {:.2} us\n", one.items, one.micros));
+        }
         table.push_str(&format!("replication heartbeat: {} bytes\n", self.heartbeat_bytes));
         table
     }
--- a/crates/dissemination/src/feed.rs
+++ b/crates/dissemination/src/feed.rs
@@ -7,6 +7,7 @@
 use sumacdrift_types::Timestamp;
 
 use crate::message::{Changes, FollowRequest, Item, ItemChange, ItemKey, ItemKind, Snapshot};
+use crate::recent::RecentChanges;
 
 /// Removals that are remembered; a follower that is further behind gets everything.
 const REMEMBERED_REMOVALS: usize = 512;
@@ -36,7 +37,7 @@
     item: Item,
 }
 
-type Key = (i32, String);
+pub(crate) type Key = (i32, String);
 
 /// Of each kind, the revision of the store up to which everything is known.
 type KnownTo = BTreeMap<i32, u64>;
@@ -48,6 +49,7 @@
     at: u64,
     revision: u64,
     held: BTreeMap<Key, Held>,
+    recent: RecentChanges,
     removed: VecDeque<(u64, Key)>,
     /// Revisions of the store at which items that are gone went, as long as they are remembered.
     gone: BTreeMap<Key, u64>,
@@ -70,6 +72,7 @@
             at: 0,
             revision: 0,
             held: BTreeMap::new(),
+            recent: RecentChanges::default(),
             removed: VecDeque::new(),
             gone: BTreeMap::new(),
             known_to: KnownTo::new(),
@@ -251,6 +254,7 @@
         }
         self.gone.remove(&key);
         self.at += 1;
+        self.recent.note(self.at, key.clone());
         self.held.insert(key, Held { position: self.at, item });
         true
     }
@@ -308,7 +312,7 @@
         if is_whole && request.takes_parts {
             more_behind = self.part(request.part_behind.as_ref(), |held| changes.push(there(held)));
         } else {
-            changes.extend(self.held.values().filter(|held| held.position > after).map(there));
+            changes.extend(self.changed_since(after).map(there));
         }
         let is_recent = now.since(self.listed_at) < OUTAGE_MATTERS_FOR;
         let outage = if is_whole && is_recent { self.outage } else { Duration::ZERO };
@@ -331,6 +335,18 @@
         }
     }
 
+    /// Items that changed behind a position and are still there.
+    fn changed_since(&self, after: u64) -> impl Iterator<Item = &Held> {
+        let recent = self.recent.since(after);
+        let all = self.held.values().filter(move |held| held.position > after);
+        // One of the two is empty.
+        let all = recent.is_none().then_some(all).into_iter().flatten();
+        let recent = recent.into_iter().flatten();
+        let still_there =
+            recent.filter_map(|(position, key)| self.held.get(key).filter(|held| held.position == *position));
+        still_there.chain(all)
+    }
+
     /// Tells items behind a place, as many as make a part; returns the last one where there are more.
     fn part(&self, behind: Option<&ItemKey>, mut tell: impl FnMut(&Held)) -> Option<ItemKey> {
         let behind = behind.map(|key| (key.kind, key.name.clone()));
--- a/crates/dissemination/src/lib.rs
+++ b/crates/dissemination/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod feed;
 mod message;
+mod recent;
 mod source_choice;
 
 pub use feed::{Feed, Listed};
--- a/crates/dissemination/tests/feed.rs
+++ b/crates/dissemination/tests/feed.rs
@@ -217,3 +217,28 @@
     ahead.merge(behind.changes(&FollowRequest::default(), at(3)), at(3));
     assert!(ahead.item(ItemKind::Evacuation, "z1").is_none());
 }
+
+#[test]
+fn a_follower_is_told_everything_however_far_behind_it_is() {
+    let mut random = ChaCha8Rng::seed_from_u64(41);
+    let mut feed = Feed::new(7);
+    let mut followers: Vec<Model> = (0..6).map(|_| Model::default()).collect();
+    for step in 1..=12_000_u64 {
+        let name = format!("e{}", random.random_range(0..700));
+        match random.random_range(0..10) {
+            0 => {
+                feed.remove(ItemKind::Engine, &name, step);
+            }
+            _ => {
+                feed.put(engine(&name, &format!("{step}"), step));
+            }
+        }
+        // One asks at each change, the last one once in some thousands.
+        for (place, follower) in followers.iter_mut().enumerate() {
+            if step % 6_u64.pow(place as u32) == 0 {
+                follower.follow(&feed, at(step));
+                assert_eq!(follower.items, held(&feed), "step {step}, follower {place}");
+            }
+        }
+    }
+}
