A choice weighs the engines that differ, and of the others the ones that the call prefers

Cause: each choice estimated every engine of the service, whatever is known of it, on machines with an eighth of a core: work grew with the fleet, and faster, as the engines no longer fit the processor's caches.

Engines of which nothing is known (no calls of this node or others, no connection, no failure, usual speed) are the same but for zone and slots, so the one whose drawn number is least is the best of them; all others are weighed as before. Whatever is learned of an engine makes it differ; once a second those are sorted out again of which nothing is known any more.

--- a/crates/bench/src/choices.rs
+++ b/crates/bench/src/choices.rs
@@ -17,20 +17,28 @@
 const ZONES: [&str; 3] = ["a", "b", "c"];
 /// Engines that hold a part of the prompt.
 const HOLDERS: usize = 12;
+/// Engines at which anybody has calls, as far as a node of a large fleet is told.
+const IN_USE: usize = 64;
 
 /// What a choice costs.
 #[derive(Debug, Clone, Serialize)]
 pub struct ChoiceSlope {
     /// Engines of the service.
     pub engines: usize,
+    /// Those of them that have calls.
+    pub in_use: usize,
     /// Microseconds for a choice.
     pub micros: f64,
 }
 
-/// Times choices among so many engines.
-pub(crate) fn measure_choices(engines: usize) -> ChoiceSlope {
+/// Times choices among so many engines: all of them in use, and only some.
+pub(crate) fn measure_choices(engines: usize) -> [ChoiceSlope; 2] {
+    [engines, IN_USE.min(engines)].map(|in_use| measure(engines, in_use))
+}
+
+fn measure(engines: usize, in_use: usize) -> ChoiceSlope {
     let now = Timestamp::default() + Duration::from_secs(10);
-    let book = book(engines, now);
+    let book = book(engines, in_use, now);
     let parts = [PartNeed { part: 1, tokens: 2_560 }, PartNeed { part: 2, tokens: 6_000 }];
     let begun = Instant::now();
     let mut chosen = 0;
@@ -49,11 +57,11 @@
         chosen += usize::from(book.choose(&request, now).is_some());
     }
     assert_eq!(chosen, CHOICES as usize, "every choice finds an engine");
-    ChoiceSlope { engines, micros: begun.elapsed().as_secs_f64() * 1e6 / f64::from(CHOICES) }
+    ChoiceSlope { engines, in_use, micros: begun.elapsed().as_secs_f64() * 1e6 / f64::from(CHOICES) }
 }
 
-/// A book whose engines are in use and partly hold the prompt.
-fn book(engines: usize, now: Timestamp) -> EngineBook {
+/// A book of engines, some of which are in use and partly hold the prompt.
+fn book(engines: usize, in_use: usize, now: Timestamp) -> EngineBook {
     let mut book = EngineBook::new(
         Location::in_zone("a"),
         TrafficPrices::default(),
@@ -63,6 +71,9 @@
     let id = |engine: usize| format!("engine-{engine}");
     for engine in 0..engines {
         book.upsert(spec(&id(engine), ZONES[engine % ZONES.len()]), now);
+    }
+    book.settle(|_| false, now);
+    for engine in 0..in_use {
         book.sent(&EngineId::new(&id(engine)), 100, now);
     }
     for engine in 0..HOLDERS.min(engines) {
@@ -71,7 +82,7 @@
     }
     book.holds(PartHeld { part: 2, engine: engine_key(&id(0)), tokens: 5_000 }, now);
     let load = |engine| EngineLoad { engine: engine_key(&id(engine)), running: 6, ..EngineLoad::default() };
-    book.others_told(&Loads { engines: (0..engines).map(load).collect() }, now);
+    book.others_told(&Loads { engines: (0..in_use).map(load).collect() }, now);
     book
 }
 
--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -95,7 +95,7 @@
         programs: programs.collect::<Result<_, _>>()?,
         membership: FLEETS.into_iter().map(measure_membership).collect::<Result<_, _>>()?,
         bids: QUEUES.into_iter().map(measure_bids).collect::<Result<_, _>>()?,
-        choices: ENGINES.into_iter().map(measure_choices).collect(),
+        choices: ENGINES.into_iter().flat_map(measure_choices).collect(),
         feed_answers: ITEMS.into_iter().map(measure_feed_answers).collect(),
         heartbeat_bytes: heartbeat_bytes(),
     })
@@ -337,7 +337,10 @@
             table.push_str(&format!("bid with {:>4} waiting: {:.2} us\n", one.queued, one.micros));
         }
         for one in &self.choices {
-            table.push_str(&format!("choice among {:>5} engines: {:.2} us\n", one.engines, one.micros));
+            table.push_str(&format!(
+                "choice among {:>5} engines, {:>5} in use: {:.2} us\n",
+                one.engines, one.in_use, one.micros
+            ));
         }
         for one in &self.feed_answers {
             table.push_str(&format!("answer of a feed of {:>5} items: {:.2} us\n", one.items, one.micros));
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -184,6 +184,7 @@
         let mut book = self.book();
         book.replace_all(specs, outage, now);
         book.forget_gone(now, FORGET_ENGINE_AFTER);
+        book.settle(|engine| self.pool.is_connected(engine), now);
     }
 
     /// Takes in one engine.
@@ -251,12 +252,14 @@
         self.metrics.evacuated_zones.set(i64::try_from(zones).unwrap_or(i64::MAX));
     }
 
-    /// Closes connections that are no longer of use.
+    /// Closes connections that are no longer of use, and forgets what no longer matters of engines.
     pub fn sweep(&self) {
-        let book = self.book();
-        let cold = book.cold_engines(self.clock.now());
+        let now = self.clock.now();
+        let mut book = self.book();
+        let cold = book.cold_engines(now);
         self.metrics.cold_engines.set(i64::try_from(cold).unwrap_or(i64::MAX));
         self.pool.sweep(|engine| book.spec(engine).is_some());
+        book.settle(|engine| self.pool.is_connected(engine), now);
     }
 
     /// Counters and histograms.
--- a/crates/routing/src/book.rs
+++ b/crates/routing/src/book.rs
@@ -1,6 +1,6 @@
 //! The engines there are, and what is believed of each.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,8 +10,11 @@
 use sumacdrift_types::{Location, Mechanism, SwitchedOff, Timestamp};
 
 mod eligibility;
+mod engine_table;
 mod lives;
 
+use engine_table::EngineTable;
+
 pub use lives::EntryChange;
 
 use crate::choice::{CALLS_OF_A_BEGINNING, Choice, HeldTokens, Placed, PlacementRequest, RequestedWork};
@@ -33,8 +36,7 @@
 /// The engines there are.
 #[derive(Debug)]
 pub struct EngineBook {
-    /// Boxed, as the tree keeps almost half of its places empty.
-    engines: BTreeMap<EngineId, Box<Engine>>,
+    engines: EngineTable,
     names: SharedNames,
     health: HealthSettings,
     speeds: HashMap<Arc<str>, LearnedSpeeds>,
@@ -52,7 +54,7 @@
         Self {
             off,
             distances: Distances::new(location, prices),
-            engines: BTreeMap::new(),
+            engines: EngineTable::default(),
             names: SharedNames::default(),
             health,
             speeds: HashMap::new(),
@@ -79,17 +81,17 @@
 
     /// Forgets engines that are gone and have no calls.
     pub fn forget_gone(&mut self, now: Timestamp, after: Duration) {
-        self.engines.retain(|_, engine| {
+        self.engines.forget(|engine| {
             let is_long_gone = engine.unusable_since.is_some_and(|since| now.since(since) >= after);
-            engine.running > 0 || engine.spec.is_leaving || !is_long_gone
+            engine.running == 0 && !engine.spec.is_leaving && is_long_gone
         });
         self.names.forget_unused();
     }
 
     /// Engines of a service that take new work.
     pub fn usable(&self, service: &str, now: Timestamp) -> usize {
-        let of_service = self.engines.values().filter(|engine| &*engine.spec.service == service);
-        of_service.filter(|engine| engine.is_usable(now)).count()
+        let of_service = self.engines.noted().filter(|engine| &*engine.spec.service == service);
+        of_service.filter(|engine| engine.is_usable(now)).count() + self.engines.alike(service)
     }
 
     /// The service of an engine.
@@ -113,19 +115,46 @@
             }
             RequestedWork::Whole { usual, .. } => (whole_speeds(usual), 1.0, 1.0, HeldTokens::default()),
         };
-        let of_service = self.engines.values().filter(|engine| &*engine.spec.service == request.service);
+        let of_service = self.engines.noted().filter(|engine| &*engine.spec.service == request.service);
         let others_age = self.others_told.age(now);
-        let others = BelievedLoads::among(of_service.map(|engine| engine.others), others_age);
+        let alike = self.engines.alike(request.service);
+        let others = BelievedLoads::among(of_service.map(|engine| engine.others), alike, others_age);
         let off = self.off;
         let distances = &self.distances;
         let choice =
             Choice { off, request, distances, speeds, events, zone_calls, others, others_age, held, now };
         let may_get_any = |engine: &&Engine| self.is_allowed(engine, request) && self.is_open(engine, now);
-        let mut placed = choice.best(self.engines.values().map(Box::as_ref).filter(may_get_any))?;
+        let weighed = self.engines_to_weigh(request, &choice.held);
+        let mut placed = choice.best(weighed.filter(may_get_any))?;
         placed.cold = self.cold_limit(&placed.engine, now);
         Some(placed)
     }
 
+    /// Engines among which the best one is: all of which something is known, in themselves or for this call, and the ones that the
+    /// call prefers of those that are alike.
+    fn engines_to_weigh<'a>(
+        &'a self,
+        request: &PlacementRequest<'_>,
+        held: &HeldTokens,
+    ) -> impl Iterator<Item = &'a Engine> + use<'a> {
+        let named = request.avoid.iter().chain(request.rather_not).chain(request.only);
+        let named: Vec<&Engine> = named.filter_map(|id| self.engines.get(id)).collect();
+        let left_out: Vec<u32> = named.iter().map(|engine| engine.key).collect();
+        let holders = held.engines().filter_map(|key| self.engines.get(self.engines.id_of(key)?));
+        let favourites = self.engines.favourites(request.service, request.key, &left_out);
+        let alike =
+            holders.chain(favourites).chain(named.iter().copied()).filter(|engine| engine.alike.is_some());
+        let mut alike: Vec<&Engine> = alike.collect();
+        alike.sort_unstable_by(|one, other| one.spec.id.cmp(&other.spec.id));
+        alike.dedup_by(|one, other| std::ptr::eq(*one, *other));
+        self.engines.noted().chain(alike)
+    }
+
+    /// Counts engines among those that are alike again of which nothing is known any more, and to which no connection rests.
+    pub fn settle(&mut self, is_connected: impl Fn(&EngineId) -> bool, now: Timestamp) {
+        self.engines.settle(|engine| engine.is_like_others(now) && !is_connected(&engine.spec.id));
+    }
+
     /// A call goes to an engine that has so many tokens of its prompt to read.
     pub fn sent(&mut self, id: &EngineId, unread_tokens: u64, now: Timestamp) {
         if let Some(engine) = self.engines.get_mut(id) {
@@ -185,8 +214,14 @@
             return;
         }
         let told: HashMap<u32, &EngineLoad> = loads.engines.iter().map(|load| (load.engine, load)).collect();
-        for engine in self.engines.values_mut() {
-            engine.others = told.get(&engine.key).map(|load| OtherLoad::told(load)).unwrap_or_default();
+        let known = self.engines.noted().filter(|engine| engine.others != OtherLoad::default());
+        let no_more = known.filter(|engine| !told.contains_key(&engine.key)).map(|engine| engine.key);
+        let no_more: Vec<u32> = no_more.collect();
+        for key in no_more.into_iter().chain(told.keys().copied()) {
+            let Some(id) = self.engines.id_of(key).cloned() else { continue };
+            if let Some(engine) = self.engines.get_mut(&id) {
+                engine.others = told.get(&key).map(|load| OtherLoad::told(load)).unwrap_or_default();
+            }
         }
         self.others_told = ToldTime::now(now);
     }
@@ -198,7 +233,7 @@
 
     /// Whether no engine is known.
     pub fn is_empty(&self) -> bool {
-        self.engines.is_empty()
+        self.engines.len() == 0
     }
 
     /// This node's calls, for other nodes: of engines where it has any, where they fail, and where others say that
@@ -217,9 +252,7 @@
             }
         };
         let says_something = |load: &EngineLoad| load.running + load.failed + load.served > 0;
-        Loads {
-            engines: self.engines.values().map(Box::as_ref).map(load_of).filter(says_something).collect(),
-        }
+        Loads { engines: self.engines.noted().map(load_of).filter(says_something).collect() }
     }
 }
 
--- a/crates/routing/src/book/eligibility.rs
+++ b/crates/routing/src/book/eligibility.rs
@@ -45,9 +45,14 @@
 
     /// The engines of a zone may have turned cold a moment ago, before they could tell.
     fn expect_cold(&mut self, zone: &str, now: Timestamp) {
-        for engine in self.engines.values_mut().filter(|engine| *engine.spec.zone == *zone) {
-            if let Some(limit) = self.cold_limits.get(&engine.spec.service) {
-                engine.coldness.infer(limit.lasts, now);
+        let cold_limits = &self.cold_limits;
+        let limit_of =
+            |engine: &Engine| cold_limits.get(&engine.spec.service).filter(|_| *engine.spec.zone == *zone);
+        let ids = self.engines.ids();
+        let cold = ids.filter_map(|id| Some((id.clone(), limit_of(self.engines.get(id)?)?.lasts)));
+        for (id, lasts) in cold.collect::<Vec<_>>() {
+            if let Some(engine) = self.engines.get_mut(&id) {
+                engine.coldness.infer(lasts, now);
             }
         }
     }
@@ -66,7 +71,7 @@
 
     /// Number of engines that are cold and belong to a service where that matters.
     pub fn cold_engines(&self, now: Timestamp) -> usize {
-        self.engines.values().filter(|engine| self.is_cold(engine, now)).count()
+        self.engines.noted().filter(|engine| self.is_cold(engine, now)).count()
     }
 
     /// No further call of this node to a cold engine was permitted until a time.
@@ -78,7 +83,7 @@
 
     /// When a permit may be asked for again for any engine of a service that could be chosen but for its coldness.
     pub fn cold_again_at(&self, request: &PlacementRequest<'_>, now: Timestamp) -> Option<Timestamp> {
-        let of_service = self.engines.values().filter(|engine| &*engine.spec.service == request.service);
+        let of_service = self.engines.noted().filter(|engine| &*engine.spec.service == request.service);
         let could_serve = of_service.filter(|engine| {
             self.is_allowed(engine, request)
                 && engine.is_usable(now)
--- a/crates/routing/src/book/lives.rs
+++ b/crates/routing/src/book/lives.rs
@@ -35,10 +35,13 @@
     pub fn upsert(&mut self, mut spec: EngineSpec, now: Timestamp) -> EntryChange {
         self.names.share(&mut spec.service);
         self.names.share(&mut spec.zone);
-        let Some(known) = self.youngest(&spec.id).cloned() else {
+        let Some(known) = self.engines.lives(&spec.id).max().cloned() else {
             self.insert(spec, now);
             return EntryChange::Changed;
         };
+        if self.engines.get(&spec.id).is_some_and(|engine| engine.alike.is_some() && engine.spec == spec) {
+            return EntryChange::Nothing;
+        }
         if spec.id.start() < known.start() {
             return self.told_by_earlier_life(&spec, &known, now);
         }
@@ -46,14 +49,13 @@
             let has_changed = engine.update(spec, now);
             return if has_changed { EntryChange::Changed } else { EntryChange::Nothing };
         }
-        self.lives(&spec.id).for_each(|earlier| earlier.superseded(now));
+        self.change_lives(&spec.id, |earlier| earlier.superseded(now));
         self.insert(spec, now);
         EntryChange::StartedAgain
     }
 
     fn insert(&mut self, spec: EngineSpec, now: Timestamp) {
-        let engine = Box::new(Engine::new(spec, self.health, now));
-        self.engines.insert(engine.spec.id.clone(), engine);
+        self.engines.insert(Engine::new(spec, self.health, now));
     }
 
     /// An entry of an earlier life never replaces a younger one. Where it says that the engine leaves, the engine gets
@@ -69,15 +71,17 @@
 
     /// The directory no longer has an engine, whichever life it was; returns whether that is news.
     pub fn remove(&mut self, id: &EngineId, now: Timestamp) -> bool {
-        let retired = self.lives(id).filter_map(|engine| engine.retire(now).then_some(()));
-        retired.count() > 0
+        let mut is_news = false;
+        self.change_lives(id, |engine| is_news |= engine.retire(now));
+        is_news
     }
 
     /// The directory's entry of an engine can't be read: it gets nothing new, not even as the last resort, until one can
     /// be; returns whether that is news.
     pub fn withdraw(&mut self, id: &EngineId, now: Timestamp) -> bool {
-        let withdrawn = self.lives(id).filter_map(|engine| engine.withdraw(now).then_some(()));
-        withdrawn.count() > 0
+        let mut is_news = false;
+        self.change_lives(id, |engine| is_news |= engine.withdraw(now));
+        is_news
     }
 
     /// Makes the whole directory known: engines that are not in it are gone.
@@ -87,25 +91,23 @@
     pub fn replace_all(&mut self, specs: Vec<EngineSpec>, outage: Duration, now: Timestamp) {
         let grace = if outage >= SHORTEST_OUTAGE { REPORT_AGAIN_TIME } else { Duration::ZERO };
         let listed: HashSet<&str> = specs.iter().map(|spec| spec.id.as_str()).collect();
-        let missing = self.engines.values_mut().filter(|engine| !listed.contains(engine.spec.id.as_str()));
-        for engine in missing {
-            engine.retire(now + grace);
+        let missing = self.engines.ids().filter(|id| !listed.contains(id.as_str()));
+        for id in missing.cloned().collect::<Vec<_>>() {
+            if let Some(engine) = self.engines.get_mut(&id) {
+                engine.retire(now + grace);
+            }
         }
         for spec in specs {
             self.upsert(spec, now);
         }
     }
 
-    /// The youngest life of an engine that is known.
-    fn youngest(&self, id: &EngineId) -> Option<&EngineId> {
-        // Lives of one engine stand side by side, by their start.
-        let lives = self.engines.range(EngineId::new(id.as_str())..);
-        lives.map(|(life, _)| life).take_while(|life| life.is_same_engine(id)).last()
-    }
-
-    /// All lives of an engine that are known.
-    fn lives(&mut self, id: &EngineId) -> impl Iterator<Item = &mut Engine> {
-        let lives = self.engines.range_mut(EngineId::new(id.as_str())..);
-        lives.take_while(|(life, _)| life.is_same_engine(id)).map(|(_, engine)| engine.as_mut())
+    /// Changes what is believed of all lives of an engine that are known.
+    fn change_lives(&mut self, id: &EngineId, mut change: impl FnMut(&mut Engine)) {
+        for life in self.engines.lives(id).cloned().collect::<Vec<_>>() {
+            if let Some(engine) = self.engines.get_mut(&life) {
+                change(engine);
+            }
+        }
     }
 }
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -90,7 +90,7 @@
     pub running: f64,
     /// Age of what is known of other nodes' calls; `None` where nothing is.
     pub others_age: Option<Duration>,
-    /// Engines that could have been chosen.
+    /// Engines that were weighed: of those of which nothing is known, only the ones that the call prefers.
     pub candidates: usize,
     /// The least cost among the others that could have been chosen.
     pub next_best: Option<f64>,
@@ -227,12 +227,16 @@
 
 /// A number from 0 to 1 for a key and an engine, by which equal keys prefer the same engines.
 fn drawn(key: u64, engine: u32) -> f64 {
+    mixed(key, engine) as f64 / u64::MAX as f64
+}
+
+/// The same as a whole number.
+pub(crate) fn mixed(key: u64, engine: u32) -> u64 {
     // The finalizer of SplitMix64.
     let mut mixed = key ^ u64::from(engine).wrapping_mul(0x9e37_79b9_7f4a_7c15);
     mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    mixed ^= mixed >> 31;
-    mixed as f64 / u64::MAX as f64
+    mixed ^ (mixed >> 31)
 }
 
 /// How much of a prompt each engine holds.
@@ -258,6 +262,11 @@
         parts.last().is_some_and(|last| known.iter().any(|held| held.part == last.part))
     }
 
+    /// Engines that hold anything.
+    pub(crate) fn engines(&self) -> impl Iterator<Item = u32> {
+        self.engines.iter().map(|(key, _)| *key)
+    }
+
     fn unread(&self, engine: u32) -> f64 {
         let found = self.engines.binary_search_by_key(&engine, |(key, _)| *key);
         let held = found.map_or(0, |place| self.engines[place].1);
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -65,6 +65,17 @@
     last_end: Option<LastEnd>,
     /// What other nodes told last of their calls there.
     pub(crate) others: OtherLoad,
+    /// Its place among the engines of which nothing is known, where it is one of them.
+    pub(crate) alike: Option<AlikePlace>,
+}
+
+/// A place among engines of which nothing is known.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct AlikePlace {
+    /// The engines that are alike.
+    pub(crate) group: usize,
+    /// The row among them.
+    pub(crate) row: usize,
 }
 
 /// How calls of this node at an engine ended last.
@@ -94,10 +105,19 @@
             slowness: Slowness::usual(now),
             last_end: None,
             others: OtherLoad::default(),
+            alike: None,
             spec,
         }
     }
 
+    /// Whether nothing is known of it that tells it from others of its service and zone.
+    pub(crate) fn is_like_others(&self, now: Timestamp) -> bool {
+        let is_idle = self.running == 0 && self.unread_tokens == 0 && self.others == OtherLoad::default();
+        let is_usable = self.unusable_since.is_none() && !self.is_withdrawn && !self.coldness.is_cold(now);
+        let is_sound = self.health.is_settled(now) && self.failed_of_late(now).is_none();
+        is_idle && is_usable && is_sound && self.slowness.is_usual(now)
+    }
+
     /// Whether it takes new work.
     pub(crate) fn is_usable(&self, now: Timestamp) -> bool {
         self.unusable_since.is_none_or(|since| since > now)
--- a/crates/routing/src/others.rs
+++ b/crates/routing/src/others.rs
@@ -64,8 +64,8 @@
 }
 
 impl BelievedLoads {
-    /// What was told of all engines that a choice is among, with its age.
-    pub(crate) fn among(told: impl Iterator<Item = OtherLoad>, age: Option<Duration>) -> Self {
+    /// What was told of the engines that a choice is among, with its age; nobody has calls at some more.
+    pub(crate) fn among(told: impl Iterator<Item = OtherLoad>, idle: usize, age: Option<Duration>) -> Self {
         let Some(age) = age else { return Self { mean: OtherLoad::default(), kept: None } };
         let mut count = 0_u32;
         let mut sum = OtherLoad::default();
@@ -74,7 +74,7 @@
             sum.running += load.running;
             sum.unread_tokens += load.unread_tokens;
         }
-        let count = f64::from(count.max(1));
+        let count = (f64::from(count) + idle as f64).max(1.0);
         let mean = OtherLoad {
             running: sum.running / count,
             unread_tokens: sum.unread_tokens / count,
--- a/crates/routing/src/slowness.rs
+++ b/crates/routing/src/slowness.rs
@@ -16,6 +16,8 @@
 const HALF_LIFE: Duration = Duration::from_secs(8);
 /// A difference so many times the expected one is no chance: the engine has changed.
 const SURPRISE: f64 = 3.0;
+/// A difference from the usual that decides nothing: a fifth of the share by which estimates are drawn apart at random.
+const USUAL_WITHIN: f64 = 0.01;
 /// Share of a surprise that is believed at once.
 const SURPRISE_GAIN: f64 = 0.3;
 
@@ -42,6 +44,11 @@
         1.0 + (self.value - 1.0) * (-halvings).exp2()
     }
 
+    /// Whether it is as good as usual: it differs by less than estimates are drawn apart at random.
+    pub(crate) fn is_usual(&self, now: Timestamp) -> bool {
+        (self.now(now) - 1.0).abs() < USUAL_WITHIN
+    }
+
     /// A call took so many times longer than usual, among ones whose variance is `noise`.
     pub(crate) fn observe(&mut self, seen: f64, noise: f64, now: Timestamp) {
         let seen = seen.clamp(LEAST, LARGEST);
--- /dev/null
+++ b/crates/routing/tests/alike_engines.rs
@@ -0,0 +1,181 @@
+//! Engines of which nothing is known are alike, so a choice weighs only the ones among them that a call prefers: it must choose as if
+//! it weighed all, and its work must not grow with the fleet.
+
+mod engines_for_tests;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use engines_for_tests::{ANYWHERE, NOW, book, spec};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use sumacdrift_calls::EngineId;
+use sumacdrift_fleet_view::{EngineLoad, Loads, PartHeld, engine_key};
+use sumacdrift_routing::{EngineBook, Outcome, PartNeed, PlacementRequest, RequestedWork};
+use sumacdrift_types::Timestamp;
+
+const ENGINES: usize = 60;
+const ZONES: [&str; 3] = ["z1", "z2", "z3"];
+const PARTS: [PartNeed; 2] = [PartNeed { part: 1, tokens: 2_560 }, PartNeed { part: 2, tokens: 900 }];
+
+fn name(engine: usize) -> String {
+    format!("e{engine}")
+}
+
+/// Two books that are told the same; only one of them sorts out the engines that are alike.
+struct Pair {
+    all_weighed: EngineBook,
+    sorted_out: EngineBook,
+    connected: BTreeSet<EngineId>,
+    running: Vec<EngineId>,
+    now: Timestamp,
+}
+
+impl Pair {
+    fn new() -> Self {
+        let mut pair = Self {
+            all_weighed: book(&[]),
+            sorted_out: book(&[]),
+            connected: BTreeSet::new(),
+            running: Vec::new(),
+            now: NOW,
+        };
+        for engine in 0..ENGINES {
+            pair.both(|book, now| {
+                book.upsert(spec(&name(engine), ZONES[engine % ZONES.len()]), now);
+            });
+        }
+        pair
+    }
+
+    fn both(&mut self, change: impl Fn(&mut EngineBook, Timestamp)) {
+        change(&mut self.all_weighed, self.now);
+        change(&mut self.sorted_out, self.now);
+    }
+
+    fn settle(&mut self) {
+        let connected = &self.connected;
+        self.sorted_out.settle(|id| connected.contains(id), self.now);
+    }
+
+    /// Chooses in both books and begins the call there.
+    fn call(&mut self, random: &mut ChaCha8Rng) {
+        let work = match random.random_range(0..3) {
+            0 => RequestedWork::Stream { parts: &PARTS },
+            sticky => RequestedWork::Whole { usual: Duration::from_millis(40), is_sticky: sticky == 1 },
+        };
+        let drawn = |random: &mut ChaCha8Rng, most: usize| -> Vec<EngineId> {
+            (0..random.random_range(0..most))
+                .map(|_| EngineId::new(&name(random.random_range(0..ENGINES))))
+                .collect()
+        };
+        let (avoid, rather_not) = (drawn(random, 4), drawn(random, 3));
+        let only = EngineId::new(&name(random.random_range(0..ENGINES)));
+        let connected = &self.connected;
+        let request = PlacementRequest {
+            service: "s",
+            regions: &ANYWHERE,
+            key: random.random(),
+            work,
+            kilobytes: 8.0,
+            is_connected: &|id| connected.contains(id),
+            avoid: &avoid,
+            rather_not: &rather_not,
+            only: (random.random_range(0..20) == 0).then_some(&only),
+        };
+        let expected = self.all_weighed.choose(&request, self.now);
+        let chosen = self.sorted_out.choose(&request, self.now);
+        let engine =
+            |placed: &Option<sumacdrift_routing::Placed>| placed.as_ref().map(|placed| placed.engine.clone());
+        assert_eq!(engine(&chosen), engine(&expected), "{request_key}", request_key = request.key);
+        let Some(placed) = chosen else { return };
+        assert_eq!(Some(placed.estimate), expected.map(|expected| expected.estimate));
+        self.both(|book, now| book.sent(&placed.engine, placed.unread_tokens, now));
+        self.connected.insert(placed.engine.clone());
+        self.running.push(placed.engine);
+    }
+
+    fn end_a_call(&mut self, random: &mut ChaCha8Rng) {
+        if self.running.is_empty() {
+            return;
+        }
+        let engine = self.running.swap_remove(random.random_range(0..self.running.len()));
+        let outcome = if random.random_range(0..6) == 0 { Outcome::Faulty } else { Outcome::Sound };
+        self.both(|book, now| {
+            book.was_read(&engine, u64::MAX);
+            book.ended(&engine, outcome, now);
+            let held = PartHeld { part: 1, engine: engine_key(engine.as_str()), tokens: 2_560 };
+            book.holds(held, now);
+        });
+    }
+
+    fn tell_loads(&mut self, random: &mut ChaCha8Rng) {
+        let load = |random: &mut ChaCha8Rng| EngineLoad {
+            engine: engine_key(&name(random.random_range(0..ENGINES))),
+            running: random.random_range(0..5),
+            failed: random.random_range(0..5),
+            ..EngineLoad::default()
+        };
+        let loads = Loads { engines: (0..random.random_range(0..12)).map(|_| load(random)).collect() };
+        self.both(|book, now| book.others_told(&loads, now));
+    }
+
+    fn change_an_entry(&mut self, random: &mut ChaCha8Rng) {
+        let engine = random.random_range(0..ENGINES);
+        let mut changed = spec(&name(engine), ZONES[engine % ZONES.len()]);
+        match random.random_range(0..3) {
+            0 => self.both(|book, now| {
+                book.remove(&changed.id, now);
+            }),
+            1 => {
+                changed.cold_left = Duration::from_millis(300);
+                changed.report = random.random();
+                self.both(|book, now| {
+                    book.upsert(changed.clone(), now);
+                });
+            }
+            _ => self.both(|book, now| {
+                book.upsert(changed.clone(), now);
+            }),
+        }
+    }
+}
+
+#[test]
+fn a_choice_is_the_same_as_if_all_engines_were_weighed() {
+    for seed in 0..60 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut pair = Pair::new();
+        for _ in 0..400 {
+            match random.random_range(0..12) {
+                0..=4 => pair.call(&mut random),
+                5..=7 => pair.end_a_call(&mut random),
+                8 => pair.tell_loads(&mut random),
+                9 => pair.change_an_entry(&mut random),
+                10 => pair.settle(),
+                _ => {
+                    pair.connected.pop_first();
+                }
+            }
+            pair.now = pair.now + Duration::from_millis(random.random_range(0..200));
+        }
+    }
+}
+
+#[test]
+fn the_work_of_a_choice_does_not_grow_with_the_fleet() {
+    const IN_USE: usize = 20;
+    let weighed = [250, 500, 1_000, 2_000].map(|engines| {
+        let mut book = book(&[]);
+        for engine in 0..engines {
+            book.upsert(spec(&name(engine), ZONES[engine % ZONES.len()]), NOW);
+        }
+        book.settle(|_| false, NOW);
+        for engine in 0..IN_USE {
+            book.sent(&EngineId::new(&name(engine)), 100, NOW);
+        }
+        let request = engines_for_tests::request(&[]);
+        book.choose(&request, NOW).expect("an engine").candidates
+    });
+    assert!(weighed.iter().all(|count| *count == weighed[0]), "{weighed:?}");
+}
--- a/crates/scheduling/src/health.rs
+++ b/crates/scheduling/src/health.rs
@@ -75,6 +75,12 @@
         }
     }
 
+    /// Whether it is as if no call had ever failed: the circuit is closed and the slow start over.
+    pub fn is_settled(&self, now: Timestamp) -> bool {
+        let is_started = self.recovered.is_none_or(|since| now.since(since) >= self.settings.slow_start);
+        self.state == HealthState::Closed && self.failures == 0 && is_started
+    }
+
     /// Notes that a call was sent.
     pub fn sent(&mut self, now: Timestamp) {
         if matches!(self.state, HealthState::Open(until) if now >= until) {
