--- a/crates/scheduling/src/queue.rs
+++ b/crates/scheduling/src/queue.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     Bid, CacheIndex, ContextPrefix, EngineLoad, EngineRates, Health, HealthSettings, OrderSettings,
-    RateObservation, Work, estimate, order_key,
+    RateObservation, WaitingList, Work, estimate, order_key,
 };
 
 /// Parameters of a queue.
@@ -85,12 +85,6 @@
     pub end: Option<ContextPrefix>,
 }
 
-#[derive(Debug)]
-struct Queued {
-    work: Work,
-    enqueued: Timestamp,
-}
-
 #[derive(Debug)]
 struct Running {
     work: Work,
@@ -106,7 +100,7 @@
     rates: EngineRates,
     health: Health,
     cache: CacheIndex,
-    queued: BTreeMap<CallId, Queued>,
+    queued: WaitingList<CallId, Work>,
     running: BTreeMap<CallId, Running>,
     is_leaving: bool,
 }
@@ -120,7 +114,7 @@
             rates: settings.rates,
             health: Health::new(settings.health),
             cache: CacheIndex::new(settings.capacity_tokens),
-            queued: BTreeMap::new(),
+            queued: WaitingList::new(settings.max_queued),
             running: BTreeMap::new(),
             is_leaving: false,
         }
@@ -134,7 +128,7 @@
             max_running: self.settings.max_running,
             pending_prefill_tokens: sum(&mut self.running.values().map(|one| one.uncached_tokens)),
             queued: self.queued.len(),
-            queued_prefill_tokens: sum(&mut self.queued.values().map(|one| self.uncached(&one.work))),
+            queued_prefill_tokens: sum(&mut self.queued.iter().map(|(_, one)| self.uncached(&one.call))),
             context_tokens: sum(&mut self.running.values().map(|one| one.work.prompt_tokens())),
             capacity_tokens: self.settings.capacity_tokens,
         }
@@ -157,18 +151,19 @@
         if !is_leaving {
             return Vec::new();
         }
-        let calls = std::mem::take(&mut self.queued).into_keys();
+        let calls = self.queued.take_all().into_iter();
         calls.map(|call| QueueEffect::Refuse { call, problem: self.unusable() }).collect()
     }
 
     /// Adopts other limits.
     pub fn reconfigure(&mut self, settings: QueueSettings) {
         self.settings = settings;
+        self.queued.set_most(settings.max_queued);
     }
 
     /// An offer for a call, if the engine may get one.
     pub fn bid(&self, prefixes: &[ContextPrefix], now: Timestamp) -> Option<Bid> {
-        if !self.is_usable(now) || self.queued.len() >= self.settings.max_queued {
+        if !self.is_usable(now) || self.queued.is_full() {
             return None;
         }
         let prompt_tokens = prefixes.last().map_or(0, |prefix| prefix.tokens);
@@ -184,16 +179,15 @@
         if !self.is_usable(now) {
             return vec![QueueEffect::Refuse { call, problem: self.unusable() }];
         }
-        if self.queued.len() >= self.settings.max_queued {
+        if self.queued.push(call, work, now).is_err() {
             return vec![QueueEffect::Refuse { call, problem: self.overloaded() }];
         }
-        self.queued.insert(call, Queued { work, enqueued: now });
         self.grant(now)
     }
 
     /// Drops a call that waits; one that was granted must be released instead.
     pub fn forget(&mut self, call: CallId) {
-        self.queued.remove(&call);
+        self.queued.remove(call);
     }
 
     /// Ends a granted call.
@@ -218,12 +212,11 @@
     pub fn tick(&mut self, now: Timestamp) -> Vec<QueueEffect> {
         let lease = self.settings.grant_lease;
         self.running.retain(|_, running| now.since(running.granted) < lease);
-        let is_late = |queued: &Queued| queued.work.deadline.is_some_and(|deadline| deadline <= now);
-        let late: Vec<CallId> =
-            self.queued.iter().filter(|(_, queued)| is_late(queued)).map(|(call, _)| *call).collect();
+        let late =
+            self.queued.ids_where(|queued| queued.call.deadline.is_some_and(|deadline| deadline <= now));
         let mut effects = Vec::new();
         for call in late {
-            self.queued.remove(&call);
+            self.queued.remove(call);
             let detail = "the deadline passed while the call waited for an engine";
             let problem = Problem::not_run(ResultCode::DeadlineExceeded, detail);
             effects.push(QueueEffect::Refuse { call, problem });
@@ -236,10 +229,10 @@
         let mut effects = Vec::new();
         while self.has_room(now) {
             let Some(call) = self.next_call(now) else { break };
-            let Some(queued) = self.queued.remove(&call) else { break };
-            let uncached_tokens = self.uncached(&queued.work);
+            let Some(queued) = self.queued.remove(call) else { break };
+            let uncached_tokens = self.uncached(&queued.call);
             self.health.sent(now);
-            self.running.insert(call, Running { work: queued.work, granted: now, uncached_tokens });
+            self.running.insert(call, Running { work: queued.call, granted: now, uncached_tokens });
             effects.push(QueueEffect::Grant { call });
         }
         effects
@@ -252,12 +245,13 @@
 
     /// The first call in order whose context fits beside the running ones.
     fn next_call(&self, now: Timestamp) -> Option<CallId> {
-        let key = |queued: &Queued| order_key(&self.settings.order, &queued.work, queued.enqueued, now);
-        let (call, queued) = self.queued.iter().min_by_key(|(_, queued)| key(queued))?;
+        let order = &self.settings.order;
+        let (call, queued) =
+            self.queued.first_by(|queued| order_key(order, &queued.call, queued.since, now))?;
         let context: TokenCount = self.running.values().map(|one| one.work.prompt_tokens()).sum();
-        let needed = queued.work.prompt_tokens() + self.rates.output_tokens as TokenCount;
+        let needed = queued.call.prompt_tokens() + self.rates.output_tokens as TokenCount;
         let fits = context + needed <= self.settings.capacity_tokens;
-        (fits || self.running.is_empty()).then_some(*call)
+        (fits || self.running.is_empty()).then_some(call)
     }
 
     fn learn(&mut self, running: &Running, finished: FinishedWork, now: Timestamp) {
--- /dev/null
+++ b/crates/scheduling/src/service_queue.rs
@@ -0,0 +1,391 @@
+//! The queue of one node before the engines of one service.
+//!
+//! Answers a load that is larger than the room: engines admit in the order of arrival, so what is sent to full engines can't
+//! be put in order any more. The node keeps back what is beyond its [`shares`] of the room, lets it in by
+//! [`program_order`], and refuses at once what can't be served, with the time at which room is expected.
+//!
+//! A state machine: it takes what happened and answers with what to do. It reads no clock and knows no engines.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use sumacdrift_types::Timestamp;
+
+use crate::PriorityRank;
+use crate::program_order::{ProgramStage, QueuedCall, program_order};
+use crate::return_times::ReturnTimes;
+use crate::shares::{RankDemand, RankShare, ServiceRoom, shares};
+use crate::waiting_list::{Waiting, WaitingList};
+
+/// Weight of a new observation of how long calls take at engines.
+const LEARNING_RATE: f64 = 0.1;
+/// Shares are rounded to the nearest whole call.
+const ROUNDING: f64 = 0.5;
+
+/// A call at this node, while it waits or is under way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct QueueTicket(pub u64);
+
+/// Bounds of a queue.
+#[derive(Debug, Clone, Copy)]
+pub struct ServiceQueueSettings {
+    /// Calls that may wait.
+    pub most_waiting: usize,
+    /// Bytes that waiting calls may hold together.
+    pub most_bytes: usize,
+    /// A call that waited for so long goes before all others.
+    pub starvation_bound: Duration,
+    /// Share of its program's time that the first call of a program may wait. A program has to wait before its later calls
+    /// too, so one that waits for longer at its beginning is not over in time.
+    pub first_wait_share: f64,
+}
+
+impl Default for ServiceQueueSettings {
+    fn default() -> Self {
+        Self {
+            most_waiting: 256,
+            most_bytes: 8 << 20,
+            starvation_bound: Duration::from_millis(1500),
+            first_wait_share: 0.25,
+        }
+    }
+}
+
+/// Why a call is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RefusalReason {
+    /// Its caller will have left before it could be answered.
+    CannotBeAnswered,
+    /// Its program would begin too late to end in time.
+    ProgramTooLate,
+    /// No more calls, or bytes, may wait.
+    QueueFull,
+}
+
+impl RefusalReason {
+    /// A word for logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            RefusalReason::CannotBeAnswered => "cannot_be_answered",
+            RefusalReason::ProgramTooLate => "program_too_late",
+            RefusalReason::QueueFull => "queue_full",
+        }
+    }
+}
+
+/// What a queue wants done.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum ServiceQueueAction {
+    /// The call may go to an engine now.
+    LetIn {
+        /// The call.
+        ticket: QueueTicket,
+        /// How long it waited.
+        waited: Duration,
+    },
+    /// The call is refused; it has not run.
+    Refuse {
+        /// The call.
+        ticket: QueueTicket,
+        /// Why.
+        reason: RefusalReason,
+        /// How long it waited.
+        waited: Duration,
+        /// How much longer it would have waited, as far as is known.
+        expected_wait: Duration,
+        /// When room is expected for it.
+        retry_after: Duration,
+    },
+}
+
+/// A call under way at an engine.
+#[derive(Debug, Clone, Copy)]
+struct Running {
+    rank: PriorityRank,
+    since: Timestamp,
+}
+
+/// What a call can expect, where anything is known.
+#[derive(Debug, Clone, Copy, Default)]
+struct Outlook {
+    wait: Duration,
+    calls_per_second: f64,
+}
+
+/// The queue of one node before the engines of one service.
+#[derive(Debug)]
+pub struct ServiceQueue {
+    settings: ServiceQueueSettings,
+    waiting: WaitingList<QueueTicket, QueuedCall>,
+    bytes: usize,
+    running: BTreeMap<QueueTicket, Running>,
+    room: Option<ServiceRoom>,
+    others: Vec<RankDemand>,
+    /// Seconds that calls take at engines, where some ended.
+    call_seconds: Option<f64>,
+    returns: ReturnTimes,
+}
+
+impl ServiceQueue {
+    /// An empty queue before engines of which nothing is known: until something is, all calls are let in.
+    pub fn new(settings: ServiceQueueSettings) -> Self {
+        Self {
+            settings,
+            waiting: WaitingList::new(settings.most_waiting),
+            bytes: 0,
+            running: BTreeMap::new(),
+            room: None,
+            others: Vec::new(),
+            call_seconds: None,
+            returns: ReturnTimes::default(),
+        }
+    }
+
+    /// Calls that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Calls under way at engines.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// The room that is believed in.
+    pub fn room(&self) -> Option<&ServiceRoom> {
+        self.room.as_ref()
+    }
+
+    /// Calls of this node, by rank.
+    pub fn demand(&self, now: Timestamp) -> Vec<RankDemand> {
+        let mut by_rank: BTreeMap<PriorityRank, RankDemand> = BTreeMap::new();
+        for running in self.running.values() {
+            by_rank.entry(running.rank).or_insert_with(|| none_of(running.rank)).running += 1.0;
+        }
+        for (_, waiting) in self.waiting.iter() {
+            let rank = waiting.call.rank_now(now);
+            by_rank.entry(rank).or_insert_with(|| none_of(rank)).waiting += 1.0;
+        }
+        by_rank.into_values().collect()
+    }
+
+    /// The room and the demand of other nodes were learned anew.
+    pub fn room_changed(
+        &mut self,
+        room: ServiceRoom,
+        others: Vec<RankDemand>,
+        now: Timestamp,
+    ) -> Vec<ServiceQueueAction> {
+        self.room = Some(room);
+        self.others = others;
+        self.proceed(now)
+    }
+
+    /// A call wants to go to an engine.
+    pub fn arrived(
+        &mut self,
+        ticket: QueueTicket,
+        call: QueuedCall,
+        now: Timestamp,
+    ) -> Vec<ServiceQueueAction> {
+        let mut actions = Vec::new();
+        if self.waiting.is_full() || self.bytes + call.bytes > self.settings.most_bytes {
+            actions.extend(self.make_place(&call, now));
+        }
+        if self.bytes + call.bytes > self.settings.most_bytes || self.waiting.push(ticket, call, now).is_err()
+        {
+            let outlook = self.outlook_of_last(&call, now);
+            actions.push(self.refusal(ticket, RefusalReason::QueueFull, Duration::ZERO, outlook, now));
+            return actions;
+        }
+        self.bytes += call.bytes;
+        actions.extend(self.proceed(now));
+        actions
+    }
+
+    /// A call's caller left, or the call ended at its engine.
+    pub fn ended(&mut self, ticket: QueueTicket, now: Timestamp) -> Vec<ServiceQueueAction> {
+        if self.take(ticket).is_none()
+            && let Some(running) = self.running.remove(&ticket)
+        {
+            self.learn(now.since(running.since));
+        }
+        self.proceed(now)
+    }
+
+    /// Time has passed.
+    pub fn tick(&mut self, now: Timestamp) -> Vec<ServiceQueueAction> {
+        self.proceed(now)
+    }
+
+    /// Lets in what there is room for, and refuses what can't be served any more.
+    fn proceed(&mut self, now: Timestamp) -> Vec<ServiceQueueAction> {
+        let mut actions = self.let_in(now);
+        actions.extend(self.refuse_unservable(now));
+        actions
+    }
+
+    fn let_in(&mut self, now: Timestamp) -> Vec<ServiceQueueAction> {
+        let mut actions = Vec::new();
+        if self.waiting.is_empty() {
+            return actions;
+        }
+        let shares = self.shares(now);
+        while let Some(ticket) = self.next(shares.as_deref(), now) {
+            let Some(waiting) = self.take(ticket) else { break };
+            let rank = waiting.call.rank_now(now);
+            self.running.insert(ticket, Running { rank, since: now });
+            actions.push(ServiceQueueAction::LetIn { ticket, waited: now.since(waiting.since) });
+        }
+        actions
+    }
+
+    /// The first call in order for which there is room.
+    fn next(&self, shares: Option<&[RankShare]>, now: Timestamp) -> Option<QueueTicket> {
+        let bound = self.settings.starvation_bound;
+        let has_room = |waiting: &Waiting<QueuedCall>| {
+            let Some(shares) = shares else { return true };
+            let is_starving = now.since(waiting.since) >= bound;
+            is_starving || self.rank_has_room(waiting.call.rank_now(now), shares)
+        };
+        if !shares.is_none_or(|shares| self.has_room(shares)) {
+            return None;
+        }
+        let candidates = self.waiting.iter().filter(|(_, waiting)| has_room(waiting));
+        let first =
+            candidates.min_by_key(|(_, waiting)| program_order(&waiting.call, waiting.since, now, bound));
+        first.map(|(ticket, _)| ticket)
+    }
+
+    fn has_room(&self, shares: &[RankShare]) -> bool {
+        let all: f64 = shares.iter().map(|share| share.calls).sum();
+        (self.running.len() as f64) < all + ROUNDING
+    }
+
+    fn rank_has_room(&self, rank: PriorityRank, shares: &[RankShare]) -> bool {
+        let share = shares.iter().find(|share| share.rank == rank).map_or(0.0, |share| share.calls);
+        let running = self.running.values().filter(|running| running.rank == rank).count();
+        running as f64 + ROUNDING <= share
+    }
+
+    /// This node's shares of the room; `None` where nothing is known of it.
+    fn shares(&self, now: Timestamp) -> Option<Vec<RankShare>> {
+        let room = self.room?;
+        Some(shares(&room, &self.demand(now), &self.others))
+    }
+
+    fn refuse_unservable(&mut self, now: Timestamp) -> Vec<ServiceQueueAction> {
+        let mut refused = Vec::new();
+        for (ticket, outlook) in self.outlooks(now) {
+            let Some(waiting) = self.waiting.get(ticket) else { continue };
+            if let Some(reason) = self.reason_to_refuse(waiting, outlook, now) {
+                refused.push((ticket, reason, outlook));
+            }
+        }
+        let mut actions = Vec::with_capacity(refused.len());
+        for (ticket, reason, outlook) in refused {
+            let Some(waiting) = self.take(ticket) else { continue };
+            let waited = now.since(waiting.since);
+            actions.push(self.refusal(ticket, reason, waited, outlook, now));
+        }
+        actions
+    }
+
+    fn reason_to_refuse(
+        &self,
+        waiting: &Waiting<QueuedCall>,
+        outlook: Outlook,
+        now: Timestamp,
+    ) -> Option<RefusalReason> {
+        let call = &waiting.call;
+        let let_in_at = now + outlook.wait;
+        if !call.can_be_answered(let_in_at) {
+            return Some(RefusalReason::CannotBeAnswered);
+        }
+        let end = call.program_end.filter(|_| call.stage == ProgramStage::New)?;
+        let patience = end.since(waiting.since).mul_f64(self.settings.first_wait_share);
+        (let_in_at > waiting.since + patience).then_some(RefusalReason::ProgramTooLate)
+    }
+
+    /// What each waiting call can expect.
+    fn outlooks(&self, now: Timestamp) -> Vec<(QueueTicket, Outlook)> {
+        if self.waiting.is_empty() {
+            return Vec::new();
+        }
+        let shares = self.shares(now);
+        let bound = self.settings.starvation_bound;
+        let mut in_order: Vec<_> = self.waiting.iter().collect();
+        in_order.sort_by_cached_key(|(_, waiting)| program_order(&waiting.call, waiting.since, now, bound));
+        let mut before: BTreeMap<PriorityRank, usize> = BTreeMap::new();
+        let outlook_of = |(ticket, waiting): (QueueTicket, &Waiting<QueuedCall>)| {
+            let rank = waiting.call.rank_now(now);
+            let place = before.entry(rank).or_default();
+            *place += 1;
+            (ticket, self.outlook(rank, *place, shares.as_deref()))
+        };
+        in_order.into_iter().map(outlook_of).collect()
+    }
+
+    /// What the call at a place among those of its rank can expect.
+    fn outlook(&self, rank: PriorityRank, place: usize, shares: Option<&[RankShare]>) -> Outlook {
+        let (Some(shares), Some(call_seconds)) = (shares, self.call_seconds) else {
+            return Outlook::default();
+        };
+        let share = shares.iter().find(|share| share.rank == rank).map_or(0.0, |share| share.calls);
+        let calls_per_second = share / call_seconds;
+        if calls_per_second <= 0.0 {
+            return Outlook::default();
+        }
+        let wait = Duration::from_secs_f64(place as f64 / calls_per_second);
+        Outlook { wait, calls_per_second }
+    }
+
+    /// What a call can expect that would be the last of its rank.
+    fn outlook_of_last(&self, call: &QueuedCall, now: Timestamp) -> Outlook {
+        let rank = call.rank_now(now);
+        let of_rank = self.waiting.iter().filter(|(_, waiting)| waiting.call.rank_now(now) == rank);
+        self.outlook(rank, of_rank.count() + 1, self.shares(now).as_deref())
+    }
+
+    /// Refuses the last call in order where that one is behind a call that arrives.
+    fn make_place(&mut self, call: &QueuedCall, now: Timestamp) -> Option<ServiceQueueAction> {
+        let bound = self.settings.starvation_bound;
+        let key = |waiting: &Waiting<QueuedCall>| program_order(&waiting.call, waiting.since, now, bound);
+        let (ticket, last) = self.waiting.iter().max_by_key(|(_, waiting)| key(waiting))?;
+        if key(last) < program_order(call, now, now, bound) {
+            return None;
+        }
+        let last = self.take(ticket)?;
+        let outlook = self.outlook_of_last(&last.call, now);
+        Some(self.refusal(ticket, RefusalReason::QueueFull, now.since(last.since), outlook, now))
+    }
+
+    fn refusal(
+        &mut self,
+        ticket: QueueTicket,
+        reason: RefusalReason,
+        waited: Duration,
+        outlook: Outlook,
+        now: Timestamp,
+    ) -> ServiceQueueAction {
+        let expected_wait = outlook.wait;
+        let retry_after = self.returns.next(expected_wait, outlook.calls_per_second, now);
+        ServiceQueueAction::Refuse { ticket, reason, waited, expected_wait, retry_after }
+    }
+
+    fn take(&mut self, ticket: QueueTicket) -> Option<Waiting<QueuedCall>> {
+        let waiting = self.waiting.remove(ticket)?;
+        self.bytes = self.bytes.saturating_sub(waiting.call.bytes);
+        Some(waiting)
+    }
+
+    fn learn(&mut self, took: Duration) {
+        let took = took.as_secs_f64();
+        let average = self.call_seconds.get_or_insert(took);
+        *average += LEARNING_RATE * (took - *average);
+    }
+}
+
+fn none_of(rank: PriorityRank) -> RankDemand {
+    RankDemand { rank, running: 0.0, waiting: 0.0 }
+}
