Calls wait at their edge for room at the engines, in order, and are refused at once where they can't be served

Cause: engines of these deployments admit in the order of arrival and know no priority. An edge sent every call at once, so while engines were short of room the engines' queues, three batches deep, settled who was served: quotes (rank 0) waited behind reviews (rank 2), calls were held to their deadline, and what came too late was worked off for seconds behind a crowd.

Each edge now keeps back what is beyond its share of the room (shares by rank and told demand, see docs/design/load.md), lets calls in by rank, programs under way first, and refuses what can't be served, with the time at which room is expected. Asked for by routes or tenants of different priority; `--without waiting-queue` switches it off. New optional fields of news and views carry the demand; a build before ignores them, and its calls are counted as of no rank.

Not yet: places learned from times instead of slots, calls that engines turned away.

--- a/crates/access/src/table.rs
+++ b/crates/access/src/table.rs
@@ -100,6 +100,11 @@
         self.tenants.get(&digester.digest(key))
     }
 
+    /// The tenants, each as often as it has keys.
+    pub fn tenants(&self) -> impl Iterator<Item = &Tenant> {
+        self.tenants.values().map(Arc::as_ref)
+    }
+
     /// Number of keys.
     pub fn keys(&self) -> usize {
         self.tenants.len()
--- a/crates/calls/src/machine.rs
+++ b/crates/calls/src/machine.rs
@@ -191,6 +191,11 @@
         self.give_up(code)
     }
 
+    /// There is no room for the call; it was not sent.
+    pub fn no_room(&self, retry_after: Duration) -> Next {
+        Next::Refuse { code: ResultCode::Overloaded, retry_after }
+    }
+
     /// The caller is not admitted any more.
     pub fn denied(&self, code: ResultCode) -> Next {
         self.give_up(code)
--- a/crates/ctl/src/cause.rs
+++ b/crates/ctl/src/cause.rs
@@ -102,6 +102,9 @@
 }
 
 fn given_up(end: &LogLine, story: &Story) -> String {
+    if let Some(no_room) = story.lines.iter().rev().find(|line| line.event == "no_room") {
+        return format!("{}: {}", title_of(end), why_no_room(no_room));
+    }
     let may_have_run = match end.number("runs") {
         Some(0) => "no engine ran it",
         _ => "an engine may have run it",
@@ -128,6 +131,26 @@
     )
 }
 
+fn why_no_room(line: &LogLine) -> String {
+    let number = |name: &str| line.number(name).unwrap_or(0);
+    let reason = match line.text("reason") {
+        "program_too_late" => "its program would have begun too late to end in time",
+        "queue_full" => "no more calls may wait at the edge",
+        _ => "its caller would have left before an answer",
+    };
+    format!(
+        "no engine ran it; after {} ms {reason} ({} ms more expected; rank {}, {} calls waiting and {} under way here, \
+         {} slots at {})",
+        number("waited_ms"),
+        number("expected_wait_ms"),
+        number("rank"),
+        number("waiting"),
+        number("running"),
+        number("slots"),
+        line.text("service")
+    )
+}
+
 /// The title of a line's result code.
 fn title_of(line: &LogLine) -> String {
     let code = line.number("code").and_then(|number| u32::try_from(number).ok());
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -19,6 +19,7 @@
 use crate::engine_pool::SendError;
 use crate::engine_run::EngineRun;
 use crate::headers::forwardable;
+use crate::service_queues::RoomHeld;
 
 /// How long calls that are answered as a whole are believed to take before some were seen.
 const STARTING_WHOLE_TIME: Duration = Duration::from_millis(50);
@@ -56,6 +57,8 @@
     pub(crate) accepted: Timestamp,
     /// Regions in which it may be served.
     pub(crate) regions: AllowedRegions,
+    /// Its place at the service's engines, where calls are put in order.
+    pub(crate) room: Option<RoomHeld<D>>,
 }
 
 impl<D: Dialect> CallContext<D> {
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -22,6 +22,7 @@
 use crate::edge::Edge;
 use crate::fleet_news::prompt_parts;
 use crate::plain::run_plain;
+use crate::service_queues::{RoomHeld, RoomRequest};
 use crate::stream::run_stream;
 use crate::turn::{OpenTurn, TurnRequest, code_of};
 
@@ -106,7 +107,13 @@
 
 async fn run_call<D: Dialect>(edge: &Arc<Edge<D>>, mut incoming: Accepted) -> Response<EdgeBody> {
     if !incoming.selected.route.rules.kind.is_stream() {
-        let (call, mut machine) = incoming.into_context(edge, Vec::new());
+        // Tools' calls belong to programs under way.
+        let is_under_way = incoming.head.program.is_some();
+        let room = match enter(edge, &incoming, is_under_way).await {
+            Ok(room) => room,
+            Err(next) => return no_room(edge, incoming, next),
+        };
+        let (call, mut machine) = incoming.into_context(edge, Vec::new(), room);
         return match run_plain(&call, &mut machine).await {
             Ok(answer) => answer,
             Err(next) => give_up(&call, &machine, &next),
@@ -116,15 +123,17 @@
     let asked = edge.clock.now();
     let begun = begin_turn(edge, &incoming, &prompt, asked).await;
     edge.metrics.ledger_seconds.observe(edge.clock.now().since(asked).as_secs_f64());
-    let turn = match begun {
-        Ok((turn, body)) => {
-            incoming.body = body;
-            turn
-        }
+    let begun = match begun {
+        Ok(begun) => begun,
         Err(error) => return refuse_turn(edge, &incoming.head, error),
     };
-    let (call, machine) = incoming.into_context(edge, prompt);
-    match run_stream(call, machine, turn).await {
+    incoming.body = begun.body;
+    let room = match enter(edge, &incoming, begun.is_under_way).await {
+        Ok(room) => room,
+        Err(next) => return no_room(edge, incoming, next),
+    };
+    let (call, machine) = incoming.into_context(edge, prompt, room);
+    match run_stream(call, machine, begun.turn).await {
         Ok(answer) => answer,
         Err((call, machine, next)) => give_up(&call, &machine, &next),
     }
@@ -136,15 +145,34 @@
         self,
         edge: &Arc<Edge<D>>,
         prompt: Vec<PartNeed>,
+        room: Option<RoomHeld<D>>,
     ) -> (CallContext<D>, CallMachine) {
         let Self { parts, head, caller, selected, machine, body, accepted, regions } = self;
         let forwarded = Forwarded::new(&edge.dialect, &caller, &parts, body);
         let edge = Arc::clone(edge);
-        let call = CallContext { edge, head, caller, selected, forwarded, parts: prompt, accepted, regions };
+        let call =
+            CallContext { edge, head, caller, selected, forwarded, parts: prompt, accepted, regions, room };
         (call, machine)
     }
 }
 
+/// Waits for room at the call's service.
+async fn enter<D: Dialect>(
+    edge: &Arc<Edge<D>>,
+    incoming: &Accepted,
+    is_under_way: bool,
+) -> Result<Option<RoomHeld<D>>, Next> {
+    let Accepted { head, caller, selected, machine, body, accepted, .. } = incoming;
+    let (accepted, bytes) = (*accepted, body.len());
+    edge.enter(RoomRequest { head, caller, selected, machine, accepted, bytes, is_under_way }).await
+}
+
+/// Answers a call for which there is no room.
+fn no_room<D: Dialect>(edge: &Arc<Edge<D>>, incoming: Accepted, next: Next) -> Response<EdgeBody> {
+    let (call, machine) = incoming.into_context(edge, Vec::new(), None);
+    give_up(&call, &machine, &next)
+}
+
 /// Answers a turn that the ledger did not let begin.
 fn refuse_turn<D: Dialect>(edge: &Edge<D>, head: &CallHead, error: LedgerError) -> Response<EdgeBody> {
     let program = head.program.as_ref();
@@ -160,26 +188,38 @@
     }
 }
 
-/// Begins a turn of a program, and returns the body that engines get; calls without a program go on without.
+/// A turn that may run.
+struct BegunTurn {
+    /// The turn in the ledger, where it is kept there.
+    turn: Option<OpenTurn>,
+    /// The body that engines get.
+    body: Bytes,
+    /// Whether earlier turns of its program were answered; also where nobody can tell.
+    is_under_way: bool,
+}
+
+/// Begins a turn of a program; calls without a program go on without.
 async fn begin_turn<D: Dialect>(
     edge: &Arc<Edge<D>>,
     incoming: &Accepted,
     prompt: &[PartNeed],
     now: Timestamp,
-) -> Result<(Option<OpenTurn>, Bytes), LedgerError> {
+) -> Result<BegunTurn, LedgerError> {
     let Accepted { head, caller, selected, body, .. } = incoming;
-    let Some(program) = &head.program else { return Ok((None, body.clone())) };
+    let uncounted = || BegunTurn { turn: None, body: body.clone(), is_under_way: true };
+    let Some(program) = &head.program else { return Ok(uncounted()) };
     let is_retained = selected.route.is_retained;
     if program.token_budget.is_none() && !is_retained {
-        return Ok((None, body.clone()));
+        return Ok(uncounted());
     }
     let until = edge.clock.instant(incoming.machine.admission_deadline(now));
     let news = edge.news_at_begin(prompt);
     let request = TurnRequest { head, program, caller, selected, input: body, news };
     let ledger = edge.ledger_for(&incoming.regions);
     let (turn, admission) = OpenTurn::begin(ledger, &edge.logger, request, until).await?;
+    let is_under_way = head.previous.is_some() || admission.counted_tokens > 0;
     let body = if is_retained { admission.chain.into_prompt(body) } else { body.clone() };
-    Ok((Some(turn), body))
+    Ok(BegunTurn { turn: Some(turn), body, is_under_way })
 }
 
 fn give_up<D: Dialect>(call: &CallContext<D>, machine: &CallMachine, next: &Next) -> Response<EdgeBody> {
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -24,6 +24,7 @@
 use crate::engine_pool::EnginePool;
 use crate::fleet_news::{TellTimes, follow_views};
 use crate::metrics::EdgeMetrics;
+use crate::service_queues::ServiceQueues;
 use crate::usual_times::UsualTimes;
 
 /// How long an engine that is gone is remembered.
@@ -88,6 +89,7 @@
     knowledge: Mutex<Knowledge>,
     pub(crate) quotas: QuotaClient,
     pub(crate) tell_times: TellTimes,
+    pub(crate) queues: ServiceQueues,
     /// Whether a configuration is in force, and calls with keys can be decided upon.
     configured: watch::Sender<bool>,
     is_stopping: AtomicBool,
@@ -120,6 +122,7 @@
             book: Mutex::new(EngineBook::new(location, prices, off, health)),
             usual_times: Mutex::default(),
             tell_times: TellTimes::default(),
+            queues: ServiceQueues::default(),
             configured: watch::Sender::new(false),
             is_stopping: AtomicBool::new(false),
         });
@@ -132,9 +135,11 @@
         let (version, routes) = (table.version, table.routes());
         let (requires_keys, keys) = (table.access.requires_keys(), table.access.keys());
         let cold_limits = table.cold_limits();
+        let has_ranks = table.has_ranks();
         let is_newer = self.routes().apply(table);
         if is_newer {
             self.book().set_cold_limits(cold_limits);
+            self.queues.configured(has_ranks);
             if !requires_keys || self.configuration_age().is_some() {
                 self.configured.send_replace(true);
             }
--- a/crates/edge/src/fleet_news.rs
+++ b/crates/edge/src/fleet_news.rs
@@ -113,6 +113,7 @@
         let relay = self.settings.relay.filter(|_| self.ledger.reaches_members());
         news.relay = relay.map(|relay| relay.to_string()).unwrap_or_default();
         news.loads = Some(self.book().loads(now));
+        news.demands = self.queues.demands(now);
         news.asks_loads = true;
         news.asks_relays = self.tell_times.relays_are_due(now);
     }
@@ -121,12 +122,17 @@
         let now = self.clock.now();
         let relays: Vec<SocketAddr> = view.relays.iter().filter_map(|relay| relay.parse().ok()).collect();
         self.ledger.learn_relays(relays);
-        let mut book = self.book();
-        if let Some(loads) = &view.loads {
-            book.others_told(loads, now);
+        {
+            let mut book = self.book();
+            if let Some(loads) = &view.loads {
+                book.others_told(loads, now);
+            }
+            for held in view.held {
+                book.others_hold(held, now);
+            }
         }
-        for held in view.held {
-            book.others_hold(held, now);
+        if view.loads.is_some() {
+            self.others_demand(&view.demands);
         }
     }
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -23,6 +23,7 @@
 mod regions;
 mod report;
 mod rest_limit;
+mod service_queues;
 mod stream;
 mod turn;
 mod usual_times;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -6,6 +6,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
+use sumacdrift_scheduling::RefusalReason;
 use sumacdrift_telemetry::time_histogram;
 use sumacdrift_types::ResultCode;
 
@@ -14,6 +15,11 @@
     code: u32,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReasonLabel {
+    reason: &'static str,
+}
+
 /// Metrics of an edge.
 pub struct EdgeMetrics {
     pub(crate) calls: Counter,
@@ -34,7 +40,10 @@
     pub(crate) first_event_seconds: Histogram,
     pub(crate) stream_seconds: Histogram,
     pub(crate) plain_seconds: Histogram,
+    pub(crate) wait_seconds: Histogram,
+    pub(crate) waiting: Gauge,
     given_up: Family<CodeLabel, Counter>,
+    no_room: Family<ReasonLabel, Counter>,
 }
 
 impl Default for EdgeMetrics {
@@ -58,7 +67,10 @@
             first_event_seconds: time_histogram(),
             stream_seconds: time_histogram(),
             plain_seconds: time_histogram(),
+            wait_seconds: time_histogram(),
+            waiting: Gauge::default(),
             given_up: Family::default(),
+            no_room: Family::default(),
         }
     }
 }
@@ -97,11 +109,14 @@
             ("quota_seconds", "From a call of a tenant with a quota to its verdict", &self.quota_seconds),
             ("first_event_seconds", "From a stream's call to its first event", &self.first_event_seconds),
             ("stream_seconds", "From a stream's call to its end", &self.stream_seconds),
+            ("wait_seconds", "How long calls waited for room before they were let in", &self.wait_seconds),
             ("plain_seconds", "From a plain call to its answer", &self.plain_seconds),
         ];
         for (name, help, histogram) in times {
             registry.register(name, help, histogram.clone());
         }
+        registry.register("waiting", "Calls that wait for room", self.waiting.clone());
+        registry.register("no_room", "Calls refused for want of room, by reason", self.no_room.clone());
         registry.register(
             "given_up",
             "Calls refused, failed or broken off, by result code",
@@ -114,6 +129,15 @@
         self.calls.get()
     }
 
+    /// Calls that wait for room now.
+    pub fn calls_waiting(&self) -> i64 {
+        self.waiting.get()
+    }
+
+    pub(crate) fn refused_for_room(&self, reason: RefusalReason) {
+        self.no_room.get_or_create(&ReasonLabel { reason: reason.as_str() }).inc();
+    }
+
     pub(crate) fn gave_up(&self, code: ResultCode) {
         self.given_up.get_or_create(&CodeLabel { code: code.number() }).inc();
     }
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -1,6 +1,7 @@
 //! Calls whose answer is a stream of events: passed on event by event, taken up at an engine again where it may be.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Response, StatusCode};
@@ -182,13 +183,15 @@
         };
         let placed = run.placed().clone();
         run.finish_stream();
+        let waited = self.call.room.take().map_or(Duration::ZERO, |room| room.waited);
         if let Some(turn) = self.turn.take()
             && let Err(error) = self.commit(turn, &placed.engine).await
         {
             return Some(Err(self.break_off(code_of(error))));
         }
         let taken = self.call.edge.clock.now().since(self.call.accepted);
-        self.call.edge.usual_times().observe(&self.call.selected.route.name, taken);
+        let served_in = taken.saturating_sub(waited);
+        self.call.edge.usual_times().observe(&self.call.selected.route.name, served_in);
         self.call.edge.metrics.stream_seconds.observe(taken.as_secs_f64());
         self.call.report_served(&self.machine, StatusCode::OK.as_u16(), &placed);
         None
--- a/crates/fleet-view/src/board.rs
+++ b/crates/fleet-view/src/board.rs
@@ -12,6 +12,8 @@
 const MOST_PARTS_A_MESSAGE: usize = 16;
 /// Engines that one message may name.
 const MOST_ENGINES_A_MESSAGE: usize = 4096;
+/// Services and ranks that one message may name.
+const MOST_DEMANDS_A_MESSAGE: usize = 256;
 /// Edges that are told as ways around a cut.
 const MOST_RELAYS: usize = 6;
 
@@ -51,12 +53,14 @@
         let loads = self.loads.told_by_edges(now)?;
         let relay = self.loads.relays(node, 1, now).pop().unwrap_or_default();
         let (node, loads) = (node.to_owned(), Some(loads));
-        let news = News { node, relay, loads, is_from_board: true, ..News::default() };
+        let demands = self.loads.demands_told_by_edges(now);
+        let news = News { node, relay, loads, demands, is_from_board: true, ..News::default() };
         Some(BoardNews { news, heard_of: self.loads.boards(now) })
     }
 
     /// Takes an edge's news in and answers what it asked.
-    pub fn exchange(&mut self, news: News, now: Timestamp) -> View {
+    pub fn exchange(&mut self, mut news: News, now: Timestamp) -> View {
+        news.demands.truncate(MOST_DEMANDS_A_MESSAGE);
         for held in news.held.iter().take(MOST_PARTS_A_MESSAGE) {
             self.parts.note(*held, now);
         }
@@ -67,6 +71,10 @@
         let asked = news.asked_parts.iter().take(MOST_PARTS_A_MESSAGE);
         View {
             loads: news.asks_loads.then(|| self.loads.besides(&news.node, now)),
+            demands: match news.asks_loads {
+                true => self.loads.demands_besides(&news.node, now),
+                false => Vec::new(),
+            },
             held: asked.flat_map(|part| self.parts.holders(*part, now)).collect(),
             relays: match news.asks_relays {
                 true => self.loads.relays(&news.node, MOST_RELAYS, now),
--- a/crates/fleet-view/src/lib.rs
+++ b/crates/fleet-view/src/lib.rs
@@ -12,7 +12,7 @@
 
 pub use board::{Board, BoardNews, BoardSizes};
 pub use load_table::LoadTable;
-pub use message::{EngineLoad, Loads, News, PartHeld, View};
+pub use message::{EngineLoad, Loads, News, PartHeld, ServiceDemand, View};
 pub use part_index::PartIndex;
 
 use sumacdrift_types::stable_hash;
@@ -22,6 +22,11 @@
     stable_hash(&[id.as_bytes()]) as u32
 }
 
+/// Short name of a service in messages.
+pub fn service_key(name: &str) -> u32 {
+    stable_hash(&[name.as_bytes()]) as u32
+}
+
 /// Short name of a part of a prompt in messages.
 pub fn part_key(id: &str) -> u64 {
     stable_hash(&[id.as_bytes()])
--- a/crates/fleet-view/src/load_table.rs
+++ b/crates/fleet-view/src/load_table.rs
@@ -1,11 +1,11 @@
-//! Calls at engines, by the edge or the other board that told of them.
+//! Calls at engines and before them, by the edge or the other board that told of them.
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use sumacdrift_types::Timestamp;
 
-use crate::message::{EngineLoad, Loads, News};
+use crate::message::{EngineLoad, Loads, News, ServiceDemand};
 
 /// How long what an edge told counts. A busy edge tells anew within a fraction of that.
 const LOADS_COUNT_FOR: Duration = Duration::from_millis(1000);
@@ -14,6 +14,7 @@
 struct Told {
     at: Timestamp,
     loads: Loads,
+    demands: Vec<ServiceDemand>,
     relay: String,
     is_board: bool,
 }
@@ -27,7 +28,13 @@
 impl LoadTable {
     /// An edge told of its calls, or another board of those of its edges.
     pub fn tell(&mut self, news: &News, loads: Loads, now: Timestamp) {
-        let told = Told { at: now, loads, relay: news.relay.clone(), is_board: news.is_from_board };
+        let told = Told {
+            at: now,
+            loads,
+            demands: news.demands.clone(),
+            relay: news.relay.clone(),
+            is_board: news.is_from_board,
+        };
         self.edges.insert(news.node.clone(), told);
         self.edges.retain(|_, told| now.since(told.at) < LOADS_COUNT_FOR);
     }
@@ -37,6 +44,16 @@
         sum(self.others(node, now))
     }
 
+    /// Calls of all edges but one, by service and rank.
+    pub fn demands_besides(&self, node: &str, now: Timestamp) -> Vec<ServiceDemand> {
+        sum_demands(self.others(node, now))
+    }
+
+    /// Calls of the edges that told of them here, by service and rank.
+    pub fn demands_told_by_edges(&self, now: Timestamp) -> Vec<ServiceDemand> {
+        sum_demands(self.others("", now).filter(|told| !told.is_board))
+    }
+
     /// Calls of the edges that told of them here; `None` where there are none of late.
     pub fn told_by_edges(&self, now: Timestamp) -> Option<Loads> {
         let mut edges = self.others("", now).filter(|told| !told.is_board).peekable();
@@ -78,3 +95,15 @@
     }
     Loads { engines: sums.into_values().collect() }
 }
+
+fn sum_demands<'a>(told: impl Iterator<Item = &'a Told>) -> Vec<ServiceDemand> {
+    let mut sums: BTreeMap<(u32, u32), ServiceDemand> = BTreeMap::new();
+    for demand in told.flat_map(|told| &told.demands) {
+        let (service, rank) = (demand.service, demand.rank);
+        let none = ServiceDemand { service, rank, ..ServiceDemand::default() };
+        let sum = sums.entry((service, rank)).or_insert(none);
+        sum.running = sum.running.saturating_add(demand.running);
+        sum.waiting = sum.waiting.saturating_add(demand.waiting);
+    }
+    sums.into_values().collect()
+}
--- a/crates/fleet-view/src/message.rs
+++ b/crates/fleet-view/src/message.rs
@@ -28,6 +28,26 @@
     /// Whether the sender is another board, and its loads are those of all edges that tell it of theirs.
     #[prost(bool, tag = "8")]
     pub is_from_board: bool,
+    /// Calls of the edge by service and rank. Told with its loads; what is not named has none.
+    #[prost(message, repeated, tag = "9")]
+    pub demands: Vec<ServiceDemand>,
+}
+
+/// Calls of one rank that want to use a service.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct ServiceDemand {
+    /// The service, see [`crate::service_key`].
+    #[prost(fixed32, tag = "1")]
+    pub service: u32,
+    /// The rank; lower is served first.
+    #[prost(uint32, tag = "2")]
+    pub rank: u32,
+    /// Calls under way at engines.
+    #[prost(uint32, tag = "3")]
+    pub running: u32,
+    /// Calls that wait at an edge.
+    #[prost(uint32, tag = "4")]
+    pub waiting: u32,
 }
 
 /// Calls at engines.
@@ -84,4 +104,7 @@
     /// Addresses of edges that pass questions on, where they were asked for.
     #[prost(string, repeated, tag = "3")]
     pub relays: Vec<String>,
+    /// Calls of all other edges by service and rank, where loads were asked for.
+    #[prost(message, repeated, tag = "4")]
+    pub demands: Vec<ServiceDemand>,
 }
--- a/crates/fleet-view/tests/board.rs
+++ b/crates/fleet-view/tests/board.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use prost::Message;
-use sumacdrift_fleet_view::{Board, BoardSizes, EngineLoad, Loads, News, PartHeld, View};
+use sumacdrift_fleet_view::{Board, BoardSizes, EngineLoad, Loads, News, PartHeld, ServiceDemand, View};
 use sumacdrift_types::Timestamp;
 
 fn board() -> Board {
@@ -115,3 +115,29 @@
     assert!(board.for_boards("here", at(10)).is_some());
     assert_eq!(board.for_boards("here", at(5_000)), None);
 }
+
+fn demand(service: u32, rank: u32, running: u32, waiting: u32) -> ServiceDemand {
+    ServiceDemand { service, rank, running, waiting }
+}
+
+#[test]
+fn demand_is_added_up_over_the_other_edges_and_passes_between_boards() {
+    let mut board = board();
+    let tell = |node: &str, demands: Vec<ServiceDemand>| News { demands, ..telling(node, Vec::new()) };
+    board.exchange(tell("a", vec![demand(1, 0, 2, 1), demand(1, 2, 4, 0)]), at(0));
+    board.exchange(tell("b", vec![demand(1, 0, 3, 0), demand(7, 0, 1, 1)]), at(10));
+    let view = board.exchange(tell("c", vec![demand(1, 0, 9, 9)]), at(20));
+    assert_eq!(view.demands, [demand(1, 0, 5, 1), demand(1, 2, 4, 0), demand(7, 0, 1, 1)]);
+    let told = board.for_boards("board-1", at(30)).expect("news of edges").news;
+    let mut other = self::board();
+    other.exchange(told, at(40));
+    let view = other.exchange(telling("d", Vec::new()), at(50));
+    assert_eq!(view.demands, [demand(1, 0, 14, 10), demand(1, 2, 4, 0), demand(7, 0, 1, 1)]);
+}
+
+#[test]
+fn demand_that_was_told_long_ago_counts_no_more() {
+    let mut board = board();
+    board.exchange(News { demands: vec![demand(1, 0, 2, 1)], ..telling("a", Vec::new()) }, at(0));
+    assert!(board.exchange(telling("b", Vec::new()), at(2_000)).demands.is_empty());
+}
--- a/crates/routing/src/book.rs
+++ b/crates/routing/src/book.rs
@@ -12,10 +12,12 @@
 mod eligibility;
 mod engine_table;
 mod lives;
+mod room;
 
 use engine_table::EngineTable;
 
 pub use lives::EntryChange;
+pub use room::EngineRoom;
 
 use crate::choice::{CALLS_OF_A_BEGINNING, Choice, HeldTokens, Placed, PlacementRequest, RequestedWork};
 use crate::cold::ColdLimit;
@@ -226,6 +228,11 @@
         self.others_told = ToldTime::now(now);
     }
 
+    /// Age of what is known of other nodes' calls; `None` where nothing is.
+    pub fn others_age(&self, now: Timestamp) -> Option<Duration> {
+        self.others_told.age(now)
+    }
+
     /// Number of engines known.
     pub fn len(&self) -> usize {
         self.engines.len()
--- a/crates/routing/src/book/eligibility.rs
+++ b/crates/routing/src/book/eligibility.rs
@@ -128,7 +128,7 @@
         !self.is_evacuated(&engine.spec.zone) && (is_permitted || !needs_permit)
     }
 
-    fn is_evacuated(&self, zone: &str) -> bool {
+    pub(super) fn is_evacuated(&self, zone: &str) -> bool {
         self.evacuations.is_evacuated(zone) && !is_broken(Rule::EvacuatedZonesGetNothing)
     }
 }
--- a/crates/routing/src/book/engine_table.rs
+++ b/crates/routing/src/book/engine_table.rs
@@ -108,6 +108,12 @@
         self.alike_of(service).map(|alike| alike.ids.len()).sum()
     }
 
+    /// Calls that engines of a service work on at once of which nothing is known, in zones of which something holds.
+    pub(crate) fn alike_slots(&self, service: &str, holds: impl Fn(&str) -> bool) -> usize {
+        let alike = self.alike_of(service).filter(|alike| holds(&alike.zone));
+        alike.map(|alike| alike.ids.len() * alike.slots).sum()
+    }
+
     /// Of the engines of a service of which nothing is known, those of each zone that a call of this number prefers, but for some.
     pub(crate) fn favourites(
         &self,
--- /dev/null
+++ b/crates/routing/src/book/room.rs
@@ -0,0 +1,37 @@
+//! How much work the engines of a service take, as far as this node knows.
+
+use std::time::Duration;
+
+use sumacdrift_types::Timestamp;
+
+use super::EngineBook;
+use crate::engine::Engine;
+use crate::others::BelievedLoads;
+
+/// Engines of a service, as a place for work.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct EngineRoom {
+    /// Calls that the engines work on at once which take new work and whose calls end well.
+    pub slots: usize,
+    /// Calls of other nodes under way at engines of the service.
+    pub others_running: f64,
+    /// Age of what is known of other nodes' calls; `None` where nothing is.
+    pub others_age: Option<Duration>,
+}
+
+impl EngineBook {
+    /// The room at the engines of a service.
+    pub fn room(&self, service: &str, now: Timestamp) -> EngineRoom {
+        let of_service = || self.engines.noted().filter(|engine| &*engine.spec.service == service);
+        let takes_work = |engine: &&Engine| {
+            engine.is_usable(now) && engine.is_sound(now) && !self.is_evacuated(&engine.spec.zone)
+        };
+        let noted: usize = of_service().filter(takes_work).map(|engine| engine.spec.slots).sum();
+        let alike = self.engines.alike_slots(service, |zone| !self.is_evacuated(zone));
+        let others_age = self.others_told.age(now);
+        let told = of_service().map(|engine| engine.others);
+        let believed = BelievedLoads::among(told, self.engines.alike(service), others_age);
+        let others_running = of_service().map(|engine| believed.by_now(&engine.others).running).sum();
+        EngineRoom { slots: noted + alike, others_running, others_age }
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -20,7 +20,7 @@
 mod table;
 mod urgency;
 
-pub use book::{EngineBook, EntryChange};
+pub use book::{EngineBook, EngineRoom, EntryChange};
 pub use choice::{PartNeed, Placed, PlacementRequest, RequestedWork};
 pub use cold::{ColdLimit, PERMIT_LASTS, Permit};
 pub use distance::{TrafficPrices, Way};
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -125,6 +125,15 @@
         limits.map(|(name, limit)| (Arc::clone(name), limit)).collect()
     }
 
+    /// Whether callers are told apart by rank: routes or tenants have different ones.
+    pub fn has_ranks(&self) -> bool {
+        let of_routes = self.hosts.values().flatten().map(|route| route.rules.priority);
+        let of_tenants = self.access.tenants().filter_map(|tenant| tenant.priority);
+        let mut ranks = of_routes.chain(of_tenants);
+        let Some(first) = ranks.next() else { return false };
+        ranks.any(|rank| rank != first)
+    }
+
     /// Number of routes.
     pub fn routes(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- a/crates/routing/tests/routes.rs
+++ b/crates/routing/tests/routes.rs
@@ -77,3 +77,15 @@
         assert!((8..=12).contains(&share), "{share} of 100");
     }
 }
+
+#[test]
+fn callers_have_ranks_where_routes_or_tenants_differ() {
+    let of_rank = |name: &str, priority: u32| {
+        let mut route = route(name, &format!("/{name}/"), &[("s", 1)]);
+        route.rules.priority = priority;
+        route
+    };
+    assert!(!table(1, vec![of_rank("a", 1), of_rank("b", 1)]).has_ranks());
+    assert!(table(1, vec![of_rank("a", 1), of_rank("b", 2)]).has_ranks());
+    assert!(!table(1, Vec::new()).has_ranks());
+}
--- a/crates/scheduling/src/service_queue.rs
+++ b/crates/scheduling/src/service_queue.rs
@@ -169,14 +169,14 @@
         by_rank.into_values().collect()
     }
 
-    /// The room and the demand of other nodes were learned anew.
+    /// The room, where anything is known of it, and the demand of other nodes were learned anew.
     pub fn room_changed(
         &mut self,
-        room: ServiceRoom,
+        room: Option<ServiceRoom>,
         others: Vec<RankDemand>,
         now: Timestamp,
     ) -> Vec<ServiceQueueAction> {
-        self.room = Some(room);
+        self.room = room;
         self.others = others;
         self.proceed(now)
     }
--- a/crates/types/src/mechanism.rs
+++ b/crates/types/src/mechanism.rs
@@ -38,10 +38,12 @@
     Relays,
     /// Cold engines get as many calls as they can take; without it they get none.
     ColdPermits,
+    /// Calls beyond a node's share of the room wait there, in order.
+    WaitingQueue,
 }
 
 /// All of them with their names in settings.
-const NAMES: [(Mechanism, &str); 16] = [
+const NAMES: [(Mechanism, &str); 17] = [
     (Mechanism::HeldPrompts, "held-prompts"),
     (Mechanism::ToldPrompts, "told-prompts"),
     (Mechanism::ToldLoads, "told-loads"),
@@ -58,6 +60,7 @@
     (Mechanism::Suspects, "suspects"),
     (Mechanism::Relays, "relays"),
     (Mechanism::ColdPermits, "cold-permits"),
+    (Mechanism::WaitingQueue, "waiting-queue"),
 ];
 
 /// There is no mechanism of this name.
