--- /dev/null
+++ b/crates/scheduling/tests/load_world/outcome.rs
@@ -0,0 +1,130 @@
+//! What came of a replay.
+
+use std::ops::Range;
+use std::time::Duration;
+
+use sumacdrift_scheduling::PriorityRank;
+use sumacdrift_types::Timestamp;
+
+use super::plan::{CALL_TIME, PATIENCE};
+
+/// What came of a program.
+#[derive(Debug, Clone, Copy)]
+pub struct ProgramRecord {
+    pub rank: PriorityRank,
+    pub asked_at: Timestamp,
+    pub end: Timestamp,
+    /// Whether its first call was let in.
+    pub has_begun: bool,
+    /// When its last call was answered.
+    pub over_at: Option<Timestamp>,
+}
+
+impl ProgramRecord {
+    fn is_in_time(&self) -> bool {
+        self.over_at.is_some_and(|over_at| over_at <= self.end)
+    }
+}
+
+/// A call that was let in.
+#[derive(Debug, Clone, Copy)]
+pub struct LetInRecord {
+    pub at: Timestamp,
+    pub waited: Duration,
+    /// When it was answered.
+    pub answered_at: Option<Timestamp>,
+}
+
+/// A call that a node refused.
+#[derive(Debug, Clone, Copy)]
+pub struct RefusalRecord {
+    pub at: Timestamp,
+    pub waited: Duration,
+    pub retry_after: Duration,
+}
+
+/// The fleet at a moment.
+#[derive(Debug, Clone, Copy)]
+pub struct Moment {
+    pub at: Timestamp,
+    /// Calls at engines.
+    pub under_way: usize,
+    /// Calls that wait at nodes.
+    pub waiting: usize,
+}
+
+/// What came of a replay.
+#[derive(Debug, Default)]
+pub struct Outcome {
+    pub programs: Vec<ProgramRecord>,
+    pub let_in: Vec<LetInRecord>,
+    pub refusals: Vec<RefusalRecord>,
+    pub moments: Vec<Moment>,
+    /// Calls whose callers left while they waited at a node.
+    pub left_while_waiting: usize,
+}
+
+/// A part of a whole; all of nothing is 1.
+pub fn share(part: usize, whole: usize) -> f64 {
+    if whole == 0 { 1.0 } else { part as f64 / whole as f64 }
+}
+
+impl Outcome {
+    /// Share of the programs of a rank that were in time, of those that were asked for in a time.
+    pub fn in_time(&self, rank: PriorityRank, during: &Range<Timestamp>) -> f64 {
+        let asked = |program: &&ProgramRecord| program.rank == rank && during.contains(&program.asked_at);
+        let of_rank: Vec<_> = self.programs.iter().filter(asked).collect();
+        share(of_rank.iter().filter(|program| program.is_in_time()).count(), of_rank.len())
+    }
+
+    /// Programs of a rank that were in time.
+    pub fn programs_in_time(&self, rank: PriorityRank) -> usize {
+        self.programs.iter().filter(|program| program.rank == rank && program.is_in_time()).count()
+    }
+
+    /// Calls answered per second of a time.
+    pub fn answered_per_second(&self, during: &Range<Timestamp>) -> f64 {
+        let answered = self.let_in.iter().filter_map(|call| call.answered_at);
+        answered.filter(|at| during.contains(at)).count() as f64 / seconds(during)
+    }
+
+    /// Share of the programs begun that ended, of those asked for in a time.
+    pub fn begun_that_ended(&self, during: &Range<Timestamp>) -> f64 {
+        let begun = |program: &&ProgramRecord| program.has_begun && during.contains(&program.asked_at);
+        let begun: Vec<_> = self.programs.iter().filter(begun).collect();
+        share(begun.iter().filter(|program| program.over_at.is_some()).count(), begun.len())
+    }
+
+    /// Share of the calls let in that were answered.
+    pub fn let_in_that_ended(&self) -> f64 {
+        share(self.let_in.iter().filter(|call| call.answered_at.is_some()).count(), self.let_in.len())
+    }
+
+    /// Calls that were held until they could not be answered any more, and then given up.
+    pub fn held_in_vain(&self) -> usize {
+        let too_late = |refusal: &&RefusalRecord| refusal.waited > PATIENCE - CALL_TIME;
+        self.left_while_waiting + self.refusals.iter().filter(too_late).count()
+    }
+
+    /// Mean wait of calls that are let in, or answered, in a time: from asking to leaving the queues of node and engine.
+    pub fn mean_time(&self, during: &Range<Timestamp>) -> Duration {
+        let times: Vec<Duration> = self
+            .let_in
+            .iter()
+            .filter(|call| during.contains(&call.at))
+            .filter_map(|call| Some(call.answered_at?.since(call.at) + call.waited))
+            .collect();
+        times.iter().sum::<Duration>() / u32::try_from(times.len().max(1)).expect("few calls")
+    }
+
+    /// Most calls under way in a time.
+    pub fn most_under_way(&self, during: &Range<Timestamp>) -> usize {
+        let moments = self.moments.iter().filter(|moment| during.contains(&moment.at));
+        moments.map(|moment| moment.under_way).max().unwrap_or(0)
+    }
+}
+
+/// Seconds of a time.
+pub fn seconds(during: &Range<Timestamp>) -> f64 {
+    during.end.since(during.start).as_secs_f64()
+}
