A call of a program that is late already doesn't go first for having waited long

Only whole programs in time are worth anything, so such a call stays behind all that can be in time.

--- a/crates/scheduling/src/program_order.rs
+++ b/crates/scheduling/src/program_order.rs
@@ -75,15 +75,17 @@
     since: Timestamp,
 }
 
-/// Works out a call's position. A call that has waited for longer than `starvation_bound` goes first whatever its rank.
+/// Works out a call's position. A call that has waited for longer than `starvation_bound` goes first whatever its rank, as
+/// long as its program can be in time.
 pub fn program_order(
     call: &QueuedCall,
     since: Timestamp,
     now: Timestamp,
     starvation_bound: Duration,
 ) -> ProgramOrderKey {
+    let is_starving = now.since(since) >= starvation_bound && !call.is_hopeless(now);
     ProgramOrderKey {
-        is_not_starving: now.since(since) < starvation_bound,
+        is_not_starving: !is_starving,
         rank: call.rank_now(now),
         stage: call.stage,
         end: call.program_end.unwrap_or(call.deadline),
