A program that comes back is begun only in time, and a rank doesn't wait for lower ones at its own node

Trials without effect: shares of less than a call carried on in time; places kept for 100 ms between the calls of a program; a first wait of a quarter or a twentieth of the program's time without the check of those that return.

--- a/crates/scheduling/src/service_queue.rs
+++ b/crates/scheduling/src/service_queue.rs
@@ -35,8 +35,8 @@
     pub most_bytes: usize,
     /// A call that waited for so long goes before all others.
     pub starvation_bound: Duration,
-    /// Share of its program's time that the first call of a program may wait. A program has to wait before its later calls
-    /// too, so one that waits for longer at its beginning is not over in time.
+    /// Share of its program's time that the first call of a program may wait, also when it comes back. A program has to wait
+    /// before its later calls too, some ten in all, so one that waits for longer at its beginning is not over in time.
     pub first_wait_share: f64,
 }
 
@@ -46,7 +46,7 @@
             most_waiting: 256,
             most_bytes: 8 << 20,
             starvation_bound: Duration::from_millis(1500),
-            first_wait_share: 0.25,
+            first_wait_share: 0.1,
         }
     }
 }
@@ -246,20 +246,24 @@
         let has_room = |waiting: &Waiting<QueuedCall>| {
             let Some(shares) = shares else { return true };
             let is_starving = now.since(waiting.since) >= bound;
-            is_starving || self.rank_has_room(waiting.call.rank_now(now), shares)
+            let rank = waiting.call.rank_now(now);
+            if is_starving {
+                self.has_room(PriorityRank::MAX, shares)
+            } else {
+                self.rank_has_room(rank, shares) && self.has_room(rank, shares)
+            }
         };
-        if !shares.is_none_or(|shares| self.has_room(shares)) {
-            return None;
-        }
         let candidates = self.waiting.iter().filter(|(_, waiting)| has_room(waiting));
         let first =
             candidates.min_by_key(|(_, waiting)| program_order(&waiting.call, waiting.since, now, bound));
         first.map(|(ticket, _)| ticket)
     }
 
-    fn has_room(&self, shares: &[RankShare]) -> bool {
-        let all: f64 = shares.iter().map(|share| share.calls).sum();
-        (self.running.len() as f64) < all + ROUNDING
+    /// Whether there is room for one more call beside those of a rank and of higher ones.
+    fn has_room(&self, rank: PriorityRank, shares: &[RankShare]) -> bool {
+        let all: f64 = shares.iter().filter(|share| share.rank <= rank).map(|share| share.calls).sum();
+        let running = self.running.values().filter(|running| running.rank <= rank).count();
+        (running as f64) < all + ROUNDING
     }
 
     fn rank_has_room(&self, rank: PriorityRank, shares: &[RankShare]) -> bool {
@@ -302,7 +306,7 @@
         if !call.can_be_answered(let_in_at) {
             return Some(RefusalReason::CannotBeAnswered);
         }
-        let end = call.program_end.filter(|_| call.stage == ProgramStage::New)?;
+        let end = call.program_end.filter(|_| call.stage != ProgramStage::UnderWay)?;
         let patience = end.since(waiting.since).mul_f64(self.settings.first_wait_share);
         (let_in_at > waiting.since + patience).then_some(RefusalReason::ProgramTooLate)
     }
