--- a/crates/scheduling/tests/load_world/plan.rs
+++ b/crates/scheduling/tests/load_world/plan.rs
@@ -3,7 +3,7 @@
 use std::ops::Range;
 use std::time::Duration;
 
-use sumacdrift_scheduling::PriorityRank;
+use sumacdrift_scheduling::{PriorityRank, ServiceQueueSettings};
 use sumacdrift_types::Timestamp;
 
 /// Calls that an engine works on at once.
@@ -92,6 +92,8 @@
 pub struct Plan {
     /// What the nodes do with calls.
     pub policy: Policy,
+    /// Bounds of the nodes' queues.
+    pub settings: ServiceQueueSettings,
     /// How many nodes there are.
     pub nodes: usize,
     /// How many engines there are.
@@ -114,6 +116,7 @@
         let load = |rank, calls, per_second| Load { rank, calls, per_second, bursts: Vec::new() };
         Self {
             policy,
+            settings: ServiceQueueSettings::default(),
             nodes: 40,
             engines: 24,
             slow_engines: 3,
