--- a/crates/scheduling/src/program_order.rs
+++ b/crates/scheduling/src/program_order.rs
@@ -75,17 +75,20 @@
     since: Timestamp,
 }
 
-/// Works out a call's position. A call that has waited for longer than `starvation_bound` goes first whatever its rank, as
-/// long as its program can be in time.
+/// Whether a call has waited for too long, and its program can be in time.
+pub fn is_starving(call: &QueuedCall, since: Timestamp, now: Timestamp, starvation_bound: Duration) -> bool {
+    now.since(since) >= starvation_bound && !call.is_hopeless(now)
+}
+
+/// Works out a call's position. A call that starves goes first whatever its rank.
 pub fn program_order(
     call: &QueuedCall,
     since: Timestamp,
     now: Timestamp,
     starvation_bound: Duration,
 ) -> ProgramOrderKey {
-    let is_starving = now.since(since) >= starvation_bound && !call.is_hopeless(now);
     ProgramOrderKey {
-        is_not_starving: !is_starving,
+        is_not_starving: !is_starving(call, since, now, starvation_bound),
         rank: call.rank_now(now),
         stage: call.stage,
         end: call.program_end.unwrap_or(call.deadline),
--- a/crates/scheduling/src/service_queue.rs
+++ b/crates/scheduling/src/service_queue.rs
@@ -6,19 +6,22 @@
 //!
 //! A state machine: it takes what happened and answers with what to do. It reads no clock and knows no engines.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use sumacdrift_types::Timestamp;
 
 use crate::PriorityRank;
-use crate::program_order::{ProgramStage, QueuedCall, program_order};
+use crate::program_order::{ProgramStage, QueuedCall, is_starving, program_order};
 use crate::return_times::ReturnTimes;
 use crate::shares::{RankDemand, RankShare, ServiceRoom, shares};
 use crate::waiting_list::{Waiting, WaitingList};
 
 /// Weight of a new observation of how long calls take at engines.
 const LEARNING_RATE: f64 = 0.1;
+/// A longer wait is not told apart: no caller waits for so long.
+const LONGEST_WAIT: Duration = Duration::from_secs(3600);
 /// Shares are rounded to the nearest whole call.
 const ROUNDING: f64 = 0.5;
 
@@ -245,7 +248,7 @@
         let bound = self.settings.starvation_bound;
         let has_room = |waiting: &Waiting<QueuedCall>| {
             let Some(shares) = shares else { return true };
-            let is_starving = now.since(waiting.since) >= bound;
+            let is_starving = is_starving(&waiting.call, waiting.since, now, bound);
             let rank = waiting.call.rank_now(now);
             if is_starving {
                 self.has_room(PriorityRank::MAX, shares)
@@ -321,11 +324,18 @@
         let mut in_order: Vec<_> = self.waiting.iter().collect();
         in_order.sort_by_cached_key(|(_, waiting)| program_order(&waiting.call, waiting.since, now, bound));
         let mut before: BTreeMap<PriorityRank, usize> = BTreeMap::new();
+        let mut starving_before = 0;
         let outlook_of = |(ticket, waiting): (QueueTicket, &Waiting<QueuedCall>)| {
             let rank = waiting.call.rank_now(now);
             let place = before.entry(rank).or_default();
             *place += 1;
-            (ticket, self.outlook(rank, *place, shares.as_deref()))
+            let mut outlook = self.outlook(rank, *place, shares.as_deref());
+            if is_starving(&waiting.call, waiting.since, now, bound) {
+                let all = self.outlook_of_all(starving_before, shares.as_deref());
+                outlook.wait = outlook.wait.min(all.wait);
+                starving_before += 1;
+            }
+            (ticket, outlook)
         };
         in_order.into_iter().map(outlook_of).collect()
     }
@@ -336,12 +346,16 @@
             return Outlook::default();
         };
         let share = shares.iter().find(|share| share.rank == rank).map_or(0.0, |share| share.calls);
-        let calls_per_second = share / call_seconds;
-        if calls_per_second <= 0.0 {
+        outlook_behind(place, share / call_seconds)
+    }
+
+    /// What the call can expect that goes next but for some others, whatever their ranks.
+    fn outlook_of_all(&self, others: usize, shares: Option<&[RankShare]>) -> Outlook {
+        let (Some(shares), Some(call_seconds)) = (shares, self.call_seconds) else {
             return Outlook::default();
-        }
-        let wait = Duration::from_secs_f64(place as f64 / calls_per_second);
-        Outlook { wait, calls_per_second }
+        };
+        let all: f64 = shares.iter().map(|share| share.calls).sum();
+        outlook_behind(others, all / call_seconds)
     }
 
     /// What a call can expect that would be the last of its rank.
@@ -351,17 +365,33 @@
         self.outlook(rank, of_rank.count() + 1, self.shares(now).as_deref())
     }
 
-    /// Refuses the last call in order where that one is behind a call that arrives.
-    fn make_place(&mut self, call: &QueuedCall, now: Timestamp) -> Option<ServiceQueueAction> {
+    /// Refuses the last calls in order that are behind a call that arrives, as many as it needs the place of; none where
+    /// they don't hold enough.
+    fn make_place(&mut self, call: &QueuedCall, now: Timestamp) -> Vec<ServiceQueueAction> {
         let bound = self.settings.starvation_bound;
+        let own_key = program_order(call, now, now, bound);
         let key = |waiting: &Waiting<QueuedCall>| program_order(&waiting.call, waiting.since, now, bound);
-        let (ticket, last) = self.waiting.iter().max_by_key(|(_, waiting)| key(waiting))?;
-        if key(last) < program_order(call, now, now, bound) {
-            return None;
+        let mut behind: Vec<_> = self.waiting.iter().filter(|(_, waiting)| key(waiting) >= own_key).collect();
+        behind.sort_by_cached_key(|(_, waiting)| Reverse(key(waiting)));
+        let (mut places, mut bytes, mut last) = (self.waiting.len(), self.bytes + call.bytes, Vec::new());
+        for (ticket, waiting) in behind {
+            if places < self.settings.most_waiting && bytes <= self.settings.most_bytes {
+                break;
+            }
+            places -= 1;
+            bytes -= waiting.call.bytes;
+            last.push(ticket);
         }
-        let last = self.take(ticket)?;
-        let outlook = self.outlook_of_last(&last.call, now);
-        Some(self.refusal(ticket, RefusalReason::QueueFull, now.since(last.since), outlook, now))
+        if places >= self.settings.most_waiting || bytes > self.settings.most_bytes {
+            return Vec::new();
+        }
+        last.into_iter().filter_map(|ticket| self.refuse_as_full(ticket, now)).collect()
+    }
+
+    fn refuse_as_full(&mut self, ticket: QueueTicket, now: Timestamp) -> Option<ServiceQueueAction> {
+        let waiting = self.take(ticket)?;
+        let outlook = self.outlook_of_last(&waiting.call, now);
+        Some(self.refusal(ticket, RefusalReason::QueueFull, now.since(waiting.since), outlook, now))
     }
 
     fn refusal(
@@ -390,6 +420,15 @@
     }
 }
 
+/// What a call can expect that is let in after so many.
+fn outlook_behind(calls: usize, calls_per_second: f64) -> Outlook {
+    if calls_per_second <= 0.0 {
+        return Outlook::default();
+    }
+    let wait = (calls as f64 / calls_per_second).min(LONGEST_WAIT.as_secs_f64());
+    Outlook { wait: Duration::from_secs_f64(wait), calls_per_second }
+}
+
 fn none_of(rank: PriorityRank) -> RankDemand {
     RankDemand { rank, running: 0.0, waiting: 0.0 }
 }
