Refused callers come back no faster than calls end at their node

A queue that refused many told all of them the same 2 s, and the time between two came from its share of the room, which it takes for larger than it is until it hears of the others' calls. Times are now spaced by the calls that ended there in the last second, up to 10 s ahead; calls that engines turned away are spaced with them (ServiceQueue::return_of_turned_away, new).

--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod cache_index;
 mod cost;
+mod end_rate;
 mod health;
 mod order;
 mod placement;
--- a/crates/scheduling/src/return_times.rs
+++ b/crates/scheduling/src/return_times.rs
@@ -6,12 +6,15 @@
 
 use sumacdrift_types::Timestamp;
 
-/// When a caller comes back where nothing is known of the room: some calls' time at an engine.
+/// When a caller comes back where nothing is known of the room, and the longest time between two: some calls' time at an
+/// engine.
 const USUAL: Duration = Duration::from_millis(250);
 /// The shortest time that is told: a new connection and the way to the caller take some of it.
 const LEAST: Duration = Duration::from_millis(50);
-/// The longest time that is told: what is known of the load says little of later times.
-const LONGEST: Duration = Duration::from_secs(2);
+/// The longest wait that is counted on: what is known of the load says little of later times.
+const LONGEST_WAIT: Duration = Duration::from_secs(2);
+/// The longest time that is told, where many were told to come back before. Told less, they would come back together.
+const LONGEST: Duration = Duration::from_secs(10);
 
 /// The times that refused callers were told.
 #[derive(Debug, Default)]
@@ -23,12 +26,9 @@
     /// The time until the next caller may come back, behind all that were told before, where room is expected after
     /// `wait` and comes free for so many calls a second.
     pub fn next(&mut self, wait: Duration, calls_per_second: f64, now: Timestamp) -> Duration {
-        let gap = match calls_per_second > 0.0 {
-            true => Duration::from_secs_f64((1.0 / calls_per_second).min(LONGEST.as_secs_f64())),
-            false => USUAL,
-        };
+        let gap = Duration::from_secs_f64(1.0 / calls_per_second.max(1.0 / USUAL.as_secs_f64()));
         let wait = if wait.is_zero() { USUAL } else { wait };
-        let at = self.next.max(now + wait).min(now + LONGEST);
+        let at = self.next.max(now + wait.min(LONGEST_WAIT)).min(now + LONGEST);
         self.next = at + gap;
         at.since(now).max(LEAST)
     }
--- a/crates/scheduling/src/service_queue.rs
+++ b/crates/scheduling/src/service_queue.rs
@@ -13,6 +13,7 @@
 use sumacdrift_types::Timestamp;
 
 use crate::PriorityRank;
+use crate::end_rate::EndRate;
 use crate::program_order::{ProgramStage, QueuedCall, is_starving, program_order};
 use crate::return_times::ReturnTimes;
 use crate::shares::{RankDemand, RankShare, ServiceRoom, shares};
@@ -127,6 +128,7 @@
     /// Seconds that calls take at engines, where some ended.
     call_seconds: Option<f64>,
     returns: ReturnTimes,
+    ends: EndRate,
 }
 
 impl ServiceQueue {
@@ -141,6 +143,7 @@
             others: Vec::new(),
             call_seconds: None,
             returns: ReturnTimes::default(),
+            ends: EndRate::default(),
         }
     }
 
@@ -212,10 +215,16 @@
             && let Some(running) = self.running.remove(&ticket)
         {
             self.learn(now.since(running.since));
+            self.ends.ended(now);
         }
         self.proceed(now)
     }
 
+    /// When the caller of a call comes back that was let in, but that no engine took; [`Self::ended`] is told besides.
+    pub fn return_of_turned_away(&mut self, now: Timestamp) -> Duration {
+        self.returns.next(Duration::ZERO, self.ends.per_second(now), now)
+    }
+
     /// Time has passed.
     pub fn tick(&mut self, now: Timestamp) -> Vec<ServiceQueueAction> {
         self.proceed(now)
@@ -403,7 +412,7 @@
         now: Timestamp,
     ) -> ServiceQueueAction {
         let expected_wait = outlook.wait;
-        let retry_after = self.returns.next(expected_wait, outlook.calls_per_second, now);
+        let retry_after = self.returns.next(expected_wait, self.ends.per_second(now), now);
         ServiceQueueAction::Refuse { ticket, reason, waited, expected_wait, retry_after }
     }
 
--- a/crates/scheduling/tests/load_world/mod.rs
+++ b/crates/scheduling/tests/load_world/mod.rs
@@ -34,7 +34,7 @@
 const DRAWN_ENGINES: usize = 6;
 /// Engines that are asked before a call is given up.
 const MOST_TRIES: usize = 3;
-/// When a caller comes back whose call no engine took.
+/// When a caller comes back whose call no engine took, at a node without a queue.
 const AFTER_FULL_ENGINES: Duration = Duration::from_millis(250);
 const CALL_BYTES: usize = 2_000;
 
@@ -286,7 +286,10 @@
             self.nodes[node].of_others[engine] += ENGINE_IS_FULL;
         }
         self.outcome.full_engines += 1;
-        self.refused(call, AFTER_FULL_ENGINES);
+        let now = self.now;
+        let queue = self.nodes[node].queue.as_mut();
+        let retry_after = queue.map_or(AFTER_FULL_ENGINES, |queue| queue.return_of_turned_away(now));
+        self.refused(call, retry_after);
         self.tell_queue(node, |queue, now| queue.ended(QueueTicket(call as u64), now));
     }
 
@@ -351,6 +354,7 @@
 
     fn refused(&mut self, call: usize, retry_after: Duration) {
         self.calls[call].state = CallState::Over;
+        self.outcome.told_returns.push(self.now + retry_after);
         let number = self.calls[call].program;
         let program = &mut self.programs[number];
         if !program.was_refused {
--- a/crates/scheduling/tests/load_world/outcome.rs
+++ b/crates/scheduling/tests/load_world/outcome.rs
@@ -70,6 +70,8 @@
     pub let_in: Vec<LetInRecord>,
     pub refusals: Vec<RefusalRecord>,
     pub moments: Vec<Moment>,
+    /// When refused callers were told to come back.
+    pub told_returns: Vec<Timestamp>,
     /// Calls that were given up as a few engines were full.
     pub full_engines: usize,
     /// Calls whose callers left while they waited at a node.
@@ -126,6 +128,17 @@
         waits.iter().sum::<Duration>() / u32::try_from(waits.len().max(1)).expect("few calls")
     }
 
+    /// Most callers that were told to come back within any time of a length.
+    pub fn most_returns(&self, within: Duration) -> usize {
+        most_within(self.told_returns.clone(), within)
+    }
+
+    /// The same of those that queues refused, without those whose calls engines turned away.
+    pub fn most_returns_to_queues(&self, within: Duration) -> usize {
+        let told = |refusal: &RefusalRecord| refusal.at + refusal.retry_after;
+        most_within(self.refusals.iter().map(told).collect(), within)
+    }
+
     /// Most calls under way in a time.
     pub fn most_under_way(&self, during: &Range<Timestamp>) -> usize {
         let moments = self.moments.iter().filter(|moment| during.contains(&moment.at));
@@ -137,3 +150,11 @@
 pub fn seconds(during: &Range<Timestamp>) -> f64 {
     during.end.since(during.start).as_secs_f64()
 }
+
+/// Most times that lie within any time of a length.
+fn most_within(mut times: Vec<Timestamp>, within: Duration) -> usize {
+    times.sort_unstable();
+    let until = |first: &Timestamp| times.partition_point(|at| at.since(*first) < within);
+    let counts = times.iter().enumerate().map(|(before, first)| until(first) - before);
+    counts.max().unwrap_or(0)
+}
