A begun program's call isn't refused for its rank's share if it goes first in time for having waited

It was refused as unservable by the wait of its rank, though the starvation bound lets it in before its caller leaves.

--- a/crates/scheduling/src/service_queue.rs
+++ b/crates/scheduling/src/service_queue.rs
@@ -333,22 +333,32 @@
         let mut in_order: Vec<_> = self.waiting.iter().collect();
         in_order.sort_by_cached_key(|(_, waiting)| program_order(&waiting.call, waiting.since, now, bound));
         let mut before: BTreeMap<PriorityRank, usize> = BTreeMap::new();
-        let mut starving_before = 0;
+        let mut since: Vec<Timestamp> = in_order.iter().map(|(_, waiting)| waiting.since).collect();
+        since.sort_unstable();
         let outlook_of = |(ticket, waiting): (QueueTicket, &Waiting<QueuedCall>)| {
             let rank = waiting.call.rank_now(now);
             let place = before.entry(rank).or_default();
             *place += 1;
             let mut outlook = self.outlook(rank, *place, shares.as_deref());
-            if is_starving(&waiting.call, waiting.since, now, bound) {
-                let all = self.outlook_of_all(starving_before, shares.as_deref());
-                outlook.wait = outlook.wait.min(all.wait);
-                starving_before += 1;
+            if let Some(goes_first_at) = self.goes_first_at(waiting, now) {
+                let longer = since.partition_point(|since| *since < waiting.since);
+                let behind = self.outlook_of_all(longer, shares.as_deref());
+                outlook.wait = outlook.wait.min(goes_first_at.since(now) + behind.wait);
             }
             (ticket, outlook)
         };
         in_order.into_iter().map(outlook_of).collect()
     }
 
+    /// When a call goes first for having waited so long, if it does: new programs don't count on it, they are refused while it
+    /// costs them little.
+    fn goes_first_at(&self, waiting: &Waiting<QueuedCall>, now: Timestamp) -> Option<Timestamp> {
+        let bound = self.settings.starvation_bound;
+        let at = now.max(waiting.since + bound);
+        let counts_on_it = at == now || waiting.call.stage == ProgramStage::UnderWay;
+        (counts_on_it && is_starving(&waiting.call, waiting.since, at, bound)).then_some(at)
+    }
+
     /// What the call at a place among those of its rank can expect.
     fn outlook(&self, rank: PriorityRank, place: usize, shares: Option<&[RankShare]>) -> Outlook {
         let (Some(shares), Some(call_seconds)) = (shares, self.call_seconds) else {
