--- a/crates/scheduling/src/service_queue.rs
+++ b/crates/scheduling/src/service_queue.rs
@@ -109,13 +109,6 @@
     since: Timestamp,
 }
 
-/// What a call can expect, where anything is known.
-#[derive(Debug, Clone, Copy, Default)]
-struct Outlook {
-    wait: Duration,
-    calls_per_second: f64,
-}
-
 /// The queue of one node before the engines of one service.
 #[derive(Debug)]
 pub struct ServiceQueue {
@@ -200,8 +193,8 @@
         }
         if self.bytes + call.bytes > self.settings.most_bytes || self.waiting.push(ticket, call, now).is_err()
         {
-            let outlook = self.outlook_of_last(&call, now);
-            actions.push(self.refusal(ticket, RefusalReason::QueueFull, Duration::ZERO, outlook, now));
+            let expected_wait = self.wait_of_last(&call, now);
+            actions.push(self.refusal(ticket, RefusalReason::QueueFull, Duration::ZERO, expected_wait, now));
             return actions;
         }
         self.bytes += call.bytes;
@@ -292,17 +285,17 @@
 
     fn refuse_unservable(&mut self, now: Timestamp) -> Vec<ServiceQueueAction> {
         let mut refused = Vec::new();
-        for (ticket, outlook) in self.outlooks(now) {
+        for (ticket, wait) in self.expected_waits(now) {
             let Some(waiting) = self.waiting.get(ticket) else { continue };
-            if let Some(reason) = self.reason_to_refuse(waiting, outlook, now) {
-                refused.push((ticket, reason, outlook));
+            if let Some(reason) = self.reason_to_refuse(waiting, wait, now) {
+                refused.push((ticket, reason, wait));
             }
         }
         let mut actions = Vec::with_capacity(refused.len());
-        for (ticket, reason, outlook) in refused {
+        for (ticket, reason, expected_wait) in refused {
             let Some(waiting) = self.take(ticket) else { continue };
             let waited = now.since(waiting.since);
-            actions.push(self.refusal(ticket, reason, waited, outlook, now));
+            actions.push(self.refusal(ticket, reason, waited, expected_wait, now));
         }
         actions
     }
@@ -310,11 +303,11 @@
     fn reason_to_refuse(
         &self,
         waiting: &Waiting<QueuedCall>,
-        outlook: Outlook,
+        wait: Duration,
         now: Timestamp,
     ) -> Option<RefusalReason> {
         let call = &waiting.call;
-        let let_in_at = now + outlook.wait;
+        let let_in_at = now + wait;
         if !call.can_be_answered(let_in_at) {
             return Some(RefusalReason::CannotBeAnswered);
         }
@@ -323,8 +316,8 @@
         (let_in_at > waiting.since + patience).then_some(RefusalReason::ProgramTooLate)
     }
 
-    /// What each waiting call can expect.
-    fn outlooks(&self, now: Timestamp) -> Vec<(QueueTicket, Outlook)> {
+    /// How long each waiting call waits yet, as far as is known.
+    fn expected_waits(&self, now: Timestamp) -> Vec<(QueueTicket, Duration)> {
         if self.waiting.is_empty() {
             return Vec::new();
         }
@@ -335,19 +328,19 @@
         let mut before: BTreeMap<PriorityRank, usize> = BTreeMap::new();
         let mut since: Vec<Timestamp> = in_order.iter().map(|(_, waiting)| waiting.since).collect();
         since.sort_unstable();
-        let outlook_of = |(ticket, waiting): (QueueTicket, &Waiting<QueuedCall>)| {
+        let wait_of = |(ticket, waiting): (QueueTicket, &Waiting<QueuedCall>)| {
             let rank = waiting.call.rank_now(now);
             let place = before.entry(rank).or_default();
             *place += 1;
-            let mut outlook = self.outlook(rank, *place, shares.as_deref());
+            let mut wait = self.wait_in_rank(rank, *place, shares.as_deref());
             if let Some(goes_first_at) = self.goes_first_at(waiting, now) {
                 let longer = since.partition_point(|since| *since < waiting.since);
-                let behind = self.outlook_of_all(longer, shares.as_deref());
-                outlook.wait = outlook.wait.min(goes_first_at.since(now) + behind.wait);
+                let behind = self.wait_behind(longer, shares.as_deref());
+                wait = wait.min(goes_first_at.since(now) + behind);
             }
-            (ticket, outlook)
+            (ticket, wait)
         };
-        in_order.into_iter().map(outlook_of).collect()
+        in_order.into_iter().map(wait_of).collect()
     }
 
     /// When a call goes first for having waited so long, if it does: new programs don't count on it, they are refused while it
@@ -359,29 +352,30 @@
         (counts_on_it && is_starving(&waiting.call, waiting.since, at, bound)).then_some(at)
     }
 
-    /// What the call at a place among those of its rank can expect.
-    fn outlook(&self, rank: PriorityRank, place: usize, shares: Option<&[RankShare]>) -> Outlook {
-        let (Some(shares), Some(call_seconds)) = (shares, self.call_seconds) else {
-            return Outlook::default();
-        };
-        let share = shares.iter().find(|share| share.rank == rank).map_or(0.0, |share| share.calls);
-        outlook_behind(place, share / call_seconds)
+    /// How long the call at a place among those of its rank waits.
+    fn wait_in_rank(&self, rank: PriorityRank, place: usize, shares: Option<&[RankShare]>) -> Duration {
+        let share = shares.unwrap_or_default().iter().find(|share| share.rank == rank);
+        self.time_to_let_in(place, share.map_or(0.0, |share| share.calls))
     }
 
-    /// What the call can expect that goes next but for some others, whatever their ranks.
-    fn outlook_of_all(&self, others: usize, shares: Option<&[RankShare]>) -> Outlook {
-        let (Some(shares), Some(call_seconds)) = (shares, self.call_seconds) else {
-            return Outlook::default();
-        };
-        let all: f64 = shares.iter().map(|share| share.calls).sum();
-        outlook_behind(others, all / call_seconds)
+    /// How long a call waits that goes next but for some others, whatever their ranks.
+    fn wait_behind(&self, others: usize, shares: Option<&[RankShare]>) -> Duration {
+        let all = shares.unwrap_or_default().iter().map(|share| share.calls).sum();
+        self.time_to_let_in(others, all)
     }
 
-    /// What a call can expect that would be the last of its rank.
-    fn outlook_of_last(&self, call: &QueuedCall, now: Timestamp) -> Outlook {
+    /// Time until so many calls are let in where so many may be under way; none where nothing is known.
+    fn time_to_let_in(&self, calls: usize, may_run: f64) -> Duration {
+        let Some(call_seconds) = self.call_seconds.filter(|_| may_run > 0.0) else { return Duration::ZERO };
+        let seconds = calls as f64 * call_seconds / may_run;
+        Duration::from_secs_f64(seconds.min(LONGEST_WAIT.as_secs_f64()))
+    }
+
+    /// How long a call waits that would be the last of its rank.
+    fn wait_of_last(&self, call: &QueuedCall, now: Timestamp) -> Duration {
         let rank = call.rank_now(now);
         let of_rank = self.waiting.iter().filter(|(_, waiting)| waiting.call.rank_now(now) == rank);
-        self.outlook(rank, of_rank.count() + 1, self.shares(now).as_deref())
+        self.wait_in_rank(rank, of_rank.count() + 1, self.shares(now).as_deref())
     }
 
     /// Refuses the last calls in order that are behind a call that arrives, as many as it needs the place of; none where
@@ -409,8 +403,8 @@
 
     fn refuse_as_full(&mut self, ticket: QueueTicket, now: Timestamp) -> Option<ServiceQueueAction> {
         let waiting = self.take(ticket)?;
-        let outlook = self.outlook_of_last(&waiting.call, now);
-        Some(self.refusal(ticket, RefusalReason::QueueFull, now.since(waiting.since), outlook, now))
+        let expected_wait = self.wait_of_last(&waiting.call, now);
+        Some(self.refusal(ticket, RefusalReason::QueueFull, now.since(waiting.since), expected_wait, now))
     }
 
     fn refusal(
@@ -418,10 +412,9 @@
         ticket: QueueTicket,
         reason: RefusalReason,
         waited: Duration,
-        outlook: Outlook,
+        expected_wait: Duration,
         now: Timestamp,
     ) -> ServiceQueueAction {
-        let expected_wait = outlook.wait;
         let retry_after = self.returns.next(expected_wait, self.ends.per_second(now), now);
         ServiceQueueAction::Refuse { ticket, reason, waited, expected_wait, retry_after }
     }
@@ -439,15 +432,6 @@
     }
 }
 
-/// What a call can expect that is let in after so many.
-fn outlook_behind(calls: usize, calls_per_second: f64) -> Outlook {
-    if calls_per_second <= 0.0 {
-        return Outlook::default();
-    }
-    let wait = (calls as f64 / calls_per_second).min(LONGEST_WAIT.as_secs_f64());
-    Outlook { wait: Duration::from_secs_f64(wait), calls_per_second }
-}
-
 fn none_of(rank: PriorityRank) -> RankDemand {
     RankDemand { rank, running: 0.0, waiting: 0.0 }
 }
--- a/crates/scheduling/tests/load_world/mod.rs
+++ b/crates/scheduling/tests/load_world/mod.rs
@@ -25,7 +25,8 @@
 pub use plan::{CALL_TIME, Cut, Load, PATIENCE, PATIENT, PAUSE, Plan, Policy, URGENT, second};
 
 const MOMENT: Duration = Duration::from_millis(10);
-const NEWS_EVERY: Duration = Duration::from_millis(50);
+/// A node hears news so often.
+pub const NEWS_EVERY: Duration = Duration::from_millis(50);
 /// A node asks its queue so often what has changed by time alone.
 const TICK_EVERY: Duration = Duration::from_millis(20);
 /// Time for which a replay goes on after the last program began.
@@ -214,7 +215,8 @@
         tell: impl FnOnce(&mut ServiceQueue, Timestamp) -> Vec<ServiceQueueAction>,
     ) {
         let now = self.now;
-        let Some(queue) = self.nodes[node].queue.as_mut() else { return };
+        let queue_node = self.plan.queue_of(node);
+        let Some(queue) = self.nodes[queue_node].queue.as_mut() else { return };
         for action in tell(queue, now) {
             match action {
                 ServiceQueueAction::LetIn { ticket, waited } => self.let_in(ticket.0 as usize, waited),
@@ -233,7 +235,7 @@
         let queued = self.queued_call(number);
         self.calls.push(Call { program: number, node, asked_at: self.now, state: CallState::Waiting });
         self.after(PATIENCE, Event::Leaves { call });
-        if self.nodes[node].queue.is_some() {
+        if self.nodes[self.plan.queue_of(node)].queue.is_some() {
             let ticket = QueueTicket(call as u64);
             self.tell_queue(node, |queue, now| queue.arrived(ticket, queued, now));
         } else {
@@ -287,7 +289,7 @@
         }
         self.outcome.full_engines += 1;
         let now = self.now;
-        let queue = self.nodes[node].queue.as_mut();
+        let queue = self.nodes[self.plan.queue_of(node)].queue.as_mut();
         let retry_after = queue.map_or(AFTER_FULL_ENGINES, |queue| queue.return_of_turned_away(now));
         self.refused(call, retry_after);
         self.tell_queue(node, |queue, now| queue.ended(QueueTicket(call as u64), now));
@@ -390,7 +392,7 @@
             let Some(told) = self.told.get((at.0 / MOMENT.as_micros() as u64) as usize) else { continue };
             let own = &told.own[other];
             of_others.iter_mut().zip(own).for_each(|(sum, calls)| *sum += calls);
-            if !self.plan.has_queue(other) {
+            if self.plan.policy == Policy::Mixed && !self.plan.has_queue(other) {
                 unranked += own.iter().sum::<usize>();
             }
             for rank in &told.demand[other] {
--- a/crates/scheduling/tests/load_world/plan.rs
+++ b/crates/scheduling/tests/load_world/plan.rs
@@ -32,6 +32,8 @@
     Direct,
     /// Each node has a queue.
     Queued,
+    /// All nodes send their calls through one queue, which has all the room and knows all at once.
+    OneQueue,
     /// Nodes of odd numbers have a queue; the others send at once and tell no demand.
     Mixed,
 }
@@ -158,10 +160,21 @@
         match self.policy {
             Policy::Direct => false,
             Policy::Queued => true,
+            Policy::OneQueue => node == 0,
             Policy::Mixed => node % 2 == 1,
         }
     }
 
+    /// The node whose queue a node's calls go through.
+    pub fn queue_of(&self, node: usize) -> usize {
+        if self.policy == Policy::OneQueue { 0 } else { node }
+    }
+
+    /// Calls that are asked for in a second at a time, without those that come back.
+    pub fn calls_per_second(&self, at: Timestamp) -> f64 {
+        self.loads.iter().map(|load| load.rate(at) * load.calls as f64).sum()
+    }
+
     /// Since when a node is cut from the news, if it is.
     pub fn cut_since(&self, node: usize, at: Timestamp) -> Option<Timestamp> {
         let holds = |cut: &&Cut| cut.nodes.contains(&node) && cut.during.contains(&at);
