--- a/crates/scheduling/src/service_queue.rs
+++ b/crates/scheduling/src/service_queue.rs
@@ -248,15 +248,12 @@
     /// The first call in order for which there is room.
     fn next(&self, shares: Option<&[RankShare]>, now: Timestamp) -> Option<QueueTicket> {
         let bound = self.settings.starvation_bound;
-        let has_room = |waiting: &Waiting<QueuedCall>| {
-            let Some(shares) = shares else { return true };
-            let is_starving = is_starving(&waiting.call, waiting.since, now, bound);
-            let rank = waiting.call.rank_now(now);
-            if is_starving {
-                self.has_room(PriorityRank::MAX, shares)
-            } else {
-                self.rank_has_room(rank, shares) && self.has_room(rank, shares)
-            }
+        let rooms = shares.map(|shares| self.ranks_with_room(shares));
+        let room_for_any = shares.is_none_or(|shares| self.has_room(PriorityRank::MAX, shares));
+        let has_room = |waiting: &Waiting<QueuedCall>| match &rooms {
+            None => true,
+            Some(_) if is_starving(&waiting.call, waiting.since, now, bound) => room_for_any,
+            Some(ranks) => ranks.contains(&waiting.call.rank_now(now)),
         };
         let candidates = self.waiting.iter().filter(|(_, waiting)| has_room(waiting));
         let first =
@@ -264,6 +261,11 @@
         first.map(|(ticket, _)| ticket)
     }
 
+    fn ranks_with_room(&self, shares: &[RankShare]) -> Vec<PriorityRank> {
+        let ranks = shares.iter().map(|share| share.rank);
+        ranks.filter(|rank| self.rank_has_room(*rank, shares) && self.has_room(*rank, shares)).collect()
+    }
+
     /// Whether there is room for one more call beside those of a rank and of higher ones.
     fn has_room(&self, rank: PriorityRank, shares: &[RankShare]) -> bool {
         let all: f64 = shares.iter().filter(|share| share.rank <= rank).map(|share| share.calls).sum();
--- a/crates/scheduling/tests/load_world/mod.rs
+++ b/crates/scheduling/tests/load_world/mod.rs
@@ -177,8 +177,14 @@
             let node = self.dice.below(self.plan.nodes);
             self.programs.push(Program { load: number, node, answered: 0, was_refused: false });
             let end = at + load.program_time();
-            let record =
-                ProgramRecord { rank: load.rank, asked_at: at, end, has_begun: false, over_at: None };
+            let record = ProgramRecord {
+                rank: load.rank,
+                calls: load.calls,
+                asked_at: at,
+                end,
+                has_begun: false,
+                over_at: None,
+            };
             self.outcome.programs.push(record);
             self.after(at.since(Timestamp(0)), Event::Asks { program: self.programs.len() - 1 });
         }
--- a/crates/scheduling/tests/load_world/outcome.rs
+++ b/crates/scheduling/tests/load_world/outcome.rs
@@ -12,6 +12,7 @@
 #[derive(Debug, Clone, Copy)]
 pub struct ProgramRecord {
     pub rank: PriorityRank,
+    pub calls: usize,
     pub asked_at: Timestamp,
     pub end: Timestamp,
     /// Whether its first call was let in.
@@ -91,6 +92,12 @@
         share(of_rank.iter().filter(|program| program.is_in_time()).count(), of_rank.len())
     }
 
+    /// Calls of the programs that were in time, of those asked for in a time.
+    pub fn work_in_time(&self, during: &Range<Timestamp>) -> usize {
+        let asked = self.programs.iter().filter(|program| during.contains(&program.asked_at));
+        asked.filter(|program| program.is_in_time()).map(|program| program.calls).sum()
+    }
+
     /// Programs of a rank that were in time.
     pub fn programs_in_time(&self, rank: PriorityRank) -> usize {
         self.programs.iter().filter(|program| program.rank == rank && program.is_in_time()).count()
