--- a/crates/scheduling/src/service_queue.rs
+++ b/crates/scheduling/src/service_queue.rs
@@ -6,19 +6,23 @@
 //!
 //! A state machine: it takes what happened and answers with what to do. It reads no clock and knows no engines.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use sumacdrift_types::Timestamp;
 
 use crate::PriorityRank;
-use crate::program_order::{ProgramStage, QueuedCall, program_order};
+use crate::end_rate::EndRate;
+use crate::program_order::{ProgramStage, QueuedCall, is_starving, program_order};
 use crate::return_times::ReturnTimes;
 use crate::shares::{RankDemand, RankShare, ServiceRoom, shares};
 use crate::waiting_list::{Waiting, WaitingList};
 
 /// Weight of a new observation of how long calls take at engines.
 const LEARNING_RATE: f64 = 0.1;
+/// A longer wait is not told apart: no caller waits for so long.
+const LONGEST_WAIT: Duration = Duration::from_secs(3600);
 /// Shares are rounded to the nearest whole call.
 const ROUNDING: f64 = 0.5;
 
@@ -35,8 +39,8 @@
     pub most_bytes: usize,
     /// A call that waited for so long goes before all others.
     pub starvation_bound: Duration,
-    /// Share of its program's time that the first call of a program may wait. A program has to wait before its later calls
-    /// too, so one that waits for longer at its beginning is not over in time.
+    /// Share of its program's time that the first call of a program may wait, also when it comes back. A program has to wait
+    /// before its later calls too, some ten in all, so one that waits for longer at its beginning is not over in time.
     pub first_wait_share: f64,
 }
 
@@ -46,7 +50,7 @@
             most_waiting: 256,
             most_bytes: 8 << 20,
             starvation_bound: Duration::from_millis(1500),
-            first_wait_share: 0.25,
+            first_wait_share: 0.1,
         }
     }
 }
@@ -105,13 +109,6 @@
     since: Timestamp,
 }
 
-/// What a call can expect, where anything is known.
-#[derive(Debug, Clone, Copy, Default)]
-struct Outlook {
-    wait: Duration,
-    calls_per_second: f64,
-}
-
 /// The queue of one node before the engines of one service.
 #[derive(Debug)]
 pub struct ServiceQueue {
@@ -124,6 +121,7 @@
     /// Seconds that calls take at engines, where some ended.
     call_seconds: Option<f64>,
     returns: ReturnTimes,
+    ends: EndRate,
 }
 
 impl ServiceQueue {
@@ -138,6 +136,7 @@
             others: Vec::new(),
             call_seconds: None,
             returns: ReturnTimes::default(),
+            ends: EndRate::default(),
         }
     }
 
@@ -194,8 +193,8 @@
         }
         if self.bytes + call.bytes > self.settings.most_bytes || self.waiting.push(ticket, call, now).is_err()
         {
-            let outlook = self.outlook_of_last(&call, now);
-            actions.push(self.refusal(ticket, RefusalReason::QueueFull, Duration::ZERO, outlook, now));
+            let expected_wait = self.wait_of_last(&call, now);
+            actions.push(self.refusal(ticket, RefusalReason::QueueFull, Duration::ZERO, expected_wait, now));
             return actions;
         }
         self.bytes += call.bytes;
@@ -209,10 +208,16 @@
             && let Some(running) = self.running.remove(&ticket)
         {
             self.learn(now.since(running.since));
+            self.ends.ended(now);
         }
         self.proceed(now)
     }
 
+    /// When the caller of a call comes back that was let in, but that no engine took; [`Self::ended`] is told besides.
+    pub fn return_of_turned_away(&mut self, now: Timestamp) -> Duration {
+        self.returns.next(Duration::ZERO, self.ends.per_second(now), now)
+    }
+
     /// Time has passed.
     pub fn tick(&mut self, now: Timestamp) -> Vec<ServiceQueueAction> {
         self.proceed(now)
@@ -243,23 +248,29 @@
     /// The first call in order for which there is room.
     fn next(&self, shares: Option<&[RankShare]>, now: Timestamp) -> Option<QueueTicket> {
         let bound = self.settings.starvation_bound;
-        let has_room = |waiting: &Waiting<QueuedCall>| {
-            let Some(shares) = shares else { return true };
-            let is_starving = now.since(waiting.since) >= bound;
-            is_starving || self.rank_has_room(waiting.call.rank_now(now), shares)
+        let rooms = shares.map(|shares| self.ranks_with_room(shares));
+        let room_for_any = shares.is_none_or(|shares| self.has_room(PriorityRank::MAX, shares));
+        let has_room = |waiting: &Waiting<QueuedCall>| match &rooms {
+            None => true,
+            Some(_) if is_starving(&waiting.call, waiting.since, now, bound) => room_for_any,
+            Some(ranks) => ranks.contains(&waiting.call.rank_now(now)),
         };
-        if !shares.is_none_or(|shares| self.has_room(shares)) {
-            return None;
-        }
         let candidates = self.waiting.iter().filter(|(_, waiting)| has_room(waiting));
         let first =
             candidates.min_by_key(|(_, waiting)| program_order(&waiting.call, waiting.since, now, bound));
         first.map(|(ticket, _)| ticket)
     }
 
-    fn has_room(&self, shares: &[RankShare]) -> bool {
-        let all: f64 = shares.iter().map(|share| share.calls).sum();
-        (self.running.len() as f64) < all + ROUNDING
+    fn ranks_with_room(&self, shares: &[RankShare]) -> Vec<PriorityRank> {
+        let ranks = shares.iter().map(|share| share.rank);
+        ranks.filter(|rank| self.rank_has_room(*rank, shares) && self.has_room(*rank, shares)).collect()
+    }
+
+    /// Whether there is room for one more call beside those of a rank and of higher ones.
+    fn has_room(&self, rank: PriorityRank, shares: &[RankShare]) -> bool {
+        let all: f64 = shares.iter().filter(|share| share.rank <= rank).map(|share| share.calls).sum();
+        let running = self.running.values().filter(|running| running.rank <= rank).count();
+        (running as f64) < all + ROUNDING
     }
 
     fn rank_has_room(&self, rank: PriorityRank, shares: &[RankShare]) -> bool {
@@ -276,17 +287,17 @@
 
     fn refuse_unservable(&mut self, now: Timestamp) -> Vec<ServiceQueueAction> {
         let mut refused = Vec::new();
-        for (ticket, outlook) in self.outlooks(now) {
+        for (ticket, wait) in self.expected_waits(now) {
             let Some(waiting) = self.waiting.get(ticket) else { continue };
-            if let Some(reason) = self.reason_to_refuse(waiting, outlook, now) {
-                refused.push((ticket, reason, outlook));
+            if let Some(reason) = self.reason_to_refuse(waiting, wait, now) {
+                refused.push((ticket, reason, wait));
             }
         }
         let mut actions = Vec::with_capacity(refused.len());
-        for (ticket, reason, outlook) in refused {
+        for (ticket, reason, expected_wait) in refused {
             let Some(waiting) = self.take(ticket) else { continue };
             let waited = now.since(waiting.since);
-            actions.push(self.refusal(ticket, reason, waited, outlook, now));
+            actions.push(self.refusal(ticket, reason, waited, expected_wait, now));
         }
         actions
     }
@@ -294,21 +305,21 @@
     fn reason_to_refuse(
         &self,
         waiting: &Waiting<QueuedCall>,
-        outlook: Outlook,
+        wait: Duration,
         now: Timestamp,
     ) -> Option<RefusalReason> {
         let call = &waiting.call;
-        let let_in_at = now + outlook.wait;
+        let let_in_at = now + wait;
         if !call.can_be_answered(let_in_at) {
             return Some(RefusalReason::CannotBeAnswered);
         }
-        let end = call.program_end.filter(|_| call.stage == ProgramStage::New)?;
+        let end = call.program_end.filter(|_| call.stage != ProgramStage::UnderWay)?;
         let patience = end.since(waiting.since).mul_f64(self.settings.first_wait_share);
         (let_in_at > waiting.since + patience).then_some(RefusalReason::ProgramTooLate)
     }
 
-    /// What each waiting call can expect.
-    fn outlooks(&self, now: Timestamp) -> Vec<(QueueTicket, Outlook)> {
+    /// How long each waiting call waits yet, as far as is known.
+    fn expected_waits(&self, now: Timestamp) -> Vec<(QueueTicket, Duration)> {
         if self.waiting.is_empty() {
             return Vec::new();
         }
@@ -317,47 +328,85 @@
         let mut in_order: Vec<_> = self.waiting.iter().collect();
         in_order.sort_by_cached_key(|(_, waiting)| program_order(&waiting.call, waiting.since, now, bound));
         let mut before: BTreeMap<PriorityRank, usize> = BTreeMap::new();
-        let outlook_of = |(ticket, waiting): (QueueTicket, &Waiting<QueuedCall>)| {
+        let mut since: Vec<Timestamp> = in_order.iter().map(|(_, waiting)| waiting.since).collect();
+        since.sort_unstable();
+        let wait_of = |(ticket, waiting): (QueueTicket, &Waiting<QueuedCall>)| {
             let rank = waiting.call.rank_now(now);
             let place = before.entry(rank).or_default();
             *place += 1;
-            (ticket, self.outlook(rank, *place, shares.as_deref()))
+            let mut wait = self.wait_in_rank(rank, *place, shares.as_deref());
+            if let Some(goes_first_at) = self.goes_first_at(waiting, now) {
+                let longer = since.partition_point(|since| *since < waiting.since);
+                let behind = self.wait_behind(longer, shares.as_deref());
+                wait = wait.min(goes_first_at.since(now) + behind);
+            }
+            (ticket, wait)
         };
-        in_order.into_iter().map(outlook_of).collect()
+        in_order.into_iter().map(wait_of).collect()
     }
 
-    /// What the call at a place among those of its rank can expect.
-    fn outlook(&self, rank: PriorityRank, place: usize, shares: Option<&[RankShare]>) -> Outlook {
-        let (Some(shares), Some(call_seconds)) = (shares, self.call_seconds) else {
-            return Outlook::default();
-        };
-        let share = shares.iter().find(|share| share.rank == rank).map_or(0.0, |share| share.calls);
-        let calls_per_second = share / call_seconds;
-        if calls_per_second <= 0.0 {
-            return Outlook::default();
-        }
-        let wait = Duration::from_secs_f64(place as f64 / calls_per_second);
-        Outlook { wait, calls_per_second }
+    /// When a call goes first for having waited so long, if it does: new programs don't count on it, they are refused while it
+    /// costs them little.
+    fn goes_first_at(&self, waiting: &Waiting<QueuedCall>, now: Timestamp) -> Option<Timestamp> {
+        let bound = self.settings.starvation_bound;
+        let at = now.max(waiting.since + bound);
+        let counts_on_it = at == now || waiting.call.stage == ProgramStage::UnderWay;
+        (counts_on_it && is_starving(&waiting.call, waiting.since, at, bound)).then_some(at)
     }
 
-    /// What a call can expect that would be the last of its rank.
-    fn outlook_of_last(&self, call: &QueuedCall, now: Timestamp) -> Outlook {
+    /// How long the call at a place among those of its rank waits.
+    fn wait_in_rank(&self, rank: PriorityRank, place: usize, shares: Option<&[RankShare]>) -> Duration {
+        let share = shares.unwrap_or_default().iter().find(|share| share.rank == rank);
+        self.time_to_let_in(place, share.map_or(0.0, |share| share.calls))
+    }
+
+    /// How long a call waits that goes next but for some others, whatever their ranks.
+    fn wait_behind(&self, others: usize, shares: Option<&[RankShare]>) -> Duration {
+        let all = shares.unwrap_or_default().iter().map(|share| share.calls).sum();
+        self.time_to_let_in(others, all)
+    }
+
+    /// Time until so many calls are let in where so many may be under way; none where nothing is known.
+    fn time_to_let_in(&self, calls: usize, may_run: f64) -> Duration {
+        let Some(call_seconds) = self.call_seconds.filter(|_| may_run > 0.0) else { return Duration::ZERO };
+        let seconds = calls as f64 * call_seconds / may_run;
+        Duration::from_secs_f64(seconds.min(LONGEST_WAIT.as_secs_f64()))
+    }
+
+    /// How long a call waits that would be the last of its rank.
+    fn wait_of_last(&self, call: &QueuedCall, now: Timestamp) -> Duration {
         let rank = call.rank_now(now);
         let of_rank = self.waiting.iter().filter(|(_, waiting)| waiting.call.rank_now(now) == rank);
-        self.outlook(rank, of_rank.count() + 1, self.shares(now).as_deref())
+        self.wait_in_rank(rank, of_rank.count() + 1, self.shares(now).as_deref())
     }
 
-    /// Refuses the last call in order where that one is behind a call that arrives.
-    fn make_place(&mut self, call: &QueuedCall, now: Timestamp) -> Option<ServiceQueueAction> {
+    /// Refuses the last calls in order that are behind a call that arrives, as many as it needs the place of; none where
+    /// they don't hold enough.
+    fn make_place(&mut self, call: &QueuedCall, now: Timestamp) -> Vec<ServiceQueueAction> {
         let bound = self.settings.starvation_bound;
+        let own_key = program_order(call, now, now, bound);
         let key = |waiting: &Waiting<QueuedCall>| program_order(&waiting.call, waiting.since, now, bound);
-        let (ticket, last) = self.waiting.iter().max_by_key(|(_, waiting)| key(waiting))?;
-        if key(last) < program_order(call, now, now, bound) {
-            return None;
+        let mut behind: Vec<_> = self.waiting.iter().filter(|(_, waiting)| key(waiting) >= own_key).collect();
+        behind.sort_by_cached_key(|(_, waiting)| Reverse(key(waiting)));
+        let (mut places, mut bytes, mut last) = (self.waiting.len(), self.bytes + call.bytes, Vec::new());
+        for (ticket, waiting) in behind {
+            if places < self.settings.most_waiting && bytes <= self.settings.most_bytes {
+                break;
+            }
+            places -= 1;
+            bytes -= waiting.call.bytes;
+            last.push(ticket);
+        }
+        if places >= self.settings.most_waiting || bytes > self.settings.most_bytes {
+            return Vec::new();
         }
-        let last = self.take(ticket)?;
-        let outlook = self.outlook_of_last(&last.call, now);
-        Some(self.refusal(ticket, RefusalReason::QueueFull, now.since(last.since), outlook, now))
+        last.into_iter().filter_map(|ticket| self.refuse_as_full(ticket, now)).collect()
+    }
+
+    fn refuse_as_full(&mut self, ticket: QueueTicket, now: Timestamp) -> Option<ServiceQueueAction> {
+        let waiting = self.take(ticket)?;
+        let expected_wait = self.wait_of_last(&waiting.call, now);
+        Some(self.refusal(ticket, RefusalReason::QueueFull, now.since(waiting.since), expected_wait, now))
     }
 
     fn refusal(
@@ -365,11 +414,10 @@
         ticket: QueueTicket,
         reason: RefusalReason,
         waited: Duration,
-        outlook: Outlook,
+        expected_wait: Duration,
         now: Timestamp,
     ) -> ServiceQueueAction {
-        let expected_wait = outlook.wait;
-        let retry_after = self.returns.next(expected_wait, outlook.calls_per_second, now);
+        let retry_after = self.returns.next(expected_wait, self.ends.per_second(now), now);
         ServiceQueueAction::Refuse { ticket, reason, waited, expected_wait, retry_after }
     }
 
