An engine that fails a part of the fleet's calls is put aside (outlier ejection)

Cause: the circuit breaker counts failures in a row at one node and told failures count engines whose calls mostly fail, so an engine that fails a third of its calls keeps getting them. Each edge now adds up what all edges told of the last 1.6 s and puts an engine aside that fails at least a quarter of at least 12 calls and three times the mean of the rest of its service, never more than a fifth of the engines in use; for 3 s, doubling to 24 s, then back in four steps. Told counts are taken in 400 ms after the first failure is told: the nodes with failures tell first. Two more optional numbers of EngineLoad carry the counts, summed by the boards; missing ones are 0. They take 4 bytes more for an engine that is told of, 6 with counts in the thousands, 11 for one that would not be told of otherwise, none where nothing failed (board.rs). Known red with this commit: engines.rs, failures_are_told_until_a_call_ends_well. Its last step wants nothing told of an engine once a call ended well; with counts the two failures of a moment before are still told. The test is left as it is for the lead to decide.

--- a/crates/fleet-view/src/load_table.rs
+++ b/crates/fleet-view/src/load_table.rs
@@ -75,6 +75,8 @@
         sum.unread_tokens = sum.unread_tokens.saturating_add(load.unread_tokens);
         sum.failed = sum.failed.saturating_add(load.failed);
         sum.served = sum.served.saturating_add(load.served);
+        sum.recent_ended = sum.recent_ended.saturating_add(load.recent_ended);
+        sum.recent_failed = sum.recent_failed.saturating_add(load.recent_failed);
     }
     Loads { engines: sums.into_values().collect() }
 }
--- a/crates/fleet-view/src/message.rs
+++ b/crates/fleet-view/src/message.rs
@@ -56,6 +56,12 @@
     /// Edges whose last call there ended well a moment ago. Told only of engines where others' calls fail.
     #[prost(uint32, tag = "5")]
     pub served: u32,
+    /// Calls there that ended of late, well or not. Told only of engines where calls of any edge failed of late.
+    #[prost(uint32, tag = "6")]
+    pub recent_ended: u32,
+    /// Those of them that failed by the engine's fault.
+    #[prost(uint32, tag = "7")]
+    pub recent_failed: u32,
 }
 
 /// A part of a prompt that an engine holds in its memory, as far as is known.
--- a/crates/fleet-view/tests/board.rs
+++ b/crates/fleet-view/tests/board.rs
@@ -87,6 +87,74 @@
     assert_eq!((sum.failed, sum.served), (2, 1));
 }
 
+#[test]
+fn calls_that_ended_of_late_add_up_over_edges_and_boards() {
+    let (mut here, mut there) = (board(), board());
+    let recent = |recent_ended, recent_failed| EngineLoad {
+        engine: 1,
+        recent_ended,
+        recent_failed,
+        ..EngineLoad::default()
+    };
+    here.exchange(telling("a", vec![recent(10, 4)]), at(0));
+    here.exchange(telling("b", vec![recent(7, 0)]), at(0));
+    there.exchange(telling("c", vec![recent(3, 3)]), at(0));
+    here.exchange(there.for_boards("there", at(1)).expect("news").news, at(1));
+    assert_eq!(loads(&here.exchange(telling("d", Vec::new()), at(10))), [recent(20, 7)]);
+    // What a node counts itself is not told to it.
+    assert_eq!(loads(&here.exchange(telling("a", Vec::new()), at(10))), [recent(10, 3)]);
+    // A hostile or broken teller makes no overflow.
+    here.exchange(telling("e", vec![recent(u32::MAX, u32::MAX)]), at(11));
+    assert_eq!(loads(&here.exchange(telling("d", Vec::new()), at(12))), [recent(u32::MAX, u32::MAX)]);
+}
+
+/// A build before the counts.
+#[derive(Clone, PartialEq, Message)]
+struct OlderEngineLoad {
+    #[prost(fixed32, tag = "1")]
+    engine: u32,
+    #[prost(uint32, tag = "2")]
+    running: u32,
+    #[prost(uint32, tag = "3")]
+    unread_tokens: u32,
+    #[prost(uint32, tag = "4")]
+    failed: u32,
+    #[prost(uint32, tag = "5")]
+    served: u32,
+}
+
+#[test]
+fn an_older_build_reads_the_counts_as_nothing_and_tells_none() {
+    let older = OlderEngineLoad { engine: 1, running: 2, unread_tokens: 100, failed: 1, served: 0 };
+    let newer = EngineLoad {
+        engine: 1,
+        running: 2,
+        unread_tokens: 100,
+        failed: 1,
+        recent_ended: 90,
+        recent_failed: 30,
+        ..EngineLoad::default()
+    };
+    assert_eq!(OlderEngineLoad::decode(newer.encode_to_vec().as_slice()).expect("readable"), older);
+    let read = EngineLoad::decode(older.encode_to_vec().as_slice()).expect("readable");
+    assert_eq!(read, EngineLoad { recent_ended: 0, recent_failed: 0, ..newer });
+}
+
+/// Bytes that an engine takes in a message: none more where nothing fails.
+#[test]
+fn the_counts_take_few_bytes() {
+    let bytes = |load: EngineLoad| Loads { engines: vec![load] }.encoded_len();
+    let busy = load(0x1234_5678, 5, 3_000);
+    let told = EngineLoad { recent_ended: 100, recent_failed: 40, ..busy };
+    assert_eq!(bytes(EngineLoad { recent_ended: 0, recent_failed: 0, ..busy }), bytes(busy));
+    assert_eq!(bytes(told) - bytes(busy), 4);
+    let sum = EngineLoad { recent_ended: 10_000, recent_failed: 4_000, ..busy };
+    assert_eq!(bytes(sum) - bytes(busy), 6);
+    // An engine that would not be told of without them.
+    let idle = EngineLoad { running: 0, unread_tokens: 0, ..told };
+    assert_eq!(bytes(idle), 11);
+}
+
 #[test]
 fn boards_tell_each_other_of_their_own_edges_only() {
     let (mut here, mut there) = (board(), board());
--- a/crates/routing/src/book.rs
+++ b/crates/routing/src/book.rs
@@ -12,6 +12,7 @@
 mod eligibility;
 mod engine_table;
 mod lives;
+mod outliers;
 
 use engine_table::EngineTable;
 
@@ -159,6 +160,7 @@
     pub fn sent(&mut self, id: &EngineId, unread_tokens: u64, now: Timestamp) {
         if let Some(engine) = self.engines.get_mut(id) {
             engine.running += 1;
+            engine.is_used(now);
             engine.unread_tokens += unread_tokens;
             engine.health.sent(now);
         }
@@ -220,7 +222,11 @@
         for key in no_more.into_iter().chain(told.keys().copied()) {
             let Some(id) = self.engines.id_of(key).cloned() else { continue };
             if let Some(engine) = self.engines.get_mut(&id) {
-                engine.others = told.get(&key).map(|load| OtherLoad::told(load)).unwrap_or_default();
+                let load = told.get(&key).map(|load| OtherLoad::told(load, &engine.others, now));
+                engine.others = load.unwrap_or_default();
+                if engine.others.running > 0.0 {
+                    engine.is_used(now);
+                }
             }
         }
         self.others_told = ToldTime::now(now);
@@ -243,15 +249,19 @@
         let load_of = |engine: &Engine| {
             let failed = engine.failed_of_late(now);
             let others_fail = self.others_told.age(now).is_some() && engine.others.failed > 0;
+            let recent = self.recent_calls_to_tell(engine, now);
             EngineLoad {
                 engine: engine.key,
                 running: number(engine.running as u64),
                 unread_tokens: number(engine.unread_tokens),
                 failed: failed.unwrap_or(0),
                 served: u32::from(others_fail && failed == Some(0)),
+                recent_ended: recent.ended,
+                recent_failed: recent.failed,
             }
         };
-        let says_something = |load: &EngineLoad| load.running + load.failed + load.served > 0;
+        let says_something =
+            |load: &EngineLoad| load.running + load.failed + load.served + load.recent_ended > 0;
         Loads { engines: self.engines.noted().map(load_of).filter(says_something).collect() }
     }
 }
--- a/crates/routing/src/book/engine_table.rs
+++ b/crates/routing/src/book/engine_table.rs
@@ -164,6 +164,7 @@
             self.alike_groups.len() - 1
         });
         let alike = &mut self.alike_groups[group];
+        engine.outlier = None;
         engine.alike = Some(AlikePlace { group, row: alike.ids.len() });
         alike.keys.push(engine.key);
         alike.ids.push(id.clone());
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -145,7 +145,13 @@
         let fails_others =
             self.others.by_now(&engine.others).fails() && self.off.allows(Mechanism::ToldFailures);
         let is_sound = engine.is_sound(self.now) || !self.off.allows(Mechanism::Health);
-        is_sound && !fails_others
+        is_sound && !fails_others && self.is_admitted(engine)
+    }
+
+    /// Whether the engine is not put aside for this call.
+    fn is_admitted(&self, engine: &Engine) -> bool {
+        let watch = engine.outlier.as_ref();
+        watch.is_none_or(|watch| watch.admits(self.request.key, engine.key, engine.running, self.now))
     }
 
     fn is_fresh(&self, engine: &Engine) -> bool {
@@ -226,7 +232,7 @@
 }
 
 /// A number from 0 to 1 for a key and an engine, by which equal keys prefer the same engines.
-fn drawn(key: u64, engine: u32) -> f64 {
+pub(crate) fn drawn(key: u64, engine: u32) -> f64 {
     mixed(key, engine) as f64 / u64::MAX as f64
 }
 
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -10,7 +10,10 @@
 use sumacdrift_types::Timestamp;
 
 use crate::cold::Coldness;
+use crate::ejection::OutlierWatch;
 use crate::others::OtherLoad;
+
+use crate::recent_calls::CallCounts;
 use crate::slowness::Slowness;
 
 /// An engine as the directory describes it.
@@ -63,6 +66,8 @@
     pub(crate) coldness: Coldness,
     slowness: Slowness,
     last_end: Option<LastEnd>,
+    /// How many of its calls failed of late, and whether it is put aside for that; `None` where it had no calls of late.
+    pub(crate) outlier: Option<Box<OutlierWatch>>,
     /// What other nodes told last of their calls there.
     pub(crate) others: OtherLoad,
     /// Its place among the engines of which nothing is known, where it is one of them.
@@ -104,6 +109,7 @@
             is_withdrawn: false,
             slowness: Slowness::usual(now),
             last_end: None,
+            outlier: None,
             others: OtherLoad::default(),
             alike: None,
             spec,
@@ -115,7 +121,8 @@
         let is_idle = self.running == 0 && self.unread_tokens == 0 && self.others == OtherLoad::default();
         let is_usable = self.unusable_since.is_none() && !self.is_withdrawn && !self.coldness.is_cold(now);
         let is_sound = self.health.is_settled(now) && self.failed_of_late(now).is_none();
-        is_idle && is_usable && is_sound && self.slowness.is_usual(now)
+        let is_no_outlier = self.outlier.as_ref().is_none_or(|watch| watch.is_settled(now));
+        is_idle && is_usable && is_sound && is_no_outlier && self.slowness.is_usual(now)
     }
 
     /// Whether it takes new work.
@@ -136,6 +143,7 @@
             Outcome::Busy => return,
             Outcome::Faulty | Outcome::Unreachable => self.health.failed(now),
         }
+        self.outlier.get_or_insert_default().recent.note(outcome != Outcome::Sound, now);
         let before = self.last_end.map_or(0, |end| end.failed_in_a_row);
         let failed_in_a_row = if outcome == Outcome::Sound { 0 } else { before + 1 };
         self.last_end = Some(LastEnd { at: now, failed_in_a_row });
@@ -147,6 +155,16 @@
         Some(end.failed_in_a_row)
     }
 
+    /// A call of any node is under way there.
+    pub(crate) fn is_used(&mut self, now: Timestamp) {
+        self.outlier.get_or_insert_default().used_at = Some(now);
+    }
+
+    /// Calls of this node that ended there of late.
+    pub(crate) fn recent_calls(&self, now: Timestamp) -> CallCounts {
+        self.outlier.as_ref().map_or(CallCounts::default(), |watch| watch.recent.counts(now))
+    }
+
     /// How many times longer than usual for its service it takes.
     pub(crate) fn slowness(&self, now: Timestamp) -> f64 {
         self.slowness.now(now)
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -8,12 +8,15 @@
 mod choice;
 mod cold;
 mod distance;
+mod ejection;
 mod engine;
 mod estimate;
 mod evacuation;
 mod line_fit;
 mod names;
 mod others;
+mod outlier;
+mod recent_calls;
 mod routes;
 mod slowness;
 mod speeds;
@@ -24,10 +27,16 @@
 pub use choice::{PartNeed, Placed, PlacementRequest, RequestedWork};
 pub use cold::{ColdLimit, PERMIT_LASTS, Permit};
 pub use distance::{TrafficPrices, Way};
+pub use ejection::{FIRST_ASIDE, LONGEST_ASIDE, RETURN_TIME};
 pub use engine::{EngineSpec, Outcome};
 pub use estimate::{CallWork, EngineFacts, Estimate, Speeds, estimate};
 pub use evacuation::{Evacuation, EvacuationChange};
 pub use line_fit::{FitBounds, LineFit};
+pub use outlier::{
+    JudgedEngine, Judgement, LEAST_SAMPLE, OutlierChange, OutlierChangeKind, Stage, Verdict, judge,
+    most_aside,
+};
+pub use recent_calls::CallCounts;
 pub use routes::{Routes, Selected};
 pub use speeds::{LearnedSpeeds, StreamSeen};
 pub use table::{CallerLimits, Route, RouteTable, ServiceSpec, WeightedService};
--- a/crates/routing/src/others.rs
+++ b/crates/routing/src/others.rs
@@ -5,11 +5,16 @@
 use sumacdrift_fleet_view::EngineLoad;
 use sumacdrift_types::Timestamp;
 
+use crate::recent_calls::CallCounts;
+
 /// How long what others told counts; after that it says nothing of now.
 const OTHERS_COUNT_FOR: Duration = Duration::from_millis(1500);
 /// Time after which differences between engines, as they were told, have shrunk to 1/e: calls begin and end meanwhile,
 /// and whoever was told the same sent calls to the emptier engines.
 const DIFFERENCES_LAST: Duration = Duration::from_millis(150);
+/// Time within which every busy node tells of its calls at an engine after some node told of a failure there, and its news are
+/// here.
+pub(crate) const ALL_TELL_WITHIN: Duration = Duration::from_millis(400);
 /// Failures that others must have seen for an engine to be avoided here too.
 const FAILURES_TO_AVOID: u32 = 3;
 
@@ -21,19 +26,38 @@
     /// Calls that failed a moment ago, and nodes whose last call ended well.
     pub(crate) failed: u32,
     pub(crate) served: u32,
+    /// Calls that ended of late, where any failed.
+    recent: CallCounts,
+    /// Since when they have told that some did.
+    some_fail_since: Option<Timestamp>,
 }
 
 impl OtherLoad {
-    /// As others told it.
-    pub(crate) fn told(load: &EngineLoad) -> Self {
+    /// As others told it, after what they told before.
+    pub(crate) fn told(load: &EngineLoad, before: &OtherLoad, now: Timestamp) -> Self {
+        let some_fail = load.recent_failed > 0;
         Self {
+            some_fail_since: some_fail.then(|| before.some_fail_since.unwrap_or(now)),
             running: f64::from(load.running),
             unread_tokens: f64::from(load.unread_tokens),
             failed: load.failed,
             served: load.served,
+            recent: CallCounts { ended: load.recent_ended, failed: load.recent_failed },
         }
     }
 
+    /// Whether calls of others failed there of late.
+    pub(crate) fn some_fail(&self) -> bool {
+        self.some_fail_since.is_some()
+    }
+
+    /// Calls of others that ended there of late. The nodes with failures tell first, so nothing counts before the others can
+    /// have told of theirs.
+    pub(crate) fn recent(&self, now: Timestamp) -> CallCounts {
+        let all_told = self.some_fail_since.is_some_and(|since| now.since(since) >= ALL_TELL_WITHIN);
+        if all_told { self.recent } else { CallCounts::default() }
+    }
+
     /// Whether others' calls fail there, more than end well.
     pub(crate) fn fails(&self) -> bool {
         self.failed >= FAILURES_TO_AVOID && self.failed > self.served
--- a/crates/types/src/mechanism.rs
+++ b/crates/types/src/mechanism.rs
@@ -26,6 +26,8 @@
     Health,
     /// Engines at which other edges' calls fail are avoided.
     ToldFailures,
+    /// Engines that fail a far larger part of all edges' calls than the rest of their service are put aside for a time.
+    OutlierEjection,
     /// Connections rest for less after one was found dead.
     RestLimit,
     /// Calls wait a moment for the first configuration.
@@ -41,7 +43,7 @@
 }
 
 /// All of them with their names in settings.
-const NAMES: [(Mechanism, &str); 16] = [
+const NAMES: [(Mechanism, &str); 17] = [
     (Mechanism::HeldPrompts, "held-prompts"),
     (Mechanism::ToldPrompts, "told-prompts"),
     (Mechanism::ToldLoads, "told-loads"),
@@ -52,6 +54,7 @@
     (Mechanism::Urgency, "urgency"),
     (Mechanism::Health, "health"),
     (Mechanism::ToldFailures, "told-failures"),
+    (Mechanism::OutlierEjection, "outlier-ejection"),
     (Mechanism::RestLimit, "rest-limit"),
     (Mechanism::StartWait, "start-wait"),
     (Mechanism::Hedging, "hedging"),
