Edges tell operators when an engine is put aside and brought back

One line for each change (engine_put_aside, engine_brought_back, engine_released) with the calls it was judged by, the rate of the others and the age of the news; a gauge of engines put aside, a counter of how often. Judged where a call failed, where others told of their calls, and once a second. Tests of the edge crate: 6 of 6 pass; the lines themselves were not played on real programs.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -258,8 +258,12 @@
         let mut book = self.book();
         let cold = book.cold_engines(now);
         self.metrics.cold_engines.set(i64::try_from(cold).unwrap_or(i64::MAX));
+        let outliers = book.engines_put_aside(now);
+        self.metrics.outliers.set(i64::try_from(outliers).unwrap_or(i64::MAX));
         self.pool.sweep(|engine| book.spec(engine).is_some());
         book.settle(|engine| self.pool.is_connected(engine), now);
+        drop(book);
+        self.judge_outliers(now);
     }
 
     /// Counters and histograms.
@@ -328,10 +332,14 @@
 
     /// A call at an engine ended.
     pub(crate) fn engine_ended(&self, engine: &EngineId, outcome: Outcome) {
-        let is_avoided = self.book().ended(engine, outcome, self.clock.now());
+        let now = self.clock.now();
+        let is_avoided = self.book().ended(engine, outcome, now);
         if is_avoided {
             info!(self.logger, "engine avoided"; "event" => "engine_avoided", "engine" => %engine,
                 "outcome" => ?outcome);
         }
+        if matches!(outcome, Outcome::Faulty | Outcome::Unreachable) {
+            self.judge_outliers(now);
+        }
     }
 }
--- a/crates/edge/src/fleet_news.rs
+++ b/crates/edge/src/fleet_news.rs
@@ -128,6 +128,10 @@
         for held in view.held {
             book.others_hold(held, now);
         }
+        drop(book);
+        if view.loads.is_some() {
+            self.judge_outliers(now);
+        }
     }
 }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -19,6 +19,7 @@
 mod headers;
 mod listener;
 mod metrics;
+mod outlier_report;
 mod plain;
 mod regions;
 mod report;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -26,6 +26,8 @@
     pub(crate) permits_refused: Counter,
     pub(crate) cold_engines: Gauge,
     pub(crate) evacuated_zones: Gauge,
+    pub(crate) outliers: Gauge,
+    pub(crate) outlier_ejections: Counter,
     pub(crate) resumptions: Counter,
     pub(crate) under_way: Gauge,
     pub(crate) configuration: Gauge,
@@ -50,6 +52,8 @@
             permits_refused: Counter::default(),
             cold_engines: Gauge::default(),
             evacuated_zones: Gauge::default(),
+            outliers: Gauge::default(),
+            outlier_ejections: Counter::default(),
             resumptions: Counter::default(),
             under_way: Gauge::default(),
             configuration: Gauge::default(),
@@ -86,6 +90,16 @@
             "Zones whose engines get nothing new",
             self.evacuated_zones.clone(),
         );
+        registry.register(
+            "outliers",
+            "Engines that are put aside as they failed too much, or are being brought back",
+            self.outliers.clone(),
+        );
+        registry.register(
+            "outlier_ejections",
+            "How often an engine was put aside as an outlier",
+            self.outlier_ejections.clone(),
+        );
         registry.register("permits", "Permits for calls to cold engines", self.permits.clone());
         registry.register("permits_refused", "Permits that were not given", self.permits_refused.clone());
         registry.register("cold_engines", "Engines that are cold", self.cold_engines.clone());
