--- a/crates/routing/src/outlier.rs
+++ b/crates/routing/src/outlier.rs
@@ -9,7 +9,7 @@
 use crate::recent_calls::CallCounts;
 
 /// Calls that must have ended of late before an engine is put aside, and how many of them must have failed. A busy engine
-/// has them within half a second; where one call in fifty fails, six of 24 do so once in 100,000 times.
+/// has them within half a second; where one call in fifty fails, six of 24 do so less than once in 100,000 times.
 pub const LEAST_SAMPLE: u32 = 12;
 const LEAST_FAILURES: u32 = 6;
 /// The same for an engine that is being brought back: it has shown before that it fails.
--- a/crates/routing/tests/fleet_for_tests/mod.rs
+++ b/crates/routing/tests/fleet_for_tests/mod.rs
@@ -83,6 +83,13 @@
         within().filter(|call| call.engine == engine).count() as f64 / within().count() as f64
     }
 
+    /// When an edge put an engine aside for the first time.
+    pub fn first_put_aside(&self, edge: usize) -> Option<Timestamp> {
+        let mut changes = self.changes.iter();
+        let is_put_aside = |change: &OutlierChange| matches!(change.kind, OutlierChangeKind::PutAside { .. });
+        changes.find(|(of, _, change)| *of == edge && is_put_aside(change)).map(|(_, now, _)| *now)
+    }
+
     /// How often edges put an engine aside.
     pub fn put_aside(&self) -> usize {
         let changes = self.changes.iter();
--- a/crates/routing/tests/outliers.rs
+++ b/crates/routing/tests/outliers.rs
@@ -2,6 +2,7 @@
 //!
 //! - one engine of 12 fails 40 % of its calls, 50 calls a second there over 50 edges, news 300 ms old: 1.5 s after the fault's
 //!   begin (0.5 s for enough calls and 1 s more) it gets under a tenth of its share; over 20 s of fault at most half of the failures;
+//!   the same 2 s after the begin where it fails a third, and every edge has put it aside by then;
 //! - a quarter or half of the engines fail alike: never more than a fifth is put aside and all keep serving;
 //! - the fault ends: full share again within the longest pause, the return and the time of news (30 s), after a short fault within 9 s;
 //! - no news for two seconds: only the own counts say anything; half of the edges of an older build: no more failures;
@@ -20,7 +21,7 @@
     CallCounts, EngineBook, EngineSpec, FIRST_ASIDE, JudgedEngine, LEAST_SAMPLE, LONGEST_ASIDE, Outcome,
     OutlierChangeKind, RETURN_TIME, Stage, Verdict, judge, most_aside,
 };
-use sumacdrift_types::{SwitchedOff, Timestamp};
+use sumacdrift_types::{Mechanism, SwitchedOff, Timestamp};
 
 const EDGES: usize = 50;
 const ENGINES: usize = 12;
@@ -69,11 +70,17 @@
         let share =
             |result: &Result| result.share(0, at(BEGINS + shows_after), at(BEGINS + shows_after + 2_000));
         let (before, after) = (share(&without), share(&with));
+        let mut first: Vec<Option<Timestamp>> = (0..EDGES).map(|edge| with.first_put_aside(edge)).collect();
+        first.sort_unstable();
+        let shown = [0, EDGES / 2, EDGES - 1].map(|edge| first[edge].map(|now| now.since(at(BEGINS))));
+        println!("first, median and last edge put it aside after {shown:?}");
         println!(
             "seed {seed}, {part:.2}: share {before:.3} -> {after:.3}, failures {} -> {}",
             without.failures(),
             with.failures()
         );
+        let all_did = first[0].is_some() && first[EDGES - 1] <= Some(at(BEGINS + 2_000));
+        assert!(all_did, "seed {seed}, {part:.2}: {shown:?}");
         assert!(after < FULL_SHARE / 10.0, "seed {seed}, {part:.2}: share {after:.4}");
         assert!(with.failures() * 2 <= without.failures(), "seed {seed}, {part:.2}");
     }
@@ -333,6 +340,58 @@
     assert_eq!(book.engines_put_aside(later), 1);
 }
 
+/// A book that was told twice, with the time between that all nodes need, of calls at its first engines.
+fn told_of_failures(off: SwitchedOff, engines: usize, failing: usize, now: Timestamp) -> EngineBook {
+    let mut book = edge_book(engines, 6, off);
+    let engines = (0..failing).flat_map(|engine| told(&engine_id(engine), 100, 60).engines);
+    let used = (failing..failing + 4).map(|engine| EngineLoad {
+        engine: engine_key(&engine_id(engine).life_text()),
+        running: 1,
+        ..EngineLoad::default()
+    });
+    let loads = Loads { engines: engines.chain(used).collect() };
+    for at in [now, now + Duration::from_millis(400)] {
+        book.others_told(&loads, at);
+    }
+    book
+}
+
+#[test]
+fn engines_that_nobody_uses_do_not_count() {
+    let judged = |failing| {
+        let later = at(10_400);
+        let mut book = told_of_failures(SwitchedOff::default(), 200, failing, at(10_000));
+        book.judge_outliers(later).len()
+    };
+    assert_eq!(judged(1), 1);
+    // Two of six are more than a fifth, however many others there are.
+    assert_eq!(judged(2), 0);
+}
+
+#[test]
+fn switched_off_it_puts_nothing_aside() {
+    let off = SwitchedOff::default().with(Mechanism::OutlierEjection);
+    let mut book = told_of_failures(off, 6, 1, at(10_000));
+    assert!(book.judge_outliers(at(10_400)).is_empty());
+    assert_eq!(book.engines_put_aside(at(10_400)), 0);
+}
+
+#[test]
+fn calls_count_for_a_time_and_no_longer() {
+    let now = at(10_000);
+    let mut book = book_in_use(now);
+    call(&mut book, &engine_id(0), Outcome::Faulty, now);
+    call(&mut book, &engine_id(0), Outcome::Unreachable, now + Duration::from_millis(800));
+    let recent = |millis| {
+        let loads = book.loads(now + Duration::from_millis(millis)).engines;
+        loads.first().map(|load| (load.recent_ended, load.recent_failed))
+    };
+    assert_eq!(recent(800), Some((3, 2)));
+    assert_eq!(recent(1_599), Some((3, 2)));
+    assert_eq!(recent(1_600), Some((1, 1)));
+    assert_eq!(recent(100_000), None);
+}
+
 #[test]
 fn a_call_that_was_turned_away_says_nothing() {
     let now = at(10_000);
