--- a/crates/edge/src/fleet_news.rs
+++ b/crates/edge/src/fleet_news.rs
@@ -132,6 +132,7 @@
             }
         }
         if view.loads.is_some() {
+            self.judge_outliers(now);
             self.others_demand(&view.demands);
         }
     }
--- a/crates/routing/src/book/room.rs
+++ b/crates/routing/src/book/room.rs
@@ -5,6 +5,7 @@
 use sumacdrift_types::Timestamp;
 
 use super::EngineBook;
+use super::outliers::is_put_aside;
 use crate::engine::Engine;
 use crate::others::BelievedLoads;
 
@@ -24,7 +25,8 @@
     pub fn room(&self, service: &str, now: Timestamp) -> EngineRoom {
         let of_service = || self.engines.noted().filter(|engine| &*engine.spec.service == service);
         let takes_work = |engine: &&Engine| {
-            engine.is_usable(now) && engine.is_sound(now) && !self.is_evacuated(&engine.spec.zone)
+            let takes_calls = engine.is_usable(now) && engine.is_sound(now) && !is_put_aside(engine, now);
+            takes_calls && !self.is_evacuated(&engine.spec.zone)
         };
         let noted: usize = of_service().filter(takes_work).map(|engine| engine.spec.slots).sum();
         let alike = self.engines.alike_slots(service, |zone| !self.is_evacuated(zone));
