--- a/crates/scheduling/tests/crowd_of_all.rs
+++ b/crates/scheduling/tests/crowd_of_all.rs
@@ -2,7 +2,7 @@
 //!
 //! As many calls are answered in a second as under the load that just fits, less a twentieth: nothing collapses. Of the
 //! programs that began 95 of 100 end, and of the calls let in 95 of 100 are answered before their callers leave. 2 s after
-//! the crowd calls wait no longer than under the load that just fits. No call is held until it can't be answered any more.
+//! the crowd calls wait as long as without a crowd. No call is held until it can't be answered any more.
 
 mod load_world;
 
@@ -14,12 +14,12 @@
 
 const SEEDS: u64 = 5;
 const CROWD_TIMES: f64 = 3.0;
-/// The usual load so many times is the most of which all programs are served without refusals.
+/// The usual load so many times just fits: without queues, too, no call of it is refused.
 const JUST_FITS_TIMES: f64 = 1.5;
 const LEAST_WORK: f64 = 0.95;
 const LEAST_ENDED: f64 = 0.95;
-/// Two waits are the same up to so much of the longer one.
-const SAME_WAIT: f64 = 1.1;
+/// Two waits are the same up to a tenth of a call's time.
+const SAME_WAIT: Duration = Duration::from_millis(30);
 
 fn crowd() -> Range<Timestamp> {
     second(4.0)..second(10.0)
@@ -40,12 +40,12 @@
 }
 
 fn just_fits(seed: u64) -> Outcome {
-    play(&Plan::usual(Policy::Queued).with_load(JUST_FITS_TIMES), seed)
+    play(&Plan::usual(Policy::Direct).with_load(JUST_FITS_TIMES), seed)
 }
 
 /// The longest wait soon after the crowd that is as usual.
 fn usual_wait(seed: u64) -> Duration {
-    just_fits(seed).mean_wait(&soon_after()).mul_f64(SAME_WAIT)
+    play(&Plan::usual(Policy::Queued), seed).mean_wait(&soon_after()) + SAME_WAIT
 }
 
 fn report(name: &str, seed: u64, outcome: &Outcome) {
@@ -63,11 +63,12 @@
 fn no_work_is_lost_to_the_crowd() {
     for seed in 0..SEEDS {
         let just_fits = just_fits(seed);
+        assert!(just_fits.told_returns.is_empty(), "seed {seed}: the load does not fit");
         let outcome = play(&crowded(Policy::Queued), seed);
         let fits = just_fits.answered_per_second(&full_crowd());
         let answered = outcome.answered_per_second(&full_crowd());
         report("queued", seed, &outcome);
-        println!("just fits seed {seed}: answered {fits:.0}/s, refusals {}", just_fits.refusals.len());
+        println!("just fits seed {seed}: answered {fits:.0}/s");
         assert!(answered >= LEAST_WORK * fits, "seed {seed}: {answered:.0}/s against {fits:.0}/s");
     }
 }
@@ -86,12 +87,13 @@
 
 #[test]
 fn calls_wait_as_usual_soon_after() {
+    let mut waits = Vec::new();
     for seed in 0..SEEDS {
         let outcome = play(&crowded(Policy::Queued), seed);
-        let (wait, usual) = (outcome.mean_wait(&soon_after()), usual_wait(seed));
-        println!("queued seed {seed}: wait soon after {wait:?}, usual {usual:?}");
-        assert!(wait <= usual, "seed {seed}: {wait:?} against {usual:?}");
+        waits.push((outcome.mean_wait(&soon_after()), usual_wait(seed)));
     }
+    println!("waits soon after, and as usual: {waits:?}");
+    assert!(waits.iter().all(|(wait, usual)| wait <= usual), "{waits:?}");
 }
 
 #[test]
