Recorded forms of what builds share: messages, frames, segments, objects of the store

Cause: nothing but a reader's eye kept a change of a message or a file from being one that a build beside it, or one before it on the same disk, can't read.

Bytes of each kind of record, request and reply of the ledger, of feeds, boards, frames, journals' segments and objects of the store now lie in text files beside the tests, with every optional field and with none. Today's code must read each to the value that is written down, and write the newest as it lies there; structs of earlier builds, copied into the tests, must read today's bytes to what they wrote. A kind without an entry does not compile or fails. Short names and the choice of a program's group are pinned by their figures.

The checks' own tests play a missing line, other bytes, a form that is only read, one that no test reads.

--- /dev/null
+++ b/crates/fleet-view/tests/recorded_forms/main.rs
@@ -0,0 +1,88 @@
+//! What edges and boards tell each other, as earlier builds wrote it, is read; today's is written as it was recorded, and
+//! earlier builds read it. Short names are those that every build gives.
+//!
+//! A new form is added as `sumacdrift_recorded_forms` says; lines of `fixtures/views.txt` are never changed.
+
+mod older;
+
+use prost::Message;
+use sumacdrift_fleet_view::{EngineLoad, Loads, News, PartHeld, View, engine_key, part_key};
+use sumacdrift_recorded_forms::{Codec, RecordedForms};
+
+const NEWS: &str = "News";
+const VIEW: &str = "View";
+const ENGINE: u32 = 0x1234_5678;
+const PART: u64 = 0x1122_3344_5566_7788;
+const RELAY: &str = "10.0.1.1:7000";
+
+fn recorded() -> RecordedForms {
+    RecordedForms::parse(include_str!("fixtures/views.txt"))
+}
+
+fn first_loads() -> Loads {
+    Loads {
+        engines: vec![EngineLoad { engine: ENGINE, running: 3, unread_tokens: 900, failed: 0, served: 0 }],
+    }
+}
+
+fn loads() -> Loads {
+    Loads {
+        engines: vec![EngineLoad { engine: ENGINE, running: 3, unread_tokens: 900, failed: 2, served: 1 }],
+    }
+}
+
+fn held() -> Vec<PartHeld> {
+    vec![PartHeld { part: PART, engine: ENGINE, tokens: 640 }]
+}
+
+fn news(loads: Loads, is_from_board: bool) -> News {
+    News {
+        node: "e1".to_owned(),
+        relay: RELAY.to_owned(),
+        loads: Some(loads),
+        held: held(),
+        asked_parts: vec![PART],
+        asks_loads: true,
+        asks_relays: true,
+        is_from_board,
+    }
+}
+
+fn view(loads: Loads) -> View {
+    View { loads: Some(loads), held: held(), relays: vec![RELAY.to_owned()] }
+}
+
+#[test]
+fn recorded_forms_are_read_and_the_newest_of_them_written() {
+    let mut forms = recorded();
+    forms.reads(&Codec::message(), NEWS, "1", &news(first_loads(), false));
+    forms.reads(&Codec::message(), NEWS, "2", &news(loads(), false));
+    forms.writes(&Codec::message(), NEWS, "3", &news(loads(), true));
+    forms.writes_bare(&Codec::message(), NEWS, &News::default());
+    forms.reads(&Codec::message(), VIEW, "1", &view(first_loads()));
+    forms.writes(&Codec::message(), VIEW, "2", &view(loads()));
+    forms.writes_bare(&Codec::message(), VIEW, &View::default());
+    if let Err(failures) = forms.finish(&[NEWS, VIEW]) {
+        panic!("{failures}");
+    }
+}
+
+/// What an earlier build reads from what today's build writes, written again as that build writes it: the recorded form.
+fn reread<M: Message + Default>(newest: &impl Message) -> Vec<u8> {
+    M::decode(newest.encode_to_vec().as_slice()).expect("a message").encode_to_vec()
+}
+
+#[test]
+fn earlier_builds_read_what_they_know_of_todays_messages() {
+    let mut forms = recorded();
+    assert_eq!(reread::<older::FirstNews>(&news(loads(), true)), forms.bytes(NEWS, "1"));
+    assert_eq!(reread::<older::NewsWithFailures>(&news(loads(), true)), forms.bytes(NEWS, "2"));
+    assert_eq!(reread::<older::FirstView>(&view(loads())), forms.bytes(VIEW, "1"));
+}
+
+#[test]
+fn every_build_gives_the_same_short_names() {
+    assert_eq!(engine_key("engine-1"), 1_914_633_309);
+    assert_eq!(engine_key("engine-1@1700000000000"), 1_936_577_152);
+    assert_eq!(part_key("system-prompt"), 4_938_891_675_840_779_692);
+}
--- /dev/null
+++ b/crates/fleet-view/tests/recorded_forms/older.rs
@@ -0,0 +1,70 @@
+//! Messages as earlier builds knew them: their fields and numbers, copied from those builds.
+
+use sumacdrift_fleet_view::{Loads, PartHeld};
+
+/// Of ed4b611.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct FirstNews {
+    #[prost(string, tag = "1")]
+    pub node: String,
+    #[prost(string, tag = "2")]
+    pub relay: String,
+    #[prost(message, optional, tag = "3")]
+    pub loads: Option<FirstLoads>,
+    #[prost(message, repeated, tag = "4")]
+    pub held: Vec<PartHeld>,
+    #[prost(fixed64, repeated, tag = "5")]
+    pub asked_parts: Vec<u64>,
+    #[prost(bool, tag = "6")]
+    pub asks_loads: bool,
+    #[prost(bool, tag = "7")]
+    pub asks_relays: bool,
+}
+
+/// Of dabe329.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct NewsWithFailures {
+    #[prost(string, tag = "1")]
+    pub node: String,
+    #[prost(string, tag = "2")]
+    pub relay: String,
+    #[prost(message, optional, tag = "3")]
+    pub loads: Option<Loads>,
+    #[prost(message, repeated, tag = "4")]
+    pub held: Vec<PartHeld>,
+    #[prost(fixed64, repeated, tag = "5")]
+    pub asked_parts: Vec<u64>,
+    #[prost(bool, tag = "6")]
+    pub asks_loads: bool,
+    #[prost(bool, tag = "7")]
+    pub asks_relays: bool,
+}
+
+/// Of ed4b611.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct FirstLoads {
+    #[prost(message, repeated, tag = "1")]
+    pub engines: Vec<FirstEngineLoad>,
+}
+
+/// Of ed4b611.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct FirstEngineLoad {
+    #[prost(fixed32, tag = "1")]
+    pub engine: u32,
+    #[prost(uint32, tag = "2")]
+    pub running: u32,
+    #[prost(uint32, tag = "3")]
+    pub unread_tokens: u32,
+}
+
+/// Of ed4b611.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct FirstView {
+    #[prost(message, optional, tag = "1")]
+    pub loads: Option<FirstLoads>,
+    #[prost(message, repeated, tag = "2")]
+    pub held: Vec<PartHeld>,
+    #[prost(string, repeated, tag = "3")]
+    pub relays: Vec<String>,
+}
--- /dev/null
+++ b/crates/ledger/tests/recorded_forms/samples.rs
@@ -0,0 +1,304 @@
+//! Values of each kind: with every optional field set, with none, and as they are read from earlier forms.
+
+use bytes::Bytes;
+use sumacdrift_ledger::{
+    Begin, BeginVote, ChainReply, ChainRequest, ContentsRequest, End, GroupMapMessage, GroupMessage,
+    KnownTurn, LedgerReply, LedgerRequest, MemberMessage, Page, PageRequest, Push, QuotaAnswer,
+    QuotaDecision, QuotaQuestion, QuotaTotals, Reading, Record, RecordKind, ReplyKind, RequestKind,
+    RetainedTurn, SilentMember, Standing, StatusReply, StoredCopy, TenantTotalMessage, TurnBegun, TurnEnded,
+};
+
+const EPOCH: u64 = 5;
+const GROUP: u32 = 1;
+
+fn text(text: &str) -> String {
+    text.to_owned()
+}
+
+fn turn_begun() -> TurnBegun {
+    TurnBegun {
+        program: text("program-1"),
+        turn: text("turn-2"),
+        most_tokens: 4096,
+        retention_millis: 600_000,
+    }
+}
+
+fn retained() -> RetainedTurn {
+    RetainedTurn {
+        previous: text("turn-1"),
+        input: Bytes::from_static(b"in"),
+        output: Bytes::from_static(b"out"),
+    }
+}
+
+fn turn_ended() -> TurnEnded {
+    TurnEnded {
+        program: text("program-1"),
+        turn: text("turn-2"),
+        tokens: 300,
+        retention_millis: 600_000,
+        retained: Some(retained()),
+    }
+}
+
+fn chain() -> ChainReply {
+    ChainReply { turns: vec![retained()], missing: text("turn-0") }
+}
+
+fn member(node: &str, address: &str, zone: &str, joined: u64) -> MemberMessage {
+    MemberMessage { node: text(node), address: text(address), zone: text(zone), joined }
+}
+
+fn group(number: u32) -> GroupMessage {
+    let members = vec![member("m1", "10.0.0.1:7000", "a", 3), member("m2", "10.0.0.2:7000", "b", 4)];
+    GroupMessage { epoch: EPOCH, members, number }
+}
+
+fn record(kind: RecordKind) -> Record {
+    Record { kind: Some(kind), expiry_millis: 1000 }
+}
+
+fn begin() -> RequestKind {
+    RequestKind::Begin(Begin {
+        turn: Some(turn_begun()),
+        budget_tokens: 10_000,
+        previous: text("turn-1"),
+        wants_chain: true,
+    })
+}
+
+fn end() -> RequestKind {
+    RequestKind::End(End { turn: Some(turn_ended()) })
+}
+
+fn chain_request() -> ChainRequest {
+    ChainRequest { turn: text("turn-1") }
+}
+
+fn page_request(number: u32, keys_only: bool) -> RequestKind {
+    RequestKind::Page(PageRequest { after: text("pprogram-1"), group: Some(group(number)), keys_only })
+}
+
+fn push(number: u32) -> RequestKind {
+    let records = vec![record(RecordKind::Begun(turn_begun()))];
+    RequestKind::Push(Push { records, group: Some(group(number)) })
+}
+
+fn quota(program: Option<u64>) -> RequestKind {
+    RequestKind::Quota(QuotaQuestion {
+        tenant: text("t1"),
+        per_second: 12.5,
+        burst: 30.0,
+        window_millis: 1000,
+        version: 7,
+        program,
+    })
+}
+
+fn quota_totals(recent: u64) -> RequestKind {
+    let totals = vec![TenantTotalMessage { tenant: text("t1"), calls: 40, recent }];
+    RequestKind::QuotaTotals(QuotaTotals { node: text("m1"), life: 77, is_warm: true, totals })
+}
+
+fn vote() -> ReplyKind {
+    ReplyKind::Vote(BeginVote {
+        known: vec![KnownTurn { turn: text("turn-1"), tokens: 120, has_ended: true }],
+        fits: true,
+        knows_previous: true,
+        chain: Some(chain()),
+    })
+}
+
+fn page(kept_turns: Vec<String>) -> ReplyKind {
+    let records = vec![record(RecordKind::Ended(turn_ended()))];
+    ReplyKind::Page(Page { records, next: text("tturn-1"), kept_turns })
+}
+
+/// A status as the first build wrote it.
+fn first_status(number: u32) -> StatusReply {
+    StatusReply {
+        node: text("m1"),
+        is_voting: true,
+        may_found: true,
+        group: Some(group(number)),
+        is_watching: false,
+        silent: Vec::new(),
+        offers_seat: false,
+    }
+}
+
+fn watching_status() -> StatusReply {
+    let silent = vec![SilentMember { node: text("m2"), millis: 1500 }];
+    StatusReply { is_watching: true, silent, ..first_status(GROUP) }
+}
+
+/// Every optional field is set. The number of the form is that of the newest one.
+pub mod full {
+    use super::*;
+
+    pub fn records() -> Vec<(&'static str, Record)> {
+        let standing = Standing { joined: 3, never_voted: true };
+        let copy = StoredCopy { number: 42, content: Bytes::from_static(b"copy") };
+        let reading = Reading { epoch: EPOCH, sources: vec![text("m2")] };
+        vec![
+            ("1", record(RecordKind::Begun(turn_begun()))),
+            ("1", record(RecordKind::Ended(turn_ended()))),
+            ("2", record(RecordKind::Group(group(GROUP)))),
+            ("2", record(RecordKind::Standing(standing))),
+            ("1", record(RecordKind::Copy(copy))),
+            ("1", record(RecordKind::Reading(reading))),
+        ]
+    }
+
+    pub fn requests() -> Vec<(&'static str, LedgerRequest)> {
+        let contents = ContentsRequest { turns: vec![text("turn-1"), text("turn-2")] };
+        let kinds = vec![
+            ("3", begin()),
+            ("3", end()),
+            ("2", RequestKind::Chain(chain_request())),
+            ("3", page_request(GROUP, true)),
+            ("2", push(GROUP)),
+            ("2", RequestKind::Install(group(GROUP))),
+            ("2", RequestKind::Status(true)),
+            ("1", RequestKind::Contents(contents)),
+            ("1", RequestKind::Find(chain_request())),
+            ("1", RequestKind::Map(true)),
+            ("1", RequestKind::News(true)),
+            ("2", quota(Some(9))),
+            ("2", quota_totals(4)),
+            ("1", RequestKind::Stopping(text("m2"))),
+        ];
+        let news = Bytes::from_static(b"news");
+        let request =
+            |kind| LedgerRequest { epoch: EPOCH, kind: Some(kind), group: GROUP, news: news.clone() };
+        kinds.into_iter().map(|(form, kind)| (form, request(kind))).collect()
+    }
+
+    pub fn replies() -> Vec<(&'static str, LedgerReply)> {
+        let status = StatusReply { offers_seat: true, ..watching_status() };
+        let quota =
+            QuotaAnswer { decision: QuotaDecision::Exceeded as i32, retry_after_millis: 250, counted: 12 };
+        let map = GroupMapMessage { groups: vec![GroupMessage { number: 0, ..group(GROUP) }, group(GROUP)] };
+        let kinds = vec![
+            ("2", vote()),
+            ("2", ReplyKind::Done(true)),
+            ("2", ReplyKind::Chain(chain())),
+            ("2", page(vec![text("turn-1")])),
+            ("2", ReplyKind::WrongEpoch(group(GROUP))),
+            ("2", ReplyKind::NotVoting(true)),
+            ("4", ReplyKind::Status(status)),
+            ("2", ReplyKind::Failed(text("the disk failed"))),
+            ("1", ReplyKind::NeverVoted(true)),
+            ("1", ReplyKind::Map(map)),
+            ("1", ReplyKind::Busy(true)),
+            ("1", ReplyKind::Quota(quota)),
+        ];
+        let reply = |kind| LedgerReply { kind: Some(kind), view: Bytes::from_static(b"view") };
+        kinds.into_iter().map(|(form, kind)| (form, reply(kind))).collect()
+    }
+}
+
+/// No optional field is set.
+pub mod bare {
+    use super::*;
+
+    pub fn records() -> Vec<Record> {
+        let kinds = [
+            RecordKind::Begun(TurnBegun::default()),
+            RecordKind::Ended(TurnEnded::default()),
+            RecordKind::Group(GroupMessage::default()),
+            RecordKind::Standing(Standing::default()),
+            RecordKind::Copy(StoredCopy::default()),
+            RecordKind::Reading(Reading::default()),
+        ];
+        kinds.map(|kind| Record { kind: Some(kind), ..Record::default() }).to_vec()
+    }
+
+    pub fn requests() -> Vec<LedgerRequest> {
+        let kinds = [
+            RequestKind::Begin(Begin::default()),
+            RequestKind::End(End::default()),
+            RequestKind::Chain(ChainRequest::default()),
+            RequestKind::Page(PageRequest::default()),
+            RequestKind::Push(Push::default()),
+            RequestKind::Install(GroupMessage::default()),
+            RequestKind::Status(false),
+            RequestKind::Contents(ContentsRequest::default()),
+            RequestKind::Find(ChainRequest::default()),
+            RequestKind::Map(false),
+            RequestKind::News(false),
+            RequestKind::Quota(QuotaQuestion::default()),
+            RequestKind::QuotaTotals(QuotaTotals::default()),
+            RequestKind::Stopping(String::new()),
+        ];
+        kinds.map(|kind| LedgerRequest { kind: Some(kind), ..LedgerRequest::default() }).to_vec()
+    }
+
+    pub fn replies() -> Vec<LedgerReply> {
+        let kinds = [
+            ReplyKind::Vote(BeginVote::default()),
+            ReplyKind::Done(false),
+            ReplyKind::Chain(ChainReply::default()),
+            ReplyKind::Page(Page::default()),
+            ReplyKind::WrongEpoch(GroupMessage::default()),
+            ReplyKind::NotVoting(false),
+            ReplyKind::Status(StatusReply::default()),
+            ReplyKind::Failed(String::new()),
+            ReplyKind::NeverVoted(false),
+            ReplyKind::Map(GroupMapMessage::default()),
+            ReplyKind::Busy(false),
+            ReplyKind::Quota(QuotaAnswer::default()),
+        ];
+        kinds.map(|kind| LedgerReply { kind: Some(kind), ..LedgerReply::default() }).to_vec()
+    }
+}
+
+/// What is read from forms of earlier builds, by the number of the form.
+pub mod earlier {
+    use super::*;
+
+    pub fn records() -> Vec<(&'static str, Record)> {
+        let standing = Standing { joined: 3, never_voted: false };
+        vec![("1", record(RecordKind::Group(group(0)))), ("1", record(RecordKind::Standing(standing)))]
+    }
+
+    pub fn requests() -> Vec<(&'static str, LedgerRequest)> {
+        let first = [
+            begin(),
+            end(),
+            RequestKind::Chain(chain_request()),
+            page_request(0, false),
+            push(0),
+            RequestKind::Install(group(0)),
+            RequestKind::Status(true),
+        ];
+        let with_news = [begin(), end(), page_request(0, true)];
+        let with_group = [quota(None), quota_totals(0)];
+        let news = Bytes::from_static(b"news");
+        let plain = |kind| LedgerRequest { epoch: EPOCH, kind: Some(kind), ..LedgerRequest::default() };
+        let first = first.map(|kind| ("1", plain(kind)));
+        let with_news = with_news.map(|kind| ("2", LedgerRequest { news: news.clone(), ..plain(kind) }));
+        let with_group =
+            with_group.map(|kind| ("1", LedgerRequest { news: news.clone(), group: GROUP, ..plain(kind) }));
+        first.into_iter().chain(with_news).chain(with_group).collect()
+    }
+
+    pub fn replies() -> Vec<(&'static str, LedgerReply)> {
+        let first = [
+            vote(),
+            ReplyKind::Done(true),
+            ReplyKind::Chain(chain()),
+            page(Vec::new()),
+            ReplyKind::WrongEpoch(group(0)),
+            ReplyKind::NotVoting(true),
+            ReplyKind::Status(first_status(0)),
+            ReplyKind::Failed(text("the disk failed")),
+        ];
+        let plain = |kind| LedgerReply { kind: Some(kind), ..LedgerReply::default() };
+        let with_view =
+            |status| LedgerReply { view: Bytes::from_static(b"view"), ..plain(ReplyKind::Status(status)) };
+        let statuses = [("2", with_view(first_status(GROUP))), ("3", with_view(watching_status()))];
+        first.map(|kind| ("1", plain(kind))).into_iter().chain(statuses).collect()
+    }
+}
