An item of a kind that a build doesn't know is no configuration

Cause: the number of an item's kind that only a newer build knows reads as the first one, a configuration.

--- a/crates/dissemination/src/feed.rs
+++ b/crates/dissemination/src/feed.rs
@@ -162,7 +162,7 @@
         for change in changes.changes {
             let Some(item) = change.item else { continue };
             if change.is_gone {
-                self.remove(item.kind(), &item.name, item.revision);
+                self.remove_item((item.kind, item.name), item.revision);
             } else {
                 self.put(item);
             }
@@ -261,8 +261,12 @@
 
     /// An item is gone since a revision of the store; returns whether it was there.
     pub fn remove(&mut self, kind: ItemKind, name: &str, revision: u64) -> bool {
+        self.remove_item((kind as i32, name.to_owned()), revision)
+    }
+
+    /// An item is gone, which may be of a kind that only a newer build knows.
+    fn remove_item(&mut self, key: Key, revision: u64) -> bool {
         self.revision = self.revision.max(revision);
-        let key = (kind as i32, name.to_owned());
         if self.held.get(&key).is_some_and(|held| held.item.revision > revision) {
             return false;
         }
--- a/crates/dissemination/src/message.rs
+++ b/crates/dissemination/src/message.rs
@@ -41,6 +41,11 @@
     pub fn new(kind: ItemKind, name: &str, content: Bytes, revision: u64) -> Self {
         Self { kind: kind as i32, name: name.to_owned(), content, revision }
     }
+
+    /// What it is; `None` where only a newer build knows. [`Item::kind`] takes such an item for a configuration.
+    pub fn known_kind(&self) -> Option<ItemKind> {
+        ItemKind::try_from(self.kind).ok()
+    }
 }
 
 /// A change of an item.
--- a/crates/dissemination/tests/feed.rs
+++ b/crates/dissemination/tests/feed.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use sumacdrift_dissemination::{Changes, Feed, FollowRequest, Item, ItemKind, Listed};
+use sumacdrift_dissemination::{Changes, Feed, FollowRequest, Item, ItemChange, ItemKind, Listed};
 use sumacdrift_types::Timestamp;
 
 fn at(millis: u64) -> Timestamp {
@@ -188,6 +188,24 @@
     assert_eq!((*is_gone, item.kind(), item.revision), (true, ItemKind::Evacuation, 7));
 }
 
+/// What a newer build tells of kinds that this one doesn't know is passed on, and touches nothing else of its name.
+#[test]
+fn items_of_kinds_that_are_not_known_come_and_go_by_themselves() {
+    let unknown = |revision| Item { kind: 99, name: "main".to_owned(), revision, ..Item::default() };
+    let told = |item, is_gone| Changes {
+        life: 7,
+        changes: vec![ItemChange { item: Some(item), is_gone }],
+        ..Changes::default()
+    };
+    let mut feed = Feed::new(1);
+    feed.put(Item::new(ItemKind::Configuration, "main", Bytes::from_static(b"configuration"), 3));
+    feed.merge(told(unknown(5), false), at(1));
+    assert_eq!(feed.snapshot().items.len(), 2);
+    feed.merge(told(unknown(6), true), at(2));
+    let items = feed.snapshot().items;
+    assert_eq!(items.iter().map(Item::known_kind).collect::<Vec<_>>(), [Some(ItemKind::Configuration)]);
+}
+
 /// A node's next life knows the evacuations of the one before, so that its followers do before their first choice.
 #[test]
 fn evacuations_outlast_the_process() {
--- a/crates/storage/src/follower.rs
+++ b/crates/storage/src/follower.rs
@@ -188,7 +188,7 @@
 
     fn learn_groups(&self, changes: &Changes) {
         let items = changes.changes.iter().filter_map(|change| change.item.as_ref());
-        for map in items.filter(|item| item.kind() == ItemKind::Groups).filter_map(groups_of) {
+        for map in items.filter(|item| item.known_kind() == Some(ItemKind::Groups)).filter_map(groups_of) {
             self.ledger.learn_map(&map);
         }
     }
