--- a/crates/fleet-view/tests/recorded_forms/main.rs
+++ b/crates/fleet-view/tests/recorded_forms/main.rs
@@ -6,12 +6,15 @@
 mod older;
 
 use prost::Message;
-use sumacdrift_fleet_view::{EngineLoad, Loads, News, PartHeld, View, engine_key, part_key};
+use sumacdrift_fleet_view::{
+    EngineLoad, Loads, News, PartHeld, ServiceDemand, View, engine_key, part_key, service_key,
+};
 use sumacdrift_recorded_forms::{Codec, RecordedForms};
 
 const NEWS: &str = "News";
 const VIEW: &str = "View";
 const ENGINE: u32 = 0x1234_5678;
+const SERVICE: u32 = 0x0102_0304;
 const PART: u64 = 0x1122_3344_5566_7788;
 const RELAY: &str = "10.0.1.1:7000";
 
@@ -21,14 +24,22 @@
 
 fn first_loads() -> Loads {
     Loads {
-        engines: vec![EngineLoad { engine: ENGINE, running: 3, unread_tokens: 900, failed: 0, served: 0 }],
+        engines: vec![EngineLoad { engine: ENGINE, running: 3, unread_tokens: 900, ..EngineLoad::default() }],
     }
 }
 
+fn loads_with_failures() -> Loads {
+    let first = first_loads().engines[0];
+    Loads { engines: vec![EngineLoad { failed: 2, served: 1, ..first }] }
+}
+
 fn loads() -> Loads {
-    Loads {
-        engines: vec![EngineLoad { engine: ENGINE, running: 3, unread_tokens: 900, failed: 2, served: 1 }],
-    }
+    let before = loads_with_failures().engines[0];
+    Loads { engines: vec![EngineLoad { recent_ended: 40, recent_failed: 6, ..before }] }
+}
+
+fn demands() -> Vec<ServiceDemand> {
+    vec![ServiceDemand { service: SERVICE, rank: 257, running: 5, waiting: 2 }]
 }
 
 fn held() -> Vec<PartHeld> {
@@ -45,22 +56,33 @@
         asks_loads: true,
         asks_relays: true,
         is_from_board,
+        demands: Vec::new(),
     }
 }
 
+fn newest_news() -> News {
+    News { demands: demands(), ..news(loads(), true) }
+}
+
 fn view(loads: Loads) -> View {
-    View { loads: Some(loads), held: held(), relays: vec![RELAY.to_owned()] }
+    View { loads: Some(loads), held: held(), relays: vec![RELAY.to_owned()], demands: Vec::new() }
+}
+
+fn newest_view() -> View {
+    View { demands: demands(), ..view(loads()) }
 }
 
 #[test]
 fn recorded_forms_are_read_and_the_newest_of_them_written() {
     let mut forms = recorded();
     forms.reads(&Codec::message(), NEWS, "1", &news(first_loads(), false));
-    forms.reads(&Codec::message(), NEWS, "2", &news(loads(), false));
-    forms.writes(&Codec::message(), NEWS, "3", &news(loads(), true));
+    forms.reads(&Codec::message(), NEWS, "2", &news(loads_with_failures(), false));
+    forms.reads(&Codec::message(), NEWS, "3", &news(loads_with_failures(), true));
+    forms.writes(&Codec::message(), NEWS, "4", &newest_news());
     forms.writes_bare(&Codec::message(), NEWS, &News::default());
     forms.reads(&Codec::message(), VIEW, "1", &view(first_loads()));
-    forms.writes(&Codec::message(), VIEW, "2", &view(loads()));
+    forms.reads(&Codec::message(), VIEW, "2", &view(loads_with_failures()));
+    forms.writes(&Codec::message(), VIEW, "3", &newest_view());
     forms.writes_bare(&Codec::message(), VIEW, &View::default());
     if let Err(failures) = forms.finish(&[NEWS, VIEW]) {
         panic!("{failures}");
@@ -75,9 +97,11 @@
 #[test]
 fn earlier_builds_read_what_they_know_of_todays_messages() {
     let mut forms = recorded();
-    assert_eq!(reread::<older::FirstNews>(&news(loads(), true)), forms.bytes(NEWS, "1"));
-    assert_eq!(reread::<older::NewsWithFailures>(&news(loads(), true)), forms.bytes(NEWS, "2"));
-    assert_eq!(reread::<older::FirstView>(&view(loads())), forms.bytes(VIEW, "1"));
+    assert_eq!(reread::<older::FirstNews>(&newest_news()), forms.bytes(NEWS, "1"));
+    assert_eq!(reread::<older::NewsWithFailures>(&newest_news()), forms.bytes(NEWS, "2"));
+    assert_eq!(reread::<older::NewsOfBoards>(&newest_news()), forms.bytes(NEWS, "3"));
+    assert_eq!(reread::<older::FirstView>(&newest_view()), forms.bytes(VIEW, "1"));
+    assert_eq!(reread::<older::ViewWithFailures>(&newest_view()), forms.bytes(VIEW, "2"));
 }
 
 #[test]
@@ -85,4 +109,5 @@
     assert_eq!(engine_key("engine-1"), 1_914_633_309);
     assert_eq!(engine_key("engine-1@1700000000000"), 1_936_577_152);
     assert_eq!(part_key("system-prompt"), 4_938_891_675_840_779_692);
+    assert_eq!(service_key("quote-llm"), 2561760804);
 }
--- a/crates/fleet-view/tests/recorded_forms/older.rs
+++ b/crates/fleet-view/tests/recorded_forms/older.rs
@@ -1,6 +1,6 @@
 //! Messages as earlier builds knew them: their fields and numbers, copied from those builds.
 
-use sumacdrift_fleet_view::{Loads, PartHeld};
+use sumacdrift_fleet_view::PartHeld;
 
 /// Of ed4b611.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -29,7 +29,7 @@
     #[prost(string, tag = "2")]
     pub relay: String,
     #[prost(message, optional, tag = "3")]
-    pub loads: Option<Loads>,
+    pub loads: Option<LoadsWithFailures>,
     #[prost(message, repeated, tag = "4")]
     pub held: Vec<PartHeld>,
     #[prost(fixed64, repeated, tag = "5")]
@@ -68,3 +68,57 @@
     #[prost(string, repeated, tag = "3")]
     pub relays: Vec<String>,
 }
+
+/// Of f635472.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct NewsOfBoards {
+    #[prost(string, tag = "1")]
+    pub node: String,
+    #[prost(string, tag = "2")]
+    pub relay: String,
+    #[prost(message, optional, tag = "3")]
+    pub loads: Option<LoadsWithFailures>,
+    #[prost(message, repeated, tag = "4")]
+    pub held: Vec<PartHeld>,
+    #[prost(fixed64, repeated, tag = "5")]
+    pub asked_parts: Vec<u64>,
+    #[prost(bool, tag = "6")]
+    pub asks_loads: bool,
+    #[prost(bool, tag = "7")]
+    pub asks_relays: bool,
+    #[prost(bool, tag = "8")]
+    pub is_from_board: bool,
+}
+
+/// Of dabe329.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct LoadsWithFailures {
+    #[prost(message, repeated, tag = "1")]
+    pub engines: Vec<EngineLoadWithFailures>,
+}
+
+/// Of dabe329.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct EngineLoadWithFailures {
+    #[prost(fixed32, tag = "1")]
+    pub engine: u32,
+    #[prost(uint32, tag = "2")]
+    pub running: u32,
+    #[prost(uint32, tag = "3")]
+    pub unread_tokens: u32,
+    #[prost(uint32, tag = "4")]
+    pub failed: u32,
+    #[prost(uint32, tag = "5")]
+    pub served: u32,
+}
+
+/// Of dabe329.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ViewWithFailures {
+    #[prost(message, optional, tag = "1")]
+    pub loads: Option<LoadsWithFailures>,
+    #[prost(message, repeated, tag = "2")]
+    pub held: Vec<PartHeld>,
+    #[prost(string, repeated, tag = "3")]
+    pub relays: Vec<String>,
+}
