--- a/crates/fleet-view/tests/recorded_forms/main.rs
+++ b/crates/fleet-view/tests/recorded_forms/main.rs
@@ -109,5 +109,5 @@
     assert_eq!(engine_key("engine-1"), 1_914_633_309);
     assert_eq!(engine_key("engine-1@1700000000000"), 1_936_577_152);
     assert_eq!(part_key("system-prompt"), 4_938_891_675_840_779_692);
-    assert_eq!(service_key("quote-llm"), 2561760804);
+    assert_eq!(service_key("quote-llm"), 2_561_760_804);
 }
