Callers of calls that full engines turned away are told to come back as room comes free

Cause: such a call was answered with an engine's own time or 250 ms, whatever the load. Where calls are put in order the queue tells the time, behind all that were told one before.

--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -224,7 +224,9 @@
 
 fn give_up<D: Dialect>(call: &CallContext<D>, machine: &CallMachine, next: &Next) -> Response<EdgeBody> {
     let (what, code, ran, retry_after) = match next {
-        Next::Refuse { code, retry_after } => ("refused", *code, Ran::No, Some(*retry_after)),
+        Next::Refuse { code, retry_after } => {
+            ("refused", *code, Ran::No, Some(return_time(call, *code).unwrap_or(*retry_after)))
+        }
         Next::Fail { code } | Next::BreakOff { code } => ("failed", *code, Ran::Unknown, None),
         Next::Try { .. } => ("failed", ResultCode::Internal, Ran::Unknown, None),
     };
@@ -236,6 +238,12 @@
     problem_answer(status, code, ran, retry_after)
 }
 
+/// When the caller of a call that full engines turned away is to come back, where calls are put in order.
+fn return_time<D: Dialect>(call: &CallContext<D>, code: ResultCode) -> Option<Duration> {
+    let room = call.room.as_ref().filter(|_| code == ResultCode::Overloaded)?;
+    room.return_time()
+}
+
 fn early<D: Dialect>(edge: &Edge<D>, head: &CallHead, code: ResultCode) -> Response<EdgeBody> {
     edge.metrics.gave_up(code);
     info!(edge.logger, "call refused"; "event" => "refused", "call" => &head.id, "code" => code.number(),
--- a/crates/edge/src/service_queues.rs
+++ b/crates/edge/src/service_queues.rs
@@ -170,6 +170,16 @@
     pub(crate) waited: Duration,
 }
 
+impl<D: Dialect> RoomHeld<D> {
+    /// When the caller is to come back of a call that no engine took.
+    pub(crate) fn return_time(&self) -> Option<Duration> {
+        let now = self.edge.clock.now();
+        let mut state = self.edge.queues.state();
+        let service = state.services.get_mut(&self.service)?;
+        Some(service.queue.return_of_turned_away(now))
+    }
+}
+
 impl<D: Dialect> Drop for RoomHeld<D> {
     fn drop(&mut self) {
         let now = self.edge.clock.now();
