--- a/crates/edge/src/service_queues.rs
+++ b/crates/edge/src/service_queues.rs
@@ -87,8 +87,12 @@
         }
     }
 
-    fn look_at(&mut self, room: EngineRoom, others: Vec<RankDemand>, now: Timestamp) {
+    fn look_at(&mut self, room: EngineRoom, mut others: Vec<RankDemand>, now: Timestamp) {
         self.looked_at = Some(now);
+        for demand in &mut others {
+            demand.running *= room.others_share;
+            demand.waiting *= room.others_share;
+        }
         let slots = room.slots as f64;
         let told: f64 = others.iter().map(|demand| demand.running).sum();
         let room = (room.slots > 0).then_some(ServiceRoom {
--- a/crates/routing/src/book/room.rs
+++ b/crates/routing/src/book/room.rs
@@ -14,8 +14,11 @@
 pub struct EngineRoom {
     /// Calls that the engines work on at once which take new work and whose calls end well.
     pub slots: usize,
-    /// Calls of other nodes under way at engines of the service.
+    /// Calls of other nodes under way at those engines.
     pub others_running: f64,
+    /// Share of other nodes' calls of the service that are under way at those engines: the rest is at engines that this node
+    /// doesn't reach, or avoids, and takes no room here.
+    pub others_share: f64,
     /// Age of what is known of other nodes' calls; `None` where nothing is.
     pub others_age: Option<Duration>,
 }
@@ -33,7 +36,10 @@
         let others_age = self.others_told.age(now);
         let told = of_service().map(|engine| engine.others);
         let believed = BelievedLoads::among(told, self.engines.alike(service), others_age);
-        let others_running = of_service().map(|engine| believed.by_now(&engine.others).running).sum();
-        EngineRoom { slots: noted + alike, others_running, others_age }
+        let running = |engine: &Engine| believed.by_now(&engine.others).running;
+        let all_running: f64 = of_service().map(running).sum();
+        let others_running: f64 = of_service().filter(takes_work).map(running).sum();
+        let others_share = if all_running > 0.0 { others_running / all_running } else { 1.0 };
+        EngineRoom { slots: noted + alike, others_running, others_share, others_age }
     }
 }
--- a/crates/routing/tests/room.rs
+++ b/crates/routing/tests/room.rs
@@ -50,3 +50,21 @@
     let late = book.room("s", NOW + Duration::from_secs(5));
     assert_eq!((late.others_running, late.others_age), (0.0, None));
 }
+
+/// A node that reaches only some engines shares them with the calls that are there, not with all of the service's.
+#[test]
+fn calls_at_engines_that_this_node_avoids_take_no_room_here() {
+    let mut book = book(&THREE);
+    let load = |engine| EngineLoad { engine: engine_key(engine), running: 3, ..EngineLoad::default() };
+    book.others_told(&Loads { engines: vec![load("a"), load("b"), load("c")] }, NOW);
+    assert!((book.room("s", NOW).others_share - 1.0).abs() < 0.001);
+    let failing = EngineId::new("b");
+    for _ in 0..2 {
+        book.sent(&failing, 0, NOW);
+        book.ended(&failing, Outcome::Faulty, NOW);
+    }
+    let room = book.room("s", NOW);
+    assert_eq!(room.slots, 8);
+    assert!((room.others_running - 6.0).abs() < 0.001, "{room:?}");
+    assert!((room.others_share - 2.0 / 3.0).abs() < 0.001, "{room:?}");
+}
