--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -62,6 +62,12 @@
 }
 
 impl<D: Dialect> CallContext<D> {
+    /// An engine served the call, this long after it was accepted: teaches how long calls of its kind take, but for the wait.
+    pub(crate) fn observe_served(&self, taken: Duration) {
+        let waited = self.room.as_ref().map_or(Duration::ZERO, |room| room.waited);
+        self.edge.usual_times().observe(&self.selected.route.name, taken.saturating_sub(waited));
+    }
+
     /// How long calls of this kind usually take, where some were seen.
     pub(crate) fn usual_time(&self) -> Option<Duration> {
         self.edge.usual_times().of(&self.selected.route.name)
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -109,9 +109,9 @@
     if !incoming.selected.route.rules.kind.is_stream() {
         // Tools' calls belong to programs under way.
         let is_under_way = incoming.head.program.is_some();
-        let room = match enter(edge, &incoming, is_under_way).await {
+        let room = match wait_for_room(edge, &incoming, is_under_way).await {
             Ok(room) => room,
-            Err(next) => return no_room(edge, incoming, next),
+            Err(next) => return refuse_for_room(edge, incoming, next),
         };
         let (call, mut machine) = incoming.into_context(edge, Vec::new(), room);
         return match run_plain(&call, &mut machine).await {
@@ -128,9 +128,9 @@
         Err(error) => return refuse_turn(edge, &incoming.head, error),
     };
     incoming.body = begun.body;
-    let room = match enter(edge, &incoming, begun.is_under_way).await {
+    let room = match wait_for_room(edge, &incoming, begun.is_under_way).await {
         Ok(room) => room,
-        Err(next) => return no_room(edge, incoming, next),
+        Err(next) => return refuse_for_room(edge, incoming, next),
     };
     let (call, machine) = incoming.into_context(edge, prompt, room);
     match run_stream(call, machine, begun.turn).await {
@@ -157,18 +157,18 @@
 }
 
 /// Waits for room at the call's service.
-async fn enter<D: Dialect>(
+async fn wait_for_room<D: Dialect>(
     edge: &Arc<Edge<D>>,
     incoming: &Accepted,
     is_under_way: bool,
 ) -> Result<Option<RoomHeld<D>>, Next> {
     let Accepted { head, caller, selected, machine, body, accepted, .. } = incoming;
     let (accepted, bytes) = (*accepted, body.len());
-    edge.enter(RoomRequest { head, caller, selected, machine, accepted, bytes, is_under_way }).await
+    edge.wait_for_room(RoomRequest { head, caller, selected, machine, accepted, bytes, is_under_way }).await
 }
 
 /// Answers a call for which there is no room.
-fn no_room<D: Dialect>(edge: &Arc<Edge<D>>, incoming: Accepted, next: Next) -> Response<EdgeBody> {
+fn refuse_for_room<D: Dialect>(edge: &Arc<Edge<D>>, incoming: Accepted, next: Next) -> Response<EdgeBody> {
     let (call, machine) = incoming.into_context(edge, Vec::new(), None);
     give_up(&call, &machine, &next)
 }
--- a/crates/edge/src/plain.rs
+++ b/crates/edge/src/plain.rs
@@ -1,7 +1,5 @@
 //! Calls whose answer is passed on as a whole.
 
-use std::time::Duration;
-
 use bytes::Bytes;
 use http::{Response, response};
 use sumacdrift_calls::{CallMachine, Failure, Next};
@@ -61,8 +59,10 @@
         if status.is_success() {
             let taken = call.edge.clock.now().since(call.accepted);
             call.edge.metrics.plain_seconds.observe(taken.as_secs_f64());
-            let waited = call.room.as_ref().map_or(Duration::ZERO, |room| room.waited);
-            call.edge.usual_times().observe(&call.selected.route.name, taken.saturating_sub(waited));
+            call.observe_served(taken);
+            if let Some(room) = &call.room {
+                room.note_served();
+            }
         }
         call.report_served(machine, status.as_u16(), &self.placed);
         pass_on(&self.head, whole_body(self.bytes))
--- a/crates/edge/src/service_queues.rs
+++ b/crates/edge/src/service_queues.rs
@@ -24,13 +24,13 @@
 
 /// Share of their slots that engines which stream hold besides, so that none is idle while the next call is on its way.
 const SHORT_QUEUE_SHARE: f64 = 0.25;
-/// How often the room is looked at anew, at the most.
-const ROOM_LASTS: Duration = Duration::from_millis(20);
+/// Least time between two looks at the room when calls arrive.
+const LOOK_AT_ROOM_EVERY: Duration = Duration::from_millis(20);
 /// How often calls that wait are looked at while nothing else happens.
 const TICK: Duration = Duration::from_millis(25);
 /// Waits that are logged: shorter ones decide nothing.
 const LOGGED_WAIT: Duration = Duration::from_millis(5);
-/// Ranks of routes within a rank of tenants.
+/// Route priorities told apart within one tenant priority; larger ones count as the last.
 const ROUTE_RANKS: PriorityRank = 256;
 /// How long calls are believed to take at an engine before some were seen.
 const STARTING_TIME: Duration = Duration::from_millis(50);
@@ -46,6 +46,7 @@
 #[derive(Debug, Default)]
 struct QueuesState {
     services: HashMap<Arc<str>, QueuedService>,
+    /// Demand of other nodes by service key, as told last.
     others: HashMap<u32, Vec<RankDemand>>,
     returning: ReturningPrograms,
     last_ticket: u64,
@@ -62,9 +63,11 @@
 }
 
 impl QueuedService {
-    fn new(short_queue_share: f64) -> Self {
+    fn new(short_queue_share: f64, node_number: u64) -> Self {
+        let settings =
+            ServiceQueueSettings { node_number: Some(node_number), ..ServiceQueueSettings::default() };
         Self {
-            queue: ServiceQueue::new(ServiceQueueSettings::default()),
+            queue: ServiceQueue::new(settings),
             waiters: HashMap::new(),
             short_queue_share,
             looked_at: None,
@@ -105,7 +108,7 @@
     }
 
     fn is_due(&self, now: Timestamp) -> bool {
-        self.looked_at.is_none_or(|looked_at| now.since(looked_at) >= ROOM_LASTS)
+        self.looked_at.is_none_or(|looked_at| now.since(looked_at) >= LOOK_AT_ROOM_EVERY)
     }
 }
 
@@ -172,9 +175,15 @@
     ticket: QueueTicket,
     /// How long it waited.
     pub(crate) waited: Duration,
+    was_served: AtomicBool,
 }
 
 impl<D: Dialect> RoomHeld<D> {
+    /// An engine served the call.
+    pub(crate) fn note_served(&self) {
+        self.was_served.store(true, Ordering::Relaxed);
+    }
+
     /// When the caller is to come back of a call that no engine took.
     pub(crate) fn return_time(&self) -> Option<Duration> {
         let now = self.edge.clock.now();
@@ -190,14 +199,17 @@
         let mut state = self.edge.queues.state();
         let Some(service) = state.services.get_mut(&self.service) else { return };
         service.waiters.remove(&self.ticket);
-        let actions = service.queue.ended(self.ticket, now);
+        let actions = match self.was_served.load(Ordering::Relaxed) {
+            true => service.queue.ended(self.ticket, now),
+            false => service.queue.gave_up(self.ticket, now),
+        };
         service.carry_out(actions);
     }
 }
 
 impl<D: Dialect> Edge<D> {
     /// Waits until there is room for a call at its service. `None` where calls aren't put in order.
-    pub(crate) async fn enter(
+    pub(crate) async fn wait_for_room(
         self: &Arc<Self>,
         request: RoomRequest<'_>,
     ) -> Result<Option<RoomHeld<D>>, Next> {
@@ -216,7 +228,7 @@
                 Ok(Some(held))
             }
             Ok(ServiceQueueAction::Refuse { reason, waited, expected_wait, retry_after, .. }) => {
-                if let Some(program) = request.program() {
+                if let Some(program) = request.program().filter(|_| !request.is_under_way) {
                     self.queues.state().returning.told(program, retry_after, self.clock.now());
                 }
                 self.report_no_room(&request, reason, waited, expected_wait, retry_after);
@@ -256,8 +268,9 @@
                 tokio::spawn(tick(Arc::downgrade(self), Arc::clone(name)));
             }
         }
-        let held =
-            RoomHeld { edge: Arc::clone(self), service: Arc::clone(name), ticket, waited: Duration::ZERO };
+        let (edge, service) = (Arc::clone(self), Arc::clone(name));
+        let was_served = AtomicBool::new(false);
+        let held = RoomHeld { edge, service, ticket, waited: Duration::ZERO, was_served };
         (held, verdict)
     }
 
@@ -279,13 +292,28 @@
     fn look_at_room(&self, state: &mut QueuesState, name: &Arc<str>, is_stream: bool, now: Timestamp) {
         let short_queue_share = if is_stream { SHORT_QUEUE_SHARE } else { 0.0 };
         let service = state.services.entry(Arc::clone(name));
-        let service = service.or_insert_with(|| QueuedService::new(short_queue_share));
+        let service = service.or_insert_with(|| {
+            let node_number = stable_hash(&[self.settings.node.as_bytes(), name.as_bytes()]);
+            QueuedService::new(short_queue_share, node_number)
+        });
         if service.is_due(now) {
-            let others = state.others.get(&service_key(name)).cloned().unwrap_or_default();
-            service.look_at(self.book().room(name, now), others, now);
+            self.refresh(service, name, &state.others, now);
         }
     }
 
+    /// Tells a queue of the room and of others' demand.
+    fn refresh(
+        &self,
+        service: &mut QueuedService,
+        name: &str,
+        others: &HashMap<u32, Vec<RankDemand>>,
+        now: Timestamp,
+    ) {
+        let room = self.book().room(name, now);
+        let others = others.get(&service_key(name)).cloned().unwrap_or_default();
+        service.look_at(room, others, now);
+    }
+
     /// Other nodes told of their calls.
     pub(crate) fn others_demand(&self, demands: &[ServiceDemand]) {
         let now = self.clock.now();
@@ -297,8 +325,7 @@
         }
         let mut state = self.queues.state();
         for (name, service) in &mut state.services {
-            let others = others.get(&service_key(name)).cloned().unwrap_or_default();
-            service.look_at(self.book().room(name, now), others, now);
+            self.refresh(service, name, &others, now);
         }
         state.others = others;
     }
@@ -367,12 +394,12 @@
         let Some(edge) = edge.upgrade() else { return };
         let now = edge.clock.now();
         let mut state = edge.queues.state();
-        let others = state.others.get(&service_key(&name)).cloned().unwrap_or_default();
-        let Some(service) = state.services.get_mut(&name) else { return };
+        let QueuesState { services, others, .. } = &mut *state;
+        let Some(service) = services.get_mut(&name) else { return };
         if service.queue.waiting() == 0 {
             service.is_ticking = false;
             return;
         }
-        service.look_at(edge.book().room(&name, now), others, now);
+        edge.refresh(service, &name, others, now);
     }
 }
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -183,7 +183,11 @@
         };
         let placed = run.placed().clone();
         run.finish_stream();
-        let waited = self.call.room.take().map_or(Duration::ZERO, |room| room.waited);
+        let room = self.call.room.take();
+        let waited = room.as_ref().map_or(Duration::ZERO, |room| room.waited);
+        if let Some(room) = room {
+            room.note_served();
+        }
         if let Some(turn) = self.turn.take()
             && let Err(error) = self.commit(turn, &placed.engine).await
         {
--- a/crates/routing/src/book.rs
+++ b/crates/routing/src/book.rs
@@ -162,7 +162,7 @@
     pub fn sent(&mut self, id: &EngineId, unread_tokens: u64, now: Timestamp) {
         if let Some(engine) = self.engines.get_mut(id) {
             engine.running += 1;
-            engine.is_used(now);
+            engine.note_use(now);
             engine.unread_tokens += unread_tokens;
             engine.health.sent(now);
         }
@@ -227,7 +227,7 @@
                 let load = told.get(&key).map(|load| OtherLoad::told(load, &engine.others, now));
                 engine.others = load.unwrap_or_default();
                 if engine.others.running > 0.0 {
-                    engine.is_used(now);
+                    engine.note_use(now);
                 }
             }
         }
--- a/crates/routing/src/book/room.rs
+++ b/crates/routing/src/book/room.rs
@@ -12,7 +12,7 @@
 /// Engines of a service, as a place for work.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct EngineRoom {
-    /// Calls that the engines work on at once which take new work and whose calls end well.
+    /// Slots of the engines that take new work and are not avoided.
     pub slots: usize,
     /// Calls of other nodes under way at those engines.
     pub others_running: f64,
--- a/crates/routing/src/ejection.rs
+++ b/crates/routing/src/ejection.rs
@@ -20,7 +20,7 @@
 /// How long a step takes: news of failures must arrive within it.
 const RETURN_STEP: Duration = Duration::from_millis(750);
 /// How long the return takes in all.
-pub const RETURN_TIME: Duration = Duration::from_millis(750 * RETURN_STEPS as u64);
+pub const RETURN_TIME: Duration = RETURN_STEP.saturating_mul(RETURN_STEPS);
 /// How long after its return an engine is put aside for longer if it fails again.
 const REMEMBERED_FOR: Duration = Duration::from_secs(60);
 /// How long engines are spared after more of them failed than may be put aside.
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -12,7 +12,6 @@
 use crate::cold::Coldness;
 use crate::ejection::OutlierWatch;
 use crate::others::OtherLoad;
-
 use crate::recent_calls::CallCounts;
 use crate::slowness::Slowness;
 
@@ -155,8 +154,8 @@
         Some(end.failed_in_a_row)
     }
 
-    /// A call of any node is under way there.
-    pub(crate) fn is_used(&mut self, now: Timestamp) {
+    /// Notes that a call of some node is under way there.
+    pub(crate) fn note_use(&mut self, now: Timestamp) {
         self.outlier.get_or_insert_default().used_at = Some(now);
     }
 
--- a/crates/routing/src/recent_calls.rs
+++ b/crates/routing/src/recent_calls.rs
@@ -1,4 +1,4 @@
-//! How many calls ended of late, and how many of them failed, in a fixed room.
+//! How many calls ended of late, and how many of them failed, in a fixed amount of memory.
 
 use std::ops::Add;
 use std::time::Duration;
--- a/crates/scheduling/src/end_rate.rs
+++ b/crates/scheduling/src/end_rate.rs
@@ -1,7 +1,7 @@
 //! How many calls end in a second.
 //!
-//! Answers a sudden crowd: a node knows of the other nodes' calls late and takes its share for larger than it is, but what
-//! comes free is what ended.
+//! Needed when many calls come at once: news of other nodes is late, so a node overrates its share, but calls that end here
+//! show how fast room comes free.
 
 use std::time::Duration;
 
--- a/crates/scheduling/src/program_order.rs
+++ b/crates/scheduling/src/program_order.rs
@@ -1,4 +1,4 @@
-//! The order in which calls of programs wait for a service's room: one plain function.
+//! The order in which calls of programs wait for a service's room.
 //!
 //! Only whole programs that end in time are worth anything to their callers. So programs under way go before new ones,
 //! those with the least time left first, and those that can't be in time any more behind all that can.
--- a/crates/scheduling/src/service_queue.rs
+++ b/crates/scheduling/src/service_queue.rs
@@ -1,6 +1,6 @@
 //! The queue of one node before the engines of one service.
 //!
-//! Answers a load that is larger than the room: engines admit in the order of arrival, so what is sent to full engines can't
+//! Needed when load is larger than the room: engines admit in the order of arrival, so what is sent to full engines can't
 //! be put in order any more. The node keeps back what is beyond its [`shares`] of the room, lets it in by
 //! [`program_order`], and refuses at once what can't be served, with the time at which room is expected.
 //!
@@ -21,10 +21,12 @@
 
 /// Weight of a new observation of how long calls take at engines.
 const LEARNING_RATE: f64 = 0.1;
-/// A longer wait is not told apart: no caller waits for so long.
-const LONGEST_WAIT: Duration = Duration::from_secs(3600);
-/// Shares are rounded to the nearest whole call.
+/// Expected waits are cut off here; no caller waits for so long.
+const LONGEST_EXPECTED_WAIT: Duration = Duration::from_secs(3600);
+/// A share is rounded to the nearest whole call where the node doesn't tell its number.
 const ROUNDING: f64 = 0.5;
+/// The fractional part of the golden ratio: its multiples fill an interval evenly.
+const GOLDEN_STEP: f64 = 0.618_033_988_749_895;
 
 /// A call at this node, while it waits or is under way.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -39,9 +41,12 @@
     pub most_bytes: usize,
     /// A call that waited for so long goes before all others.
     pub starvation_bound: Duration,
-    /// Share of its program's time that the first call of a program may wait, also when it comes back. A program has to wait
-    /// before its later calls too, some ten in all, so one that waits for longer at its beginning is not over in time.
+    /// Share of the program's time that its first call may wait, also when it comes back after a refusal. Programs make about
+    /// ten calls and may wait before each, so one that spends more on the first ends late.
     pub first_wait_share: f64,
+    /// A number of its own for each node, by which nodes round their shares at different points: shares of less than half a
+    /// call at every node would otherwise leave engines idle.
+    pub node_number: Option<u64>,
 }
 
 impl Default for ServiceQueueSettings {
@@ -51,6 +56,7 @@
             most_bytes: 8 << 20,
             starvation_bound: Duration::from_millis(1500),
             first_wait_share: 0.1,
+            node_number: None,
         }
     }
 }
@@ -188,11 +194,10 @@
         now: Timestamp,
     ) -> Vec<ServiceQueueAction> {
         let mut actions = Vec::new();
-        if self.waiting.is_full() || self.bytes + call.bytes > self.settings.most_bytes {
+        if self.waiting.is_full() || self.holds_too_much_with(&call) {
             actions.extend(self.make_place(&call, now));
         }
-        if self.bytes + call.bytes > self.settings.most_bytes || self.waiting.push(ticket, call, now).is_err()
-        {
+        if self.holds_too_much_with(&call) || self.waiting.push(ticket, call, now).is_err() {
             let expected_wait = self.wait_of_last(&call, now);
             actions.push(self.refusal(ticket, RefusalReason::QueueFull, Duration::ZERO, expected_wait, now));
             return actions;
@@ -202,7 +207,20 @@
         actions
     }
 
-    /// A call's caller left, or the call ended at its engine.
+    /// Whether waiting calls would hold more than they may. One call may wait whatever its size, as it may find room at once.
+    fn holds_too_much_with(&self, call: &QueuedCall) -> bool {
+        !self.waiting.is_empty() && self.bytes + call.bytes > self.settings.most_bytes
+    }
+
+    /// A call's caller left before it was served, or no engine served it: that says nothing of how fast engines are.
+    pub fn gave_up(&mut self, ticket: QueueTicket, now: Timestamp) -> Vec<ServiceQueueAction> {
+        if self.take(ticket).is_none() {
+            self.running.remove(&ticket);
+        }
+        self.proceed(now)
+    }
+
+    /// A call's caller left, or an engine served the call.
     pub fn ended(&mut self, ticket: QueueTicket, now: Timestamp) -> Vec<ServiceQueueAction> {
         if self.take(ticket).is_none()
             && let Some(running) = self.running.remove(&ticket)
@@ -213,7 +231,7 @@
         self.proceed(now)
     }
 
-    /// When the caller of a call comes back that was let in, but that no engine took; [`Self::ended`] is told besides.
+    /// When the caller of a call comes back that was let in, but that no engine took; [`Self::gave_up`] is told besides.
     pub fn return_of_turned_away(&mut self, now: Timestamp) -> Duration {
         self.returns.next(Duration::ZERO, self.ends.per_second(now), now)
     }
@@ -248,7 +266,7 @@
     /// The first call in order for which there is room.
     fn next(&self, shares: Option<&[RankShare]>, now: Timestamp) -> Option<QueueTicket> {
         let bound = self.settings.starvation_bound;
-        let rooms = shares.map(|shares| self.ranks_with_room(shares));
+        let rooms = shares.map(|shares| self.ranks_with_room(shares, now));
         let room_for_any = shares.is_none_or(|shares| self.has_room(PriorityRank::MAX, shares));
         let has_room = |waiting: &Waiting<QueuedCall>| match &rooms {
             None => true,
@@ -261,9 +279,9 @@
         first.map(|(ticket, _)| ticket)
     }
 
-    fn ranks_with_room(&self, shares: &[RankShare]) -> Vec<PriorityRank> {
+    fn ranks_with_room(&self, shares: &[RankShare], now: Timestamp) -> Vec<PriorityRank> {
         let ranks = shares.iter().map(|share| share.rank);
-        ranks.filter(|rank| self.rank_has_room(*rank, shares) && self.has_room(*rank, shares)).collect()
+        ranks.filter(|rank| self.rank_has_room(*rank, shares, now) && self.has_room(*rank, shares)).collect()
     }
 
     /// Whether there is room for one more call beside those of a rank and of higher ones.
@@ -273,10 +291,17 @@
         (running as f64) < all + ROUNDING
     }
 
-    fn rank_has_room(&self, rank: PriorityRank, shares: &[RankShare]) -> bool {
+    fn rank_has_room(&self, rank: PriorityRank, shares: &[RankShare], now: Timestamp) -> bool {
         let share = shares.iter().find(|share| share.rank == rank).map_or(0.0, |share| share.calls);
         let running = self.running.values().filter(|running| running.rank == rank).count();
-        running as f64 + ROUNDING <= share
+        running as f64 + 1.0 <= share + self.rounding(now)
+    }
+
+    /// What is added to a share before it is cut to whole calls: another number at each node, and from second to second.
+    fn rounding(&self, now: Timestamp) -> f64 {
+        let Some(number) = self.settings.node_number else { return ROUNDING };
+        let of_node = number as f64 / u64::MAX as f64;
+        (of_node + now.as_seconds().floor() * GOLDEN_STEP).fract()
     }
 
     /// This node's shares of the room; `None` where nothing is known of it.
@@ -286,13 +311,7 @@
     }
 
     fn refuse_unservable(&mut self, now: Timestamp) -> Vec<ServiceQueueAction> {
-        let mut refused = Vec::new();
-        for (ticket, wait) in self.expected_waits(now) {
-            let Some(waiting) = self.waiting.get(ticket) else { continue };
-            if let Some(reason) = self.reason_to_refuse(waiting, wait, now) {
-                refused.push((ticket, reason, wait));
-            }
-        }
+        let refused = self.unservable(now);
         let mut actions = Vec::with_capacity(refused.len());
         for (ticket, reason, expected_wait) in refused {
             let Some(waiting) = self.take(ticket) else { continue };
@@ -318,21 +337,23 @@
         (let_in_at > waiting.since + patience).then_some(RefusalReason::ProgramTooLate)
     }
 
-    /// How long each waiting call waits yet, as far as is known.
-    fn expected_waits(&self, now: Timestamp) -> Vec<(QueueTicket, Duration)> {
+    /// Waiting calls that can't be served, with how long they would wait.
+    fn unservable(&self, now: Timestamp) -> Vec<(QueueTicket, RefusalReason, Duration)> {
+        let mut refused = Vec::new();
         if self.waiting.is_empty() {
-            return Vec::new();
+            return refused;
         }
         let shares = self.shares(now);
         let bound = self.settings.starvation_bound;
         let mut in_order: Vec<_> = self.waiting.iter().collect();
         in_order.sort_by_cached_key(|(_, waiting)| program_order(&waiting.call, waiting.since, now, bound));
-        let mut before: BTreeMap<PriorityRank, usize> = BTreeMap::new();
         let mut since: Vec<Timestamp> = in_order.iter().map(|(_, waiting)| waiting.since).collect();
         since.sort_unstable();
-        let wait_of = |(ticket, waiting): (QueueTicket, &Waiting<QueuedCall>)| {
+        let mut before: BTreeMap<PriorityRank, usize> = BTreeMap::new();
+        for (ticket, waiting) in in_order {
             let rank = waiting.call.rank_now(now);
             let place = before.entry(rank).or_default();
+            // Calls that are refused now count too: while they are short of room, as many go on to arrive.
             *place += 1;
             let mut wait = self.wait_in_rank(rank, *place, shares.as_deref());
             if let Some(goes_first_at) = self.goes_first_at(waiting, now) {
@@ -340,9 +361,11 @@
                 let behind = self.wait_behind(longer, shares.as_deref());
                 wait = wait.min(goes_first_at.since(now) + behind);
             }
-            (ticket, wait)
-        };
-        in_order.into_iter().map(wait_of).collect()
+            if let Some(reason) = self.reason_to_refuse(waiting, wait, now) {
+                refused.push((ticket, reason, wait));
+            }
+        }
+        refused
     }
 
     /// When a call goes first for having waited so long, if it does: new programs don't count on it, they are refused while it
@@ -370,7 +393,7 @@
     fn time_to_let_in(&self, calls: usize, may_run: f64) -> Duration {
         let Some(call_seconds) = self.call_seconds.filter(|_| may_run > 0.0) else { return Duration::ZERO };
         let seconds = calls as f64 * call_seconds / may_run;
-        Duration::from_secs_f64(seconds.min(LONGEST_WAIT.as_secs_f64()))
+        Duration::from_secs_f64(seconds.min(LONGEST_EXPECTED_WAIT.as_secs_f64()))
     }
 
     /// How long a call waits that would be the last of its rank.
--- a/crates/scheduling/src/shares.rs
+++ b/crates/scheduling/src/shares.rs
@@ -1,6 +1,6 @@
-//! How the room of a service is shared between ranks, and between the nodes that use it: one plain function.
+//! How the room of a service is shared between ranks, and between the nodes that use it.
 //!
-//! Answers a load that is larger than the room: without it all nodes send what they have, the engines' queues fill in the
+//! Needed when load is larger than the room: without it all nodes send what they have, the engines' queues fill in the
 //! order of arrival, and the highest rank waits behind the lowest. Each node works its part out by itself from what all
 //! told of their demand, so the parts add up to the room as far as all know the same.
 
@@ -40,7 +40,7 @@
 
 impl ServiceRoom {
     /// Calls that a rank may have under way there. Ranks below the highest leave half of the short queue free: a call of
-    /// the highest rank then reaches an engine at once also while lower ranks fill all slots.
+    /// the highest rank that asks for room then reaches an engine at once also while lower ranks fill all slots.
     fn limit(&self, is_highest: bool) -> f64 {
         let queue = if is_highest { self.short_queue } else { self.short_queue / 2.0 };
         (self.slots + queue - self.unranked).max(0.0)
--- a/crates/scheduling/tests/queue_edges.rs
+++ b/crates/scheduling/tests/queue_edges.rs
@@ -363,3 +363,49 @@
         assert_eq!(acted + queue.waiting(), arriving as usize);
     }
 }
+
+/// Forty nodes with a call each share four places: nodes round at different points, so about four are let in at once, not none.
+#[test]
+fn shares_of_less_than_half_a_call_leave_no_engine_idle() {
+    let nodes = 40_u64;
+    let let_in_at = |second: u64| {
+        let is_let_in = |node: &u64| {
+            let number = u64::MAX / nodes * node;
+            let settings =
+                ServiceQueueSettings { node_number: Some(number), ..ServiceQueueSettings::default() };
+            let mut queue = ServiceQueue::new(settings);
+            let others = vec![RankDemand { rank: 0, running: 0.0, waiting: (nodes - 1) as f64 }];
+            queue.room_changed(Some(room(4.0)), others, at(second * 1_000));
+            let call = call(0, ProgramStage::UnderWay, at(second * 1_000));
+            !queue.arrived(QueueTicket(1), call, at(second * 1_000)).is_empty()
+        };
+        (0..nodes).filter(is_let_in).count()
+    };
+    for second in 0..20 {
+        let let_in = let_in_at(second);
+        assert!((3..=5).contains(&let_in), "second {second}: {let_in} calls for four places");
+    }
+}
+
+/// A call that no engine took says nothing of how long calls take.
+#[test]
+fn a_call_that_was_given_up_teaches_nothing() {
+    let mut queue = ServiceQueue::new(ServiceQueueSettings::default());
+    queue.room_changed(Some(room(1.0)), Vec::new(), at(0));
+    queue.arrived(QueueTicket(1), call(0, ProgramStage::UnderWay, at(0)), at(0));
+    queue.gave_up(QueueTicket(1), at(1));
+    assert_eq!(queue.running(), 0);
+    // Nothing is known of how fast room comes free, so the usual time is told.
+    assert_eq!(queue.return_of_turned_away(at(2)), Duration::from_millis(250));
+}
+
+/// One call may wait whatever its size.
+#[test]
+fn a_call_larger_than_all_that_may_wait_is_let_in_where_there_is_room() {
+    let mut queue =
+        ServiceQueue::new(ServiceQueueSettings { most_bytes: 10, ..ServiceQueueSettings::default() });
+    queue.room_changed(Some(room(1.0)), Vec::new(), at(0));
+    let large = QueuedCall { bytes: 100, ..call(0, ProgramStage::UnderWay, at(0)) };
+    let actions = queue.arrived(QueueTicket(1), large, at(0));
+    assert!(matches!(actions[..], [ServiceQueueAction::LetIn { .. }]), "{actions:?}");
+}
