Log engines' software versions and resumptions by callers

Cause: no log line named the software version of an engine, and none told that a call resumes the stream of an earlier one. So the two halves of a stream that continued at another version could not be found, nor told apart by whether an edge resumed the answer or the caller did.

`served`, `attempt_failed`, `stream_broke_off`, `engine_changed` and `engine_started_again` have `engine_version` now; a new line `stream_resumed_by_caller` has the call that received the first event and the event to resume after, counted by `sumacdrift_edge_caller_resumptions`. No decision uses either yet.

--- a/crates/bench/src/choices.rs
+++ b/crates/bench/src/choices.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use serde::Serialize;
-use sumacdrift_calls::EngineId;
+use sumacdrift_calls::{EngineId, EngineVersion};
 use sumacdrift_fleet_view::{CachedPart, EngineLoad, Loads, engine_key};
 use sumacdrift_routing::{
     EngineRegistry, EngineSpec, PlacementRequest, RequestedWork, RequiredPart, TrafficPrices,
@@ -89,6 +89,7 @@
     EngineSpec {
         id: EngineId::new(id),
         service: "s".into(),
+        version: EngineVersion::default(),
         address: ([10, 0, 0, 1], 80).into(),
         zone: zone.into(),
         slots: 16,
--- a/crates/calls/src/head.rs
+++ b/crates/calls/src/head.rs
@@ -74,6 +74,29 @@
     }
 }
 
+/// Software version of an engine. Versions are compared for equality only. Platforms without versions use the default
+/// for all engines.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Default)]
+pub struct EngineVersion(pub Arc<str>);
+
+impl EngineVersion {
+    /// The version of this name.
+    pub fn new(name: &str) -> Self {
+        Self(Arc::from(name))
+    }
+
+    /// Name of the version.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for EngineVersion {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.0)
+    }
+}
+
 /// A segment of a prompt that other prompts may share.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PromptPart {
@@ -121,6 +144,8 @@
     pub prompt: Vec<PromptPart>,
     /// Id of the event after which to resume a stream.
     pub resume_after: Option<String>,
+    /// Id of the caller's earlier call that received the first event of the resumed stream.
+    pub resumed_call: Option<String>,
     /// The turn that this one continues, if the system keeps the conversation.
     pub previous: Option<String>,
 }
--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -10,6 +10,6 @@
 mod rules;
 
 pub use events::{EventSplitter, StreamEvent};
-pub use head::{CallMetadata, EngineId, EngineStart, ProgramMetadata, PromptPart, TokenUsage};
+pub use head::{CallMetadata, EngineId, EngineStart, EngineVersion, ProgramMetadata, PromptPart, TokenUsage};
 pub use machine::{CallMachine, Failure, Next};
 pub use rules::{CallKind, CallRules};
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -192,15 +192,17 @@
     /// Adds or updates an engine.
     pub fn upsert_engine(&self, spec: EngineSpec) {
         let (id, is_draining, report) = (spec.id.clone(), spec.is_draining, spec.report);
+        let version = spec.version.clone();
         match self.engines().upsert(spec, self.clock.now()) {
             EntryChange::Unchanged => {}
             EntryChange::Changed => {
                 info!(self.logger, "engine changed"; "event" => "engine_changed", "engine" => %id,
-                    "leaving" => is_draining);
+                    "engine_version" => %version, "leaving" => is_draining);
             }
             EntryChange::Restarted => {
                 info!(self.logger, "engine restarted"; "event" => "engine_started_again", "engine" => %id,
-                    "start_unix_ms" => id.start().unix_millis, "report" => report, "leaving" => is_draining);
+                    "engine_version" => %version, "start_unix_ms" => id.start().unix_millis, "report" => report,
+                    "leaving" => is_draining);
             }
             EntryChange::EarlierIncarnationDraining => {
                 info!(self.logger, "engine's earlier incarnation is draining";
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -35,6 +35,7 @@
     pub(crate) outliers: Gauge,
     pub(crate) outlier_ejections: Counter,
     pub(crate) resumptions: Counter,
+    pub(crate) caller_resumptions: Counter,
     pub(crate) in_flight: Gauge,
     pub(crate) configuration: Gauge,
     pub(crate) ledger_seconds: Histogram,
@@ -64,6 +65,7 @@
             outliers: Gauge::default(),
             outlier_ejections: Counter::default(),
             resumptions: Counter::default(),
+            caller_resumptions: Counter::default(),
             in_flight: Gauge::default(),
             configuration: Gauge::default(),
             ledger_seconds: time_histogram(),
@@ -116,6 +118,11 @@
         registry.register("permits_refused", "Permits that were not given", self.permits_refused.clone());
         registry.register("cold_engines", "Engines that are cold", self.cold_engines.clone());
         registry.register("resumptions", "Streams taken up again", self.resumptions.clone());
+        registry.register(
+            "caller_resumptions",
+            "Calls that resume a stream of an earlier call",
+            self.caller_resumptions.clone(),
+        );
         registry.register("under_way", "Calls under way", self.in_flight.clone());
         registry.register("configuration", "Version of the configuration", self.configuration.clone());
         let times = [
--- a/crates/edge/src/report.rs
+++ b/crates/edge/src/report.rs
@@ -9,10 +9,18 @@
 use crate::wire_format::WireFormat;
 
 impl<D: WireFormat> CallContext<D> {
+    /// Logs that the caller resumes a stream that one of its earlier calls began.
+    pub(crate) fn report_resumption(&self) {
+        let Some(after) = &self.head.resume_after else { return };
+        self.edge.metrics.caller_resumptions.inc();
+        info!(self.edge.logger, "caller resumes a stream"; "event" => "stream_resumed_by_caller",
+            "call" => &self.head.id, "resumed_call" => &self.head.resumed_call, "after" => after);
+    }
+
     pub(crate) fn report_failure(&self, placement: &Placement, failure: Failure, next: &Next) {
         self.edge.metrics.failed_attempts.inc();
         info!(self.edge.logger, "attempt failed"; "event" => "attempt_failed", "call" => &self.head.id,
-            "engine" => %placement.engine, "failure" => ?failure, "next" => ?next,
+            "engine" => %placement.engine, "engine_version" => %placement.version, "failure" => ?failure, "next" => ?next,
             "candidates" => placement.candidates, "running" => placement.running as u64,
             "age_ms" => self.age_millis());
     }
@@ -22,7 +30,7 @@
         self.edge.metrics.served.inc();
         let program = self.head.program.as_ref().map_or("", |program| &program.program);
         info!(self.edge.logger, "call served"; "event" => "served", "call" => &self.head.id, "engine" => %placement.engine,
-            "status" => status, "events" => machine.events(), "misses" => machine.attempts_not_run(),
+            "engine_version" => %placement.version, "status" => status, "events" => machine.events(), "misses" => machine.attempts_not_run(),
             "age_ms" => self.age_millis(), "version" => self.selected.version, "program" => program,
             "route" => &*self.selected.route.name, "expected_ms" => placement.estimate.own_millis as u64,
             "zone_ms" => placement.estimate.zone_millis as u64, "unread_tokens" => placement.unread_tokens, "tokens_ahead" => placement.tokens_ahead as u64,
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use sumacdrift_calls::{CallMachine, EngineId, EventSplitter, Failure, Next, StreamEvent};
-use sumacdrift_routing::Outcome;
+use sumacdrift_routing::{Outcome, Placement};
 use sumacdrift_storage::LedgerError;
 use sumacdrift_types::ResultCode;
 
@@ -28,6 +28,7 @@
     mut machine: CallMachine,
     turn: Option<OpenTurn>,
 ) -> Result<Response<EdgeBody>, (CallContext<D>, CallMachine, Next)> {
+    call.report_resumption();
     let first = machine.begin(call.edge.clock.now());
     let response = match attempt_until_response(&call, &mut machine, first).await {
         Ok(response) => response,
@@ -214,14 +215,14 @@
     /// Resumes the stream after the engine failed. Returns the result code if that is not possible.
     async fn resume(&mut self) -> Option<ResultCode> {
         self.splitter.clear();
-        let engine = self.source.as_ref().map(|(_, run)| run.engine.clone());
+        let placement = self.source.as_ref().map(|(_, run)| run.placement().clone());
         self.fail_source(Outcome::Faulty);
-        let Some(engine) = engine else { return Some(ResultCode::Internal) };
+        let Some(Placement { engine, version, .. }) = placement else { return Some(ResultCode::Internal) };
         let now = self.call.edge.clock.now();
         let next = self.machine.record_failure(&engine, Failure::Lost, now);
         slog::info!(self.call.edge.logger, "engine aborted the stream"; "event" => "stream_broke_off",
-            "call" => &self.call.head.id, "engine" => %engine, "events" => self.machine.events(),
-            "next" => ?next, "age_ms" => self.call.age_millis());
+            "call" => &self.call.head.id, "engine" => %engine, "engine_version" => %version,
+            "events" => self.machine.events(), "next" => ?next, "age_ms" => self.call.age_millis());
         match attempt_until_response(&self.call, &mut self.machine, next).await {
             Ok(response) if response.head.status == StatusCode::OK => {
                 self.call.edge.metrics.resumptions.inc();
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sumacdrift_calls::EngineId;
+use sumacdrift_calls::{EngineId, EngineVersion};
 use sumacdrift_fleet_view::CachedPart;
 use sumacdrift_types::{AllowedRegions, DisabledMechanisms, Mechanism, Timestamp};
 
@@ -77,6 +77,8 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct Placement {
     pub engine: EngineId,
+    /// Software version of the engine.
+    pub version: EngineVersion,
     pub address: std::net::SocketAddr,
     pub estimate: Estimate,
     /// Tokens of the prompt that the engine has to prefill.
@@ -178,6 +180,7 @@
         let best = best?;
         Some(Placement {
             engine: best.engine.spec.id.clone(),
+            version: best.engine.spec.version.clone(),
             address: best.engine.spec.address,
             estimate: best.estimate,
             unread_tokens: best.state.unread_tokens as u64,
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sumacdrift_calls::EngineId;
+use sumacdrift_calls::{EngineId, EngineVersion};
 use sumacdrift_fleet_view::engine_key;
 use sumacdrift_scheduling::{CircuitBreaker, CircuitBreakerSettings};
 use sumacdrift_types::Timestamp;
@@ -22,6 +22,8 @@
     /// Identifies one incarnation of the engine.
     pub id: EngineId,
     pub service: Arc<str>,
+    /// Software version. Versions of a service may run side by side.
+    pub version: EngineVersion,
     pub address: SocketAddr,
     pub zone: Arc<str>,
     /// Number of calls the engine processes concurrently.
--- a/crates/routing/src/registry/incarnations.rs
+++ b/crates/routing/src/registry/incarnations.rs
@@ -34,6 +34,7 @@
     /// Applies an engine's directory entry.
     pub fn upsert(&mut self, mut spec: EngineSpec, now: Timestamp) -> EntryChange {
         self.names.intern(&mut spec.service);
+        self.names.intern(&mut spec.version.0);
         self.names.intern(&mut spec.zone);
         let Some(known) = self.engines.incarnations(&spec.id).max().cloned() else {
             self.insert(spec, now);
--- a/crates/routing/tests/engine_fixtures/mod.rs
+++ b/crates/routing/tests/engine_fixtures/mod.rs
@@ -4,7 +4,7 @@
 use std::sync::LazyLock;
 use std::time::Duration;
 
-use sumacdrift_calls::EngineId;
+use sumacdrift_calls::{EngineId, EngineVersion};
 use sumacdrift_routing::{
     EngineRegistry, EngineSpec, Permit, PlacementRequest, RequestedWork, RequiredPart, TrafficPrices,
 };
@@ -18,6 +18,7 @@
     EngineSpec {
         id: EngineId::new(id),
         service: "s".into(),
+        version: EngineVersion::default(),
         address: ([10, 0, 0, 1], 80).into(),
         zone: zone.into(),
         slots: 4,
--- a/crates/routing/tests/simulated_fleet/mod.rs
+++ b/crates/routing/tests/simulated_fleet/mod.rs
@@ -5,7 +5,7 @@
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use sumacdrift_calls::EngineId;
+use sumacdrift_calls::{EngineId, EngineVersion};
 use sumacdrift_fleet_view::{BoardLimits, Loads, NodeReport, ReportBoard};
 use sumacdrift_routing::{
     EngineRegistry, EngineSpec, Outcome, OutlierChange, OutlierChangeKind, PlacementRequest, RequestedWork,
@@ -127,6 +127,7 @@
         let spec = EngineSpec {
             id: engine_id(engine),
             service: "s".into(),
+            version: EngineVersion::default(),
             address: ([10, 0, 0, 1], 80).into(),
             zone: "z".into(),
             slots,
--- a/crates/routing/tests/stale_reports.rs
+++ b/crates/routing/tests/stale_reports.rs
@@ -4,7 +4,7 @@
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use sumacdrift_calls::EngineId;
+use sumacdrift_calls::{EngineId, EngineVersion};
 use sumacdrift_fleet_view::{BoardLimits, NodeReport, PeerView, ReportBoard};
 use sumacdrift_routing::{
     EngineRegistry, EngineSpec, Outcome, PlacementRequest, RequestedWork, RequiredPart, TrafficPrices,
@@ -37,6 +37,7 @@
         let spec = |engine: usize| EngineSpec {
             id: EngineId::new(&format!("engine {engine}")),
             service: "s".into(),
+            version: EngineVersion::default(),
             address: ([10, 0, 0, 1], 80).into(),
             zone: "z".into(),
             slots: 64,
