Resume a cut answer only at the software version that began it

What callers saw: on routes that allow two engines per attempt, an answer that its engine cut went on, under the same response, at whichever engine was cheapest, also at one of another software version.

Cause: the call machine bound a stream that has begun to nothing but the event to resume after; the choice among engines knew no versions.

The machine is bound to the version of the engine whose response head was accepted; every later `Next::Try` names it, and the choice skips engines of other versions, also among interchangeable ones, which are grouped by version now. Before that head nothing is bound, so a call that no engine has begun goes on anywhere. If no engine of the version can be used, the call ends with 4013 at once.

--- a/crates/bench/src/choices.rs
+++ b/crates/bench/src/choices.rs
@@ -52,6 +52,7 @@
             avoid: &[],
             deprioritized: &[],
             only: None,
+            version: None,
         };
         chosen += usize::from(registry.choose(&request, now).is_some());
     }
--- a/crates/calls/src/machine.rs
+++ b/crates/calls/src/machine.rs
@@ -5,7 +5,7 @@
 use sumacdrift_mutants::{Rule, is_broken};
 use sumacdrift_types::{Ran, ResultCode, Timestamp};
 
-use crate::head::EngineId;
+use crate::head::{EngineId, EngineVersion};
 use crate::rules::CallRules;
 
 /// Engines that may reject a call before it is rejected with a retry delay.
@@ -63,6 +63,8 @@
         rather_not: Vec<EngineId>,
         /// The only engine that may be chosen, if set.
         only: Option<EngineId>,
+        /// The software version that the engine must have, if set.
+        version: Option<EngineVersion>,
     },
     /// Respond that the call has not run.
     Refuse {
@@ -85,6 +87,8 @@
     in_flight: Option<EngineId>,
     may_have_run: Vec<EngineId>,
     may_resume: bool,
+    /// Software version that began the stream; other versions can't continue it.
+    stream_version: Option<EngineVersion>,
     excluded_engines: Vec<EngineId>,
     unsent_attempts: usize,
     rejections: usize,
@@ -107,6 +111,7 @@
             in_flight: None,
             may_have_run: Vec::new(),
             may_resume: true,
+            stream_version: None,
             excluded_engines: Vec::new(),
             unsent_attempts: 0,
             rejections: 0,
@@ -169,9 +174,20 @@
         self.may_resume = false;
     }
 
-    /// Records that the head of a stream was sent to the caller.
-    pub fn record_head_sent(&mut self) {
+    /// Restricts all further attempts to engines of the software version that began the stream. The first call counts.
+    pub fn bind_stream(&mut self, version: &EngineVersion) {
+        self.stream_version.get_or_insert_with(|| version.clone());
+    }
+
+    /// The software version to which the stream is bound.
+    pub fn stream_version(&self) -> Option<&EngineVersion> {
+        self.stream_version.as_ref()
+    }
+
+    /// Records that an engine of this version began the stream, and that its head was sent to the caller.
+    pub fn record_head_sent(&mut self, version: &EngineVersion) {
         self.stage = Stage::Streaming;
+        self.bind_stream(version);
     }
 
     /// Records that an event was sent to the caller.
@@ -269,13 +285,14 @@
 
     /// Tries another engine, or the last one again if `max_engines` is reached and the rules allow it.
     fn next_attempt(&self) -> Next {
+        let version = self.stream_version.clone();
         if self.may_have_run.len() < self.rules.max_engines {
             let (avoid, rather_not) = (self.excluded_engines.clone(), self.may_have_run.clone());
-            return Next::Try { avoid, rather_not, only: None };
+            return Next::Try { avoid, rather_not, only: None, version };
         }
         match self.may_have_run.last() {
             Some(last) if self.rules.returns_to_last && !self.excluded_engines.contains(last) => {
-                Next::Try { avoid: Vec::new(), rather_not: Vec::new(), only: Some(last.clone()) }
+                Next::Try { avoid: Vec::new(), rather_not: Vec::new(), only: Some(last.clone()), version }
             }
             _ => self.finish(ResultCode::BackEndCut),
         }
--- a/crates/calls/tests/machine.rs
+++ b/crates/calls/tests/machine.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sumacdrift_calls::{CallKind, CallMachine, CallRules, EngineId, Failure, Next};
+use sumacdrift_calls::{CallKind, CallMachine, CallRules, EngineId, EngineVersion, Failure, Next};
 use sumacdrift_types::{ResultCode, Timestamp};
 
 const START: Timestamp = Timestamp(1_000_000);
@@ -26,7 +26,7 @@
 
 fn excluded_engines(next: &Next) -> Vec<&str> {
     match next {
-        Next::Try { avoid, rather_not, only: None } => {
+        Next::Try { avoid, rather_not, only: None, version: None } => {
             avoid.iter().chain(rather_not).map(EngineId::as_str).collect()
         }
         other => panic!("expected another engine, found {other:?}"),
@@ -79,23 +79,49 @@
     let mut machine = machine(CallKind::Repeatable, 2);
     assert_eq!(excluded_engines(&machine.record_failure(&engine("a"), Failure::Lost, START)), ["a"]);
     let next = machine.record_failure(&engine("b"), Failure::Lost, START);
-    assert_eq!(next, Next::Try { avoid: Vec::new(), rather_not: Vec::new(), only: Some(engine("b")) });
+    assert_eq!(
+        next,
+        Next::Try { avoid: Vec::new(), rather_not: Vec::new(), only: Some(engine("b")), version: None }
+    );
 }
 
 #[test]
 fn stream_resumes_on_the_last_engine_when_max_engines_is_reached() {
     let mut machine = machine(CallKind::Stream { resumable: true }, 1);
-    machine.record_head_sent();
+    machine.record_head_sent(&EngineVersion::default());
     machine.record_event_sent(Some("4".to_owned()));
     let next = machine.record_failure(&engine("a"), Failure::Lost, START);
-    assert_eq!(next, Next::Try { avoid: Vec::new(), rather_not: Vec::new(), only: Some(engine("a")) });
+    assert_eq!(
+        next,
+        Next::Try {
+            avoid: Vec::new(),
+            rather_not: Vec::new(),
+            only: Some(engine("a")),
+            version: Some(EngineVersion::default())
+        }
+    );
     assert_eq!(machine.resume_after(), Some("4"));
 }
 
+#[test]
+fn stream_is_bound_to_the_version_that_began_it() {
+    let mut machine = machine(CallKind::Stream { resumable: true }, 9);
+    let next = machine.record_failure(&engine("a"), Failure::Lost, START);
+    assert!(matches!(next, Next::Try { version: None, .. }), "no version has begun it: {next:?}");
+    let version = EngineVersion::new("v2");
+    machine.record_head_sent(&version);
+    for failure in [Failure::Lost, REJECTED, Failure::NotSent] {
+        let next = machine.record_failure(&engine("b"), failure, START);
+        assert!(matches!(&next, Next::Try { version: Some(bound), .. } if *bound == version), "{next:?}");
+    }
+    machine.record_head_sent(&EngineVersion::new("v1"));
+    assert_eq!(machine.stream_version(), Some(&version));
+}
+
 #[test]
 fn non_resumable_stream_is_aborted() {
     let mut machine = machine(CallKind::Stream { resumable: false }, 3);
-    machine.record_head_sent();
+    machine.record_head_sent(&EngineVersion::default());
     machine.record_event_sent(Some("1".to_owned()));
     let next = machine.record_failure(&engine("a"), Failure::Lost, START);
     assert_eq!(next, Next::BreakOff { code: ResultCode::BackEndCut });
@@ -104,7 +130,7 @@
 #[test]
 fn stream_without_event_ids_is_aborted() {
     let mut machine = machine(CallKind::Stream { resumable: true }, 3);
-    machine.record_head_sent();
+    machine.record_head_sent(&EngineVersion::default());
     machine.record_event_sent(None);
     assert!(matches!(machine.record_failure(&engine("a"), Failure::Lost, START), Next::BreakOff { .. }));
 }
@@ -158,7 +184,7 @@
 #[test]
 fn stream_with_forbidden_resumption_is_aborted() {
     let mut machine = machine(CallKind::Stream { resumable: true }, 3);
-    machine.record_head_sent();
+    machine.record_head_sent(&EngineVersion::default());
     machine.record_event_sent(Some("1".to_owned()));
     machine.forbid_resumption();
     assert!(matches!(machine.record_failure(&engine("a"), Failure::Lost, START), Next::BreakOff { .. }));
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -7,7 +7,7 @@
 use http::{HeaderMap, Method, Request, Uri, request, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use sumacdrift_calls::{CallMachine, CallMetadata, EngineId, Failure, Next};
+use sumacdrift_calls::{CallMachine, CallMetadata, EngineId, EngineVersion, Failure, Next};
 use sumacdrift_routing::{
     Outcome, Permit, Placement, PlacementRequest, RequestedWork, RequiredPart, SelectedRoute, UrgencyInput,
     urgency,
@@ -78,7 +78,10 @@
         self.edge.route_durations().average(&self.selected.route.name)
     }
 
-    fn no_engine_code(&self) -> ResultCode {
+    fn no_engine_code(&self, machine: &CallMachine) -> ResultCode {
+        if machine.stream_version().is_some() {
+            return ResultCode::NoEngineOfVersion;
+        }
         if self.regions.is_unrestricted() { ResultCode::NoEngine } else { ResultCode::NoEngineInRegion }
     }
 
@@ -115,21 +118,26 @@
     let mut next = first;
     let permit_deadline = call.edge.permit_wait_deadline(machine);
     loop {
-        let Next::Try { avoid, rather_not, only } = next else { return Err(next) };
+        let Next::Try { avoid, rather_not, only, version } = next else { return Err(next) };
         if let Err(code) = call.edge.recheck_access(&call.head, &call.caller) {
             return Err(machine.end_denied(code));
         }
         if call.edge.clock.now() >= machine.deadline() {
             return Err(machine.end_expired());
         }
-        let restrictions = Restrictions { avoid: &avoid, deprioritized: &rather_not, only: only.as_ref() };
+        let restrictions = Restrictions {
+            avoid: &avoid,
+            deprioritized: &rather_not,
+            only: only.as_ref(),
+            version: version.as_ref(),
+        };
         let (placement, permit) = match select_engine(call, machine, &restrictions, permit_deadline).await {
             Selection::Selected(placement, permit) => (placement, permit),
             Selection::PermitDenied => {
-                next = Next::Try { avoid, rather_not, only };
+                next = Next::Try { avoid, rather_not, only, version };
                 continue;
             }
-            Selection::NoEngine => return Err(machine.end_without_engine(call.no_engine_code())),
+            Selection::NoEngine => return Err(machine.end_without_engine(call.no_engine_code(machine))),
         };
         machine.record_sent(&placement.engine);
         match try_engine(call, machine, &placement, permit).await {
@@ -148,6 +156,7 @@
     avoid: &'a [EngineId],
     deprioritized: &'a [EngineId],
     only: Option<&'a EngineId>,
+    version: Option<&'a EngineVersion>,
 }
 
 enum Selection {
@@ -217,6 +226,7 @@
         avoid: restrictions.avoid,
         deprioritized: restrictions.deprioritized,
         only: restrictions.only,
+        version: restrictions.version,
     })
 }
 
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -42,7 +42,7 @@
         // No other engine will get the prompt, which may be large.
         call.forwarded.body = Bytes::new();
     }
-    machine.record_head_sent();
+    machine.record_head_sent(&response.run.placement().version);
     let mut relay = StreamRelay::new(call, machine, turn, response);
     let first = relay.next_chunk().await;
     let waited = relay.call.edge.clock.now().since(relay.call.accepted);
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -8,7 +8,7 @@
 
 use crate::cold::ColdLimit;
 use crate::distance::{PathCost, ZoneDistances};
-use crate::engine::Engine;
+use crate::engine::{Engine, EngineSpec};
 use crate::estimate::{CallWork, EngineState, Estimate, Speeds, estimate};
 use crate::peer_load::PeerLoadEstimator;
 
@@ -70,6 +70,17 @@
     pub deprioritized: &'a [EngineId],
     /// If set, no other engine may be chosen.
     pub only: Option<&'a EngineId>,
+    /// If set, only engines of this software version may be chosen.
+    pub version: Option<&'a EngineVersion>,
+}
+
+impl PlacementRequest<'_> {
+    /// Whether the request itself permits an engine, whatever the engine's state.
+    pub(crate) fn permits(&self, engine: &EngineSpec) -> bool {
+        let has_version = self.version.is_none_or(|version| engine.version == *version);
+        let is_only = self.only.is_none_or(|only| engine.id == *only);
+        &*engine.service == self.service && has_version && is_only && !self.avoid.contains(&engine.id)
+    }
 }
 
 /// A chosen engine.
@@ -122,7 +133,7 @@
 impl Choice<'_> {
     /// The engine of least cost in the first non-empty tier.
     pub(crate) fn best<'e>(&self, engines: impl Iterator<Item = &'e Engine>) -> Option<Placement> {
-        let candidates: Vec<&Engine> = engines.filter(|engine| self.is_candidate(engine)).collect();
+        let candidates: Vec<&Engine> = engines.filter(|engine| self.request.permits(&engine.spec)).collect();
         // In order of preference; the last one is the last resort.
         let tiers: [&dyn Fn(&Engine) -> bool; 4] = [
             &|engine| self.is_preferred(engine) && engine.is_usable(self.now) && self.is_healthy(engine),
@@ -133,13 +144,6 @@
         tiers.iter().find_map(|tier| self.cheapest(candidates.iter().copied().filter(|engine| tier(engine))))
     }
 
-    fn is_candidate(&self, engine: &Engine) -> bool {
-        let is_only = self.request.only.is_none_or(|only| engine.spec.id == *only);
-        &*engine.spec.service == self.request.service
-            && is_only
-            && !self.request.avoid.contains(&engine.spec.id)
-    }
-
     fn is_healthy(&self, engine: &Engine) -> bool {
         let peers_see_failures = self.peer_loads.current(&engine.peer_load).is_failing()
             && self.disabled.is_enabled(Mechanism::PeerFailures);
--- a/crates/routing/src/registry/eligibility.rs
+++ b/crates/routing/src/registry/eligibility.rs
@@ -83,13 +83,9 @@
 
     /// Earliest time to request a permit again for any engine that is excluded only because it is cold.
     pub fn next_permit_at(&self, request: &PlacementRequest<'_>, now: Timestamp) -> Option<Timestamp> {
-        let of_service = self.engines.distinct().filter(|engine| &*engine.spec.service == request.service);
-        let could_serve = of_service.filter(|engine| {
-            self.is_allowed(engine, request)
-                && engine.is_usable(now)
-                && !request.avoid.contains(&engine.spec.id)
-                && request.only.is_none_or(|only| engine.spec.id == *only)
-        });
+        let permitted = self.engines.distinct().filter(|engine| request.permits(&engine.spec));
+        let could_serve =
+            permitted.filter(|engine| self.is_allowed(engine, request) && engine.is_usable(now));
         could_serve.filter_map(|engine| engine.cold_state.next_permit_at(now)).min()
     }
 
--- a/crates/routing/src/registry/engine_table.rs
+++ b/crates/routing/src/registry/engine_table.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
-use sumacdrift_calls::EngineId;
+use sumacdrift_calls::{EngineId, EngineVersion};
 
 use crate::choice::rendezvous_hash;
 use crate::engine::{Engine, GroupPosition};
@@ -12,10 +12,11 @@
 /// Candidates per group: the best one, and the runner-up for the log.
 const PREFERRED_PER_GROUP: usize = 2;
 
-/// Engines of one service, zone and number of slots without state of their own.
+/// Engines of one service, version, zone and number of slots without state of their own.
 #[derive(Debug)]
 struct EngineGroup {
     service: Arc<str>,
+    version: EngineVersion,
     zone: Arc<str>,
     slots: usize,
     /// Engine keys; apart from the ids, so that scanning them is fast.
@@ -26,7 +27,8 @@
 impl EngineGroup {
     fn accepts(&self, engine: &Engine) -> bool {
         let spec = &engine.spec;
-        self.service == spec.service && self.zone == spec.zone && self.slots == spec.slots
+        let is_same_kind = self.service == spec.service && self.version == spec.version;
+        is_same_kind && self.zone == spec.zone && self.slots == spec.slots
     }
 
     /// Indexes of the engines that rank best for a call's key, the best first.
@@ -159,6 +161,7 @@
         let group = self.groups.iter().position(|existing| existing.accepts(&engine)).unwrap_or_else(|| {
             self.groups.push(EngineGroup {
                 service: Arc::clone(&engine.spec.service),
+                version: engine.spec.version.clone(),
                 zone: Arc::clone(&engine.spec.zone),
                 slots: engine.spec.slots,
                 keys: Vec::new(),
--- a/crates/routing/tests/engine_fixtures/mod.rs
+++ b/crates/routing/tests/engine_fixtures/mod.rs
@@ -55,6 +55,7 @@
         avoid,
         deprioritized: &[],
         only: None,
+        version: None,
     }
 }
 
--- a/crates/routing/tests/engines.rs
+++ b/crates/routing/tests/engines.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use engine_fixtures::{NOW, chosen, registry, registry_without, request, spec, turn};
-use sumacdrift_calls::EngineId;
+use sumacdrift_calls::{EngineId, EngineVersion};
 use sumacdrift_fleet_view::{CachedPart, EngineLoad, Loads, engine_key};
 use sumacdrift_routing::{EngineRegistry, EngineSpec, EntryChange, Outcome, PlacementRequest, RequiredPart};
 use sumacdrift_types::Mechanism;
@@ -285,3 +285,18 @@
     registry.apply_peer_loads(&Loads { engines: vec![load] }, NOW);
     assert_eq!(registry.load_report(NOW).engines[0].succeeding_edges, 1);
 }
+
+#[test]
+fn only_engines_of_the_required_version_are_chosen() {
+    let mut registry = registry(&[("a", "z1")]);
+    let newer = EngineVersion::new("v2");
+    registry.upsert(EngineSpec { version: newer.clone(), ..spec("b", "z2") }, NOW);
+    for key in 0..20 {
+        let request = PlacementRequest { key, version: Some(&newer), ..request(&[]) };
+        assert_eq!(chosen(&registry, &request, NOW).as_deref(), Some("b"));
+    }
+    let avoid = [EngineId::new("b")];
+    assert_eq!(chosen(&registry, &PlacementRequest { version: Some(&newer), ..request(&avoid) }, NOW), None);
+    registry.withdraw(&EngineId::new("b"), NOW);
+    assert_eq!(chosen(&registry, &PlacementRequest { version: Some(&newer), ..request(&[]) }, NOW), None);
+}
--- a/crates/routing/tests/interchangeable_engines.rs
+++ b/crates/routing/tests/interchangeable_engines.rs
@@ -9,9 +9,11 @@
 use engine_fixtures::{ANYWHERE, NOW, registry, spec};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use sumacdrift_calls::EngineId;
+use sumacdrift_calls::{EngineId, EngineVersion};
 use sumacdrift_fleet_view::{CachedPart, EngineLoad, Loads, engine_key};
-use sumacdrift_routing::{EngineRegistry, Outcome, PlacementRequest, RequestedWork, RequiredPart};
+use sumacdrift_routing::{
+    EngineRegistry, EngineSpec, Outcome, PlacementRequest, RequestedWork, RequiredPart,
+};
 use sumacdrift_types::Timestamp;
 
 const ENGINES: usize = 60;
@@ -19,6 +21,15 @@
 const PARTS: [RequiredPart; 2] =
     [RequiredPart { part: 1, tokens: 2_560 }, RequiredPart { part: 2, tokens: 900 }];
 
+/// Engine of one of two software versions.
+fn versioned_spec(engine: usize) -> EngineSpec {
+    EngineSpec { version: version(engine / ZONES.len()), ..spec(&name(engine), ZONES[engine % ZONES.len()]) }
+}
+
+fn version(number: usize) -> EngineVersion {
+    EngineVersion::new(["v1", "v2"][number % 2])
+}
+
 fn name(engine: usize) -> String {
     format!("e{engine}")
 }
@@ -43,7 +54,7 @@
         };
         for engine in 0..ENGINES {
             pair.apply_to_both(|registry, now| {
-                registry.upsert(spec(&name(engine), ZONES[engine % ZONES.len()]), now);
+                registry.upsert(versioned_spec(engine), now);
             });
         }
         pair
@@ -72,6 +83,7 @@
         };
         let (avoid, deprioritized) = (drawn(random, 4), drawn(random, 3));
         let only = EngineId::new(&name(random.random_range(0..ENGINES)));
+        let version = version(random.random_range(0..2));
         let connected = &self.connected;
         let request = PlacementRequest {
             service: "s",
@@ -83,6 +95,7 @@
             avoid: &avoid,
             deprioritized: &deprioritized,
             only: (random.random_range(0..20) == 0).then_some(&only),
+            version: (random.random_range(0..3) == 0).then_some(&version),
         };
         let expected = self.ungrouped.choose(&request, self.now);
         let chosen = self.grouped.choose(&request, self.now);
--- a/crates/routing/tests/simulated_fleet/mod.rs
+++ b/crates/routing/tests/simulated_fleet/mod.rs
@@ -252,6 +252,7 @@
             avoid: &[],
             deprioritized: &[],
             only: None,
+            version: None,
         };
         let registry = &mut self.edges[edge].registry;
         let placement = registry.choose(&request, now).expect("an engine is available");
--- a/crates/routing/tests/stale_reports.rs
+++ b/crates/routing/tests/stale_reports.rs
@@ -82,6 +82,7 @@
                 avoid: &[],
                 deprioritized: &[],
                 only: None,
+                version: None,
             };
             let placement = self.registries[edge].choose(&request, now).expect("an engine is available");
             self.registries[edge].record_sent(&placement.engine, placement.unread_tokens, now);
--- a/crates/simulation/src/gateway.rs
+++ b/crates/simulation/src/gateway.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use rand::Rng;
-use sumacdrift_calls::{CallMachine, EngineId, Failure, Next};
+use sumacdrift_calls::{CallMachine, EngineId, EngineVersion, Failure, Next};
 use sumacdrift_mutants::{Rule, is_broken};
 use sumacdrift_program::{
     Answer, BeginService, BeginTurn, BudgetLimits, Command, FinishTurn, KnownPrefix, Reply, RunTurn,
@@ -417,7 +417,7 @@
         let tokens = run.output_tokens.min(request.wanted_output);
         self.oracle.add_generated_tokens(&request.program, tokens);
         task.machine.record_sent(&engine_id(engine));
-        task.machine.record_head_sent();
+        task.machine.record_head_sent(&EngineVersion::default());
         task.generated_tokens += tokens;
         task.engines.push(engine);
         task.exchange = self.next_exchange;
--- a/crates/types/src/result_code.rs
+++ b/crates/types/src/result_code.rs
@@ -113,6 +113,10 @@
     NoCommonRegion = 4011, 503, "No region is allowed";
     /// The turn can't be stored within the allowed regions only: its ledger group has replicas elsewhere.
     NotKeptInRegion = 4012, 503, "Can't be kept in an allowed region";
+    /// No engine of the software version that began the stream can be used; other versions can't continue it.
+    NoEngineOfVersion = 4013, 503, "No engine of the stream's version";
+    /// It is not known which software version began the stream, and engines may run others.
+    UnknownStreamVersion = 4014, 503, "Version of the stream is unknown";
     /// The node is shutting down and accepts no new work.
     NodeStopping = 5001, 503, "Node is stopping";
     /// The program's shard has no leader.
