--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -20,6 +20,7 @@
 use crate::engine_run::EngineRun;
 use crate::headers::without_hop_by_hop;
 use crate::service_queues::QueueSlot;
+use crate::turn::OpenTurn;
 use crate::wire_format::{EngineAttempt, KeyHandling, ResponseKind, WireFormat};
 
 /// Assumed duration of a buffered call on a route without observations.
@@ -109,10 +110,11 @@
     pub(crate) run: EngineRun<D>,
 }
 
-/// Attempts engines until one responds or the call fails.
+/// Attempts engines until one responds or the call fails. `turn` is the call's open turn, if it has one.
 pub(crate) async fn attempt_until_response<D: WireFormat>(
     call: &CallContext<D>,
     machine: &mut CallMachine,
+    mut turn: Option<&mut OpenTurn>,
     first: Next,
 ) -> Result<EngineResponse<D>, Next> {
     let mut next = first;
@@ -139,6 +141,11 @@
             }
             Selection::NoEngine => return Err(machine.end_without_engine(call.no_engine_code(machine))),
         };
+        if let Some(turn) = turn.as_deref_mut()
+            && let Err(code) = call.record_origin(machine, turn, &placement).await
+        {
+            return Err(machine.end_without_engine(code));
+        }
         machine.record_sent(&placement.engine);
         match try_engine(call, machine, &placement, permit).await {
             Ok(response) => return Ok(response),
@@ -152,7 +159,8 @@
 }
 
 /// Restrictions from earlier attempts, see [`Next::Try`].
-struct Restrictions<'a> {
+#[derive(Default)]
+pub(crate) struct Restrictions<'a> {
     avoid: &'a [EngineId],
     deprioritized: &'a [EngineId],
     only: Option<&'a EngineId>,
@@ -195,7 +203,7 @@
     }
 }
 
-fn choose_eligible<D: WireFormat>(
+pub(crate) fn choose_eligible<D: WireFormat>(
     call: &CallContext<D>,
     restrictions: &Restrictions<'_>,
 ) -> Option<Placement> {
--- a/crates/edge/src/buffered.rs
+++ b/crates/edge/src/buffered.rs
@@ -25,7 +25,7 @@
     // A server error of an engine, forwarded if no other engine's response is better.
     let mut failed: Option<BufferedResponse> = None;
     loop {
-        let received = match attempt_until_response(call, machine, next).await {
+        let received = match attempt_until_response(call, machine, None, next).await {
             Ok(received) => received,
             Err(next) => return failed.map(|failed| failed.forward(call, machine)).ok_or(next),
         };
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -11,11 +11,11 @@
 use slog::info;
 use sumacdrift_calls::{CallMachine, CallMetadata, Next};
 use sumacdrift_http_client::{HttpError, read_body};
-use sumacdrift_routing::{RequiredPart, SelectedRoute};
+use sumacdrift_ledger::StreamOrigin;
 use sumacdrift_storage::LedgerError;
-use sumacdrift_types::{AllowedRegions, Ran, ResultCode, Timestamp};
+use sumacdrift_types::{Ran, ResultCode, Timestamp};
 
-use crate::access::{Caller, Denied};
+use crate::access::Denied;
 use crate::attempt::{CallContext, ForwardedRequest};
 use crate::buffered::run_buffered;
 use crate::edge::Edge;
@@ -23,7 +23,7 @@
 use crate::service_queues::{EnqueueRequest, QueueSlot};
 use crate::state_exchange::prompt_parts;
 use crate::stream::run_stream;
-use crate::turn::{OpenTurn, TurnRequest, result_code};
+use crate::turn::{OpenTurn, TurnRequest, program_of_stream, result_code};
 use crate::wire_format::WireFormat;
 
 /// Retry delay after a rejection that is not caused by engine capacity.
@@ -88,92 +88,72 @@
         Ok(regions) => regions,
         Err(code) => return reject(edge, &head, code),
     };
-    let admitted_call = AdmittedCall { parts, head, caller, selected, machine, body, accepted, regions };
-    run_call(edge, admitted_call).await
+    let is_stream = selected.route.rules.kind.is_stream();
+    let prompt = if is_stream { prompt_parts(&head) } else { Vec::new() };
+    let forwarded = ForwardedRequest::new(&edge.wire_format, &caller, &parts, body);
+    let edge = Arc::clone(edge);
+    let call =
+        CallContext { edge, head, caller, selected, forwarded, parts: prompt, accepted, regions, slot: None };
+    if is_stream { run_stream_call(call, machine).await } else { run_buffered_call(call, machine).await }
 }
 
-/// An admitted call with its complete body.
-struct AdmittedCall {
-    parts: request::Parts,
-    head: CallMetadata,
-    caller: Caller,
-    selected: SelectedRoute,
-    machine: CallMachine,
-    body: Bytes,
-    accepted: Timestamp,
-    regions: AllowedRegions,
+async fn run_buffered_call<D: WireFormat>(
+    mut call: CallContext<D>,
+    mut machine: CallMachine,
+) -> Response<EdgeBody> {
+    // Tool calls belong to programs that have already started.
+    let has_started = call.head.program.is_some();
+    match wait_for_slot(&call, &machine, has_started).await {
+        Ok(slot) => call.slot = slot,
+        Err(next) => return give_up(&call, &machine, &next),
+    }
+    match run_buffered(&call, &mut machine).await {
+        Ok(response) => response,
+        Err(next) => give_up(&call, &machine, &next),
+    }
 }
 
-async fn run_call<D: WireFormat>(edge: &Arc<Edge<D>>, mut admitted_call: AdmittedCall) -> Response<EdgeBody> {
-    if !admitted_call.selected.route.rules.kind.is_stream() {
-        // Tool calls belong to programs that have already started.
-        let has_started = admitted_call.head.program.is_some();
-        let slot = match wait_for_slot(edge, &admitted_call, has_started).await {
-            Ok(slot) => slot,
-            Err(next) => return reject_without_slot(edge, admitted_call, next),
-        };
-        let (call, mut machine) = admitted_call.into_context(edge, Vec::new(), slot);
-        return match run_buffered(&call, &mut machine).await {
-            Ok(response) => response,
-            Err(next) => give_up(&call, &machine, &next),
-        };
-    }
-    let prompt = prompt_parts(&admitted_call.head);
-    let started = edge.clock.now();
-    let begun = begin_turn(edge, &admitted_call, &prompt, started).await;
-    edge.metrics.ledger_seconds.observe(edge.clock.now().since(started).as_secs_f64());
-    let begun = match begun {
+async fn run_stream_call<D: WireFormat>(
+    mut call: CallContext<D>,
+    mut machine: CallMachine,
+) -> Response<EdgeBody> {
+    let started = call.edge.clock.now();
+    let begun = begin_turn(&call, &machine, started).await;
+    call.edge.metrics.ledger_seconds.observe(call.edge.clock.now().since(started).as_secs_f64());
+    let BegunTurn { mut turn, body, has_started, resumed_origin } = match begun {
         Ok(begun) => begun,
-        Err(error) => return reject_turn(edge, &admitted_call.head, error),
-    };
-    admitted_call.body = begun.body;
-    let slot = match wait_for_slot(edge, &admitted_call, begun.has_started).await {
-        Ok(slot) => slot,
-        Err(next) => return reject_without_slot(edge, admitted_call, next),
+        Err(error) => return reject_turn(&call.edge, &call.head, error),
     };
-    let (call, machine) = admitted_call.into_context(edge, prompt, slot);
-    match run_stream(call, machine, begun.turn).await {
+    call.forwarded.body = body;
+    if call.resumes_stream() {
+        if let Err(code) = call.bind_resumed_stream(&mut machine, resumed_origin) {
+            let next = machine.end_without_engine(code);
+            return give_up(&call, &machine, &next);
+        }
+        if let Some(turn) = &mut turn {
+            turn.set_service(&call.selected.service);
+        }
+    }
+    match wait_for_slot(&call, &machine, has_started).await {
+        Ok(slot) => call.slot = slot,
+        Err(next) => return give_up(&call, &machine, &next),
+    }
+    match run_stream(call, machine, turn).await {
         Ok(response) => response,
         Err((call, machine, next)) => give_up(&call, &machine, &next),
     }
 }
 
-impl AdmittedCall {
-    fn into_context<D: WireFormat>(
-        self,
-        edge: &Arc<Edge<D>>,
-        prompt: Vec<RequiredPart>,
-        slot: Option<QueueSlot<D>>,
-    ) -> (CallContext<D>, CallMachine) {
-        let Self { parts, head, caller, selected, machine, body, accepted, regions } = self;
-        let forwarded = ForwardedRequest::new(&edge.wire_format, &caller, &parts, body);
-        let edge = Arc::clone(edge);
-        let call =
-            CallContext { edge, head, caller, selected, forwarded, parts: prompt, accepted, regions, slot };
-        (call, machine)
-    }
-}
-
 async fn wait_for_slot<D: WireFormat>(
-    edge: &Arc<Edge<D>>,
-    admitted_call: &AdmittedCall,
+    call: &CallContext<D>,
+    machine: &CallMachine,
     has_started: bool,
 ) -> Result<Option<QueueSlot<D>>, Next> {
-    let AdmittedCall { head, caller, selected, machine, body, accepted, .. } = admitted_call;
-    let (accepted, bytes) = (*accepted, body.len());
+    let CallContext { edge, head, caller, selected, accepted, .. } = call;
+    let (accepted, bytes) = (*accepted, call.forwarded.body.len());
     edge.wait_for_slot(EnqueueRequest { head, caller, selected, machine, accepted, bytes, has_started }).await
 }
 
-/// Rejects a call that got no slot.
-fn reject_without_slot<D: WireFormat>(
-    edge: &Arc<Edge<D>>,
-    admitted_call: AdmittedCall,
-    next: Next,
-) -> Response<EdgeBody> {
-    let (call, machine) = admitted_call.into_context(edge, Vec::new(), None);
-    give_up(&call, &machine, &next)
-}
-
 /// Rejects a turn that the ledger did not begin.
 fn reject_turn<D: WireFormat>(edge: &Edge<D>, head: &CallMetadata, error: LedgerError) -> Response<EdgeBody> {
     let program = head.program.as_ref();
@@ -196,30 +176,58 @@
     body: Bytes,
     /// Whether earlier turns of the program have been served; also true if that is unknown.
     has_started: bool,
+    /// Origin of the stream that the call resumes, if the ledger knows it.
+    resumed_origin: Option<StreamOrigin>,
 }
 
-/// Begins the call's turn in the ledger, if it has a program with a budget or a retained route.
+/// Begins the call's turn in the ledger, if it has a program with a budget, a retained route, or a stream that may be
+/// resumed.
 async fn begin_turn<D: WireFormat>(
-    edge: &Arc<Edge<D>>,
-    admitted_call: &AdmittedCall,
-    prompt: &[RequiredPart],
+    call: &CallContext<D>,
+    machine: &CallMachine,
     now: Timestamp,
 ) -> Result<BegunTurn, LedgerError> {
-    let AdmittedCall { head, caller, selected, body, .. } = admitted_call;
-    let untracked = || BegunTurn { turn: None, body: body.clone(), has_started: true };
-    let Some(program) = &head.program else { return Ok(untracked()) };
+    let CallContext { edge, head, caller, selected, .. } = call;
+    let body = &call.forwarded.body;
+    let untracked = || BegunTurn { turn: None, body: body.clone(), has_started: true, resumed_origin: None };
     let is_retained = selected.route.is_retained;
-    if program.token_budget.is_none() && !is_retained {
+    let has_budget = head.program.as_ref().is_some_and(|program| program.token_budget.is_some());
+    let must_track = has_budget || (is_retained && head.program.is_some());
+    if !must_track && !call.is_resumable() {
         return Ok(untracked());
     }
-    let until = edge.clock.instant(admitted_call.machine.admission_deadline(now));
-    let update = edge.update_at_begin(prompt);
-    let request = TurnRequest { head, program, caller, selected, input: body, update };
-    let ledger = edge.ledger_for(&admitted_call.regions);
-    let (turn, admission) = OpenTurn::begin(ledger, &edge.logger, request, until).await?;
-    let has_started = head.previous.is_some() || admission.counted_tokens > 0;
+    let own_program;
+    let program = match &head.program {
+        Some(program) => program,
+        None => {
+            own_program = program_of_stream(head);
+            &own_program
+        }
+    };
+    let until = edge.clock.instant(machine.admission_deadline(now));
+    let request = TurnRequest {
+        head,
+        program,
+        caller,
+        selected,
+        input: body,
+        origin: call.expected_origin(),
+        resumed_call: head.resumed_call.as_deref().filter(|_| call.resumes_stream()),
+        update: edge.update_at_begin(&call.parts),
+    };
+    let ledger = edge.ledger_for(&call.regions);
+    let (turn, admission) = match OpenTurn::begin(ledger, &edge.logger, request, until).await {
+        Ok(begun) => begun,
+        Err(error) if must_track => return Err(error),
+        Err(error) => {
+            info!(edge.logger, "stream begins without a record"; "event" => "stream_not_recorded",
+                "call" => &head.id, "reason" => %error);
+            return Ok(untracked());
+        }
+    };
+    let has_started = head.previous.is_some() || admission.counted_tokens > 0 || !must_track;
     let body = if is_retained { admission.chain.into_prompt(body) } else { body.clone() };
-    Ok(BegunTurn { turn: Some(turn), body, has_started })
+    Ok(BegunTurn { turn: Some(turn), body, has_started, resumed_origin: admission.resumed_origin })
 }
 
 fn give_up<D: WireFormat>(call: &CallContext<D>, machine: &CallMachine, next: &Next) -> Response<EdgeBody> {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -26,6 +26,7 @@
 mod service_queues;
 mod state_exchange;
 mod stream;
+mod stream_origin;
 mod turn;
 mod wire_format;
 
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -36,6 +36,8 @@
     pub(crate) outlier_ejections: Counter,
     pub(crate) resumptions: Counter,
     pub(crate) caller_resumptions: Counter,
+    pub(crate) unknown_origins: Counter,
+    pub(crate) origin_changes: Counter,
     pub(crate) in_flight: Gauge,
     pub(crate) configuration: Gauge,
     pub(crate) ledger_seconds: Histogram,
@@ -66,6 +68,8 @@
             outlier_ejections: Counter::default(),
             resumptions: Counter::default(),
             caller_resumptions: Counter::default(),
+            unknown_origins: Counter::default(),
+            origin_changes: Counter::default(),
             in_flight: Gauge::default(),
             configuration: Gauge::default(),
             ledger_seconds: time_histogram(),
@@ -123,6 +127,16 @@
             "Calls that resume a stream of an earlier call",
             self.caller_resumptions.clone(),
         );
+        registry.register(
+            "unknown_origins",
+            "Calls that resume a stream of which it is not known where it began",
+            self.unknown_origins.clone(),
+        );
+        registry.register(
+            "origin_changes",
+            "Calls sent to an engine of another version than the one recorded when their turn began",
+            self.origin_changes.clone(),
+        );
         registry.register("under_way", "Calls under way", self.in_flight.clone());
         registry.register("configuration", "Version of the configuration", self.configuration.clone());
         let times = [
--- a/crates/edge/src/report.rs
+++ b/crates/edge/src/report.rs
@@ -9,14 +9,6 @@
 use crate::wire_format::WireFormat;
 
 impl<D: WireFormat> CallContext<D> {
-    /// Logs that the caller resumes a stream that one of its earlier calls began.
-    pub(crate) fn report_resumption(&self) {
-        let Some(after) = &self.head.resume_after else { return };
-        self.edge.metrics.caller_resumptions.inc();
-        info!(self.edge.logger, "caller resumes a stream"; "event" => "stream_resumed_by_caller",
-            "call" => &self.head.id, "resumed_call" => &self.head.resumed_call, "after" => after);
-    }
-
     pub(crate) fn report_failure(&self, placement: &Placement, failure: Failure, next: &Next) {
         self.edge.metrics.failed_attempts.inc();
         info!(self.edge.logger, "attempt failed"; "event" => "attempt_failed", "call" => &self.head.id,
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -26,11 +26,10 @@
 pub(crate) async fn run_stream<D: WireFormat>(
     mut call: CallContext<D>,
     mut machine: CallMachine,
-    turn: Option<OpenTurn>,
+    mut turn: Option<OpenTurn>,
 ) -> Result<Response<EdgeBody>, (CallContext<D>, CallMachine, Next)> {
-    call.report_resumption();
     let first = machine.begin(call.edge.clock.now());
-    let response = match attempt_until_response(&call, &mut machine, first).await {
+    let response = match attempt_until_response(&call, &mut machine, turn.as_mut(), first).await {
         Ok(response) => response,
         Err(next) => return Err((call, machine, next)),
     };
@@ -223,7 +222,7 @@
         slog::info!(self.call.edge.logger, "engine aborted the stream"; "event" => "stream_broke_off",
             "call" => &self.call.head.id, "engine" => %engine, "engine_version" => %version,
             "events" => self.machine.events(), "next" => ?next, "age_ms" => self.call.age_millis());
-        match attempt_until_response(&self.call, &mut self.machine, next).await {
+        match attempt_until_response(&self.call, &mut self.machine, self.turn.as_mut(), next).await {
             Ok(response) if response.head.status == StatusCode::OK => {
                 self.call.edge.metrics.resumptions.inc();
                 self.source = Some((response.body, response.run));
--- a/crates/edge/src/turn.rs
+++ b/crates/edge/src/turn.rs
@@ -6,8 +6,8 @@
 use bytes::Bytes;
 use slog::{Logger, info};
 use sumacdrift_calls::{CallMetadata, ProgramMetadata};
-use sumacdrift_ledger::{RetainedTurn, TurnBegun, TurnEnded};
-use sumacdrift_routing::SelectedRoute;
+use sumacdrift_ledger::{RetainedTurn, StreamOrigin, TurnBegun, TurnEnded};
+use sumacdrift_routing::{SelectedRoute, ServiceSpec};
 use sumacdrift_storage::{Admission, BeginTurn, LedgerClient, LedgerError};
 use sumacdrift_types::ResultCode;
 use tokio::time::Instant;
@@ -25,7 +25,12 @@
     program: String,
     turn: String,
     previous: String,
+    max_tokens: u64,
     retention_millis: u64,
+    /// The recorded origin of the turn's stream.
+    origin: Option<StreamOrigin>,
+    /// Highest revision of an origin that was sent to the ledger.
+    origin_revision: u32,
     tokens_per_event: u64,
     tokens: u64,
     input: Option<Bytes>,
@@ -40,6 +45,10 @@
     pub(crate) selected: &'a SelectedRoute,
     /// The caller's request body.
     pub(crate) input: &'a Bytes,
+    /// Expected origin of the turn's stream.
+    pub(crate) origin: Option<StreamOrigin>,
+    /// Call whose stream this one resumes.
+    pub(crate) resumed_call: Option<&'a str>,
     /// Encoded state for other edges, sent with the request.
     pub(crate) update: Bytes,
 }
@@ -67,6 +76,15 @@
     }
 }
 
+/// The program under which the ledger records a stream without a program: it is named after the call that began the
+/// stream.
+pub(crate) fn program_of_stream(head: &CallMetadata) -> ProgramMetadata {
+    let first_call = head.resumed_call.as_ref().unwrap_or(&head.id);
+    // Two separators occur in no other name.
+    let program = format!("{TENANT_SEPARATOR}{TENANT_SEPARATOR}{first_call}");
+    ProgramMetadata { program, line: None, time_left: None, token_budget: None }
+}
+
 impl OpenTurn {
     /// Begins the turn in the ledger; fails if the ledger rejects it or is unavailable.
     pub(crate) async fn begin(
@@ -75,7 +93,7 @@
         request: TurnRequest<'_>,
         until: Instant,
     ) -> Result<(Self, Admission), LedgerError> {
-        let TurnRequest { head, program, caller, selected, input, update } = request;
+        let TurnRequest { head, program, caller, selected, input, origin, resumed_call, update } = request;
         let named = |name: &str| caller.name_in_ledger(name);
         let route = &selected.route;
         let retention = if route.retention.is_zero() { DEFAULT_RETENTION } else { route.retention };
@@ -87,7 +105,10 @@
             program: named(&program.program),
             turn: named(&head.id),
             previous: previous.clone(),
+            max_tokens: head.usage.map_or(0, |usage| usage.max_output),
             retention_millis,
+            origin_revision: origin.as_ref().map_or(0, |origin| origin.revision),
+            origin: origin.clone(),
             tokens_per_event: selected.service.tokens_per_event,
             tokens: 0,
             input: route.is_retained.then(|| input.clone()),
@@ -95,15 +116,11 @@
             has_ended: false,
         };
         let begin = BeginTurn {
-            turn: TurnBegun {
-                program: open.program.clone(),
-                turn: open.turn.clone(),
-                max_tokens: head.usage.map_or(0, |usage| usage.max_output),
-                retention_millis,
-            },
+            turn: open.turn_begun(origin),
             budget_tokens: program.token_budget.unwrap_or(0),
             needs_chain: route.is_retained && !previous.is_empty(),
             previous,
+            resumed_turn: resumed_call.map(named).unwrap_or_default(),
             report: update,
         };
         // If this future is dropped while waiting, dropping `open` ends the turn.
@@ -111,6 +128,51 @@
         Ok((open, admission))
     }
 
+    fn turn_begun(&self, origin: Option<StreamOrigin>) -> TurnBegun {
+        TurnBegun {
+            program: self.program.clone(),
+            turn: self.turn.clone(),
+            max_tokens: self.max_tokens,
+            retention_millis: self.retention_millis,
+            origin,
+        }
+    }
+
+    /// Whether this origin is recorded, whatever its revision.
+    pub(crate) fn has_origin(&self, origin: &StreamOrigin) -> bool {
+        self.origin
+            .as_ref()
+            .is_some_and(|recorded| recorded.service == origin.service && recorded.version == origin.version)
+    }
+
+    /// Replaces the origin of the turn's stream; returns once a majority has recorded it. No event of the stream may
+    /// have been forwarded.
+    pub(crate) async fn record_origin(
+        &mut self,
+        origin: StreamOrigin,
+        until: Instant,
+    ) -> Result<(), LedgerError> {
+        self.origin_revision += 1;
+        let origin = StreamOrigin { revision: self.origin_revision, ..origin };
+        // The turn was admitted before, so neither its budget nor its chain is checked again.
+        let begin = BeginTurn {
+            turn: self.turn_begun(Some(origin.clone())),
+            budget_tokens: 0,
+            previous: String::new(),
+            needs_chain: false,
+            resumed_turn: String::new(),
+            report: Bytes::new(),
+        };
+        self.ledger.begin(begin, until).await?;
+        self.origin = Some(origin);
+        Ok(())
+    }
+
+    /// Counts events as those of a service, which the turn was moved to.
+    pub(crate) fn set_service(&mut self, service: &ServiceSpec) {
+        self.tokens_per_event = service.tokens_per_event;
+    }
+
     /// Accounts for an event that is about to be forwarded to the caller.
     pub(crate) fn record_event(&mut self, event: &sumacdrift_calls::StreamEvent) {
         if !event.has_data {
@@ -154,6 +216,7 @@
             tokens: self.tokens,
             retention_millis: self.retention_millis,
             retained,
+            origin: None,
         }
     }
 
--- a/crates/ledger/src/account.rs
+++ b/crates/ledger/src/account.rs
@@ -1,21 +1,41 @@
-//! Token account of one program.
+//! Account of one program: the tokens of its turns, and the origins of their streams.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use sumacdrift_mutants::{Rule, is_broken};
 
-use crate::message::KnownTurn;
+use crate::message::{KnownTurn, StreamOrigin};
 
-/// Tokens of one turn that count against its program's budget.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+/// One turn: the tokens that count against its program's budget, and the origin of its stream.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub(crate) struct TurnAccount {
     /// Maximum that the turn may generate; 0 if only its end is known.
     pub(crate) max_tokens: u64,
     /// Tokens delivered to the caller; `None` until the end is known.
     pub(crate) ended_tokens: Option<u64>,
+    /// Shared with other turns, as there are few different ones.
+    pub(crate) origin: Option<Arc<StreamOrigin>>,
 }
 
 impl TurnAccount {
+    /// Records an origin if it is newer than the known one; returns whether it is.
+    fn record_origin(&mut self, origin: Option<Arc<StreamOrigin>>) -> bool {
+        let revision = |origin: &Option<Arc<StreamOrigin>>| origin.as_ref().map(|origin| origin.revision);
+        let is_first = self.origin.is_none() && origin.is_some();
+        let is_newer = revision(&origin) > revision(&self.origin);
+        let is_newer = if is_broken(Rule::LedgerNewestOriginCounts) { is_first } else { is_newer };
+        if is_newer {
+            self.origin = origin;
+        }
+        is_newer
+    }
+
+    /// The origin of the turn's stream as a message.
+    pub(crate) fn origin_message(&self) -> Option<StreamOrigin> {
+        self.origin.as_deref().cloned()
+    }
+
     fn charged_tokens(&self) -> u64 {
         let reserved = if is_broken(Rule::LedgerOpenTurnsCount) { 0 } else { self.max_tokens };
         self.ended_tokens.unwrap_or(reserved)
@@ -31,20 +51,32 @@
 
 impl ProgramAccount {
     /// Records the start of a turn; returns whether this adds information.
-    pub(crate) fn record_begin(&mut self, turn: &str, max_tokens: u64) -> bool {
+    pub(crate) fn record_begin(
+        &mut self,
+        turn: &str,
+        max_tokens: u64,
+        origin: Option<Arc<StreamOrigin>>,
+    ) -> bool {
         let is_known = self.turns.contains_key(turn);
         let account = self.turns.entry(turn.to_owned()).or_default();
         let is_new = !is_known || max_tokens > account.max_tokens;
         account.max_tokens = account.max_tokens.max(max_tokens);
-        is_new
+        let is_new_origin = account.record_origin(origin);
+        is_new || is_new_origin
     }
 
     /// Records the end of a turn; returns whether this adds information. Of several ends, the largest counts.
-    pub(crate) fn record_end(&mut self, turn: &str, tokens: u64) -> bool {
+    pub(crate) fn record_end(&mut self, turn: &str, tokens: u64, origin: Option<Arc<StreamOrigin>>) -> bool {
         let account = self.turns.entry(turn.to_owned()).or_default();
         let is_new = account.ended_tokens.is_none_or(|known| tokens > known);
         account.ended_tokens = Some(account.ended_tokens.unwrap_or(0).max(tokens));
-        is_new
+        let is_new_origin = account.record_origin(origin);
+        is_new || is_new_origin
+    }
+
+    /// Newest known origin of a turn's stream.
+    pub(crate) fn origin_of(&self, turn: &str) -> Option<StreamOrigin> {
+        self.turns.get(turn)?.origin_message()
     }
 
     pub(crate) fn known_except(&self, turn: &str) -> Vec<KnownTurn> {
--- a/crates/ledger/src/begin_quorum.rs
+++ b/crates/ledger/src/begin_quorum.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::message::{BeginVote, ChainReply, KnownTurn};
+use crate::message::{BeginVote, ChainReply, KnownTurn, StreamOrigin};
 
 /// Decision based on the votes received so far.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -34,6 +34,7 @@
     votes_with_previous: usize,
     known: BTreeMap<String, KnownTurn>,
     chain: Option<ChainReply>,
+    resumed_origin: Option<StreamOrigin>,
 }
 
 impl BeginQuorum {
@@ -49,6 +50,7 @@
             votes_with_previous: 0,
             known: BTreeMap::new(),
             chain: None,
+            resumed_origin: None,
         }
     }
 
@@ -67,6 +69,10 @@
             self.merge_known_turn(turn);
         }
         self.chain = self.chain.take().or(vote.chain);
+        let revision = |origin: &Option<StreamOrigin>| origin.as_ref().map(|origin| origin.revision);
+        if revision(&vote.resumed_origin) > revision(&self.resumed_origin) {
+            self.resumed_origin = vote.resumed_origin;
+        }
         self.decision()
     }
 
@@ -75,6 +81,12 @@
         self.chain.take()
     }
 
+    /// Newest origin of the resumed stream that a voter knows. With the votes of a majority, an origin that a majority has
+    /// recorded is never missed.
+    pub fn resumed_origin(&self) -> Option<&StreamOrigin> {
+        self.resumed_origin.as_ref()
+    }
+
     /// Number of votes received.
     pub fn votes(&self) -> usize {
         self.votes
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -35,7 +35,7 @@
     Begin, BeginVote, ChainReply, ChainRequest, ContentsRequest, End, GroupMapMessage, GroupMessage,
     KnownTurn, LedgerReply, LedgerRequest, MemberMessage, Page, PageRequest, Push, Reading, Record,
     RecordKind, ReplyKind, RequestKind, RetainedTurn, SilentMember, Standing, StatusReply, StoredCopy,
-    TurnBegun, TurnEnded,
+    StreamOrigin, TurnBegun, TurnEnded,
 };
 pub use placement::{Candidate, Capacity, ChangeReason, GroupPolicy, MembershipDecision, ReplacementPolicy};
 pub use quota_message::{QuotaAnswer, QuotaDecision, QuotaQuestion, QuotaTotals, TenantTotalMessage};
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -4,6 +4,21 @@
 
 use crate::quota_message::{QuotaAnswer, QuotaQuestion, QuotaTotals};
 
+/// Which software began the stream of a turn: only that can continue it.
+#[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Message)]
+pub struct StreamOrigin {
+    /// Service whose engines the turn is sent to.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Software version of these engines.
+    #[prost(string, tag = "2")]
+    pub version: String,
+    /// Number of the origin among those of one turn; the highest counts. A turn gets another origin only while no event
+    /// has been forwarded.
+    #[prost(uint32, tag = "3")]
+    pub revision: u32,
+}
+
 /// Start of a turn. Until its end is recorded, the turn is charged with `max_tokens`.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 #[allow(missing_docs)]
@@ -18,6 +33,9 @@
     /// Retention of the record after the program's last change, in milliseconds.
     #[prost(uint64, tag = "4")]
     pub retention_millis: u64,
+    /// Origin of the turn's stream; absent if it is not chosen yet, or if the stream can't be resumed.
+    #[prost(message, optional, tag = "5")]
+    pub origin: Option<StreamOrigin>,
 }
 
 /// End of a turn.
@@ -37,6 +55,9 @@
     /// Content of the turn, if later turns may continue from it.
     #[prost(message, optional, tag = "5")]
     pub retained: Option<RetainedTurn>,
+    /// Origin of the turn's stream as recorded at its start; set where replicas transfer ended turns.
+    #[prost(message, optional, tag = "6")]
+    pub origin: Option<StreamOrigin>,
 }
 
 /// Content of a turn that completed, kept as context for later turns.
@@ -240,6 +261,9 @@
     /// Whether the reply should include the content of the chain.
     #[prost(bool, tag = "4")]
     pub wants_chain: bool,
+    /// Turn of the same program whose stream this one resumes; empty if it begins a stream.
+    #[prost(string, tag = "5")]
+    pub resumed_turn: String,
 }
 
 /// Request to record the end of a turn.
@@ -355,6 +379,9 @@
     /// Content of the chain, if requested.
     #[prost(message, optional, tag = "4")]
     pub chain: Option<ChainReply>,
+    /// Newest origin of `resumed_turn` that this replica knows.
+    #[prost(message, optional, tag = "5")]
+    pub resumed_origin: Option<StreamOrigin>,
 }
 
 /// Tokens that a turn is charged with.
--- a/crates/ledger/src/replica.rs
+++ b/crates/ledger/src/replica.rs
@@ -352,12 +352,14 @@
         }
     }
 
-    fn handle_begin(&mut self, epoch: u64, begin: Begin, now: u64) -> Step {
-        let Some(turn) = begin.turn else { return reply_only(ReplyKind::Failed("no turn".to_owned())) };
+    fn handle_begin(&mut self, epoch: u64, mut begin: Begin, now: u64) -> Step {
+        let Some(turn) = begin.turn.take() else {
+            return reply_only(ReplyKind::Failed("no turn".to_owned()));
+        };
         if !self.is_own_epoch(epoch) {
             return self.wrong_epoch();
         }
-        let vote = self.state.vote(&turn, begin.budget_tokens, &begin.previous, begin.wants_chain);
+        let vote = self.state.vote(&turn, &begin);
         let expires = self.state.begin(&turn, now);
         let record = Record { kind: Some(RecordKind::Begun(turn)), expiry_millis: expires };
         let kind = if self.is_voting() { ReplyKind::Vote(vote) } else { ReplyKind::NotVoting(true) };
--- a/crates/ledger/src/state.rs
+++ b/crates/ledger/src/state.rs
@@ -1,13 +1,16 @@
 //! State of a replica: accounts of programs and retained turns.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Bound;
+use std::sync::Arc;
 
 use bytes::Bytes;
+use sumacdrift_mutants::{Rule, is_broken};
 
 use crate::account::ProgramAccount;
 use crate::message::{
-    BeginVote, ChainReply, Page, Record, RecordKind, RetainedTurn, StoredCopy, TurnBegun, TurnEnded,
+    Begin, BeginVote, ChainReply, Page, Record, RecordKind, RetainedTurn, StoredCopy, StreamOrigin,
+    TurnBegun, TurnEnded,
 };
 
 /// Size at which a page is full.
@@ -38,6 +41,8 @@
 pub struct LedgerState {
     programs: BTreeMap<String, ProgramAccount>,
     turns: BTreeMap<String, StoredTurn>,
+    /// Origins of streams, shared by the accounts that refer to them.
+    origins: BTreeSet<Arc<StreamOrigin>>,
     copy: StoredCopy,
 }
 
@@ -61,6 +66,7 @@
     pub fn clear_programs(&mut self) {
         self.programs.clear();
         self.turns.clear();
+        self.origins.clear();
     }
 
     /// Records the start of a turn; returns the expiry time of the record.
@@ -118,18 +124,30 @@
     }
 
     fn merge_begin(&mut self, turn: &TurnBegun, expires: u64) -> bool {
+        let origin = self.share_origin(turn.origin.as_ref());
         let account = self.account(&turn.program, expires);
-        account.record_begin(&turn.turn, turn.max_tokens)
+        account.record_begin(&turn.turn, turn.max_tokens, origin)
     }
 
     fn merge_end(&mut self, turn: &TurnEnded, expires: u64) -> bool {
+        let origin = self.share_origin(turn.origin.as_ref());
         let account = self.account(&turn.program, expires);
-        let is_new = account.record_end(&turn.turn, turn.tokens);
+        let is_new = account.record_end(&turn.turn, turn.tokens, origin);
         let Some(content) = &turn.retained else { return is_new };
         let stored = StoredTurn { program: turn.program.clone(), content: compact_copy(content), expires };
         self.turns.insert(turn.turn.clone(), stored).is_none() || is_new
     }
 
+    fn share_origin(&mut self, origin: Option<&StreamOrigin>) -> Option<Arc<StreamOrigin>> {
+        let origin = origin?;
+        if let Some(shared) = self.origins.get(origin) {
+            return Some(Arc::clone(shared));
+        }
+        let shared = Arc::new(origin.clone());
+        self.origins.insert(Arc::clone(&shared));
+        Some(shared)
+    }
+
     fn account(&mut self, program: &str, expires: u64) -> &mut ProgramAccount {
         if !self.programs.contains_key(program) {
             self.programs.insert(program.to_owned(), ProgramAccount::default());
@@ -140,15 +158,16 @@
     }
 
     /// Computes the vote on a turn from the records stored here.
-    pub fn vote(&self, turn: &TurnBegun, budget_tokens: u64, previous: &str, wants_chain: bool) -> BeginVote {
+    pub fn vote(&self, turn: &TurnBegun, begin: &Begin) -> BeginVote {
         let account = self.programs.get(&turn.program);
         let charged = account.map_or(0, |account| account.charged_tokens_except(&turn.turn));
-        let knows_previous = previous.is_empty() || self.turns.contains_key(previous);
+        let previous = &begin.previous;
         BeginVote {
             known: account.map(|account| account.known_except(&turn.turn)).unwrap_or_default(),
-            fits: budget_tokens == 0 || charged + turn.max_tokens <= budget_tokens,
-            knows_previous,
-            chain: (wants_chain && !previous.is_empty()).then(|| self.chain(previous)),
+            fits: begin.budget_tokens == 0 || charged + turn.max_tokens <= begin.budget_tokens,
+            knows_previous: previous.is_empty() || self.turns.contains_key(previous),
+            chain: (begin.wants_chain && !previous.is_empty()).then(|| self.chain(previous)),
+            resumed_origin: account.and_then(|account| account.origin_of(&begin.resumed_turn)),
         }
     }
 
@@ -168,6 +187,7 @@
     pub fn expire(&mut self, now: u64) {
         self.programs.retain(|_, account| account.expires > now);
         self.turns.retain(|_, stored| stored.expires > now);
+        self.origins.retain(|origin| Arc::strong_count(origin) > 1);
     }
 
     /// Page of records that follows a cursor; their expiry is relative to `now`.
@@ -196,6 +216,7 @@
                         turn: turn.clone(),
                         max_tokens: turn_account.max_tokens,
                         retention_millis: 0,
+                        origin: turn_account.origin_message(),
                     };
                     page.add(RecordKind::Begun(begun), remaining, 0);
                     continue;
@@ -206,6 +227,9 @@
                         program: program.clone(),
                         turn: turn.clone(),
                         tokens,
+                        origin: turn_account
+                            .origin_message()
+                            .filter(|_| !is_broken(Rule::LedgerPagesHoldOrigins)),
                         ..TurnEnded::default()
                     };
                     page.add(RecordKind::Ended(ended), remaining, 0);
@@ -241,6 +265,9 @@
             tokens,
             retention_millis: 0,
             retained: Some(stored.content.clone()),
+            origin: account
+                .and_then(|account| account.origin_message())
+                .filter(|_| !is_broken(Rule::LedgerPagesHoldOrigins)),
         };
         let bytes = stored.content.input.len() + stored.content.output.len();
         page.add(RecordKind::Ended(ended), stored.expires.saturating_sub(now), bytes);
--- a/crates/ledger/tests/cluster/mod.rs
+++ b/crates/ledger/tests/cluster/mod.rs
@@ -1,5 +1,7 @@
 //! Simulated replicas and callers on a network that loses and reorders messages; one random event per step.
 
+mod origins;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use bytes::Bytes;
@@ -9,7 +11,7 @@
 use sumacdrift_ledger::{
     Begin, BeginDecision, BeginQuorum, Candidate, Capacity, ContentsRequest, End, Group, GroupPolicy,
     KEPT_TURNS_CURSOR, LedgerReply, LedgerRequest, Member, PageDetail, PageRequest, Push, Record, Replica,
-    ReplicaSettings, ReplyKind, RequestKind, RetainedTurn, TurnBegun, TurnEnded, plan_copies,
+    ReplicaSettings, ReplyKind, RequestKind, RetainedTurn, StreamOrigin, TurnEnded, plan_copies,
 };
 
 pub const BUDGET: u64 = 1_000;
@@ -44,6 +46,11 @@
     program: String,
     turn: String,
     previous: String,
+    origin: StreamOrigin,
+    /// Turn whose stream this one resumes; empty if none.
+    resumed_turn: String,
+    /// Budget that its request to begin is checked against; 0 if it was admitted before.
+    budget: u64,
     /// Group as known to the caller's node; may be outdated.
     group: Group,
     phase: Phase,
@@ -70,6 +77,9 @@
     last_id: u64,
     delivered_tokens: BTreeMap<String, u64>,
     committed: BTreeMap<String, RetainedTurn>,
+    has_resumptions: bool,
+    streams: Vec<origins::BegunStream>,
+    pub resumptions: usize,
     pub lost_disks: usize,
     pub replacements: usize,
     pub leaves: usize,
@@ -101,6 +111,9 @@
             last_id: 0,
             delivered_tokens: BTreeMap::new(),
             committed: BTreeMap::new(),
+            has_resumptions: false,
+            streams: Vec::new(),
+            resumptions: 0,
             lost_disks: 0,
             replacements: 0,
             leaves: 0,
@@ -155,28 +168,28 @@
         let turn = format!("t{}", self.last_id);
         let known: Vec<String> = self.committed.keys().cloned().collect();
         let previous = known.choose(&mut self.random).cloned().unwrap_or_default();
-        let begin = Begin {
-            turn: Some(TurnBegun {
-                program: program.clone(),
-                turn: turn.clone(),
-                max_tokens: MAX_TURN_TOKENS,
-                retention_millis: RETENTION,
-            }),
-            budget_tokens: BUDGET,
-            previous: previous.clone(),
-            wants_chain: false,
-        };
         let group = self.known_group();
         let quorum = BeginQuorum::new(group.majority(), BUDGET, MAX_TURN_TOKENS);
+        let resumed_turn = self.draw_resumed_turn(&program);
         let operation = Operation {
             program,
             turn,
             previous,
+            origin: self.draw_origin(1),
+            resumed_turn,
+            budget: BUDGET,
             group,
             phase: Phase::Beginning(quorum),
             tokens: 0,
             replied: BTreeSet::new(),
         };
+        let begin = Begin {
+            turn: Some(origins::turn_begun(&operation)),
+            budget_tokens: BUDGET,
+            previous: operation.previous.clone(),
+            wants_chain: false,
+            resumed_turn: operation.resumed_turn.clone(),
+        };
         self.operations.insert(self.last_id, operation);
         self.send_to_group(self.last_id, RequestKind::Begin(begin));
     }
@@ -227,7 +240,12 @@
         match (&mut operation.phase, reply.kind) {
             (Phase::Beginning(quorum), Some(ReplyKind::Vote(vote))) => match quorum.vote(vote) {
                 BeginDecision::Pending => {}
-                BeginDecision::Admitted => return self.run_turn(id, operation),
+                BeginDecision::Admitted => {
+                    let quorum = quorum.clone();
+                    self.check_resumed_origin(&operation, &quorum);
+                    let Some(operation) = self.change_origin(operation) else { return };
+                    return self.run_turn(id, operation);
+                }
                 BeginDecision::BudgetSpent => {
                     self.rejections += 1;
                     return;
@@ -254,6 +272,7 @@
 
     /// Runs an admitted turn: delivers tokens, then sends its end.
     fn run_turn(&mut self, id: u64, mut operation: Operation) {
+        self.record_stream(&operation);
         operation.tokens = self.random.random_range(0..=MAX_TURN_TOKENS);
         *self.delivered_tokens.entry(operation.program.clone()).or_default() += operation.tokens;
         let end = End {
@@ -263,6 +282,7 @@
                 tokens: operation.tokens,
                 retention_millis: RETENTION,
                 retained: Some(retained_content(&operation)),
+                origin: None,
             }),
         };
         operation.phase = Phase::Ending { done: BTreeSet::new() };
--- a/crates/ledger/tests/group_map.rs
+++ b/crates/ledger/tests/group_map.rs
@@ -53,6 +53,7 @@
         turn: "t".to_owned(),
         max_tokens: 10,
         retention_millis: 60_000,
+        origin: None,
     };
     let begin = Begin { turn: Some(turn), budget_tokens: 100, ..Begin::default() };
     LedgerRequest {
--- a/crates/ledger/tests/mutants.rs
+++ b/crates/ledger/tests/mutants.rs
@@ -26,8 +26,10 @@
         }
         _ => {}
     }
+    let is_about_origins = matches!(rule, Rule::LedgerNewestOriginCounts | Rule::LedgerPagesHoldOrigins);
     let run = std::panic::catch_unwind(|| {
-        let mut cluster = Cluster::new(seed, 1);
+        let mut cluster =
+            if is_about_origins { Cluster::with_resumptions(seed, 1) } else { Cluster::new(seed, 1) };
         (0..STEPS).for_each(|_| cluster.step());
     });
     run.is_err()
--- a/crates/ledger/tests/recorded_forms/older.rs
+++ b/crates/ledger/tests/recorded_forms/older.rs
@@ -27,9 +27,63 @@
 
 /// First build of the ledger, e62608e.
 pub mod first {
-    use sumacdrift_ledger::{
-        Begin, BeginVote, ChainReply, ChainRequest, End, MemberMessage, TurnBegun, TurnEnded,
-    };
+    use sumacdrift_ledger::{ChainReply, ChainRequest, KnownTurn, MemberMessage, RetainedTurn};
+
+    #[derive(Clone, PartialEq, Eq, prost::Message)]
+    pub struct TurnBegun {
+        #[prost(string, tag = "1")]
+        pub program: String,
+        #[prost(string, tag = "2")]
+        pub turn: String,
+        #[prost(uint64, tag = "3")]
+        pub max_tokens: u64,
+        #[prost(uint64, tag = "4")]
+        pub retention_millis: u64,
+    }
+
+    #[derive(Clone, PartialEq, Eq, prost::Message)]
+    pub struct TurnEnded {
+        #[prost(string, tag = "1")]
+        pub program: String,
+        #[prost(string, tag = "2")]
+        pub turn: String,
+        #[prost(uint64, tag = "3")]
+        pub tokens: u64,
+        #[prost(uint64, tag = "4")]
+        pub retention_millis: u64,
+        #[prost(message, optional, tag = "5")]
+        pub retained: Option<RetainedTurn>,
+    }
+
+    #[derive(Clone, PartialEq, prost::Message)]
+    pub struct Begin {
+        #[prost(message, optional, tag = "1")]
+        pub turn: Option<TurnBegun>,
+        #[prost(uint64, tag = "2")]
+        pub budget_tokens: u64,
+        #[prost(string, tag = "3")]
+        pub previous: String,
+        #[prost(bool, tag = "4")]
+        pub wants_chain: bool,
+    }
+
+    #[derive(Clone, PartialEq, prost::Message)]
+    pub struct End {
+        #[prost(message, optional, tag = "1")]
+        pub turn: Option<TurnEnded>,
+    }
+
+    #[derive(Clone, PartialEq, prost::Message)]
+    pub struct BeginVote {
+        #[prost(message, repeated, tag = "1")]
+        pub known: Vec<KnownTurn>,
+        #[prost(bool, tag = "2")]
+        pub fits: bool,
+        #[prost(bool, tag = "3")]
+        pub knows_previous: bool,
+        #[prost(message, optional, tag = "4")]
+        pub chain: Option<ChainReply>,
+    }
 
     #[derive(Clone, PartialEq, Eq, prost::Message)]
     pub struct Record {
--- a/crates/ledger/tests/recorded_forms/samples.rs
+++ b/crates/ledger/tests/recorded_forms/samples.rs
@@ -5,7 +5,8 @@
     Begin, BeginVote, ChainReply, ChainRequest, ContentsRequest, End, GroupMapMessage, GroupMessage,
     KnownTurn, LedgerReply, LedgerRequest, MemberMessage, Page, PageRequest, Push, QuotaAnswer,
     QuotaDecision, QuotaQuestion, QuotaTotals, Reading, Record, RecordKind, ReplyKind, RequestKind,
-    RetainedTurn, SilentMember, Standing, StatusReply, StoredCopy, TenantTotalMessage, TurnBegun, TurnEnded,
+    RetainedTurn, SilentMember, Standing, StatusReply, StoredCopy, StreamOrigin, TenantTotalMessage,
+    TurnBegun, TurnEnded,
 };
 
 const EPOCH: u64 = 5;
@@ -15,15 +16,25 @@
     text.to_owned()
 }
 
+fn origin() -> StreamOrigin {
+    StreamOrigin { service: text("llm"), version: text("v1.2"), revision: 2 }
+}
+
+/// Start of a turn before origins were recorded.
 fn turn_begun() -> TurnBegun {
     TurnBegun {
         program: text("program-1"),
         turn: text("turn-2"),
         max_tokens: 4096,
         retention_millis: 600_000,
+        origin: None,
     }
 }
 
+fn turn_begun_at_origin() -> TurnBegun {
+    TurnBegun { origin: Some(origin()), ..turn_begun() }
+}
+
 fn retained() -> RetainedTurn {
     RetainedTurn {
         previous: text("turn-1"),
@@ -32,6 +43,7 @@
     }
 }
 
+/// End of a turn before origins were recorded.
 fn turn_ended() -> TurnEnded {
     TurnEnded {
         program: text("program-1"),
@@ -39,9 +51,14 @@
         tokens: 300,
         retention_millis: 600_000,
         retained: Some(retained()),
+        origin: None,
     }
 }
 
+fn turn_ended_at_origin() -> TurnEnded {
+    TurnEnded { origin: Some(origin()), ..turn_ended() }
+}
+
 fn chain() -> ChainReply {
     ChainReply { turns: vec![retained()], missing: text("turn-0") }
 }
@@ -59,19 +76,33 @@
     Record { kind: Some(kind), expiry_millis: 1000 }
 }
 
-fn begin() -> RequestKind {
-    RequestKind::Begin(Begin {
+fn first_begin() -> Begin {
+    Begin {
         turn: Some(turn_begun()),
         budget_tokens: 10_000,
         previous: text("turn-1"),
         wants_chain: true,
-    })
+        resumed_turn: String::new(),
+    }
+}
+
+fn begin() -> RequestKind {
+    RequestKind::Begin(first_begin())
+}
+
+fn begin_with_origin() -> RequestKind {
+    let turn = Some(turn_begun_at_origin());
+    RequestKind::Begin(Begin { turn, resumed_turn: text("turn-1"), ..first_begin() })
 }
 
 fn end() -> RequestKind {
     RequestKind::End(End { turn: Some(turn_ended()) })
 }
 
+fn end_with_origin() -> RequestKind {
+    RequestKind::End(End { turn: Some(turn_ended_at_origin()) })
+}
+
 fn chain_request() -> ChainRequest {
     ChainRequest { turn: text("turn-1") }
 }
@@ -80,8 +111,8 @@
     RequestKind::Page(PageRequest { after: text("pprogram-1"), group: Some(group(number)), keys_only })
 }
 
-fn push(number: u32) -> RequestKind {
-    let records = vec![record(RecordKind::Begun(turn_begun()))];
+fn push(number: u32, turn: TurnBegun) -> RequestKind {
+    let records = vec![record(RecordKind::Begun(turn))];
     RequestKind::Push(Push { records, group: Some(group(number)) })
 }
 
@@ -101,17 +132,18 @@
     RequestKind::QuotaTotals(QuotaTotals { node: text("m1"), incarnation: 77, is_warm: true, totals })
 }
 
-fn vote() -> ReplyKind {
+fn vote(resumed_origin: Option<StreamOrigin>) -> ReplyKind {
     ReplyKind::Vote(BeginVote {
         known: vec![KnownTurn { turn: text("turn-1"), tokens: 120, has_ended: true }],
         fits: true,
         knows_previous: true,
         chain: Some(chain()),
+        resumed_origin,
     })
 }
 
-fn page(retained_keys: Vec<String>) -> ReplyKind {
-    let records = vec![record(RecordKind::Ended(turn_ended()))];
+fn page(retained_keys: Vec<String>, turn: TurnEnded) -> ReplyKind {
+    let records = vec![record(RecordKind::Ended(turn))];
     ReplyKind::Page(Page { records, next: text("tturn-1"), retained_keys })
 }
 
@@ -142,8 +174,8 @@
         let copy = StoredCopy { number: 42, content: Bytes::from_static(b"copy") };
         let reading = Reading { epoch: EPOCH, sources: vec![text("m2")] };
         vec![
-            ("1", record(RecordKind::Begun(turn_begun()))),
-            ("1", record(RecordKind::Ended(turn_ended()))),
+            ("2", record(RecordKind::Begun(turn_begun_at_origin()))),
+            ("2", record(RecordKind::Ended(turn_ended_at_origin()))),
             ("2", record(RecordKind::Group(group(GROUP)))),
             ("2", record(RecordKind::Standing(standing))),
             ("1", record(RecordKind::Copy(copy))),
@@ -154,11 +186,11 @@
     pub fn requests() -> Vec<(&'static str, LedgerRequest)> {
         let contents = ContentsRequest { turns: vec![text("turn-1"), text("turn-2")] };
         let kinds = vec![
-            ("3", begin()),
-            ("3", end()),
+            ("4", begin_with_origin()),
+            ("4", end_with_origin()),
             ("2", RequestKind::Chain(chain_request())),
             ("3", page_request(GROUP, true)),
-            ("2", push(GROUP)),
+            ("3", push(GROUP, turn_begun_at_origin())),
             ("2", RequestKind::Install(group(GROUP))),
             ("2", RequestKind::Status(true)),
             ("1", RequestKind::Contents(contents)),
@@ -181,10 +213,10 @@
             QuotaAnswer { decision: QuotaDecision::Exceeded as i32, retry_after_millis: 250, counted: 12 };
         let map = GroupMapMessage { groups: vec![GroupMessage { number: 0, ..group(GROUP) }, group(GROUP)] };
         let kinds = vec![
-            ("2", vote()),
+            ("3", vote(Some(origin()))),
             ("2", ReplyKind::Done(true)),
             ("2", ReplyKind::Chain(chain())),
-            ("2", page(vec![text("turn-1")])),
+            ("3", page(vec![text("turn-1")], turn_ended_at_origin())),
             ("2", ReplyKind::WrongEpoch(group(GROUP))),
             ("2", ReplyKind::NotVoting(true)),
             ("4", ReplyKind::Status(status)),
@@ -260,7 +292,12 @@
 
     pub fn records() -> Vec<(&'static str, Record)> {
         let standing = Standing { joined: 3, never_voted: false };
-        vec![("1", record(RecordKind::Group(group(0)))), ("1", record(RecordKind::Standing(standing)))]
+        vec![
+            ("1", record(RecordKind::Group(group(0)))),
+            ("1", record(RecordKind::Standing(standing))),
+            ("1", record(RecordKind::Begun(turn_begun()))),
+            ("1", record(RecordKind::Ended(turn_ended()))),
+        ]
     }
 
     pub fn requests() -> Vec<(&'static str, LedgerRequest)> {
@@ -269,12 +306,13 @@
             end(),
             RequestKind::Chain(chain_request()),
             page_request(0, false),
-            push(0),
+            push(0, turn_begun()),
             RequestKind::Install(group(0)),
             RequestKind::Status(true),
         ];
         let with_report = [begin(), end(), page_request(0, true)];
         let with_group = [quota(None), quota_totals(0)];
+        let without_origin = [("3", begin()), ("3", end()), ("2", push(GROUP, turn_begun()))];
         let report = Bytes::from_static(b"news");
         let plain = |kind| LedgerRequest { epoch: EPOCH, kind: Some(kind), ..LedgerRequest::default() };
         let first = first.map(|kind| ("1", plain(kind)));
@@ -282,15 +320,18 @@
             with_report.map(|kind| ("2", LedgerRequest { report: report.clone(), ..plain(kind) }));
         let with_group = with_group
             .map(|kind| ("1", LedgerRequest { report: report.clone(), group: GROUP, ..plain(kind) }));
-        first.into_iter().chain(with_report).chain(with_group).collect()
+        let without_origin = without_origin.map(|(form, kind)| {
+            (form, LedgerRequest { report: report.clone(), group: GROUP, ..plain(kind) })
+        });
+        first.into_iter().chain(with_report).chain(with_group).chain(without_origin).collect()
     }
 
     pub fn replies() -> Vec<(&'static str, LedgerReply)> {
         let first = [
-            vote(),
+            vote(None),
             ReplyKind::Done(true),
             ReplyKind::Chain(chain()),
-            page(Vec::new()),
+            page(Vec::new(), turn_ended()),
             ReplyKind::WrongEpoch(group(0)),
             ReplyKind::NotVoting(true),
             ReplyKind::Status(first_status(0)),
@@ -300,6 +341,10 @@
         let with_view =
             |status| LedgerReply { view: Bytes::from_static(b"view"), ..plain(ReplyKind::Status(status)) };
         let statuses = [("2", with_view(first_status(GROUP))), ("3", with_view(watching_status()))];
-        first.map(|kind| ("1", plain(kind))).into_iter().chain(statuses).collect()
+        let without_origin = [("2", vote(None)), ("2", page(vec![text("turn-1")], turn_ended()))];
+        let without_origin = without_origin
+            .map(|(form, kind)| (form, LedgerReply { view: Bytes::from_static(b"view"), ..plain(kind) }));
+        let first = first.map(|kind| ("1", plain(kind)));
+        first.into_iter().chain(statuses).chain(without_origin).collect()
     }
 }
--- a/crates/ledger/tests/replica.rs
+++ b/crates/ledger/tests/replica.rs
@@ -26,12 +26,18 @@
 }
 
 fn begun(turn: &str) -> TurnBegun {
-    TurnBegun { program: "p".to_owned(), turn: turn.to_owned(), max_tokens: 100, retention_millis: 60_000 }
+    TurnBegun {
+        program: "p".to_owned(),
+        turn: turn.to_owned(),
+        max_tokens: 100,
+        retention_millis: 60_000,
+        origin: None,
+    }
 }
 
 fn ended(turn: &str, tokens: u64) -> TurnEnded {
     let (program, turn) = ("p".to_owned(), turn.to_owned());
-    TurnEnded { program, turn, tokens, retention_millis: 60_000, retained: None }
+    TurnEnded { program, turn, tokens, retention_millis: 60_000, retained: None, origin: None }
 }
 
 fn begin(replica: &mut Replica, epoch: u64, turn: &str) -> Option<ReplyKind> {
@@ -51,7 +57,7 @@
         tokens: *tokens,
         has_ended: *has_ended,
     });
-    BeginVote { known: known.collect(), fits, knows_previous: true, chain: None }
+    BeginVote { known: known.collect(), fits, knows_previous: true, chain: None, resumed_origin: None }
 }
 
 #[test]
@@ -147,7 +153,7 @@
     let mut state = LedgerState::default();
     state.end(&ended("one", 10), NOW);
     state.begin(&begun("one"), NOW);
-    let vote = state.vote(&begun("two"), 150, "", false);
+    let vote = state.vote(&begun("two"), &Begin { budget_tokens: 150, ..Begin::default() });
     assert!(vote.fits);
     assert_eq!(vote.known[0].tokens, 10);
 }
--- a/crates/ledger/tests/simulation.rs
+++ b/crates/ledger/tests/simulation.rs
@@ -1,5 +1,5 @@
-//! Randomized simulation: budgets hold and committed turns survive lost messages, lost disks, restarts and group
-//! changes.
+//! Randomized simulation: budgets hold, and committed turns and the origins of streams survive lost messages, lost
+//! disks, restarts and group changes.
 
 mod cluster;
 
@@ -24,13 +24,13 @@
         let run = std::panic::catch_unwind(|| {
             let mut cluster = Cluster::new(seed, tolerated_losses);
             (0..STEPS).for_each(|_| cluster.step());
-            (cluster.lost_disks, cluster.replacements, cluster.rejections, cluster.joins.min(cluster.leaves))
+            cluster
         });
-        let Ok(counts) = run else { panic!("seed {seed} violated an invariant, see above") };
-        lost_disks += counts.0;
-        replacements += counts.1;
-        rejections += counts.2;
-        joins += counts.3;
+        let Ok(cluster) = run else { panic!("seed {seed} violated an invariant, see above") };
+        lost_disks += cluster.lost_disks;
+        replacements += cluster.replacements;
+        rejections += cluster.rejections;
+        joins += cluster.joins.min(cluster.leaves);
     }
     // Guards against a simulation that no longer exercises these events.
     assert!(
@@ -39,3 +39,20 @@
     );
     assert!(joins > 200, "{joins}");
 }
+
+#[test]
+fn resumed_streams_are_found_with_the_version_that_began_them() {
+    for tolerated_losses in [1, 2] {
+        let mut resumptions = 0;
+        for seed in 0..SEEDS {
+            let run = std::panic::catch_unwind(|| {
+                let mut cluster = Cluster::with_resumptions(seed, tolerated_losses);
+                (0..STEPS).for_each(|_| cluster.step());
+                cluster.resumptions
+            });
+            let Ok(count) = run else { panic!("seed {seed} violated an invariant, see above") };
+            resumptions += count;
+        }
+        assert!(resumptions > 1_000, "{resumptions}");
+    }
+}
--- a/crates/mutants/src/lib.rs
+++ b/crates/mutants/src/lib.rs
@@ -78,11 +78,17 @@
     ColdEnginesNeedPermits,
     /// Calls are served only in their allowed regions.
     CallsStayInAllowedRegions,
+    /// Of several origins of a stream, the newest counts.
+    LedgerNewestOriginCounts,
+    /// A replica that transfers ended turns transfers the origins of their streams too.
+    LedgerPagesHoldOrigins,
+    /// A stream continues only at the software version that began it.
+    StreamsStayAtTheirVersion,
 }
 
 impl Rule {
     /// Rules of the program ledger, checked by the ledger's own simulation.
-    pub const LEDGER: [Rule; 12] = [
+    pub const LEDGER: [Rule; 14] = [
         Rule::LedgerVoteNeedsRecords,
         Rule::LedgerReadsEnough,
         Rule::LedgerPagesAreComplete,
@@ -95,6 +101,8 @@
         Rule::LedgerZonesHoldFewMembers,
         Rule::LedgerGroupsStayInTheirRegions,
         Rule::LedgerMemberLossNeedsWitnesses,
+        Rule::LedgerNewestOriginCounts,
+        Rule::LedgerPagesHoldOrigins,
     ];
 
     /// Rules of API keys and quotas.
@@ -106,12 +114,13 @@
     ];
 
     /// Rules of engine selection.
-    pub const ROUTING: [Rule; 5] = [
+    pub const ROUTING: [Rule; 6] = [
         Rule::EvacuationRevisionsCount,
         Rule::EvacuatedZonesGetNoCalls,
         Rule::EvacuatedEnginesBecomeCold,
         Rule::ColdEnginesNeedPermits,
         Rule::CallsStayInAllowedRegions,
+        Rule::StreamsStayAtTheirVersion,
     ];
 
     /// Rules of the node, checked by the simulation of the fleet.
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -4,6 +4,7 @@
 
 use sumacdrift_calls::{EngineId, EngineVersion};
 use sumacdrift_fleet_view::CachedPart;
+use sumacdrift_mutants::{Rule, is_broken};
 use sumacdrift_types::{AllowedRegions, DisabledMechanisms, Mechanism, Timestamp};
 
 use crate::cold::ColdLimit;
@@ -77,7 +78,8 @@
 impl PlacementRequest<'_> {
     /// Whether the request itself permits an engine, whatever the engine's state.
     pub(crate) fn permits(&self, engine: &EngineSpec) -> bool {
-        let has_version = self.version.is_none_or(|version| engine.version == *version);
+        let has_version = self.version.is_none_or(|version| engine.version == *version)
+            || is_broken(Rule::StreamsStayAtTheirVersion);
         let is_only = self.only.is_none_or(|only| engine.id == *only);
         &*engine.service == self.service && has_version && is_only && !self.avoid.contains(&engine.id)
     }
--- a/crates/routing/src/registry.rs
+++ b/crates/routing/src/registry.rs
@@ -14,6 +14,7 @@
 mod engine_table;
 mod incarnations;
 mod outliers;
+mod versions;
 
 use engine_table::EngineTable;
 
--- a/crates/routing/src/registry/engine_table.rs
+++ b/crates/routing/src/registry/engine_table.rs
@@ -107,6 +107,11 @@
         self.groups_of(service).map(|group| group.ids.len()).sum()
     }
 
+    /// Software versions of a service's interchangeable engines; a version may be listed several times.
+    pub(crate) fn interchangeable_versions(&self, service: &str) -> impl Iterator<Item = &EngineVersion> {
+        self.groups_of(service).filter(|group| !group.ids.is_empty()).map(|group| &group.version)
+    }
+
     /// Slots of a service's interchangeable engines in the zones that match.
     pub(crate) fn interchangeable_slots(&self, service: &str, matches_zone: impl Fn(&str) -> bool) -> usize {
         let groups = self.groups_of(service).filter(|group| matches_zone(&group.zone));
--- a/crates/routing/src/routes.rs
+++ b/crates/routing/src/routes.rs
@@ -18,6 +18,17 @@
     pub version: u64,
 }
 
+/// The configured service, or one without limits if the configuration doesn't define it.
+fn service_spec(table: &RouteTable, name: Arc<str>) -> ServiceSpec {
+    let unlimited = || ServiceSpec {
+        name: Arc::clone(&name),
+        max_connections: usize::MAX,
+        tokens_per_event: 0,
+        cold: None,
+    };
+    table.service(&name).cloned().unwrap_or_else(unlimited)
+}
+
 /// The routing table in force; never replaced by an older version.
 #[derive(Debug, Default)]
 pub struct Routes {
@@ -44,16 +55,20 @@
     pub fn select(&mut self, host: &str, path: &str) -> Option<SelectedRoute> {
         let table = Arc::clone(self.table.as_ref()?);
         let route = table.find(host, path)?;
-        let service = self.next_service(route)?;
-        let service = table.service(&service).cloned().unwrap_or(ServiceSpec {
-            name: service,
-            max_connections: usize::MAX,
-            tokens_per_event: 0,
-            cold: None,
-        });
+        let service = service_spec(&table, self.next_service(route)?);
         Some(SelectedRoute { route: Arc::clone(route), service, version: table.version })
     }
 
+    /// Replaces the service selected for a call by another one of its route; `None` if the route no longer has it.
+    pub fn with_service(&self, selected: &SelectedRoute, service: &str) -> Option<SelectedRoute> {
+        let table = self.table.as_ref()?;
+        let weighted = selected.route.services.iter().find(|weighted| &*weighted.service == service)?;
+        Some(SelectedRoute {
+            service: service_spec(table, Arc::clone(&weighted.service)),
+            ..selected.clone()
+        })
+    }
+
     /// Picks the next service by weight.
     fn next_service(&mut self, route: &Route) -> Option<Arc<str>> {
         if let [only] = &route.services[..] {
--- a/crates/routing/tests/engines.rs
+++ b/crates/routing/tests/engines.rs
@@ -300,3 +300,19 @@
     registry.withdraw(&EngineId::new("b"), NOW);
     assert_eq!(chosen(&registry, &PlacementRequest { version: Some(&newer), ..request(&[]) }, NOW), None);
 }
+
+#[test]
+fn a_version_counts_until_its_last_streams_have_ended() {
+    let mut registry = registry(&[("a", "z1"), ("b", "z2")]);
+    let (first, second) = (EngineVersion::default(), EngineVersion::new("v2"));
+    assert_eq!(registry.sole_version("s", NOW), Some(first));
+    registry.regroup_interchangeable(|_| false, NOW);
+    registry.upsert(EngineSpec { version: second.clone(), ..spec("c", "z1") }, NOW);
+    assert_eq!(registry.sole_version("s", NOW), None);
+    for old in ["a", "b"] {
+        registry.remove(&EngineId::new(old), NOW);
+    }
+    assert_eq!(registry.sole_version("s", NOW + Duration::from_secs(29)), None);
+    assert_eq!(registry.sole_version("s", NOW + Duration::from_secs(30)), Some(second));
+    assert_eq!(registry.sole_version("unknown", NOW), None);
+}
--- a/crates/routing/tests/mutants.rs
+++ b/crates/routing/tests/mutants.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use engine_fixtures::{NOW, chosen, may_send, registry, request, spec};
-use sumacdrift_calls::EngineId;
+use sumacdrift_calls::{EngineId, EngineVersion};
 use sumacdrift_mutants::{Rule, with_broken};
 use sumacdrift_routing::{ColdLimit, EngineRegistry, EngineSpec, Evacuation, PlacementRequest};
 use sumacdrift_types::{AllowedRegions, RegionName};
@@ -56,10 +56,16 @@
     chosen(&registry, &PlacementRequest { regions: &west, ..request(&[]) }, NOW).is_some()
 }
 
+fn continues_stream_at_another_version() -> bool {
+    let registry = registry(&[("a", "z1")]);
+    let other = EngineVersion::new("other");
+    chosen(&registry, &PlacementRequest { version: Some(&other), ..request(&[]) }, NOW).is_some()
+}
+
 #[test]
 fn every_broken_rule_is_detected() {
     assert!(!chooses_evacuated_engine() && !applies_stale_listing());
-    assert!(!serves_call_outside_its_regions());
+    assert!(!serves_call_outside_its_regions() && !continues_stream_at_another_version());
     assert!(!treats_returning_engine_as_warm() && !sends_to_cold_engine_without_permit());
     for rule in Rule::ROUTING {
         let is_detected = with_broken(rule, || match rule {
@@ -68,6 +74,7 @@
             Rule::EvacuatedEnginesBecomeCold => treats_returning_engine_as_warm(),
             Rule::ColdEnginesNeedPermits => sends_to_cold_engine_without_permit(),
             Rule::CallsStayInAllowedRegions => serves_call_outside_its_regions(),
+            Rule::StreamsStayAtTheirVersion => continues_stream_at_another_version(),
             other => panic!("{other:?} has no check"),
         });
         assert!(is_detected, "{rule:?} was broken without being detected");
--- a/crates/storage/src/begin_turn.rs
+++ b/crates/storage/src/begin_turn.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use sumacdrift_ledger::{ChainAssembly, TurnBegun};
+use sumacdrift_ledger::{ChainAssembly, StreamOrigin, TurnBegun};
 
 /// Timeouts of ledger requests.
 #[derive(Debug, Clone, Copy)]
@@ -38,6 +38,8 @@
     pub previous: String,
     /// Whether the content of the chain must be returned.
     pub needs_chain: bool,
+    /// Turn whose stream this one resumes; empty if it begins a stream.
+    pub resumed_turn: String,
     /// Encoded [`sumacdrift_fleet_view::NodeReport`] sent along with the request.
     pub report: Bytes,
 }
@@ -51,6 +53,8 @@
     pub counted_tokens: u64,
     /// Epoch of the group that admitted the turn.
     pub epoch: u64,
+    /// Origin of the resumed stream; `None` if nothing is resumed, or if no replica of a majority knows it.
+    pub resumed_origin: Option<StreamOrigin>,
 }
 
 /// Error of a ledger request.
--- a/crates/storage/src/client.rs
+++ b/crates/storage/src/client.rs
@@ -287,6 +287,7 @@
                 budget_tokens: begin.budget_tokens,
                 previous: begin.previous.clone(),
                 wants_chain,
+                resumed_turn: begin.resumed_turn.clone(),
             };
             encode_with_report(group, RequestKind::Begin(request), begin.report.clone())
         };
@@ -338,7 +339,9 @@
         deadline: Instant,
     ) -> Result<Admission, LedgerError> {
         let counted_tokens = quorum.counted_tokens();
-        let mut admission = Admission { counted_tokens, epoch: group.epoch, ..Admission::default() };
+        let resumed_origin = quorum.resumed_origin().cloned();
+        let mut admission =
+            Admission { counted_tokens, epoch: group.epoch, resumed_origin, ..Admission::default() };
         if begin.needs_chain && !begin.previous.is_empty() {
             let first = quorum.take_chain();
             let nothing = ChainReply { turns: Vec::new(), missing: begin.previous.clone() };
--- a/crates/storage/tests/cluster/mod.rs
+++ b/crates/storage/tests/cluster/mod.rs
@@ -292,11 +292,13 @@
                 turn: turn.clone(),
                 max_tokens: MOST_TOKENS,
                 retention_millis: RETENTION_MILLIS,
+                origin: None,
             },
             budget_tokens: BUDGET_TOKENS,
             needs_chain: !previous.is_empty(),
             previous: previous.clone(),
             report: Bytes::new(),
+            resumed_turn: String::new(),
         };
         let admission = client.begin(begin, Instant::now() + Duration::from_secs(1)).await?;
         let expected: String = self.retained_turns.iter().map(|turn| format!("[{turn}]")).collect();
@@ -313,6 +315,7 @@
             tokens: 1,
             retention_millis: RETENTION_MILLIS,
             retained: Some(retained),
+            origin: None,
         };
         client.end(end, Bytes::new()).await?;
         self.retained_turns.push(turn);
@@ -366,6 +369,7 @@
 /// The end of a retained turn that expires at once.
 pub fn ended(turn: &str, input: Bytes) -> TurnEnded {
     TurnEnded {
+        origin: None,
         program: "program".to_owned(),
         turn: turn.to_owned(),
         tokens: 1,
--- a/crates/storage/tests/fleet/mod.rs
+++ b/crates/storage/tests/fleet/mod.rs
@@ -269,11 +269,13 @@
             turn: turn.to_owned(),
             max_tokens: 100,
             retention_millis: 60_000,
+            origin: None,
         },
         budget_tokens: 10_000,
         needs_chain: !previous.is_empty(),
         previous: previous.to_owned(),
         report: Bytes::new(),
+        resumed_turn: String::new(),
     }
 }
 
@@ -289,6 +291,7 @@
             input: Bytes::copy_from_slice(format!("in {turn}").as_bytes()),
             output: Bytes::copy_from_slice(format!("out {turn}").as_bytes()),
         }),
+        origin: None,
     }
 }
 
