Name the ledger's program of a stream in one function

Cause: `begin_turn` chose between the caller's program and one made for the stream with a variable declared ahead of its use.

--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -23,7 +23,7 @@
 use crate::service_queues::{EnqueueRequest, QueueSlot};
 use crate::state_exchange::prompt_parts;
 use crate::stream::run_stream;
-use crate::turn::{OpenTurn, TurnRequest, program_of_stream, result_code};
+use crate::turn::{OpenTurn, TurnRequest, ledger_program, result_code};
 use crate::wire_format::WireFormat;
 
 /// Retry delay after a rejection that is not caused by engine capacity.
@@ -196,18 +196,11 @@
     if !must_track && !call.is_resumable() {
         return Ok(untracked());
     }
-    let own_program;
-    let program = match &head.program {
-        Some(program) => program,
-        None => {
-            own_program = program_of_stream(head);
-            &own_program
-        }
-    };
+    let program = ledger_program(head);
     let until = edge.clock.instant(machine.admission_deadline(now));
     let request = TurnRequest {
         head,
-        program,
+        program: &program,
         caller,
         selected,
         input: body,
--- a/crates/edge/src/turn.rs
+++ b/crates/edge/src/turn.rs
@@ -1,5 +1,6 @@
 //! Turns of programs in the ledger: begun before an engine runs them, and ended on every outcome.
 
+use std::borrow::Cow;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -76,13 +77,16 @@
     }
 }
 
-/// The program under which the ledger records a stream without a program: it is named after the call that began the
-/// stream.
-pub(crate) fn program_of_stream(head: &CallMetadata) -> ProgramMetadata {
+/// The program under which the ledger records the call's turn. A stream without a program gets one of its own, named after
+/// the call that began it.
+pub(crate) fn ledger_program(head: &CallMetadata) -> Cow<'_, ProgramMetadata> {
+    if let Some(program) = &head.program {
+        return Cow::Borrowed(program);
+    }
     let first_call = head.resumed_call.as_ref().unwrap_or(&head.id);
     // Two separators occur in no other name.
     let program = format!("{TENANT_SEPARATOR}{TENANT_SEPARATOR}{first_call}");
-    ProgramMetadata { program, line: None, time_left: None, token_budget: None }
+    Cow::Owned(ProgramMetadata { program, line: None, time_left: None, token_budget: None })
 }
 
 impl OpenTurn {
