Ledger groups drained below their tolerance commit at enough members

Cause: a group of three commits at two members, and a member without records must read two others. Two disks lost leave one. Evidence: epoch 4 is storage-1, -2, -4; storage-1 and -2 come back empty and each logs about the other `not voting`, `sources_left: 1` until the end; storage-4 votes.

Reading the one that is left would lose records: with clients waiting for a majority and one source (mutant LedgerSmallGroupsCommitMoreCopies) the simulation finds a committed turn that no voter has.

Fix: the member that leaves writes into the group how many copies a record needs (tolerated losses + 1); clients wait for that many, the handover goes to that many, one source is enough then. Members reject clients that wait for fewer; the rule is set only if all members say that they and their clients know it. A drain to as few members as may be lost waits for a machine (5008). Groups of 2 f members and more are unchanged.

Ruled out: waiting with every drain below 2 f (the operator gets no machine), one source without more copies (loses records, above).

Left: beside older builds no rule is set, so the fault remains there.

--- a/crates/ledger/src/begin_quorum.rs
+++ b/crates/ledger/src/begin_quorum.rs
@@ -13,19 +13,19 @@
     Admitted,
     /// The turn does not fit the remaining budget.
     BudgetSpent,
-    /// No replica of a majority stores the preceding turn, so it was never committed.
+    /// No replica of a quorum stores the preceding turn, so it was never committed.
     UnknownPrevious,
 }
 
 /// Collects votes on one turn.
 ///
-/// A turn is admitted when each replica of a majority has recorded it and found that it fits the budget, and it also
-/// fits the union of the turns that they know. At least one of the majority knows every turn admitted before. Any two
+/// A turn is admitted when each replica of a commit quorum has recorded it and found that it fits the budget, and it also
+/// fits the union of the turns that they know. At least one of the quorum knows every turn admitted before. Any two
 /// concurrent turns share a replica, so at least one of them has been charged for the other; with up to five concurrent
 /// turns (four in a group of five replicas) the budget is exceeded by at most one turn.
 #[derive(Debug, Clone)]
 pub struct BeginQuorum {
-    majority: usize,
+    size: usize,
     budget_tokens: u64,
     max_tokens: u64,
     votes: usize,
@@ -38,10 +38,10 @@
 }
 
 impl BeginQuorum {
-    /// Creates a quorum without votes. A budget of 0 is unlimited.
-    pub fn new(majority: usize, budget_tokens: u64, max_tokens: u64) -> Self {
+    /// Creates a quorum of this many replicas, without votes. A budget of 0 is unlimited.
+    pub fn new(size: usize, budget_tokens: u64, max_tokens: u64) -> Self {
         Self {
-            majority,
+            size,
             budget_tokens,
             max_tokens,
             votes: 0,
@@ -79,7 +79,7 @@
         self.chain.take()
     }
 
-    /// Newest origin of the resumed stream that a voter knows. With the votes of a majority, an origin that a majority has
+    /// Newest origin of the resumed stream that a voter knows. With the votes of a quorum, an origin that a quorum has
     /// recorded is never missed.
     pub fn resumed_origin(&self) -> Option<&StreamOrigin> {
         self.resumed_origin.as_ref()
@@ -107,10 +107,10 @@
     }
 
     fn decision(&self) -> BeginDecision {
-        if self.rejecting_votes >= self.majority {
+        if self.rejecting_votes >= self.size {
             return BeginDecision::BudgetSpent;
         }
-        if self.votes < self.majority {
+        if self.votes < self.size {
             return BeginDecision::Pending;
         }
         if self.votes_with_previous == 0 {
@@ -121,6 +121,6 @@
         if !fits_budget {
             return BeginDecision::BudgetSpent;
         }
-        if self.fitting_votes >= self.majority { BeginDecision::Admitted } else { BeginDecision::Pending }
+        if self.fitting_votes >= self.size { BeginDecision::Admitted } else { BeginDecision::Pending }
     }
 }
--- a/crates/ledger/src/group.rs
+++ b/crates/ledger/src/group.rs
@@ -30,6 +30,9 @@
     /// Version of the group; 0 if there is no group yet.
     pub epoch: u64,
     pub members: Vec<Member>,
+    /// Least number of copies of each committed record, if more than a majority or the number of members is less; 0
+    /// for groups of which a majority is enough.
+    pub min_copies: u32,
 }
 
 /// Epoch of the first version of a group.
@@ -44,14 +47,34 @@
     /// First version of a group.
     pub fn initial_numbered(number: GroupNumber, members: Vec<Member>) -> Group {
         let founders = members.into_iter().map(|member| Member { joined: FOUNDING_EPOCH, ..member });
-        Group { number, epoch: FOUNDING_EPOCH, members: sorted_by_node(founders.collect()) }
+        Group { number, epoch: FOUNDING_EPOCH, members: sorted_by_node(founders.collect()), min_copies: 0 }
     }
 
-    /// Number of members that must store a record before it is committed.
+    /// Number of members that form a majority.
     pub fn majority(&self) -> usize {
         majority_size(self.members.len())
     }
 
+    /// Number of members that must store a record before it is committed: a majority, or more in a small group that
+    /// must tolerate as many lost disks as a larger one.
+    pub fn commit_quorum(&self) -> usize {
+        if is_broken(Rule::LedgerSmallGroupsCommitMoreCopies) {
+            return self.majority();
+        }
+        self.commit_quorum_of(self.members.len())
+    }
+
+    fn commit_quorum_of(&self, members: usize) -> usize {
+        let min_copies = usize::try_from(self.min_copies).unwrap_or(usize::MAX);
+        majority_size(members).max(min_copies.min(members))
+    }
+
+    /// Whether this version applies instead of another one of the same group. A build that does not know `min_copies`
+    /// passes an epoch on without it.
+    pub fn supersedes(&self, other: &Group) -> bool {
+        (self.epoch, self.min_copies) > (other.epoch, other.min_copies)
+    }
+
     /// Number of other members that a replica without records must read before it may vote, if every member may have
     /// voted.
     pub fn required_sources(&self) -> usize {
@@ -61,8 +84,8 @@
     /// Number of other members that a replica without records must read before it may vote: one more than the number of
     /// members that may lack a committed record.
     ///
-    /// Members that have never voted have acknowledged no records. So every committed record is stored by a majority of
-    /// the other members, which form the smaller group that they joined.
+    /// Members that have never voted have acknowledged no records. So every committed record is stored by a commit quorum
+    /// of the other members, which form the smaller group that they joined.
     pub(crate) fn required_sources_except(&self, never_voted: &BTreeSet<String>, own: &str) -> usize {
         if is_broken(Rule::LedgerReadsEnough) {
             return 1;
@@ -70,7 +93,7 @@
         let may_have_voted = self.members.iter().filter(|member| !never_voted.contains(&member.node));
         let (voters, others) = may_have_voted
             .fold((0, 0), |(voters, others), member| (voters + 1, others + usize::from(member.node != own)));
-        let may_lack = voters - majority_size(voters).min(voters);
+        let may_lack = voters - self.commit_quorum_of(voters).min(voters);
         let others = if own.is_empty() { voters.saturating_sub(1) } else { others };
         (may_lack + 1).min(others)
     }
@@ -96,7 +119,7 @@
     /// Next version of the group without a member.
     pub fn without_member(&self, node: &str) -> Group {
         let members = self.members.iter().filter(|member| member.node != node).cloned().collect();
-        Group { number: self.number, epoch: self.epoch + 1, members }
+        Group { epoch: self.epoch + 1, members, ..*self }
     }
 
     /// Nodes of members of an earlier version that were removed without a replacement; empty if the group did not
@@ -116,7 +139,12 @@
             zone: member.zone.clone(),
             joined: member.joined,
         });
-        GroupMessage { epoch: self.epoch, members: members.collect(), number: self.number }
+        GroupMessage {
+            epoch: self.epoch,
+            members: members.collect(),
+            number: self.number,
+            min_copies: self.min_copies,
+        }
     }
 
     /// Converts a group from its wire form; `None` if an address is invalid.
@@ -127,7 +155,8 @@
             Some(Member { node, address, zone, joined })
         });
         let members = members.collect::<Option<Vec<_>>>()?;
-        Some(Group { number: message.number, epoch: message.epoch, members })
+        let GroupMessage { number, epoch, min_copies, .. } = *message;
+        Some(Group { number, epoch, members, min_copies })
     }
 }
 
--- a/crates/ledger/src/group_map.rs
+++ b/crates/ledger/src/group_map.rs
@@ -62,7 +62,7 @@
         next
     }
 
-    /// Adopts a group if it is newer than the current version. An empty map accepts only group 0. Returns whether the
+    /// Adopts a group if it supersedes the current version. An empty map accepts only group 0. Returns whether the
     /// map changed.
     pub fn adopt_newer(&mut self, group: impl Into<Arc<Group>>) -> bool {
         let group = group.into();
@@ -72,7 +72,7 @@
         }
         let index = usize::try_from(group.number).unwrap_or(usize::MAX);
         match self.groups.get_mut(index) {
-            Some(current) if group.epoch > current.epoch => {
+            Some(current) if group.supersedes(current) => {
                 *current = group;
                 true
             }
--- a/crates/ledger/src/member_watch.rs
+++ b/crates/ledger/src/member_watch.rs
@@ -20,6 +20,8 @@
     pub is_voting: bool,
     /// Whether it is shutting down and gives up its membership.
     pub offers_membership: bool,
+    /// Whether it and its clients count the copies that a group asks for.
+    pub counts_copies: bool,
     /// Time since the last answer of each member that does not answer it; `None` if it does not monitor the others.
     pub unresponsive: Option<BTreeMap<String, Duration>>,
 }
@@ -93,6 +95,15 @@
         group.members.iter().filter_map(observation).any(|observation| observation.is_unresponsive)
     }
 
+    /// Whether all members but `own` answer and count the copies that a group asks for.
+    pub fn others_count_copies(&self, group: &Group, own: &str) -> bool {
+        let mut others = group.members.iter().filter(|member| member.node != own);
+        others.all(|member| {
+            let observation = self.observations.get(&member.node);
+            observation.is_some_and(|observation| observation.report.counts_copies)
+        })
+    }
+
     /// Time since the last answer of each unresponsive member.
     pub fn unresponsive_members(&self, now: Timestamp) -> BTreeMap<String, Duration> {
         let unresponsive = self.observations.iter().filter(|(_, observation)| observation.is_unresponsive);
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -181,6 +181,9 @@
     /// Index of the group in the ledger.
     #[prost(uint32, tag = "3")]
     pub number: u32,
+    /// Least number of copies of a committed record; 0 if a majority is enough.
+    #[prost(uint32, tag = "4")]
+    pub min_copies: u32,
 }
 
 /// Wire form of [`GroupMap`](crate::GroupMap).
@@ -272,6 +275,9 @@
     /// Turn of the same program whose stream this one resumes; empty if it begins a stream.
     #[prost(string, tag = "5")]
     pub resumed_turn: String,
+    /// Number of votes that the sender waits for; 0 from a build that always waits for a majority.
+    #[prost(uint32, tag = "6")]
+    pub commit_quorum: u32,
 }
 
 /// Request to record the end of a turn.
@@ -280,6 +286,9 @@
 pub struct End {
     #[prost(message, optional, tag = "1")]
     pub turn: Option<TurnEnded>,
+    /// Number of copies that the sender waits for; 0 from a build that always waits for a majority.
+    #[prost(uint32, tag = "2")]
+    pub commit_quorum: u32,
 }
 
 /// Request for the content of a turn and its predecessors.
@@ -453,6 +462,9 @@
     /// Whether its process is shutting down and gives up its membership.
     #[prost(bool, tag = "7")]
     pub offers_membership: bool,
+    /// Whether it and the clients that it heard of lately count the copies that a group asks for.
+    #[prost(bool, tag = "8")]
+    pub counts_copies: bool,
 }
 
 /// Member that does not answer.
--- a/crates/ledger/src/placement.rs
+++ b/crates/ledger/src/placement.rs
@@ -118,6 +118,26 @@
         2 * self.tolerated_losses + 1
     }
 
+    /// Next version of a group after a member has handed over its records and leaves; `None` if too few members would
+    /// remain for one of them to survive the tolerated losses.
+    ///
+    /// If a majority of the remaining members is too small to survive them, they keep as many copies as before. This
+    /// requires that all of them and their clients count these copies.
+    pub fn group_after_leave(self, group: &Group, leaving: &str, others_count_copies: bool) -> Option<Group> {
+        let next = group.without_member(leaving);
+        let copies = self.tolerated_losses + 1;
+        if next.members.len() < copies {
+            return None;
+        }
+        let has_copies = group.commit_quorum() >= copies;
+        let needs_more_than_majority = next.majority() < copies;
+        let min_copies = match needs_more_than_majority && has_copies && others_count_copies {
+            true => u32::try_from(copies).unwrap_or(u32::MAX),
+            false => 0,
+        };
+        Some(Group { min_copies, ..next })
+    }
+
     /// Number of groups for this many machines, reserving one spare machine per tolerated loss.
     fn group_count(self, machines: usize) -> usize {
         (machines.saturating_sub(self.tolerated_losses) / self.size()).max(1)
--- a/crates/ledger/src/replica.rs
+++ b/crates/ledger/src/replica.rs
@@ -12,6 +12,10 @@
 };
 use crate::state::{LedgerState, PageDetail};
 
+/// Time after the last request from a build that always waits for a majority, until which such builds count as still in
+/// use. Every client sends a request within it while its callers are active.
+const MAJORITY_CLIENT_MEMORY_MILLIS: u64 = 60_000;
+
 /// Settings of a replica.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[allow(missing_docs)]
@@ -45,6 +49,8 @@
     read_members: BTreeSet<String>,
     /// Members that reported at the current epoch that they have never voted.
     never_voted: BTreeSet<String>,
+    /// Unix time in milliseconds of the last request from a build that always waits for a majority.
+    majority_client_seen_at: Option<u64>,
 }
 
 impl Replica {
@@ -59,6 +65,7 @@
             is_leaving: false,
             read_members: BTreeSet::new(),
             never_voted: BTreeSet::new(),
+            majority_client_seen_at: None,
         }
     }
 
@@ -187,7 +194,7 @@
                 let commit = Group::from_message(&group).and_then(|group| self.install(group));
                 Step { commit: commit.into_iter().collect(), reply: reply(ReplyKind::Done(true)) }
             }
-            Some(RequestKind::Status(_)) => reply_only(ReplyKind::Status(self.status())),
+            Some(RequestKind::Status(_)) => reply_only(ReplyKind::Status(self.status(now))),
             Some(RequestKind::Find(find)) => self.handle_find(request.epoch, &find),
             Some(RequestKind::News(_)) => reply_only(ReplyKind::Done(true)),
             Some(RequestKind::Map(_)) => {
@@ -206,7 +213,7 @@
     /// Installs a version of the replica's group if it is newer; returns the record to make durable.
     pub fn install(&mut self, group: Group) -> Option<Record> {
         let is_other_group = self.group.epoch > 0 && group.number != self.group.number;
-        if is_other_group || group.epoch <= self.group.epoch {
+        if is_other_group || !group.supersedes(&self.group) {
             return None;
         }
         let record = group_record(&group);
@@ -342,7 +349,7 @@
             self.is_leaving = false;
             self.group = Group::default();
         }
-        if group.epoch > self.group.epoch {
+        if group.supersedes(&self.group) {
             self.group = group;
             // Members read under an earlier version may since have acknowledged more records.
             if !is_broken(Rule::LedgerReadsThisEpoch) {
@@ -356,7 +363,8 @@
         let Some(turn) = begin.turn.take() else {
             return reply_only(ReplyKind::Failed("no turn".to_owned()));
         };
-        if !self.is_own_epoch(epoch) {
+        let waits_for_quorum = self.waits_for_quorum(begin.commit_quorum, now);
+        if !self.is_own_epoch(epoch) || !waits_for_quorum {
             return self.wrong_epoch();
         }
         let vote = self.state.vote(&turn, &begin);
@@ -368,7 +376,8 @@
 
     fn handle_end(&mut self, epoch: u64, end: End, now: u64) -> Step {
         let Some(turn) = end.turn else { return reply_only(ReplyKind::Failed("no turn".to_owned())) };
-        if !self.is_own_epoch(epoch) {
+        let waits_for_quorum = self.waits_for_quorum(end.commit_quorum, now);
+        if !self.is_own_epoch(epoch) || !waits_for_quorum {
             return self.wrong_epoch();
         }
         let expires = self.state.end(&turn, now);
@@ -421,16 +430,33 @@
         epoch == self.group.epoch || is_broken(Rule::LedgerServesOwnEpoch)
     }
 
+    /// Whether a sender that waits for this many replies waits for the group's commit quorum. Otherwise it must not count
+    /// this replica: it would report as committed what a loss that the group tolerates could take away.
+    fn waits_for_quorum(&mut self, awaited: u32, now: u64) -> bool {
+        if awaited == 0 {
+            self.majority_client_seen_at = Some(now);
+        }
+        let awaited = usize::try_from(awaited).unwrap_or(usize::MAX).max(self.group.majority());
+        awaited >= self.group.commit_quorum() || is_broken(Rule::LedgerClientsAwaitQuorum)
+    }
+
+    /// Whether every client heard of lately counts the copies that the group asks for.
+    pub fn counts_copies(&self, now: u64) -> bool {
+        let seen_at = self.majority_client_seen_at;
+        seen_at.is_none_or(|seen_at| seen_at.saturating_add(MAJORITY_CLIENT_MEMORY_MILLIS) <= now)
+    }
+
     fn wrong_epoch(&self) -> Step {
         reply_only(ReplyKind::WrongEpoch(self.group.to_message()))
     }
 
-    fn status(&self) -> StatusReply {
+    fn status(&self, now: u64) -> StatusReply {
         StatusReply {
             node: self.settings.node.clone(),
             is_voting: self.is_voting(),
             may_bootstrap: self.may_bootstrap(),
             group: (self.group.epoch > 0).then(|| self.group.to_message()),
+            counts_copies: self.counts_copies(now),
             ..StatusReply::default()
         }
     }
--- a/crates/ledger/tests/cluster/mod.rs
+++ b/crates/ledger/tests/cluster/mod.rs
@@ -51,6 +51,8 @@
     resumed_turn: String,
     /// Budget that its request to begin is checked against; 0 if it was admitted before.
     budget: u64,
+    /// Whether its client always waits for a majority.
+    is_of_older_build: bool,
     /// Group as known to the caller's node; may be outdated.
     group: Group,
     phase: Phase,
@@ -78,11 +80,14 @@
     delivered_tokens: BTreeMap<String, u64>,
     committed: BTreeMap<String, RetainedTurn>,
     has_resumptions: bool,
+    has_small_groups: bool,
     streams: Vec<origins::BegunStream>,
     pub resumptions: usize,
     pub lost_disks: usize,
     pub replacements: usize,
     pub leaves: usize,
+    /// Size of the smallest group after a member left.
+    pub smallest_group: usize,
     pub joins: usize,
     pub rejections: usize,
 }
@@ -112,11 +117,13 @@
             delivered_tokens: BTreeMap::new(),
             committed: BTreeMap::new(),
             has_resumptions: false,
+            has_small_groups: false,
             streams: Vec::new(),
             resumptions: 0,
             lost_disks: 0,
             replacements: 0,
             leaves: 0,
+            smallest_group: usize::MAX,
             joins: 0,
             rejections: 0,
         };
@@ -130,6 +137,12 @@
         cluster
     }
 
+    /// Like [`Cluster::new`], with members that leave until as few remain as survive the tolerated losses, and some
+    /// clients that always wait for a majority.
+    pub fn with_small_groups(seed: u64, tolerated_losses: usize) -> Self {
+        Self { has_small_groups: true, ..Self::new(seed, tolerated_losses) }
+    }
+
     fn start_machine(&mut self, node: &str, disk: Vec<Record>, is_first_start: bool) {
         let mut replica = Replica::new(ReplicaSettings { node: node.to_owned(), is_first_start });
         disk.iter().for_each(|record| replica.replay(record));
@@ -168,8 +181,9 @@
         let turn = format!("t{}", self.last_id);
         let known: Vec<String> = self.committed.keys().cloned().collect();
         let previous = known.choose(&mut self.random).cloned().unwrap_or_default();
-        let group = self.known_group();
-        let quorum = BeginQuorum::new(group.majority(), BUDGET, MAX_TURN_TOKENS);
+        let is_of_older_build = self.has_small_groups && self.random.random_bool(0.1);
+        let group = self.known_group(is_of_older_build);
+        let quorum = BeginQuorum::new(group.commit_quorum(), BUDGET, MAX_TURN_TOKENS);
         let resumed_turn = self.draw_resumed_turn(&program);
         let operation = Operation {
             program,
@@ -178,6 +192,7 @@
             origin: self.draw_origin(1),
             resumed_turn,
             budget: BUDGET,
+            is_of_older_build,
             group,
             phase: Phase::Beginning(quorum),
             tokens: 0,
@@ -189,14 +204,17 @@
             previous: operation.previous.clone(),
             wants_chain: false,
             resumed_turn: operation.resumed_turn.clone(),
+            commit_quorum: wire_quorum(&operation),
         };
         self.operations.insert(self.last_id, operation);
         self.send_to_group(self.last_id, RequestKind::Begin(begin));
     }
 
     /// Group as known to a caller's node: usually the newest version, sometimes the one before.
-    fn known_group(&mut self) -> Group {
-        if self.random.random_bool(0.2) { self.earlier_group.clone() } else { self.group.clone() }
+    fn known_group(&mut self, is_of_older_build: bool) -> Group {
+        let known =
+            if self.random.random_bool(0.2) { self.earlier_group.clone() } else { self.group.clone() };
+        if is_of_older_build { Group { min_copies: 0, ..known } } else { known }
     }
 
     fn send_to_group(&mut self, operation: u64, kind: RequestKind) {
@@ -260,7 +278,7 @@
             },
             (Phase::Ending { done }, Some(ReplyKind::Done(_))) => {
                 done.insert(from.to_owned());
-                if done.len() >= operation.group.majority() {
+                if done.len() >= operation.group.commit_quorum() {
                     self.commit(&operation);
                     return;
                 }
@@ -275,6 +293,7 @@
         self.record_stream(&operation);
         operation.tokens = self.random.random_range(0..=MAX_TURN_TOKENS);
         *self.delivered_tokens.entry(operation.program.clone()).or_default() += operation.tokens;
+        operation.group = self.known_group(operation.is_of_older_build);
         let end = End {
             turn: Some(TurnEnded {
                 program: operation.program.clone(),
@@ -284,10 +303,10 @@
                 retained: Some(retained_content(&operation)),
                 origin: None,
             }),
+            commit_quorum: wire_quorum(&operation),
         };
         operation.phase = Phase::Ending { done: BTreeSet::new() };
         operation.replied.clear();
-        operation.group = self.known_group();
         self.operations.insert(id, operation);
         self.send_to_group(id, RequestKind::End(end));
     }
@@ -351,35 +370,43 @@
 
     /// Removes a member after it handed over its records, and empties its disk.
     fn leave(&mut self) {
-        if self.non_voting_members() > 0 || self.group.members.len() < self.target_size() {
+        let may_leave = self.non_voting_members() == 0 && self.group.members.len() >= self.target_size();
+        if !may_leave && !self.has_small_groups {
             return;
         }
         let leaving = self.group.members.choose(&mut self.random).map(|member| member.node.clone());
         let Some(leaving) = leaving else { return };
+        if !self.machines[&leaving].replica.is_voting() {
+            return;
+        }
+        let policy = GroupPolicy::tolerating(self.tolerated_losses);
+        let Some(next) = policy.group_after_leave(&self.group, &leaving, self.has_small_groups) else {
+            return;
+        };
         self.machine(&leaving).replica.set_leaving(true);
         // Callers continue concurrently.
         (0..self.random.random_range(0..4)).for_each(|_| self.deliver());
-        let is_handed_over = self.hand_over(&leaving);
+        let is_handed_over = self.hand_over(&leaving, &next);
         (0..self.random.random_range(0..4)).for_each(|_| self.deliver());
         if !is_handed_over {
             self.machine(&leaving).replica.set_leaving(false);
             return;
         }
-        let next = self.group.without_member(&leaving);
         self.earlier_group = std::mem::replace(&mut self.group, next);
         self.leaves += 1;
+        self.smallest_group = self.smallest_group.min(self.group.members.len());
         self.start_machine(&leaving, Vec::new(), false);
         self.machine(&leaving).blocked_by = self.open_operations();
     }
 
-    fn hand_over(&mut self, leaving: &str) -> bool {
-        let group = self.group.without_member(leaving);
-        let others: Vec<String> = group.members.iter().map(|member| member.node.clone()).collect();
+    fn hand_over(&mut self, leaving: &str, next: &Group) -> bool {
+        let others: Vec<String> = next.members.iter().map(|member| member.node.clone()).collect();
         let held: Vec<BTreeSet<String>> = others.iter().map(|node| self.held_turns(node)).collect();
         let mut after = String::new();
         loop {
             let page = self.machines[leaving].replica.state().page(&after, PageDetail::Keys, NOW);
-            let copies = plan_copies(&page.retained_keys, &held.iter().collect::<Vec<_>>(), group.majority());
+            let copies =
+                plan_copies(&page.retained_keys, &held.iter().collect::<Vec<_>>(), next.commit_quorum());
             for (node, turns) in others.iter().zip(copies) {
                 let mut records = page.records.clone();
                 records.extend(self.machines[leaving].replica.state().contents(&turns, NOW).records);
@@ -424,6 +451,10 @@
         if self.group.members.len() >= self.target_size() {
             return;
         }
+        // A small group stays small for a while.
+        if self.has_small_groups && self.random.random_bool(0.8) {
+            return;
+        }
         let spares: Vec<String> =
             self.machines.keys().filter(|node| self.group.member(node).is_none()).cloned().collect();
         let Some(joining) = spares.choose(&mut self.random).cloned() else { return };
@@ -541,11 +572,19 @@
                 chain.turns.first() != Some(retained_content)
             });
             let without = without.count();
-            assert!(without < self.group.majority(), "{without} voters lack the committed turn {turn}");
+            assert!(without < self.group.commit_quorum(), "{without} voters lack the committed turn {turn}");
         }
     }
 }
 
+/// Commit quorum in the requests of an operation.
+fn wire_quorum(operation: &Operation) -> u32 {
+    if operation.is_of_older_build {
+        return 0;
+    }
+    u32::try_from(operation.group.commit_quorum()).expect("small group")
+}
+
 fn retained_content(operation: &Operation) -> RetainedTurn {
     RetainedTurn {
         previous: operation.previous.clone(),
--- a/crates/ledger/tests/cluster/origins.rs
+++ b/crates/ledger/tests/cluster/origins.rs
@@ -4,7 +4,7 @@
 use rand::seq::IndexedRandom;
 use sumacdrift_ledger::{Begin, BeginQuorum, RequestKind, StreamOrigin, TurnBegun};
 
-use super::{Cluster, MAX_TURN_TOKENS, Operation, Phase, RETENTION};
+use super::{Cluster, MAX_TURN_TOKENS, Operation, Phase, RETENTION, wire_quorum};
 
 /// Probability that a turn resumes an earlier stream of its program.
 const RESUME_PROBABILITY: f64 = 0.5;
@@ -58,11 +58,16 @@
         }
         operation.origin = self.draw_origin(operation.origin.revision + 1);
         operation.resumed_turn.clear();
-        operation.group = self.known_group();
+        operation.group = self.known_group(operation.is_of_older_build);
         operation.budget = 0;
-        operation.phase = Phase::Beginning(BeginQuorum::new(operation.group.majority(), 0, MAX_TURN_TOKENS));
+        operation.phase =
+            Phase::Beginning(BeginQuorum::new(operation.group.commit_quorum(), 0, MAX_TURN_TOKENS));
         operation.replied.clear();
-        let begin = Begin { turn: Some(turn_begun(&operation)), ..Begin::default() };
+        let begin = Begin {
+            turn: Some(turn_begun(&operation)),
+            commit_quorum: wire_quorum(&operation),
+            ..Begin::default()
+        };
         // A request of its own: late replies to the first one don't count for it.
         self.last_id += 1;
         self.operations.insert(self.last_id, operation);
--- a/crates/ledger/tests/member_removal.rs
+++ b/crates/ledger/tests/member_removal.rs
@@ -32,6 +32,7 @@
     MemberReport {
         is_voting: true,
         offers_membership: false,
+        counts_copies: true,
         unresponsive: Some(unresponsive.collect::<BTreeMap<_, _>>()),
     }
 }
--- a/crates/ledger/tests/mutants.rs
+++ b/crates/ledger/tests/mutants.rs
@@ -27,9 +27,14 @@
         _ => {}
     }
     let is_about_origins = matches!(rule, Rule::LedgerNewestOriginCounts | Rule::LedgerPagesHoldOrigins);
+    let is_about_small_groups =
+        matches!(rule, Rule::LedgerSmallGroupsCommitMoreCopies | Rule::LedgerClientsAwaitQuorum);
     let run = std::panic::catch_unwind(|| {
-        let mut cluster =
-            if is_about_origins { Cluster::with_resumptions(seed, 1) } else { Cluster::new(seed, 1) };
+        let mut cluster = match (is_about_origins, is_about_small_groups) {
+            (true, _) => Cluster::with_resumptions(seed, 1),
+            (_, true) => Cluster::with_small_groups(seed, 2),
+            _ => Cluster::new(seed, 1),
+        };
         (0..STEPS).for_each(|_| cluster.step());
     });
     run.is_err()
--- a/crates/ledger/tests/recorded_forms/main.rs
+++ b/crates/ledger/tests/recorded_forms/main.rs
@@ -237,7 +237,7 @@
 /// Nodes of different builds must agree on the group of a program.
 #[test]
 fn assignment_of_programs_to_groups_is_stable() {
-    let groups = (0..4).map(|number| Group { number, epoch: 1, members: Vec::new() });
+    let groups = (0..4).map(|number| Group { number, epoch: 1, ..Group::default() });
     let map = GroupMap::new(groups.collect());
     let number = |program: &str| map.group_of(program).expect("map has groups").number;
     assert_eq!(["program-1", "program-2", "program-3", "program-4"].map(number), [0, 3, 1, 3]);
--- a/crates/ledger/tests/recorded_forms/older.rs
+++ b/crates/ledger/tests/recorded_forms/older.rs
@@ -267,7 +267,17 @@
 
 /// Status replies of builds without the newer fields.
 pub mod status {
-    use sumacdrift_ledger::{GroupMessage, SilentMember};
+    use sumacdrift_ledger::{MemberMessage, SilentMember};
+
+    #[derive(Clone, PartialEq, Eq, prost::Message)]
+    pub struct GroupMessage {
+        #[prost(uint64, tag = "1")]
+        pub epoch: u64,
+        #[prost(message, repeated, tag = "2")]
+        pub members: Vec<MemberMessage>,
+        #[prost(uint32, tag = "3")]
+        pub number: u32,
+    }
 
     /// Build 5ec6a2e.
     #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/ledger/tests/recorded_forms/samples.rs
+++ b/crates/ledger/tests/recorded_forms/samples.rs
@@ -69,7 +69,12 @@
 
 fn group(number: u32) -> GroupMessage {
     let members = vec![member("m1", "10.0.0.1:7000", "a", 3), member("m2", "10.0.0.2:7000", "b", 4)];
-    GroupMessage { epoch: EPOCH, members, number }
+    GroupMessage { epoch: EPOCH, members, number, min_copies: 0 }
+}
+
+/// Group of the newest form.
+fn group_with_copies() -> GroupMessage {
+    GroupMessage { min_copies: 3, ..group(GROUP) }
 }
 
 fn record(kind: RecordKind) -> Record {
@@ -83,6 +88,7 @@
         previous: text("turn-1"),
         wants_chain: true,
         resumed_turn: String::new(),
+        commit_quorum: 0,
     }
 }
 
@@ -96,24 +102,33 @@
 }
 
 fn end() -> RequestKind {
-    RequestKind::End(End { turn: Some(turn_ended()) })
+    RequestKind::End(End { turn: Some(turn_ended()), commit_quorum: 0 })
 }
 
 fn end_with_origin() -> RequestKind {
-    RequestKind::End(End { turn: Some(turn_ended_at_origin()) })
+    RequestKind::End(End { turn: Some(turn_ended_at_origin()), commit_quorum: 0 })
 }
 
 fn chain_request() -> ChainRequest {
     ChainRequest { turn: text("turn-1") }
 }
 
-fn page_request(number: u32, keys_only: bool) -> RequestKind {
-    RequestKind::Page(PageRequest { after: text("pprogram-1"), group: Some(group(number)), keys_only })
+fn begin_with_quorum() -> RequestKind {
+    let turn = Some(turn_begun_at_origin());
+    RequestKind::Begin(Begin { turn, resumed_turn: text("turn-1"), commit_quorum: 3, ..first_begin() })
+}
+
+fn end_with_quorum() -> RequestKind {
+    RequestKind::End(End { turn: Some(turn_ended_at_origin()), commit_quorum: 3 })
 }
 
-fn push(number: u32, turn: TurnBegun) -> RequestKind {
+fn page_request(group: GroupMessage, keys_only: bool) -> RequestKind {
+    RequestKind::Page(PageRequest { after: text("pprogram-1"), group: Some(group), keys_only })
+}
+
+fn push(group: GroupMessage, turn: TurnBegun) -> RequestKind {
     let records = vec![record(RecordKind::Begun(turn))];
-    RequestKind::Push(Push { records, group: Some(group(number)) })
+    RequestKind::Push(Push { records, group: Some(group) })
 }
 
 fn quota(program: Option<u64>) -> RequestKind {
@@ -157,6 +172,7 @@
         is_watching: false,
         silent: Vec::new(),
         offers_membership: false,
+        counts_copies: false,
     }
 }
 
@@ -176,7 +192,7 @@
         vec![
             ("2", record(RecordKind::Begun(turn_begun_at_origin()))),
             ("2", record(RecordKind::Ended(turn_ended_at_origin()))),
-            ("2", record(RecordKind::Group(group(GROUP)))),
+            ("3", record(RecordKind::Group(group_with_copies()))),
             ("2", record(RecordKind::Standing(standing))),
             ("1", record(RecordKind::Copy(copy))),
             ("1", record(RecordKind::Reading(reading))),
@@ -186,12 +202,12 @@
     pub fn requests() -> Vec<(&'static str, LedgerRequest)> {
         let contents = ContentsRequest { turns: vec![text("turn-1"), text("turn-2")] };
         let kinds = vec![
-            ("4", begin_with_origin()),
-            ("4", end_with_origin()),
+            ("5", begin_with_quorum()),
+            ("5", end_with_quorum()),
             ("2", RequestKind::Chain(chain_request())),
-            ("3", page_request(GROUP, true)),
-            ("3", push(GROUP, turn_begun_at_origin())),
-            ("2", RequestKind::Install(group(GROUP))),
+            ("4", page_request(group_with_copies(), true)),
+            ("4", push(group_with_copies(), turn_begun_at_origin())),
+            ("3", RequestKind::Install(group_with_copies())),
             ("2", RequestKind::Status(true)),
             ("1", RequestKind::Contents(contents)),
             ("1", RequestKind::Find(chain_request())),
@@ -208,21 +224,26 @@
     }
 
     pub fn replies() -> Vec<(&'static str, LedgerReply)> {
-        let status = StatusReply { offers_membership: true, ..watching_status() };
+        let status = StatusReply {
+            group: Some(group_with_copies()),
+            offers_membership: true,
+            counts_copies: true,
+            ..watching_status()
+        };
         let quota =
             QuotaAnswer { decision: QuotaDecision::Exceeded as i32, retry_after_millis: 250, counted: 12 };
-        let map = GroupMapMessage { groups: vec![GroupMessage { number: 0, ..group(GROUP) }, group(GROUP)] };
+        let map = GroupMapMessage { groups: vec![group(0), group_with_copies()] };
         let kinds = vec![
             ("3", vote(Some(origin()))),
             ("2", ReplyKind::Done(true)),
             ("2", ReplyKind::Chain(chain())),
             ("3", page(vec![text("turn-1")], turn_ended_at_origin())),
-            ("2", ReplyKind::WrongEpoch(group(GROUP))),
+            ("3", ReplyKind::WrongEpoch(group_with_copies())),
             ("2", ReplyKind::NotVoting(true)),
-            ("4", ReplyKind::Status(status)),
+            ("5", ReplyKind::Status(status)),
             ("2", ReplyKind::Failed(text("the disk failed"))),
             ("1", ReplyKind::NeverVoted(true)),
-            ("1", ReplyKind::Map(map)),
+            ("2", ReplyKind::Map(map)),
             ("1", ReplyKind::Busy(true)),
             ("1", ReplyKind::Quota(quota)),
         ];
@@ -297,6 +318,7 @@
             ("1", record(RecordKind::Standing(standing))),
             ("1", record(RecordKind::Begun(turn_begun()))),
             ("1", record(RecordKind::Ended(turn_ended()))),
+            ("2", record(RecordKind::Group(group(GROUP)))),
         ]
     }
 
@@ -305,14 +327,21 @@
             begin(),
             end(),
             RequestKind::Chain(chain_request()),
-            page_request(0, false),
-            push(0, turn_begun()),
+            page_request(group(0), false),
+            push(group(0), turn_begun()),
             RequestKind::Install(group(0)),
             RequestKind::Status(true),
         ];
-        let with_report = [begin(), end(), page_request(0, true)];
+        let with_report = [begin(), end(), page_request(group(0), true)];
         let with_group = [quota(None), quota_totals(0)];
-        let without_origin = [("3", begin()), ("3", end()), ("2", push(GROUP, turn_begun()))];
+        let without_origin = [("3", begin()), ("3", end()), ("2", push(group(GROUP), turn_begun()))];
+        let without_copies = [
+            ("4", begin_with_origin()),
+            ("4", end_with_origin()),
+            ("3", page_request(group(GROUP), true)),
+            ("3", push(group(GROUP), turn_begun_at_origin())),
+            ("2", RequestKind::Install(group(GROUP))),
+        ];
         let report = Bytes::from_static(b"news");
         let plain = |kind| LedgerRequest { epoch: EPOCH, kind: Some(kind), ..LedgerRequest::default() };
         let first = first.map(|kind| ("1", plain(kind)));
@@ -320,10 +349,10 @@
             with_report.map(|kind| ("2", LedgerRequest { report: report.clone(), ..plain(kind) }));
         let with_group = with_group
             .map(|kind| ("1", LedgerRequest { report: report.clone(), group: GROUP, ..plain(kind) }));
-        let without_origin = without_origin.map(|(form, kind)| {
+        let later = without_origin.into_iter().chain(without_copies).map(|(form, kind)| {
             (form, LedgerRequest { report: report.clone(), group: GROUP, ..plain(kind) })
         });
-        first.into_iter().chain(with_report).chain(with_group).chain(without_origin).collect()
+        first.into_iter().chain(with_report).chain(with_group).chain(later).collect()
     }
 
     pub fn replies() -> Vec<(&'static str, LedgerReply)> {
@@ -342,9 +371,17 @@
             |status| LedgerReply { view: Bytes::from_static(b"view"), ..plain(ReplyKind::Status(status)) };
         let statuses = [("2", with_view(first_status(GROUP))), ("3", with_view(watching_status()))];
         let without_origin = [("2", vote(None)), ("2", page(vec![text("turn-1")], turn_ended()))];
-        let without_origin = without_origin
+        let map = GroupMapMessage { groups: vec![group(0), group(GROUP)] };
+        let without_copies = [
+            ("2", ReplyKind::WrongEpoch(group(GROUP))),
+            ("4", ReplyKind::Status(StatusReply { offers_membership: true, ..watching_status() })),
+            ("1", ReplyKind::Map(map)),
+        ];
+        let later = without_origin
+            .into_iter()
+            .chain(without_copies)
             .map(|(form, kind)| (form, LedgerReply { view: Bytes::from_static(b"view"), ..plain(kind) }));
         let first = first.map(|kind| ("1", plain(kind)));
-        first.into_iter().chain(statuses).chain(without_origin).collect()
+        first.into_iter().chain(statuses).chain(later).collect()
     }
 }
--- a/crates/ledger/tests/replica.rs
+++ b/crates/ledger/tests/replica.rs
@@ -16,7 +16,8 @@
 }
 
 fn group(epoch: u64, nodes: &[(&str, u64)]) -> Group {
-    Group { number: 0, epoch, members: nodes.iter().map(|(node, joined)| member(node, *joined)).collect() }
+    let members = nodes.iter().map(|(node, joined)| member(node, *joined)).collect();
+    Group { epoch, members, ..Group::default() }
 }
 
 fn replica(node: &str, is_first_start: bool) -> Replica {
@@ -140,7 +141,7 @@
     begin(&mut replica, 1, "one");
     begin(&mut replica, 1, "two");
     assert!(matches!(begin(&mut replica, 1, "three"), Some(ReplyKind::Vote(vote)) if !vote.fits));
-    let end = End { turn: Some(ended("one", 10)) };
+    let end = End { turn: Some(ended("one", 10)), ..End::default() };
     replica.handle(
         LedgerRequest { epoch: 1, kind: Some(RequestKind::End(end)), ..LedgerRequest::default() },
         NOW,
@@ -378,7 +379,8 @@
     for (turn, holders) in [("t1", 0..2), ("t2", 0..1), ("t3", 1..2)] {
         let content = RetainedTurn { previous: String::new(), input: turn.into(), output: Bytes::new() };
         for source in &mut sources[holders] {
-            let end = End { turn: Some(TurnEnded { retained: Some(content.clone()), ..ended(turn, 10) }) };
+            let turn = TurnEnded { retained: Some(content.clone()), ..ended(turn, 10) };
+            let end = End { turn: Some(turn), ..End::default() };
             source.handle(
                 LedgerRequest { epoch: 1, kind: Some(RequestKind::End(end)), ..LedgerRequest::default() },
                 NOW,
--- a/crates/ledger/tests/simulation.rs
+++ b/crates/ledger/tests/simulation.rs
@@ -56,3 +56,24 @@
         assert!(resumptions > 1_000, "{resumptions}");
     }
 }
+
+/// Members leave until three of five, or two of three, remain. Guards against committed turns of which every copy is on
+/// disks that the group must be able to lose, and against votes counted by clients that wait for fewer copies.
+#[test]
+fn small_groups_keep_committed_turns_after_the_tolerated_losses() {
+    for tolerated_losses in [1, 2] {
+        let (mut lost_disks, mut smallest_group) = (0, usize::MAX);
+        for seed in 0..SEEDS {
+            let run = std::panic::catch_unwind(|| {
+                let mut cluster = Cluster::with_small_groups(seed, tolerated_losses);
+                (0..STEPS).for_each(|_| cluster.step());
+                cluster
+            });
+            let Ok(cluster) = run else { panic!("seed {seed} violated an invariant, see above") };
+            lost_disks += cluster.lost_disks;
+            smallest_group = smallest_group.min(cluster.smallest_group);
+        }
+        assert!(lost_disks > 1_000, "{lost_disks}");
+        assert_eq!(smallest_group, tolerated_losses + 1);
+    }
+}
--- a/crates/mutants/src/lib.rs
+++ b/crates/mutants/src/lib.rs
@@ -40,6 +40,10 @@
     LedgerVoteNeedsRecords,
     /// A recovering ledger replica reads from enough other replicas that no acknowledged record can be missing.
     LedgerReadsEnough,
+    /// A small group keeps as many copies of a committed record as survive the tolerated losses.
+    LedgerSmallGroupsCommitMoreCopies,
+    /// A ledger replica is counted only by clients that wait for its group's commit quorum.
+    LedgerClientsAwaitQuorum,
     /// A ledger replica serves pages only if its records are complete.
     LedgerPagesAreComplete,
     /// A ledger replica serves requests of its own epoch only.
@@ -88,9 +92,11 @@
 
 impl Rule {
     /// Rules of the program ledger, checked by the ledger's own simulation.
-    pub const LEDGER: [Rule; 14] = [
+    pub const LEDGER: [Rule; 16] = [
         Rule::LedgerVoteNeedsRecords,
         Rule::LedgerReadsEnough,
+        Rule::LedgerSmallGroupsCommitMoreCopies,
+        Rule::LedgerClientsAwaitQuorum,
         Rule::LedgerPagesAreComplete,
         Rule::LedgerServesOwnEpoch,
         Rule::LedgerReadsThisEpoch,
--- a/crates/storage/src/client.rs
+++ b/crates/storage/src/client.rs
@@ -288,11 +288,12 @@
                 previous: begin.previous.clone(),
                 wants_chain,
                 resumed_turn: begin.resumed_turn.clone(),
+                commit_quorum: wire_count(group.commit_quorum()),
             };
             encode_with_report(group, RequestKind::Begin(request), begin.report.clone())
         };
-        group_request.start(group.majority(), &request_for);
-        let mut quorum = BeginQuorum::new(group.majority(), begin.budget_tokens, begin.turn.max_tokens);
+        group_request.start(group.commit_quorum(), &request_for);
+        let mut quorum = BeginQuorum::new(group.commit_quorum(), begin.budget_tokens, begin.turn.max_tokens);
         loop {
             let Some(answer) = group_request.next_reply(&request_for).await else {
                 group_request.report_undecided(&begin.turn.turn, &begin.turn.program);
@@ -351,7 +352,7 @@
         Ok(admission)
     }
 
-    /// Records the end of a turn, with a report for the hosts; returns once a majority has it on disk.
+    /// Records the end of a turn, with a report for the hosts; returns once a commit quorum has it on disk.
     pub async fn end(&self, turn: TurnEnded, report: Bytes) -> Result<(), LedgerError> {
         let deadline = Instant::now() + self.timeouts.end;
         loop {
@@ -376,10 +377,11 @@
         report: Bytes,
         deadline: Instant,
     ) -> Option<Result<(), LedgerError>> {
-        let request = encode_with_report(group, RequestKind::End(End { turn: Some(turn.clone()) }), report);
+        let end = End { turn: Some(turn.clone()), commit_quorum: wire_count(group.commit_quorum()) };
+        let request = encode_with_report(group, RequestKind::End(end), report);
         let request_for = |_: &Member| request.clone();
         let mut group_request = self.group_request(group, &turn.program, deadline);
-        group_request.start(group.majority(), &request_for);
+        group_request.start(group.commit_quorum(), &request_for);
         let mut durable = 0;
         while let Some(answer) = group_request.next_reply(&request_for).await {
             match answer {
@@ -387,7 +389,7 @@
                 ReplyKind::WrongEpoch(message) if self.adopt_if_newer(&message, group) => return None,
                 _ => {}
             }
-            if durable >= group.majority() {
+            if durable >= group.commit_quorum() {
                 group_request.record_decision();
                 return Some(Ok(()));
             }
@@ -397,13 +399,11 @@
     }
 
     fn adopt_if_newer(&self, message: &GroupMessage, group: &Group) -> bool {
-        if message.epoch <= group.epoch {
-            return false;
-        }
-        if let Some(newer) = Group::from_message(message).filter(|newer| newer.number == group.number) {
-            self.adopt_group(newer);
-        }
-        self.map().group(group.number).is_some_and(|known| known.epoch > group.epoch)
+        let newer = Group::from_message(message)
+            .filter(|newer| newer.number == group.number && newer.supersedes(group));
+        let Some(newer) = newer else { return false };
+        self.adopt_group(newer);
+        self.map().group(group.number).is_some_and(|known| known.supersedes(group))
     }
 
     /// Creates a request to a group; see [`GroupRequest`].
@@ -451,3 +451,8 @@
         &self.transport
     }
 }
+
+/// Number of replicas in a request.
+fn wire_count(replicas: usize) -> u32 {
+    u32::try_from(replicas).unwrap_or(u32::MAX)
+}
--- a/crates/storage/src/group_maintenance.rs
+++ b/crates/storage/src/group_maintenance.rs
@@ -12,11 +12,12 @@
     ReplacementPolicy,
 };
 use sumacdrift_transport::Transport;
-use sumacdrift_types::Topology;
+use sumacdrift_types::{ResultCode, Topology};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
 use crate::catch_up::{catch_up, reread_others};
+use crate::clock::unix_millis;
 use crate::directory::{DirectoryError, DirectoryView, GroupDirectory, Registration, StoredMap};
 use crate::handover::hand_over_records;
 use crate::host::ReplicaHost;
@@ -67,6 +68,7 @@
     watcher: Arc<MemberWatcher>,
     change_wanted_since: Option<Instant>,
     is_retirement_reported: bool,
+    is_retirement_waiting: bool,
     has_handed_over: bool,
     /// Departed members without a replacement, until the remaining members were read.
     removed: Vec<String>,
@@ -97,6 +99,7 @@
             watcher,
             change_wanted_since: None,
             is_retirement_reported: false,
+            is_retirement_waiting: false,
             has_handed_over: false,
             removed: Vec::new(),
             candidate_count: 0,
@@ -178,7 +181,8 @@
         let Some(record) = record else { return };
         self.removed.extend(group.removed_since(&before));
         info!(self.host.logger(), "group adopted"; "event" => "group_adopted", "group" => group.number,
-            "epoch" => group.epoch, "members" => format_members(&group), "voting" => self.host.is_voting());
+            "epoch" => group.epoch, "members" => format_members(&group),
+            "commit_quorum" => group.commit_quorum(), "voting" => self.host.is_voting());
         if let Err(failure) = self.host.commit(vec![record]).await {
             warn!(self.host.logger(), "group not durable"; "event" => "commit_failed", "error" => %failure);
         }
@@ -307,17 +311,18 @@
             self.complete_retirement(&previous_group).await;
             return;
         };
-        if group.members.len() == 1 {
+        let Some(next) = self.group_after_leave(&group) else {
+            self.report_waiting_retirement(&group);
             return;
-        }
+        };
         // Most records are sent while the member still votes; the ones acknowledged meanwhile follow once it
         // does not.
-        if !hand_over_records(&self.host, &self.transport, &group, &own).await {
+        if !hand_over_records(&self.host, &self.transport, &group, &next, &own).await {
             return;
         }
         self.host.replica().set_leaving(true);
-        let next = stored.map.with_group(group.without_member(&own));
-        let is_handed_over = hand_over_records(&self.host, &self.transport, &group, &own).await;
+        let is_handed_over = hand_over_records(&self.host, &self.transport, &group, &next, &own).await;
+        let next = stored.map.with_group(next);
         let has_left = is_handed_over && self.replace_map(next, Some(stored.revision), "leaving").await;
         if !has_left {
             // The change may still be applied. Records acknowledged from now on must be handed over again.
@@ -326,10 +331,27 @@
         self.has_handed_over = has_left;
     }
 
+    /// Next version of a group without this member; `None` while it is needed to survive the tolerated losses.
+    fn group_after_leave(&self, group: &Group) -> Option<Group> {
+        let own = &self.settings.own.node;
+        let others_count_copies = self.watcher.watch().others_count_copies(group, own)
+            && self.host.replica().counts_copies(unix_millis());
+        self.settings.policy.group_after_leave(group, own, others_count_copies)
+    }
+
+    fn report_waiting_retirement(&mut self, group: &Group) {
+        if std::mem::replace(&mut self.is_retirement_waiting, true) {
+            return;
+        }
+        warn!(self.host.logger(), "machine is not drained: too few others would remain to survive the tolerated losses";
+            "event" => "retirement_waits", "code" => ResultCode::TooFewReplicas.number(), "group" => group.number,
+            "epoch" => group.epoch, "members" => format_members(group));
+    }
+
     async fn complete_retirement(&mut self, group: &Group) {
         let own = self.settings.own.node.clone();
         self.has_handed_over =
-            self.has_handed_over || hand_over_records(&self.host, &self.transport, group, &own).await;
+            self.has_handed_over || hand_over_records(&self.host, &self.transport, group, group, &own).await;
         if self.has_handed_over {
             let reported = self.directory.report_retirement(own, true).await;
             info!(self.host.logger(), "machine drained"; "event" => "retirement_completed",
--- a/crates/storage/src/group_request.rs
+++ b/crates/storage/src/group_request.rs
@@ -165,7 +165,7 @@
             answers.map(|(member, answer)| format!("{} {answer}", member.node)).collect();
         info!(self.client.logger(), "ledger request undecided"; "event" => "ledger_undecided", "call" => call,
             "program" => program, "group" => self.group.number, "epoch" => self.group.epoch,
-            "needed" => self.group.majority(), "members" => members.join(", "),
+            "needed" => self.group.commit_quorum(), "members" => members.join(", "),
             "waited_ms" => self.started.elapsed().as_millis() as u64, "left_out" => suppressed);
     }
 
--- a/crates/storage/src/handover.rs
+++ b/crates/storage/src/handover.rs
@@ -22,11 +22,12 @@
 }
 
 /// Sends all records to the other members of a group; returns whether they have them on disk. Accounts go to
-/// all of them, the content of retained turns to as many as make up a majority of the remaining group.
+/// all of them, the content of retained turns to as many as make up a commit quorum of the remaining group.
 pub(crate) async fn hand_over_records(
     host: &ReplicaHost,
     transport: &Transport,
     group: &Group,
+    remaining: &Group,
     own_node: &str,
 ) -> bool {
     let sender = Sender { host, transport, group };
@@ -34,7 +35,7 @@
     for member in group.members.iter().filter(|member| member.node != own_node) {
         recipients.push(Recipient { member, holds: sender.held_by(member).await });
     }
-    let majority = group.without_member(own_node).majority();
+    let copies_wanted = remaining.commit_quorum();
     let mut after = String::new();
     loop {
         let page = host.replica().state().page(&after, PageDetail::Keys, unix_millis());
@@ -44,7 +45,7 @@
             }
         }
         let holds: Vec<&BTreeSet<String>> = recipients.iter().map(|recipient| &recipient.holds).collect();
-        let copies = plan_copies(&page.retained_keys, &holds, majority);
+        let copies = plan_copies(&page.retained_keys, &holds, copies_wanted);
         for (recipient, turns) in recipients.iter().zip(copies) {
             if !sender.push_contents(recipient.member, &turns).await {
                 return false;
--- a/crates/storage/src/member_watcher.rs
+++ b/crates/storage/src/member_watcher.rs
@@ -129,5 +129,10 @@
     let unresponsive =
         status.silent.into_iter().map(|SilentMember { node, millis }| (node, Duration::from_millis(millis)));
     let unresponsive = status.is_watching.then(|| unresponsive.collect());
-    MemberReport { is_voting: status.is_voting, offers_membership: status.offers_membership, unresponsive }
+    MemberReport {
+        is_voting: status.is_voting,
+        offers_membership: status.offers_membership,
+        counts_copies: status.counts_copies,
+        unresponsive,
+    }
 }
--- a/crates/storage/tests/journal_capacity.rs
+++ b/crates/storage/tests/journal_capacity.rs
@@ -17,7 +17,7 @@
 const TURN_BYTES: usize = 100 << 10;
 
 async fn end_turn(host: &Arc<ReplicaHost>, turn: &str) -> Option<ReplyKind> {
-    let end = End { turn: Some(ended(turn, Bytes::from(vec![7; TURN_BYTES]))) };
+    let end = End { turn: Some(ended(turn, Bytes::from(vec![7; TURN_BYTES]))), ..End::default() };
     let request = LedgerRequest { kind: Some(RequestKind::End(end)), ..LedgerRequest::default() };
     let request = Request::Ledger(Bytes::from(request.encode_to_vec()));
     match Arc::clone(host).request(request).await {
--- a/crates/types/src/result_code.rs
+++ b/crates/types/src/result_code.rs
@@ -131,6 +131,8 @@
     LedgerUnavailable = 5006, 503, "Program ledger unavailable";
     /// No node that counts the tenant's calls answered in time.
     QuotaUnavailable = 5007, 503, "Quota can't be counted";
+    /// A storage machine can't be drained yet: a record might not survive the tolerated losses on the remaining ones.
+    TooFewReplicas = 5008, 503, "Too few replicas would remain";
     /// No configuration is active on the node yet.
     NoConfiguration = 6001, 503, "No configuration in force";
     /// The node's copy of the API keys is so old that the caller's key may have been revoked or added since.
