Edges that start after an evacuation know its engines as cold

Cause: that engines may be cold was concluded when an edge saw an evacuation end, for the engines it knew at that moment, and kept nowhere. An edge that started after the end sent without permits until the engines' next reports; after a restart of the whole fleet all edges did.

Fix: the end of an evacuation is state. Feeds keep it with its age, pass it on also if they never knew the evacuation, keep it when thousands of engines leave, and store it with their copy on disk. An edge counts the engines of the zone as cold until the warm-up time has passed since the end, whenever it learns of the end, the engine or the limit. Unknown ages (earlier builds) change nothing for an edge that has just started.

Ruled out: permits for all engines until an edge has run for a heartbeat (docs/design/evacuations.md says why); calls held up on the way (the calls had asked for no permit).

Logs: engine_cold, permit_granted, ended_ms in evacuation_ended; before, a call to an engine believed warm could not be told from one with a permit.

--- a/crates/dissemination/src/feed.rs
+++ b/crates/dissemination/src/feed.rs
@@ -31,6 +31,34 @@
     pub outage: Duration,
 }
 
+/// Removal of an item.
+#[derive(Debug, Clone, Copy)]
+struct Removal {
+    /// Store revision.
+    revision: u64,
+    learned_at: Timestamp,
+    /// Time since the removal when this feed learned of it.
+    age_when_learned: Duration,
+}
+
+impl Removal {
+    fn now(revision: u64, now: Timestamp) -> Self {
+        Self { revision, learned_at: now, age_when_learned: Duration::ZERO }
+    }
+
+    fn to_change(self, key: &Key, now: Timestamp) -> ItemChange {
+        let age = now.since(self.learned_at) + self.age_when_learned;
+        let item = Item { kind: key.0, name: key.1.clone(), revision: self.revision, ..Item::default() };
+        let removed_millis_ago = Some(u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
+        ItemChange { item: Some(item), is_gone: true, removed_millis_ago }
+    }
+}
+
+/// Age of a removal. Zero if an earlier build left it out: engines then count as cold for too long, not too briefly.
+fn age_of(removed_millis_ago: Option<u64>) -> Duration {
+    Duration::from_millis(removed_millis_ago.unwrap_or(0))
+}
+
 #[derive(Debug, Clone)]
 struct StoredItem {
     position: u64,
@@ -51,8 +79,8 @@
     stored: BTreeMap<Key, StoredItem>,
     recent_changes: RecentChanges,
     removals: VecDeque<(u64, Key)>,
-    /// Store revisions of the removals that are still kept.
-    removal_revisions: BTreeMap<Key, u64>,
+    /// Details of the removals that are still kept.
+    kept_removals: BTreeMap<Key, Removal>,
     known_revisions: KnownRevisions,
     /// Followers behind this position get a full response.
     incremental_since: u64,
@@ -76,7 +104,7 @@
             stored: BTreeMap::new(),
             recent_changes: RecentChanges::default(),
             removals: VecDeque::new(),
-            removal_revisions: BTreeMap::new(),
+            kept_removals: BTreeMap::new(),
             known_revisions: KnownRevisions::new(),
             incremental_since: 0,
             outage: Duration::ZERO,
@@ -97,16 +125,32 @@
         self.configuration_confirmed_at.map(|confirmed_at| now.since(confirmed_at))
     }
 
-    /// Loads the items of an earlier process. The feed is current only once it has reached the store.
-    pub fn restore(&mut self, snapshot: Snapshot) {
+    /// Loads what an earlier process knew. The feed is current only once it has reached the store. `unix_millis` is the
+    /// current Unix time, by which removals have aged meanwhile.
+    pub fn restore(&mut self, snapshot: Snapshot, unix_millis: u64, now: Timestamp) {
+        let elapsed = Duration::from_millis(unix_millis.saturating_sub(snapshot.saved_unix_millis));
         for item in snapshot.items {
             self.put(item);
         }
+        for ended in snapshot.ended_evacuations {
+            let Some(item) = ended.item else { continue };
+            let removal = Removal {
+                revision: item.revision,
+                learned_at: now,
+                age_when_learned: age_of(ended.removed_millis_ago) + elapsed,
+            };
+            self.remove_item((item.kind, item.name), removal);
+        }
     }
 
-    /// Returns all items, to be persisted.
-    pub fn snapshot(&self) -> Snapshot {
-        Snapshot { items: self.stored.values().map(|stored| stored.item.clone()).collect() }
+    /// Returns what the next process of this node needs, to be persisted. `unix_millis` is the current Unix time.
+    pub fn snapshot(&self, unix_millis: u64, now: Timestamp) -> Snapshot {
+        let ended = self.kept_removals.iter().filter(|(key, _)| key.0 == ItemKind::Evacuation as i32);
+        Snapshot {
+            items: self.stored.values().map(|stored| stored.item.clone()).collect(),
+            ended_evacuations: ended.map(|(key, removal)| removal.to_change(key, now)).collect(),
+            saved_unix_millis: unix_millis,
+        }
     }
 
     /// Looks up an item by kind and name.
@@ -164,7 +208,9 @@
         for change in changes.changes {
             let Some(item) = change.item else { continue };
             if change.is_gone {
-                self.remove_item((item.kind, item.name), item.revision);
+                let age_when_learned = age_of(change.removed_millis_ago);
+                let removal = Removal { revision: item.revision, learned_at: now, age_when_learned };
+                self.remove_item((item.kind, item.name), removal);
             } else {
                 self.put(item);
             }
@@ -206,7 +252,7 @@
             self.outage_listed_at = now;
         }
         for key in missing {
-            self.remove_key(key, revision);
+            self.remove_key(key, Removal::now(revision, now));
         }
     }
 
@@ -243,7 +289,7 @@
     pub fn put(&mut self, item: Item) -> bool {
         self.revision = self.revision.max(item.revision);
         let key = (item.kind, item.name.clone());
-        if self.removal_revisions.get(&key).is_some_and(|removed_at| *removed_at >= item.revision) {
+        if self.kept_removals.get(&key).is_some_and(|removal| removal.revision >= item.revision) {
             return false;
         }
         if let Some(stored) = self.stored.get_mut(&key) {
@@ -255,43 +301,56 @@
                 return false;
             }
         }
-        self.removal_revisions.remove(&key);
+        self.kept_removals.remove(&key);
         self.position += 1;
         self.recent_changes.record(self.position, key.clone());
         self.stored.insert(key, StoredItem { position: self.position, item });
         true
     }
 
-    /// Removes an item at a store revision; returns whether it was there.
-    pub fn remove(&mut self, kind: ItemKind, name: &str, revision: u64) -> bool {
-        self.remove_item((kind as i32, name.to_owned()), revision)
+    /// Removes an item at a store revision; returns whether followers learn anything from it.
+    pub fn remove(&mut self, kind: ItemKind, name: &str, revision: u64, now: Timestamp) -> bool {
+        self.remove_item((kind as i32, name.to_owned()), Removal::now(revision, now))
     }
 
     /// Removes an item, whose kind may be one that only a newer build knows.
-    fn remove_item(&mut self, key: Key, revision: u64) -> bool {
-        self.revision = self.revision.max(revision);
-        if self.stored.get(&key).is_some_and(|stored| stored.item.revision > revision) {
+    fn remove_item(&mut self, key: Key, removal: Removal) -> bool {
+        self.revision = self.revision.max(removal.revision);
+        if self.stored.get(&key).is_some_and(|stored| stored.item.revision > removal.revision) {
             return false;
         }
-        self.remove_key(key, revision)
+        self.remove_key(key, removal)
     }
 
-    fn remove_key(&mut self, key: Key, revision: u64) -> bool {
-        if self.stored.remove(&key).is_none() {
+    fn remove_key(&mut self, key: Key, removal: Removal) -> bool {
+        let was_stored = self.stored.remove(&key).is_some();
+        // The end of an evacuation concerns followers that never knew of the evacuation, too.
+        let is_unseen_end = key.0 == ItemKind::Evacuation as i32
+            && self.kept_removals.get(&key).is_none_or(|known| known.revision < removal.revision);
+        if !was_stored && !is_unseen_end {
             return false;
         }
         self.position += 1;
-        self.removal_revisions.insert(key.clone(), revision);
+        self.removals.retain(|(_, known)| *known != key);
+        self.kept_removals.insert(key.clone(), removal);
         self.removals.push_back((self.position, key));
-        if self.removals.len() > MAX_REMOVALS
-            && let Some((position, evicted)) = self.removals.pop_front()
-        {
-            self.removal_revisions.remove(&evicted);
-            self.incremental_since = self.incremental_since.max(position);
+        if self.removals.len() > MAX_REMOVALS {
+            self.evict_removal();
         }
         true
     }
 
+    /// Evicts the oldest removal. Ends of evacuations are kept the longest: followers that start later need them, and
+    /// there are few zones.
+    fn evict_removal(&mut self) {
+        let is_evictable = |(_, key): &(u64, Key)| key.0 != ItemKind::Evacuation as i32;
+        let oldest = self.removals.iter().position(is_evictable).unwrap_or(0);
+        if let Some((position, evicted)) = self.removals.remove(oldest) {
+            self.kept_removals.remove(&evicted);
+            self.incremental_since = self.incremental_since.max(position);
+        }
+    }
+
     /// Whether a response to this request would carry anything new.
     pub fn has_changes_for(&self, request: &FollowRequest) -> bool {
         request.incarnation != self.incarnation
@@ -314,12 +373,13 @@
         let removals = self.removals.iter().filter(|(position, key)| {
             *position > after && sends_removal(key.0) && !is_continuation && !self.stored.contains_key(key)
         });
-        changes.extend(removals.map(|(_, (kind, name))| {
-            let revision = self.removal_revisions.get(&(*kind, name.clone())).copied().unwrap_or(0);
-            let item = Item { kind: *kind, name: name.clone(), revision, ..Item::default() };
-            ItemChange { item: Some(item), is_gone: true }
-        }));
-        let to_change = |stored: &StoredItem| ItemChange { item: Some(stored.item.clone()), is_gone: false };
+        changes
+            .extend(removals.filter_map(|(_, key)| Some(self.kept_removals.get(key)?.to_change(key, now))));
+        let to_change = |stored: &StoredItem| ItemChange {
+            item: Some(stored.item.clone()),
+            is_gone: false,
+            removed_millis_ago: None,
+        };
         let mut last_item_of_part = None;
         if is_full && request.takes_parts {
             last_item_of_part =
--- a/crates/dissemination/src/message.rs
+++ b/crates/dissemination/src/message.rs
@@ -56,6 +56,9 @@
     /// Whether the item was removed.
     #[prost(bool, tag = "2")]
     pub is_gone: bool,
+    /// Milliseconds since the removal became known; `None` if the item was not removed.
+    #[prost(uint64, optional, tag = "3")]
+    pub removed_millis_ago: Option<u64>,
 }
 
 /// Request of a follower for changes.
@@ -142,4 +145,10 @@
     /// Items of all kinds.
     #[prost(message, repeated, tag = "1")]
     pub items: Vec<Item>,
+    /// Ends of evacuations, with their age at `saved_unix_millis`.
+    #[prost(message, repeated, tag = "2")]
+    pub ended_evacuations: Vec<ItemChange>,
+    /// Unix time in milliseconds at which the snapshot was taken.
+    #[prost(uint64, tag = "3")]
+    pub saved_unix_millis: u64,
 }
--- a/crates/dissemination/tests/feed.rs
+++ b/crates/dissemination/tests/feed.rs
@@ -6,7 +6,9 @@
 use bytes::Bytes;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use sumacdrift_dissemination::{Changes, Feed, FollowRequest, Item, ItemChange, ItemKind, ItemList};
+use sumacdrift_dissemination::{
+    Changes, Feed, FollowRequest, Item, ItemChange, ItemKind, ItemList, Snapshot,
+};
 use sumacdrift_types::Timestamp;
 
 fn at(millis: u64) -> Timestamp {
@@ -53,7 +55,7 @@
 }
 
 fn items_of(feed: &Feed) -> BTreeMap<String, Bytes> {
-    feed.snapshot().items.into_iter().map(|item| (item.name, item.content)).collect()
+    feed.snapshot(0, at(0)).items.into_iter().map(|item| (item.name, item.content)).collect()
 }
 
 #[test]
@@ -65,7 +67,7 @@
     assert_eq!(model.items, items_of(&feed));
     assert!(!feed.has_changes_for(&model.request()));
     feed.put(engine("c", "1", 3));
-    feed.remove(ItemKind::Engine, "a", 4);
+    feed.remove(ItemKind::Engine, "a", 4, at(4));
     assert!(feed.has_changes_for(&model.request()));
     let changes = model.follow(&feed, at(2));
     assert!(!changes.is_full);
@@ -104,7 +106,7 @@
 #[test]
 fn feed_is_current_from_the_first_lists_until_the_store_fails() {
     let mut feed = Feed::new(7);
-    feed.restore(sumacdrift_dissemination::Snapshot { items: vec![engine("a", "1", 1)] });
+    feed.restore(Snapshot { items: vec![engine("a", "1", 1)], ..Snapshot::default() }, 0, at(0));
     assert!(!feed.is_current());
     feed.apply_list(item_list(vec![engine("a", "1", 1)], 1, Duration::ZERO), at(0));
     assert!(!feed.is_current());
@@ -133,7 +135,7 @@
     }
     let mut model = Model::default();
     model.follow(&first, at(0));
-    second.remove(ItemKind::Engine, "b", 2);
+    second.remove(ItemKind::Engine, "b", 2, at(2));
     assert!(model.follow(&second, at(0)).is_full);
     assert_eq!(model.items, items_of(&second));
 }
@@ -149,11 +151,11 @@
         let name = format!("e{}", next(40));
         match next(20) {
             0 => {
-                let remaining = feed.snapshot().items.into_iter().filter(|_| next(8) > 0).collect();
+                let remaining = feed.snapshot(0, at(0)).items.into_iter().filter(|_| next(8) > 0).collect();
                 let outage = Duration::from_millis(next(2) * 2_000);
                 feed.apply_list(item_list(remaining, step, outage), at(step));
             }
-            1..8 => drop(feed.remove(ItemKind::Engine, &name, step)),
+            1..8 => drop(feed.remove(ItemKind::Engine, &name, step, at(step))),
             _ => drop(feed.put(engine(&name, &next(3).to_string(), step))),
         }
         // Each follower polls less often than the one before; the last one lags beyond the removals that are
@@ -178,9 +180,9 @@
 fn full_response_includes_removed_evacuations() {
     let mut feed = Feed::new(1);
     feed.put(evacuation("z1", 5));
-    assert!(feed.remove(ItemKind::Evacuation, "z1", 7));
+    assert!(feed.remove(ItemKind::Evacuation, "z1", 7, at(0)));
     feed.put(engine("e", "x", 8));
-    assert!(feed.remove(ItemKind::Engine, "e", 9));
+    assert!(feed.remove(ItemKind::Engine, "e", 9, at(0)));
     let changes =
         feed.changes(&FollowRequest { incarnation: 99, after: 3, ..FollowRequest::default() }, at(1));
     assert!(changes.is_full);
@@ -192,21 +194,77 @@
     assert_eq!((*is_gone, item.kind(), item.revision), (true, ItemKind::Evacuation, 7));
 }
 
+/// Age of the end of an evacuation of `z1` in a full response.
+fn ended_millis_ago(feed: &Feed, now: Timestamp) -> Option<u64> {
+    let changes = feed.changes(&FollowRequest::default(), now).changes;
+    let ended = changes.iter().find(|change| change.item.as_ref().is_some_and(|item| item.name == "z1"));
+    ended.expect("the end of the evacuation").removed_millis_ago
+}
+
+/// Guards against an edge that starts just after an evacuation and sends to cold engines as if they were warm: it must
+/// learn of the end, and how long ago it was, from any feed.
+#[test]
+fn late_follower_learns_how_long_ago_an_evacuation_ended() {
+    let mut first = Feed::new(1);
+    first.put(evacuation("z1", 5));
+    first.remove(ItemKind::Evacuation, "z1", 7, at(10));
+    assert_eq!(ended_millis_ago(&first, at(310)), Some(300));
+    // A feed that never knew of the evacuation, on another clock.
+    let mut second = Feed::new(2);
+    second.merge(first.changes(&FollowRequest::default(), at(310)), at(50));
+    assert_eq!(ended_millis_ago(&second, at(150)), Some(400));
+    // Merging the same end again does not make it more recent, nor wake followers.
+    let position = second.position();
+    second.merge(first.changes(&FollowRequest::default(), at(410)), at(150));
+    assert_eq!((ended_millis_ago(&second, at(150)), second.position()), (Some(400), position));
+}
+
+/// Guards against a whole fleet that restarts just after an evacuation: no other process knows of the end then.
+#[test]
+fn ends_of_evacuations_survive_a_restart() {
+    let mut feed = Feed::new(1);
+    feed.put(evacuation("z1", 5));
+    feed.remove(ItemKind::Evacuation, "z1", 7, at(10));
+    let saved = feed.snapshot(5_000_000, at(110));
+    let restored = |unix_millis| {
+        let mut next = Feed::new(2);
+        next.restore(saved.clone(), unix_millis, at(0));
+        ended_millis_ago(&next, at(50))
+    };
+    assert_eq!(restored(5_000_200), Some(350));
+    assert_eq!(restored(4_000_000), Some(150), "the wall clock was set back");
+}
+
+/// A release removes thousands of engines, and the end of an evacuation is still passed on.
+#[test]
+fn end_of_an_evacuation_outlasts_removals_of_engines() {
+    let mut feed = Feed::new(1);
+    feed.put(evacuation("z1", 1));
+    feed.remove(ItemKind::Evacuation, "z1", 2, at(2));
+    for step in 3..3_000 {
+        feed.put(engine("e", "x", 2 * step));
+        feed.remove(ItemKind::Engine, "e", 2 * step + 1, at(step));
+        feed.put(engine(&format!("e{step}"), "x", 2 * step));
+        feed.remove(ItemKind::Engine, &format!("e{step}"), 2 * step + 1, at(step));
+    }
+    assert_eq!(ended_millis_ago(&feed, at(4_002)), Some(4_000));
+}
+
 /// Changes of kinds that only newer builds know are passed on, and don't affect items of the same name.
 #[test]
 fn items_of_unknown_kinds_are_stored_and_removed() {
     let unknown = |revision| Item { kind: 99, name: "main".to_owned(), revision, ..Item::default() };
     let changes_of = |item, is_gone| Changes {
         incarnation: 7,
-        changes: vec![ItemChange { item: Some(item), is_gone }],
+        changes: vec![ItemChange { item: Some(item), is_gone, removed_millis_ago: None }],
         ..Changes::default()
     };
     let mut feed = Feed::new(1);
     feed.put(Item::new(ItemKind::Configuration, "main", Bytes::from_static(b"configuration"), 3));
     feed.merge(changes_of(unknown(5), false), at(1));
-    assert_eq!(feed.snapshot().items.len(), 2);
+    assert_eq!(feed.snapshot(0, at(0)).items.len(), 2);
     feed.merge(changes_of(unknown(6), true), at(2));
-    let items = feed.snapshot().items;
+    let items = feed.snapshot(0, at(0)).items;
     assert_eq!(items.iter().map(Item::known_kind).collect::<Vec<_>>(), [Some(ItemKind::Configuration)]);
 }
 
@@ -216,7 +274,7 @@
     let mut feed = Feed::new(1);
     feed.put(evacuation("z1", 5));
     let mut next = Feed::new(2);
-    next.restore(feed.snapshot());
+    next.restore(feed.snapshot(1_000, at(0)), 1_000, at(0));
     let changes = next.changes(&FollowRequest::default(), at(1));
     let items: Vec<_> = changes.changes.iter().filter_map(|change| change.item.as_ref()).collect();
     assert_eq!(items.iter().map(|item| item.name.as_str()).collect::<Vec<_>>(), ["z1"]);
@@ -235,7 +293,7 @@
     ahead.merge(behind.changes(&FollowRequest::default(), at(2)), at(2));
     assert!(ahead.item(ItemKind::Evacuation, "z1").is_some());
     behind.put(evacuation("z1", 5));
-    ahead.remove(ItemKind::Evacuation, "z1", 6);
+    ahead.remove(ItemKind::Evacuation, "z1", 6, at(2));
     ahead.merge(behind.changes(&FollowRequest::default(), at(3)), at(3));
     assert!(ahead.item(ItemKind::Evacuation, "z1").is_none());
 }
@@ -249,7 +307,7 @@
         let name = format!("e{}", rng.random_range(0..700));
         match rng.random_range(0..10) {
             0 => {
-                feed.remove(ItemKind::Engine, &name, step);
+                feed.remove(ItemKind::Engine, &name, step, at(step));
             }
             _ => {
                 feed.put(engine(&name, &format!("{step}"), step));
--- a/crates/dissemination/tests/parts.rs
+++ b/crates/dissemination/tests/parts.rs
@@ -44,8 +44,8 @@
     }
     let (response, parts) = receive_in_parts(&mut feed, |feed, part| {
         // Items before and after the current part.
-        feed.remove(ItemKind::Engine, "i-00003", 10);
-        feed.remove(ItemKind::Engine, &format!("i-{:05}", 1_900 + part), 10);
+        feed.remove(ItemKind::Engine, "i-00003", 10, at(1));
+        feed.remove(ItemKind::Engine, &format!("i-{:05}", 1_900 + part), 10, at(1));
         feed.put(engine(5_000 + part, 11));
         feed.put(Item::new(ItemKind::Engine, "i-00001", vec![8; 300].into(), 12));
     });
@@ -56,7 +56,7 @@
     let later =
         FollowRequest { incarnation: 5, after: position, takes_parts: true, ..FollowRequest::default() };
     follower.merge(feed.changes(&later, at(2)), at(2));
-    assert_eq!(follower.snapshot(), feed.snapshot());
+    assert_eq!(follower.snapshot(0, at(2)), feed.snapshot(0, at(2)));
 }
 
 #[test]
--- a/crates/dissemination/tests/recorded_forms/main.rs
+++ b/crates/dissemination/tests/recorded_forms/main.rs
@@ -53,8 +53,12 @@
         outage_millis: 2500,
         is_current: true,
         changes: vec![
-            ItemChange { item: Some(item_of(ItemKind::Configuration)), is_gone: false },
-            ItemChange { item: Some(removed), is_gone: true },
+            ItemChange {
+                item: Some(item_of(ItemKind::Configuration)),
+                is_gone: false,
+                removed_millis_ago: None,
+            },
+            ItemChange { item: Some(removed), is_gone: true, removed_millis_ago: None },
         ],
         hears_store: false,
         configurations_to: 0,
@@ -67,14 +71,23 @@
 }
 
 /// Responses as written by each build since the first, by the number of the form; the last one is today's.
-fn responses() -> [(&'static str, Changes); 5] {
+fn responses() -> [(&'static str, Changes); 6] {
     let with_revisions =
         Changes { hears_store: true, configurations_to: 9, engines_to: 10, ..first_changes() };
     let with_age = Changes { configuration_age_millis: Some(0), held_millis: 40, ..with_revisions.clone() };
     let with_evacuations = Changes { evacuations_to: 11, ..with_age.clone() };
     let last_item_of_part = Some(ItemKey { kind: ItemKind::Engine as i32, name: "e1".to_owned() });
     let in_parts = Changes { last_item_of_part, ..with_evacuations.clone() };
-    [("1", first_changes()), ("2", with_revisions), ("3", with_age), ("4", with_evacuations), ("5", in_parts)]
+    let mut with_removal_ages = in_parts.clone();
+    with_removal_ages.changes[1].removed_millis_ago = Some(700);
+    [
+        ("1", first_changes()),
+        ("2", with_revisions),
+        ("3", with_age),
+        ("4", with_evacuations),
+        ("5", in_parts),
+        ("6", with_removal_ages),
+    ]
 }
 
 fn newest_response() -> Changes {
@@ -83,7 +96,13 @@
 }
 
 fn snapshot_of(kinds: &[ItemKind]) -> Snapshot {
-    Snapshot { items: kinds.iter().map(|kind| item_of(*kind)).collect() }
+    Snapshot { items: kinds.iter().map(|kind| item_of(*kind)).collect(), ..Snapshot::default() }
+}
+
+fn newest_snapshot() -> Snapshot {
+    let item = Some(Item { content: Bytes::new(), ..item_of(ItemKind::Evacuation) });
+    let ended = ItemChange { item, is_gone: true, removed_millis_ago: Some(700) };
+    Snapshot { ended_evacuations: vec![ended], saved_unix_millis: 5_000, ..snapshot_of(&ITEM_KINDS) }
 }
 
 #[test]
@@ -95,11 +114,12 @@
     for (form, changes) in responses().iter().take(responses().len() - 1) {
         forms.reads(&Codec::message(), CHANGES, form, changes);
     }
-    forms.writes(&Codec::message(), CHANGES, "5", &newest_response());
+    forms.writes(&Codec::message(), CHANGES, "6", &newest_response());
     forms.writes_bare(&Codec::message(), CHANGES, &Changes::default());
-    forms.writes(&Codec::message(), SNAPSHOT, "2", &snapshot_of(&ITEM_KINDS));
+    forms.writes(&Codec::message(), SNAPSHOT, "3", &newest_snapshot());
     forms.writes_bare(&Codec::message(), SNAPSHOT, &Snapshot::default());
     forms.reads(&Codec::message(), SNAPSHOT, "1", &snapshot_of(&ITEM_KINDS[..2]));
+    forms.reads(&Codec::message(), SNAPSHOT, "2", &snapshot_of(&ITEM_KINDS));
     if let Err(failures) = forms.finish(&[FOLLOW, CHANGES, SNAPSHOT]) {
         panic!("{failures}");
     }
--- a/crates/dissemination/tests/recorded_forms/older.rs
+++ b/crates/dissemination/tests/recorded_forms/older.rs
@@ -1,6 +1,15 @@
 //! Messages of earlier builds, with the fields and tags copied from them.
 
-use sumacdrift_dissemination::ItemChange;
+use sumacdrift_dissemination::Item;
+
+/// As of build 32c8d64.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct ItemChange {
+    #[prost(message, optional, tag = "1")]
+    pub item: Option<Item>,
+    #[prost(bool, tag = "2")]
+    pub is_gone: bool,
+}
 
 /// As of build 32c8d64.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
--- a/crates/edge/src/cold_permit.rs
+++ b/crates/edge/src/cold_permit.rs
@@ -72,6 +72,10 @@
         let backoff = match outcome {
             QuotaOutcome::Granted => {
                 self.metrics.permits.inc();
+                let waited = self.clock.now().since(asked);
+                info!(self.logger, "permit for a call to a cold engine"; "event" => "permit_granted",
+                    "call" => &head.id, "engine" => %engine, "version" => version,
+                    "waited_ms" => waited.as_millis() as u64);
                 return Some(Permit { asked });
             }
             QuotaOutcome::Exceeded { retry_after, .. } => retry_after.clamp(MIN_BACKOFF, MAX_BACKOFF),
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -9,8 +9,8 @@
 use sumacdrift_access::{ConfigurationAge, ConfigurationAgeLimits};
 use sumacdrift_calls::EngineId;
 use sumacdrift_routing::{
-    CallerLimits, EngineRegistry, EngineSpec, EntryChange, Evacuation, EvacuationChange, Outcome, RouteTable,
-    Routes, TrafficPrices,
+    CallerLimits, EndedEvacuation, EngineRegistry, EngineSpec, EntryChange, Evacuation, EvacuationChange,
+    Outcome, RouteTable, Routes, TrafficPrices,
 };
 use sumacdrift_scheduling::CircuitBreakerSettings;
 use sumacdrift_storage::{LedgerClient, QuotaClient};
@@ -192,8 +192,19 @@
     /// Adds or updates an engine.
     pub fn upsert_engine(&self, spec: EngineSpec) {
         let (id, is_draining, report) = (spec.id.clone(), spec.is_draining, spec.report);
-        let version = spec.version.clone();
-        match self.engines().upsert(spec, self.clock.now()) {
+        let (version, warmup_left) = (spec.version.clone(), spec.warmup_left);
+        let now = self.clock.now();
+        let (change, turned_cold) = {
+            let mut engines = self.engines();
+            let was_cold = engines.cold_limit(&id, now).is_some();
+            let change = engines.upsert(spec, now);
+            (change, !was_cold && engines.cold_limit(&id, now).is_some())
+        };
+        if turned_cold {
+            info!(self.logger, "engine is cold"; "event" => "engine_cold", "engine" => %id, "report" => report,
+                "reported_ms" => warmup_left.as_millis() as u64);
+        }
+        match change {
             EntryChange::Unchanged => {}
             EntryChange::Changed => {
                 info!(self.logger, "engine changed"; "event" => "engine_changed", "engine" => %id,
@@ -238,6 +249,12 @@
         self.report_evacuations(change, source);
     }
 
+    /// Applies a past end of a zone's evacuation, which this node may not have known of.
+    pub fn apply_ended_evacuation(&self, ended: EndedEvacuation, source: &'static str) {
+        let change = self.engines().apply_ended_evacuation(ended, self.clock.now());
+        self.report_evacuations(change, source);
+    }
+
     /// Replaces the evacuations by those in effect at directory revision `known_to`.
     pub fn set_evacuations(&self, all: Vec<Evacuation>, known_to: u64, source: &'static str) {
         let changes = self.engines().set_evacuations(all, known_to, self.clock.now());
@@ -250,7 +267,8 @@
             let event = if change.is_evacuated { "evacuation_begun" } else { "evacuation_ended" };
             info!(self.logger, "zone evacuation changed"; "event" => event, "zone" => &*change.zone,
                 "revision" => change.revision, "source" => source,
-                "before_ms" => change.before.map(|before| now.since(before).as_millis() as u64));
+                "before_ms" => change.before.map(|before| now.since(before).as_millis() as u64),
+                "ended_ms" => change.ended_ago.map(|ago| ago.as_millis() as u64));
         }
         let zones = self.engines().evacuated_zones();
         self.metrics.evacuated_zones.set(i64::try_from(zones).unwrap_or(i64::MAX));
--- a/crates/routing/src/cold.rs
+++ b/crates/routing/src/cold.rs
@@ -35,10 +35,10 @@
         self.reported_until = (!remaining.is_zero()).then(|| now + remaining);
     }
 
-    /// Assumes that the engine is cold for `warmup` from now on.
-    pub(crate) fn infer(&mut self, warmup: Duration, now: Timestamp) {
+    /// Assumes that the engine is cold until then.
+    pub(crate) fn infer(&mut self, until: Timestamp) {
         if !is_broken(Rule::EvacuatedEnginesBecomeCold) {
-            self.inferred_until = self.inferred_until.max(Some(now + warmup));
+            self.inferred_until = self.inferred_until.max(Some(until));
         }
     }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -29,7 +29,7 @@
 pub use ejection::{FIRST_EJECTION_TIME, MAX_EJECTION_TIME, RECOVERY_TIME};
 pub use engine::{EngineSpec, Outcome};
 pub use estimate::{CallWork, EngineState, Estimate, Speeds, estimate};
-pub use evacuation::{Evacuation, EvacuationChange};
+pub use evacuation::{EndedEvacuation, Evacuation, EvacuationChange};
 pub use line_fit::{FitBounds, LineFit};
 pub use outlier::{
     EjectionStage, EngineSample, Evaluation, MIN_SAMPLE, OutlierChange, OutlierChangeKind, Verdict, evaluate,
--- a/crates/routing/src/registry/eligibility.rs
+++ b/crates/routing/src/registry/eligibility.rs
@@ -12,7 +12,7 @@
 use crate::choice::PlacementRequest;
 use crate::cold::{ColdLimit, Permit};
 use crate::engine::Engine;
-use crate::evacuation::{Evacuation, EvacuationChange};
+use crate::evacuation::{EndedEvacuation, Evacuation, EvacuationChange};
 
 impl EngineRegistry {
     /// Applies the begin of a zone's evacuation; returns the change, if any.
@@ -23,9 +23,18 @@
     /// Applies the end of a zone's evacuation; returns the change, if any.
     pub fn end_evacuation(&mut self, zone: &str, revision: u64, now: Timestamp) -> Option<EvacuationChange> {
         let change = self.evacuations.end(zone, revision, now);
-        if change.is_some() {
-            self.assume_cold(zone, now);
-        }
+        self.assume_cold_after(change.as_ref());
+        change
+    }
+
+    /// Applies a past end of a zone's evacuation, which this node may not have known of; returns the change, if any.
+    pub fn apply_ended_evacuation(
+        &mut self,
+        ended: EndedEvacuation,
+        now: Timestamp,
+    ) -> Option<EvacuationChange> {
+        let change = self.evacuations.apply_ended(ended, now);
+        self.assume_cold_after(change.as_ref());
         change
     }
 
@@ -37,29 +46,44 @@
         now: Timestamp,
     ) -> Vec<EvacuationChange> {
         let changes = self.evacuations.replace_all(all, revision, now);
-        for ended in changes.iter().filter(|change| !change.is_evacuated) {
-            self.assume_cold(&ended.zone, now);
-        }
+        changes.iter().for_each(|change| self.assume_cold_after(Some(change)));
         changes
     }
 
-    /// Assumes that a zone's engines are cold: they may have become so without having reported it yet.
-    fn assume_cold(&mut self, zone: &str, now: Timestamp) {
-        let cold_limits = &self.cold_limits;
-        let limit_of =
-            |engine: &Engine| cold_limits.get(&engine.spec.service).filter(|_| *engine.spec.zone == *zone);
-        let ids = self.engines.ids();
-        let cold = ids.filter_map(|id| Some((id.clone(), limit_of(self.engines.get(id)?)?.warmup)));
-        for (id, warmup) in cold.collect::<Vec<_>>() {
-            if let Some(engine) = self.engines.get_mut(&id) {
-                engine.cold_state.infer(warmup, now);
-            }
+    fn assume_cold_after(&mut self, change: Option<&EvacuationChange>) {
+        if let Some(ended) = change.filter(|change| !change.is_evacuated) {
+            self.assume_zone_cold(&ended.zone);
+        }
+    }
+
+    /// Assumes that a zone's engines are cold since its evacuation ended: they may have become so without having
+    /// reported it yet.
+    fn assume_zone_cold(&mut self, zone: &str) {
+        let is_in_zone =
+            |id: &&EngineId| self.engines.get(id).is_some_and(|engine| *engine.spec.zone == *zone);
+        let ids: Vec<EngineId> = self.engines.ids().filter(is_in_zone).cloned().collect();
+        ids.iter().for_each(|id| self.assume_cold(id));
+    }
+
+    /// Assumes that an engine is cold if the last evacuation of its zone has just ended.
+    pub(super) fn assume_cold(&mut self, id: &EngineId) {
+        let Some(engine) = self.engines.get(id) else { return };
+        let Some(end) = self.evacuations.last_end(&engine.spec.zone) else { return };
+        let Some(limit) = self.cold_limits.get(&engine.spec.service) else { return };
+        let until = end.cold_until(limit.warmup);
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.cold_state.infer(until);
         }
     }
 
     /// Sets the limits of cold engines by service; a service without an entry has none.
     pub fn set_cold_limits(&mut self, limits: HashMap<Arc<str>, ColdLimit>) {
+        if limits == self.cold_limits {
+            return;
+        }
         self.cold_limits = limits;
+        let zones: Vec<Arc<str>> = self.evacuations.ended_zones().cloned().collect();
+        zones.iter().for_each(|zone| self.assume_zone_cold(zone));
     }
 
     /// The limit of an engine if it is cold now; `None` if it takes full load.
--- a/crates/routing/src/registry/incarnations.rs
+++ b/crates/routing/src/registry/incarnations.rs
@@ -60,7 +60,9 @@
     }
 
     fn insert(&mut self, spec: EngineSpec, now: Timestamp) {
+        let id = spec.id.clone();
         self.engines.insert(Engine::new(spec, self.circuit_breaker, now));
+        self.assume_cold(&id);
     }
 
     /// An earlier incarnation never replaces a later one. If it is draining, the engine gets no new work until the
--- a/crates/routing/tests/cold.rs
+++ b/crates/routing/tests/cold.rs
@@ -8,7 +8,9 @@
 
 use engine_fixtures::{NOW, chosen, may_send, registry, registry_without, request, spec};
 use sumacdrift_calls::EngineId;
-use sumacdrift_routing::{ColdLimit, EngineRegistry, EngineSpec, Evacuation, PERMIT_VALIDITY, Permit};
+use sumacdrift_routing::{
+    ColdLimit, EndedEvacuation, EngineRegistry, EngineSpec, Evacuation, PERMIT_VALIDITY, Permit,
+};
 use sumacdrift_types::Mechanism;
 
 const WARMUP: Duration = Duration::from_secs(3);
@@ -72,6 +74,61 @@
     assert!(!may_send(&registry, "a", None, later));
 }
 
+fn ended(age: Duration) -> EndedEvacuation {
+    EndedEvacuation { zone: Arc::from("z1"), revision: 2, age }
+}
+
+/// Guards against calls without permits from an edge that starts between the end of an evacuation and the reports of the
+/// engines that turned cold: it has seen neither the evacuation nor its end.
+#[test]
+fn engines_are_assumed_cold_by_an_edge_that_starts_after_an_evacuation() {
+    let mut registry = with_limits(registry(&[]));
+    // The end precedes the start of this edge's clock.
+    let change = registry.apply_ended_evacuation(ended(Duration::from_secs(1)), NOW).expect("a change");
+    assert_eq!((change.is_evacuated, change.ended_ago), (false, Some(Duration::from_secs(1))));
+    registry.upsert(cold("a", Duration::ZERO, 9), NOW);
+    registry.upsert(EngineSpec { report: 9, ..spec("b", "z2") }, NOW);
+    assert!(!may_send(&registry, "a", None, NOW));
+    assert!(may_send(&registry, "b", None, NOW));
+    assert!(is_cold(&registry, "a", Duration::from_millis(1_900)));
+    assert!(!is_cold(&registry, "a", Duration::from_secs(2)));
+}
+
+/// An entry that expired during the evacuation may come back after its end.
+#[test]
+fn engine_that_appears_after_an_evacuation_is_assumed_cold() {
+    let mut registry = with_limits(registry(&[]));
+    registry.begin_evacuation(Evacuation { zone: Arc::from("z1"), revision: 1 }, NOW);
+    registry.end_evacuation("z1", 2, NOW);
+    let later = Duration::from_secs(1);
+    registry.upsert(cold("a", Duration::ZERO, 9), NOW + later);
+    assert!(is_cold(&registry, "a", later));
+    assert!(!is_cold(&registry, "a", WARMUP));
+}
+
+/// The configuration may arrive after the engines and the end of the evacuation.
+#[test]
+fn engines_are_assumed_cold_under_a_limit_set_after_an_evacuation() {
+    let mut registry = registry(&[("a", "z1"), ("b", "z2")]);
+    registry.apply_ended_evacuation(ended(Duration::ZERO), NOW);
+    assert!(may_send(&registry, "a", None, NOW), "there is no limit yet");
+    let registry = with_limits(registry);
+    assert!(!may_send(&registry, "a", None, NOW));
+    assert!(may_send(&registry, "b", None, NOW));
+}
+
+/// An end that is reported again, or an older one, prolongs nothing.
+#[test]
+fn repeated_end_of_an_evacuation_does_not_prolong_the_cold_time() {
+    let mut registry = with_limits(registry(&[("a", "z1")]));
+    registry.apply_ended_evacuation(ended(Duration::from_secs(1)), NOW);
+    let later = NOW + Duration::from_secs(1);
+    assert_eq!(registry.apply_ended_evacuation(ended(Duration::from_secs(2)), later), None);
+    let older = EndedEvacuation { revision: 1, ..ended(Duration::ZERO) };
+    assert_eq!(registry.apply_ended_evacuation(older, later), None);
+    assert!(!is_cold(&registry, "a", Duration::from_secs(2)));
+}
+
 #[test]
 fn permit_expires() {
     let mut registry = with_limits(registry(&[]));
--- a/crates/storage/src/feed_host.rs
+++ b/crates/storage/src/feed_host.rs
@@ -12,6 +12,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::clock::unix_millis;
 use crate::follower::FeedReply;
 
 /// Maximum time that a follow request is held.
@@ -35,7 +36,7 @@
     /// A feed restored from the snapshot of an earlier process.
     pub fn new(snapshot: Snapshot, logger: Logger) -> Self {
         let mut feed = Feed::new(rand::random());
-        feed.restore(snapshot);
+        feed.restore(snapshot, unix_millis(), Timestamp::default());
         let change_count = watch::Sender::new(0);
         Self {
             feed: Mutex::new(feed),
@@ -63,7 +64,8 @@
 
     /// Removes an item that the store deleted at `revision`.
     pub fn remove(&self, kind: ItemKind, name: &str, revision: u64) {
-        self.update(|feed| feed.remove(kind, name, revision));
+        let now = self.now();
+        self.update(|feed| feed.remove(kind, name, revision, now));
     }
 
     /// Records that a request to the store for a kind failed.
@@ -106,7 +108,7 @@
     /// All items, with the highest revision of the store.
     pub fn snapshot(&self) -> (u64, Snapshot) {
         let feed = self.feed();
-        (feed.revision(), feed.snapshot())
+        (feed.revision(), feed.snapshot(unix_millis(), self.now()))
     }
 
     /// Looks up an item.
