A drain that needs more copies than a majority waits for older builds

Cause: the leaving member can't ask for more copies while a member or client counts a majority, and left all the same. Evidence: storage-5 drained at 47.5 s, 6.5 s after the last older edge was replaced; needed 2 in ledger_undecided, storage-0 and -1 wait for each other.

The group keeps a size whose majority is enough. Ruled out: a drain that takes the tolerance away for the time of an upgrade.

Test: member_leaves_only_if_the_tolerated_losses_can_still_be_survived.

--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -37,7 +37,9 @@
     RecordKind, ReplyKind, RequestKind, RetainedTurn, SilentMember, Standing, StatusReply, StoredCopy,
     StreamOrigin, TurnBegun, TurnEnded,
 };
-pub use placement::{Candidate, Capacity, ChangeReason, GroupPolicy, MembershipDecision, ReplacementPolicy};
+pub use placement::{
+    Candidate, Capacity, ChangeReason, GroupPolicy, LeaveRefusal, MembershipDecision, ReplacementPolicy,
+};
 pub use quota_message::{QuotaAnswer, QuotaDecision, QuotaQuestion, QuotaTotals, TenantTotalMessage};
 pub use replica::{Replica, ReplicaSettings, Step};
 pub use state::{KEPT_TURNS_CURSOR, LedgerState, PageDetail};
--- a/crates/ledger/src/placement.rs
+++ b/crates/ledger/src/placement.rs
@@ -69,6 +69,17 @@
     },
 }
 
+/// Why a member may not leave its group yet: a committed record might not survive the tolerated losses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum LeaveRefusal {
+    /// No more members would remain than may be lost, or they hold too few copies.
+    #[error("too few members would remain")]
+    TooFewMembers,
+    /// A remaining member does not answer, or it or a client that it heard of lately waits for a majority only.
+    #[error("not all members and clients are known to count enough copies")]
+    MajorityCounted,
+}
+
 /// Cause of a group change.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ChangeReason {
@@ -118,24 +129,28 @@
         2 * self.tolerated_losses + 1
     }
 
-    /// Next version of a group after a member has handed over its records and leaves; `None` if too few members would
-    /// remain for one of them to survive the tolerated losses.
+    /// Next version of a group after a member has handed over its records and leaves.
     ///
-    /// If a majority of the remaining members is too small to survive them, they keep as many copies as before. This
-    /// requires that all of them and their clients count these copies.
-    pub fn group_after_leave(self, group: &Group, leaving: &str, others_count_copies: bool) -> Option<Group> {
+    /// If a majority of the remaining members is too small to survive the tolerated losses, they keep as many copies as
+    /// before. This requires that all of them and their clients count these copies.
+    pub fn group_after_leave(
+        self,
+        group: &Group,
+        leaving: &str,
+        others_count_copies: bool,
+    ) -> Result<Group, LeaveRefusal> {
         let next = group.without_member(leaving);
         let copies = self.tolerated_losses + 1;
-        if next.members.len() < copies {
-            return None;
+        if next.majority() >= copies {
+            return Ok(Group { min_copies: 0, ..next });
+        }
+        if next.members.len() < copies || group.commit_quorum() < copies {
+            return Err(LeaveRefusal::TooFewMembers);
+        }
+        if !others_count_copies {
+            return Err(LeaveRefusal::MajorityCounted);
         }
-        let has_copies = group.commit_quorum() >= copies;
-        let needs_more_than_majority = next.majority() < copies;
-        let min_copies = match needs_more_than_majority && has_copies && others_count_copies {
-            true => u32::try_from(copies).unwrap_or(u32::MAX),
-            false => 0,
-        };
-        Some(Group { min_copies, ..next })
+        Ok(Group { min_copies: u32::try_from(copies).unwrap_or(u32::MAX), ..next })
     }
 
     /// Number of groups for this many machines, reserving one spare machine per tolerated loss.
--- a/crates/ledger/tests/cluster/mod.rs
+++ b/crates/ledger/tests/cluster/mod.rs
@@ -380,7 +380,7 @@
             return;
         }
         let policy = GroupPolicy::tolerating(self.tolerated_losses);
-        let Some(next) = policy.group_after_leave(&self.group, &leaving, self.has_small_groups) else {
+        let Ok(next) = policy.group_after_leave(&self.group, &leaving, self.has_small_groups) else {
             return;
         };
         self.machine(&leaving).replica.set_leaving(true);
--- a/crates/ledger/tests/placement.rs
+++ b/crates/ledger/tests/placement.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use sumacdrift_ledger::{
-    Candidate, Capacity, ChangeReason, Group, GroupMap, GroupPolicy, Member, MemberReport, MemberWatch,
-    MembershipDecision, ReplacementPolicy,
+    Candidate, Capacity, ChangeReason, Group, GroupMap, GroupPolicy, LeaveRefusal, Member, MemberReport,
+    MemberWatch, MembershipDecision, ReplacementPolicy,
 };
 use sumacdrift_types::{RegionName, Timestamp, Topology};
 
@@ -52,6 +52,26 @@
     assert_eq!(GroupPolicy::tolerating(0).size(), 3);
 }
 
+/// Guards against a drain that takes the tolerance away: while an older build counts a majority, no more copies can be
+/// asked for, and three members of which two are lost can't go on.
+#[test]
+fn member_leaves_only_if_the_tolerated_losses_can_still_be_survived() {
+    let policy = GroupPolicy::tolerating(2);
+    let four = policy.group_after_leave(&group_of_five(), "a", false).expect("a majority of four is enough");
+    assert_eq!((four.commit_quorum(), four.required_sources()), (3, 2));
+    assert_eq!(policy.group_after_leave(&four, "b", false), Err(LeaveRefusal::MajorityCounted));
+    let three = policy.group_after_leave(&four, "b", true).expect("each of three has all records");
+    assert_eq!((three.commit_quorum(), three.required_sources()), (3, 1));
+    assert_eq!(policy.group_after_leave(&three, "c", true), Err(LeaveRefusal::TooFewMembers));
+    // A group of three that an earlier build made commits at two.
+    let earlier = Group { min_copies: 0, ..three };
+    assert_eq!(
+        GroupPolicy::tolerating(1).group_after_leave(&earlier, "c", false).map(|two| two.commit_quorum()),
+        Ok(2)
+    );
+    assert_eq!(policy.group_after_leave(&earlier, "c", true), Err(LeaveRefusal::TooFewMembers));
+}
+
 #[test]
 fn initial_members_are_spread_over_zones() {
     let candidates =
--- a/crates/storage/src/group_maintenance.rs
+++ b/crates/storage/src/group_maintenance.rs
@@ -8,8 +8,8 @@
 
 use slog::{info, warn};
 use sumacdrift_ledger::{
-    Candidate, Capacity, ChangeReason, Group, GroupMap, GroupPolicy, Member, MembershipDecision,
-    ReplacementPolicy,
+    Candidate, Capacity, ChangeReason, Group, GroupMap, GroupPolicy, LeaveRefusal, Member,
+    MembershipDecision, ReplacementPolicy,
 };
 use sumacdrift_transport::Transport;
 use sumacdrift_types::{ResultCode, Topology};
@@ -68,7 +68,8 @@
     watcher: Arc<MemberWatcher>,
     change_wanted_since: Option<Instant>,
     is_retirement_reported: bool,
-    is_retirement_waiting: bool,
+    /// Why the retirement waits, as last logged.
+    retirement_refusal: Option<LeaveRefusal>,
     has_handed_over: bool,
     /// Departed members without a replacement, until the remaining members were read.
     removed: Vec<String>,
@@ -99,7 +100,7 @@
             watcher,
             change_wanted_since: None,
             is_retirement_reported: false,
-            is_retirement_waiting: false,
+            retirement_refusal: None,
             has_handed_over: false,
             removed: Vec::new(),
             candidate_count: 0,
@@ -311,9 +312,9 @@
             self.complete_retirement(&previous_group).await;
             return;
         };
-        let Some(next) = self.group_after_leave(&group) else {
-            self.report_waiting_retirement(&group);
-            return;
+        let next = match self.group_after_leave(&group) {
+            Ok(next) => next,
+            Err(refusal) => return self.report_waiting_retirement(&group, refusal),
         };
         // Most records are sent while the member still votes; the ones acknowledged meanwhile follow once it
         // does not.
@@ -331,21 +332,20 @@
         self.has_handed_over = has_left;
     }
 
-    /// Next version of a group without this member; `None` while it is needed to survive the tolerated losses.
-    fn group_after_leave(&self, group: &Group) -> Option<Group> {
+    fn group_after_leave(&self, group: &Group) -> Result<Group, LeaveRefusal> {
         let own = &self.settings.own.node;
         let others_count_copies = self.watcher.watch().others_count_copies(group, own)
             && self.host.replica().counts_copies(unix_millis());
         self.settings.policy.group_after_leave(group, own, others_count_copies)
     }
 
-    fn report_waiting_retirement(&mut self, group: &Group) {
-        if std::mem::replace(&mut self.is_retirement_waiting, true) {
+    fn report_waiting_retirement(&mut self, group: &Group, refusal: LeaveRefusal) {
+        if self.retirement_refusal.replace(refusal) == Some(refusal) {
             return;
         }
-        warn!(self.host.logger(), "machine is not drained: too few others would remain to survive the tolerated losses";
-            "event" => "retirement_waits", "code" => ResultCode::TooFewReplicas.number(), "group" => group.number,
-            "epoch" => group.epoch, "members" => format_members(group));
+        warn!(self.host.logger(), "machine is not drained: a record might not survive the tolerated losses";
+            "event" => "retirement_waits", "code" => ResultCode::TooFewReplicas.number(), "reason" => %refusal,
+            "group" => group.number, "epoch" => group.epoch, "members" => format_members(group));
     }
 
     async fn complete_retirement(&mut self, group: &Group) {
