Ledger simulation: bound the voters that lack a committed turn by the copies

In a group of three that commits at three this allowed two voters without a committed turn, where one was allowed before.

--- a/crates/ledger/tests/cluster/mod.rs
+++ b/crates/ledger/tests/cluster/mod.rs
@@ -572,7 +572,8 @@
                 chain.turns.first() != Some(retained_content)
             });
             let without = without.count();
-            assert!(without < self.group.commit_quorum(), "{without} voters lack the committed turn {turn}");
+            let most = self.group.members.len() - self.group.commit_quorum();
+            assert!(without <= most, "{without} voters lack the committed turn {turn}, {most} may");
         }
     }
 }
