--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -5,11 +5,13 @@
 //! reads no clock: the driver reports events and carries out the returned [`Next`] step.
 
 mod events;
+mod fingerprint;
 mod head;
 mod machine;
 mod rules;
 
 pub use events::{EventSplitter, StreamEvent};
+pub use fingerprint::{RequestContent, RequestFingerprint};
 pub use head::{CallMetadata, EngineId, EngineStart, EngineVersion, ProgramMetadata, PromptPart, TokenUsage};
 pub use machine::{CallMachine, Failure, Next};
 pub use rules::{CallKind, CallRules};
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -1,13 +1,16 @@
 //! Attempts of a call: engine selection, sending the request, and classifying the response head.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::header::HOST;
 use http::{HeaderMap, Method, Request, Uri, request, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use sumacdrift_calls::{CallMachine, CallMetadata, EngineId, EngineVersion, Failure, Next};
+use sumacdrift_calls::{
+    CallMachine, CallMetadata, EngineId, EngineVersion, Failure, Next, RequestContent, RequestFingerprint,
+};
 use sumacdrift_routing::{
     Outcome, Permit, Placement, PlacementRequest, RequestedWork, RequiredPart, SelectedRoute, UrgencyInput,
     urgency,
@@ -65,9 +68,27 @@
     pub(crate) regions: AllowedRegions,
     /// The slot that the call holds in its service's queue; `None` if calls are not queued.
     pub(crate) slot: Option<QueueSlot<D>>,
+    /// Computed when it is first needed, which it is for few calls.
+    pub(crate) fingerprint: OnceLock<RequestFingerprint>,
 }
 
 impl<D: WireFormat> CallContext<D> {
+    /// Fingerprint of the call's request.
+    pub(crate) fn fingerprint(&self) -> RequestFingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let ForwardedRequest { method, uri, headers, body } = &self.forwarded;
+            let host = headers.get(HOST).and_then(|host| host.to_str().ok());
+            RequestFingerprint::of(&RequestContent {
+                tenant: self.caller.tenant.as_ref().map_or("", |tenant| &tenant.name),
+                host: host.unwrap_or_default(),
+                method: method.as_str(),
+                path_and_query: uri.path_and_query().map_or("", |path| path.as_str()),
+                body,
+                metadata: &self.head,
+            })
+        })
+    }
+
     /// Records how long a served call took since it was accepted, without its time in the queue.
     pub(crate) fn observe_served(&self, elapsed: Duration) {
         let waited = self.slot.as_ref().map_or(Duration::ZERO, |slot| slot.waited);
@@ -256,7 +277,8 @@
             run.fail(Outcome::Faulty);
             return Err(Failure::Lost);
         }
-        Ok(Err(SendError::NotSent)) => {
+        Ok(Err(SendError::NotSent(error))) => {
+            call.report_connect_failure(placement, error.as_ref());
             run.fail(Outcome::Unreachable);
             return Err(Failure::NotSent);
         }
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -1,7 +1,7 @@
 //! The path of one call: parsing, routing, admission, the ledger, queueing, execution and the response.
 
 use std::convert::Infallible;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -92,8 +92,18 @@
     let prompt = if is_stream { prompt_parts(&head) } else { Vec::new() };
     let forwarded = ForwardedRequest::new(&edge.wire_format, &caller, &parts, body);
     let edge = Arc::clone(edge);
-    let call =
-        CallContext { edge, head, caller, selected, forwarded, parts: prompt, accepted, regions, slot: None };
+    let call = CallContext {
+        edge,
+        head,
+        caller,
+        selected,
+        forwarded,
+        parts: prompt,
+        accepted,
+        regions,
+        slot: None,
+        fingerprint: OnceLock::new(),
+    };
     if is_stream { run_stream_call(call, machine).await } else { run_buffered_call(call, machine).await }
 }
 
--- a/crates/edge/src/engine_pool.rs
+++ b/crates/edge/src/engine_pool.rs
@@ -37,16 +37,25 @@
 type Sender = SendRequest<Full<Bytes>>;
 
 /// A request could not be sent, or no response arrived.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
 pub(crate) enum SendError {
-    /// No byte was sent.
-    NotSent,
+    /// No byte was sent. Holds the error if the connection failed; `None` after a timeout.
+    NotSent(Option<ConnectError>),
     /// No byte was sent, because the engine may no longer receive the call.
     Withheld,
     /// The engine may have received the request.
     Lost,
 }
 
+/// A connection to an engine could not be set up.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum ConnectError {
+    #[error("{0}")]
+    Socket(#[from] std::io::Error),
+    #[error("{0}")]
+    Http(#[from] hyper::Error),
+}
+
 struct IdleConnection {
     sender: Sender,
     since: Instant,
@@ -127,7 +136,11 @@
         }
         let connecting_since = Instant::now();
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, connect(address)).await;
-        let Ok(Some(mut sender)) = connecting else { return Err(SendError::NotSent) };
+        let mut sender = match connecting {
+            Ok(Ok(sender)) => sender,
+            Ok(Err(error)) => return Err(SendError::NotSent(Some(error))),
+            Err(_) => return Err(SendError::NotSent(None)),
+        };
         let connect_time = connecting_since.elapsed();
         if !may_send() {
             self.return_unused(engine, sender);
@@ -137,7 +150,7 @@
         match sender.try_send_request(request).await {
             Ok(response) => Ok(self.pool_response(engine, sender, response, Some(connect_time))),
             Err(mut error) => Err(match error.take_message() {
-                Some(_) => SendError::NotSent,
+                Some(_) => SendError::NotSent(None),
                 None => self.record_lost(None, sent),
             }),
         }
@@ -220,16 +233,16 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Option<Sender> {
-    let stream = TcpStream::connect(address).await.ok()?;
-    configure_stream(&stream).ok()?;
+async fn connect(address: SocketAddr) -> Result<Sender, ConnectError> {
+    let stream = TcpStream::connect(address).await?;
+    configure_stream(&stream)?;
     let mut builder = http1::Builder::new();
     builder.read_buf_exact_size(Some(READ_BUFFER_BYTES));
-    let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.ok()?;
+    let (sender, connection) = builder.handshake(TokioIo::new(stream)).await?;
     tokio::spawn(async move {
         // Ends when the sender is dropped or the engine closes the connection. Errors are reported through the
         // sender.
         let _ = connection.await;
     });
-    Some(sender)
+    Ok(sender)
 }
--- a/crates/edge/src/report.rs
+++ b/crates/edge/src/report.rs
@@ -6,17 +6,25 @@
 use sumacdrift_types::ResultCode;
 
 use crate::attempt::CallContext;
+use crate::engine_pool::ConnectError;
 use crate::wire_format::WireFormat;
 
 impl<D: WireFormat> CallContext<D> {
     pub(crate) fn report_failure(&self, placement: &Placement, failure: Failure, next: &Next) {
         self.edge.metrics.failed_attempts.inc();
         info!(self.edge.logger, "attempt failed"; "event" => "attempt_failed", "call" => &self.head.id,
-            "engine" => %placement.engine, "engine_version" => %placement.version, "failure" => ?failure, "next" => ?next,
+            "request" => %self.fingerprint(), "engine" => %placement.engine, "engine_version" => %placement.version, "failure" => ?failure, "next" => ?next,
             "candidates" => placement.candidates, "running" => placement.running as u64,
             "age_ms" => self.age_millis());
     }
 
+    /// Logs why a connection to an engine failed; without an error, it timed out.
+    pub(crate) fn report_connect_failure(&self, placement: &Placement, error: Option<&ConnectError>) {
+        info!(self.edge.logger, "connection to an engine failed"; "event" => "engine_unreachable",
+            "call" => &self.head.id, "engine" => %placement.engine,
+            "error" => error.map_or_else(|| "timed out".to_owned(), ConnectError::to_string));
+    }
+
     /// Logs a call whose response an engine completed.
     pub(crate) fn report_served(&self, machine: &CallMachine, status: u16, placement: &Placement) {
         self.edge.metrics.served.inc();
@@ -33,7 +41,9 @@
     /// Logs a call that was rejected, failed or aborted, as `outcome` says.
     pub(crate) fn report_unsuccessful_call(&self, machine: &CallMachine, outcome: &str, code: ResultCode) {
         self.edge.metrics.record_unsuccessful_call(code);
+        let may_have_run = machine.possible_runs() > 0;
         info!(self.edge.logger, "call rejected, failed or aborted"; "event" => "given_up", "call" => &self.head.id, "what" => outcome,
+            "request" => may_have_run.then(|| self.fingerprint().to_string()),
             "code" => code.number(), "title" => code.title(), "runs" => machine.possible_runs(),
             "misses" => machine.attempts_not_run(), "events" => machine.events(), "age_ms" => self.age_millis(),
             "route" => &*self.selected.route.name, "service" => &*self.selected.service.name,
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -39,6 +39,7 @@
     let head = response.head.clone();
     if !call.selected.route.rules.kind.may_run_again() {
         // No other engine will get the prompt, which may be large.
+        call.fingerprint();
         call.forwarded.body = Bytes::new();
     }
     machine.record_head_sent(&response.run.placement().version);
@@ -220,7 +221,7 @@
         let now = self.call.edge.clock.now();
         let next = self.machine.record_failure(&engine, Failure::Lost, now);
         slog::info!(self.call.edge.logger, "engine aborted the stream"; "event" => "stream_broke_off",
-            "call" => &self.call.head.id, "engine" => %engine, "engine_version" => %version,
+            "call" => &self.call.head.id, "request" => %self.call.fingerprint(), "engine" => %engine, "engine_version" => %version,
             "events" => self.machine.events(), "next" => ?next, "age_ms" => self.call.age_millis());
         // The stream is bound to its origin, so there is none to record.
         match attempt_until_response(&self.call, &mut self.machine, None, next).await {
