--- a/crates/calls/src/machine.rs
+++ b/crates/calls/src/machine.rs
@@ -14,6 +14,8 @@
 const MAX_UNSENT_ATTEMPTS: usize = 4;
 /// Retries after attempts that may have run, including resumptions of a stream.
 const MAX_RETRIES_AFTER_RUN: usize = 4;
+/// Engines that may crash in succession under one request, over all calls that its caller makes for it.
+pub const MAX_CRASHES: usize = 3;
 /// Retry delay sent to a refused caller if no engine specified one.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -35,6 +37,8 @@
     WrongEngine,
     /// The request was sent and no reliable answer came back.
     Lost,
+    /// The request was sent, no reliable answer came back, and the engine accepts no connections any more.
+    Crashed,
     /// The response is not a valid answer to this call.
     Spoiled,
     /// The engine ran the call and answered with a server error.
@@ -86,6 +90,10 @@
     stage: Stage,
     in_flight: Option<EngineId>,
     may_have_run: Vec<EngineId>,
+    /// Engines that crashed while they ran this call.
+    own_crashes: usize,
+    /// Engines that crashed in succession under the request, in this call or in earlier ones.
+    crashes: usize,
     may_resume: bool,
     /// Software version that began the stream; other versions can't continue it.
     stream_version: Option<EngineVersion>,
@@ -110,6 +118,8 @@
             stage: Stage::Waiting,
             in_flight: None,
             may_have_run: Vec::new(),
+            own_crashes: 0,
+            crashes: 0,
             may_resume: true,
             stream_version: None,
             excluded_engines: Vec::new(),
@@ -169,6 +179,31 @@
         if is_unsent || is_broken(Rule::SentCallsAreNotReportedAsNotRun) { Ran::No } else { Ran::Unknown }
     }
 
+    /// Records how many engines are known to have crashed in succession under the request, in all calls for it.
+    pub fn record_known_crashes(&mut self, crashes: usize) {
+        self.crashes = self.crashes.max(crashes);
+    }
+
+    /// Engines that crashed while they ran this call.
+    pub fn own_crashes(&self) -> usize {
+        self.own_crashes
+    }
+
+    /// Whether the engine may have run the call.
+    pub fn may_have_run_at(&self, engine: &EngineId) -> bool {
+        self.may_have_run.contains(engine)
+    }
+
+    /// Engines that crashed in succession under the request, as far as known.
+    pub fn crashes(&self) -> usize {
+        self.crashes
+    }
+
+    /// Whether so many engines crashed under the request that it may be sent to no other.
+    pub fn has_reached_crash_limit(&self) -> bool {
+        self.crashes >= MAX_CRASHES && !is_broken(Rule::CrashLimitEndsCall)
+    }
+
     /// Forbids retries, because another engine's answer can't continue what was sent to the caller.
     pub fn forbid_resumption(&mut self) {
         self.may_resume = false;
@@ -208,6 +243,14 @@
         Next::Refuse { code: ResultCode::Overloaded, retry_after }
     }
 
+    /// Ends the call because its request is in quarantine for this long.
+    pub fn end_quarantined(&self, remaining: Duration) -> Next {
+        match self.finish(ResultCode::RequestCrashesEngines) {
+            Next::Refuse { code, .. } => Next::Refuse { code, retry_after: remaining },
+            next => next,
+        }
+    }
+
     /// Ends the call because its caller's access was denied.
     pub fn end_denied(&self, code: ResultCode) -> Next {
         self.finish(code)
@@ -221,6 +264,9 @@
     /// Records a failed attempt and returns the next step.
     pub fn record_failure(&mut self, engine: &EngineId, failure: Failure, now: Timestamp) -> Next {
         self.update_attempts(engine, failure);
+        if self.has_reached_crash_limit() {
+            return self.finish(ResultCode::RequestCrashesEngines);
+        }
         if now >= self.deadline {
             return self.end_expired();
         }
@@ -232,7 +278,7 @@
                 self.next_attempt()
             }
             Failure::Rejected { .. } | Failure::WrongEngine => self.finish(ResultCode::Overloaded),
-            Failure::Lost => self.retry_after_possible_run(ResultCode::BackEndCut),
+            Failure::Lost | Failure::Crashed => self.retry_after_possible_run(ResultCode::BackEndCut),
             Failure::Spoiled => self.retry_after_possible_run(ResultCode::BackEndGarbage),
             Failure::ServerError => self.retry_after_possible_run(ResultCode::BackEndRefused),
         }
@@ -256,11 +302,19 @@
                 self.rejections += 1;
                 self.excluded_engines.push(engine.clone());
             }
-            Failure::Lost | Failure::Spoiled | Failure::ServerError => {
-                if !self.may_have_run.contains(engine) {
-                    self.may_have_run.push(engine.clone());
-                }
+            Failure::Crashed => {
+                self.own_crashes += 1;
+                self.record_known_crashes(self.own_crashes);
+                self.excluded_engines.push(engine.clone());
+                self.record_possible_run(engine);
             }
+            Failure::Lost | Failure::Spoiled | Failure::ServerError => self.record_possible_run(engine),
+        }
+    }
+
+    fn record_possible_run(&mut self, engine: &EngineId) {
+        if !self.may_have_run.contains(engine) {
+            self.may_have_run.push(engine.clone());
         }
     }
 
--- a/crates/calls/tests/machine.rs
+++ b/crates/calls/tests/machine.rs
@@ -189,3 +189,45 @@
     machine.forbid_resumption();
     assert!(matches!(machine.record_failure(&engine("a"), Failure::Lost, START), Next::BreakOff { .. }));
 }
+
+/// Guards against sending a request on after three engines have crashed under it, however many the route allows.
+#[test]
+fn call_ends_at_the_third_crash() {
+    let mut machine = machine(CallKind::Repeatable, 100);
+    for name in ["a", "b"] {
+        let next = machine.record_failure(&engine(name), Failure::Crashed, START);
+        assert!(matches!(next, Next::Try { .. }), "{next:?}");
+    }
+    let next = machine.record_failure(&engine("c"), Failure::Crashed, START);
+    assert_eq!(next, Next::Fail { code: ResultCode::RequestCrashesEngines });
+}
+
+/// Guards against counting crashes anew in each of the caller's calls.
+#[test]
+fn crashes_in_earlier_calls_count() {
+    let mut machine = machine(CallKind::Repeatable, 100);
+    machine.record_known_crashes(2);
+    let next = machine.record_failure(&engine("a"), Failure::Lost, START);
+    assert!(matches!(next, Next::Try { .. }), "a lost answer is no crash: {next:?}");
+    machine.record_known_crashes(3);
+    let next = machine.record_failure(&engine("b"), Failure::Crashed, START);
+    assert_eq!(next, Next::Fail { code: ResultCode::RequestCrashesEngines });
+}
+
+/// Guards against sending a call again to the engine that crashed under it, which may be back at its address.
+#[test]
+fn call_does_not_return_to_an_engine_that_crashed() {
+    let mut machine = machine(CallKind::Repeatable, 1);
+    let next = machine.record_failure(&engine("a"), Failure::Crashed, START);
+    assert_eq!(next, Next::Fail { code: ResultCode::BackEndCut });
+}
+
+#[test]
+fn quarantined_call_is_refused_only_if_it_was_not_sent() {
+    let remaining = Duration::from_secs(90);
+    let mut machine = machine(CallKind::Once, 1);
+    let refused = Next::Refuse { code: ResultCode::RequestCrashesEngines, retry_after: remaining };
+    assert_eq!(machine.end_quarantined(remaining), refused);
+    machine.record_sent(&engine("a"));
+    assert_eq!(machine.end_quarantined(remaining), Next::Fail { code: ResultCode::RequestCrashesEngines });
+}
--- a/crates/dissemination/src/feed.rs
+++ b/crates/dissemination/src/feed.rs
@@ -14,6 +14,8 @@
 /// Bytes of names and contents in one part of a full response. Takes 11 ms on a link of 47 Mbit/s, which is
 /// short beside the timeout of a request.
 const PART_BYTES: usize = 64 << 10;
+/// Requests in quarantine that are kept. The one that expires first gives way.
+const MAX_QUARANTINED: usize = 1024;
 /// How long after a list responses still report the outage before it. Engines that could not report during
 /// the outage have reported again by the end of this period.
 const OUTAGE_REPORT_PERIOD: Duration = Duration::from_secs(3);
@@ -304,10 +306,25 @@
         self.kept_removals.remove(&key);
         self.position += 1;
         self.recent_changes.record(self.position, key.clone());
+        let is_quarantine = item.known_kind() == Some(ItemKind::Quarantine);
         self.stored.insert(key, StoredItem { position: self.position, item });
+        if is_quarantine {
+            self.bound_quarantine();
+        }
         true
     }
 
+    /// Drops the request in quarantine that expires first if there are too many. Followers drop them by themselves.
+    fn bound_quarantine(&mut self) {
+        if self.items(ItemKind::Quarantine).count() <= MAX_QUARANTINED {
+            return;
+        }
+        let first = self.items(ItemKind::Quarantine).min_by_key(|item| &item.content);
+        if let Some(key) = first.map(|item| (item.kind, item.name.clone())) {
+            self.stored.remove(&key);
+        }
+    }
+
     /// Removes an item at a store revision; returns whether followers learn anything from it.
     pub fn remove(&mut self, kind: ItemKind, name: &str, revision: u64, now: Timestamp) -> bool {
         self.remove_item((kind as i32, name.to_owned()), Removal::now(revision, now))
--- a/crates/dissemination/src/message.rs
+++ b/crates/dissemination/src/message.rs
@@ -15,9 +15,12 @@
     Retirement = 3,
     /// A zone whose engines get no new calls.
     Evacuation = 4,
+    /// A request that is sent to no engine. It doesn't come from the store: any node may add one. Its content begins with
+    /// the time at which it expires, so that contents sort by it.
+    Quarantine = 5,
 }
 
-/// An object of the external store; its content is opaque here.
+/// An object of the external store, or one that nodes distribute by themselves. The content is opaque here.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Item {
     /// An [`ItemKind`]; unknown values come from newer builds.
--- a/crates/dissemination/tests/feed.rs
+++ b/crates/dissemination/tests/feed.rs
@@ -322,3 +322,34 @@
         }
     }
 }
+
+/// Guards against an unbounded feed when very many requests enter the quarantine: those that expire last are kept, and reach
+/// followers with full and incremental responses.
+#[test]
+fn requests_in_quarantine_reach_followers_and_are_bounded() {
+    let quarantined = |number: u64| {
+        let content = Bytes::copy_from_slice(&(1_000 + number).to_be_bytes());
+        Item::new(ItemKind::Quarantine, &format!("{number:016x}"), content, 1)
+    };
+    let mut feed = Feed::new(1);
+    let mut follower = Model::default();
+    feed.put(quarantined(1));
+    follower.follow(&feed, at(0));
+    feed.put(quarantined(2));
+    follower.follow(&feed, at(1));
+    assert_eq!(follower.items.len(), 2);
+    // Lists of the store concern other kinds.
+    feed.apply_list(item_list(vec![engine("e", "", 5)], 5, Duration::ZERO), at(2));
+    for number in 3..3_000 {
+        feed.put(quarantined(number));
+    }
+    let kept: Vec<&Item> = feed.items(ItemKind::Quarantine).collect();
+    assert_eq!(kept.len(), 1024);
+    assert!(feed.item(ItemKind::Quarantine, &format!("{:016x}", 2_999)).is_some());
+    assert!(feed.item(ItemKind::Quarantine, &format!("{:016x}", 1)).is_none());
+    // A feed that merges it has them too.
+    let mut other = Feed::new(2);
+    let request = FollowRequest::default();
+    other.merge(feed.changes(&request, at(3)), at(3));
+    assert_eq!(other.items(ItemKind::Quarantine).count(), 1024);
+}
--- a/crates/dissemination/tests/recorded_forms/main.rs
+++ b/crates/dissemination/tests/recorded_forms/main.rs
@@ -16,8 +16,16 @@
 const SNAPSHOT: &str = "Snapshot";
 
 /// All kinds. A new kind does not compile until [`item_of`] covers it.
-const ITEM_KINDS: [ItemKind; 5] =
-    [ItemKind::Configuration, ItemKind::Engine, ItemKind::Groups, ItemKind::Retirement, ItemKind::Evacuation];
+const ITEM_KINDS: [ItemKind; 6] = [
+    ItemKind::Configuration,
+    ItemKind::Engine,
+    ItemKind::Groups,
+    ItemKind::Retirement,
+    ItemKind::Evacuation,
+    ItemKind::Quarantine,
+];
+/// Kinds of the builds before requests were put in quarantine.
+const KINDS_OF_STORE: usize = 5;
 
 /// An item of a kind, as in the recorded snapshot with all kinds.
 fn item_of(kind: ItemKind) -> Item {
@@ -27,6 +35,7 @@
         ItemKind::Groups => ("groups", b"groups", 9),
         ItemKind::Retirement => ("m1", b"asked", 10),
         ItemKind::Evacuation => ("a", b"", 11),
+        ItemKind::Quarantine => ("0000000000000063", &[0, 0, 1, 0, 0, 0, 0, 9], 1),
     };
     Item::new(kind, name, Bytes::from_static(content), revision)
 }
@@ -100,9 +109,13 @@
 }
 
 fn newest_snapshot() -> Snapshot {
+    snapshot_with_ended_evacuation(&ITEM_KINDS)
+}
+
+fn snapshot_with_ended_evacuation(kinds: &[ItemKind]) -> Snapshot {
     let item = Some(Item { content: Bytes::new(), ..item_of(ItemKind::Evacuation) });
     let ended = ItemChange { item, is_gone: true, removed_millis_ago: Some(700) };
-    Snapshot { ended_evacuations: vec![ended], saved_unix_millis: 5_000, ..snapshot_of(&ITEM_KINDS) }
+    Snapshot { ended_evacuations: vec![ended], saved_unix_millis: 5_000, ..snapshot_of(kinds) }
 }
 
 #[test]
@@ -116,10 +129,16 @@
     }
     forms.writes(&Codec::message(), CHANGES, "6", &newest_response());
     forms.writes_bare(&Codec::message(), CHANGES, &Changes::default());
-    forms.writes(&Codec::message(), SNAPSHOT, "3", &newest_snapshot());
+    forms.writes(&Codec::message(), SNAPSHOT, "4", &newest_snapshot());
     forms.writes_bare(&Codec::message(), SNAPSHOT, &Snapshot::default());
     forms.reads(&Codec::message(), SNAPSHOT, "1", &snapshot_of(&ITEM_KINDS[..2]));
-    forms.reads(&Codec::message(), SNAPSHOT, "2", &snapshot_of(&ITEM_KINDS));
+    forms.reads(&Codec::message(), SNAPSHOT, "2", &snapshot_of(&ITEM_KINDS[..KINDS_OF_STORE]));
+    forms.reads(
+        &Codec::message(),
+        SNAPSHOT,
+        "3",
+        &snapshot_with_ended_evacuation(&ITEM_KINDS[..KINDS_OF_STORE]),
+    );
     if let Err(failures) = forms.finish(&[FOLLOW, CHANGES, SNAPSHOT]) {
         panic!("{failures}");
     }
@@ -128,7 +147,7 @@
 #[test]
 fn every_kind_of_item_is_recorded() {
     let next = ITEM_KINDS.len() as i32;
-    assert_eq!(ITEM_KINDS.map(|kind| kind as i32), [0, 1, 2, 3, 4]);
+    assert_eq!(ITEM_KINDS.map(|kind| kind as i32), [0, 1, 2, 3, 4, 5]);
     assert!(ItemKind::try_from(next).is_err(), "kind {next} has no recorded form");
 }
 
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -143,6 +143,9 @@
     let permit_deadline = call.edge.permit_wait_deadline(machine);
     loop {
         let Next::Try { avoid, rather_not, only, version } = next else { return Err(next) };
+        if let Some(remaining) = call.quarantine_remaining() {
+            return Err(machine.end_quarantined(remaining));
+        }
         if let Err(code) = call.edge.recheck_access(&call.head, &call.caller) {
             return Err(machine.end_denied(code));
         }
@@ -169,11 +172,11 @@
             return Err(machine.end_without_engine(code));
         }
         machine.record_sent(&placement.engine);
+        let sent = call.edge.clock.now();
         match try_engine(call, machine, &placement, permit).await {
             Ok(response) => return Ok(response),
             Err(failure) => {
-                let now = call.edge.clock.now();
-                next = machine.record_failure(&placement.engine, failure, now);
+                next = call.record_failure(machine, &placement, sent, failure).await;
                 call.report_failure(&placement, failure, &next);
             }
         }
--- a/crates/edge/src/buffered.rs
+++ b/crates/edge/src/buffered.rs
@@ -29,20 +29,19 @@
             Ok(received) => received,
             Err(next) => return failed.map(|failed| failed.forward(call, machine)).ok_or(next),
         };
-        let placement = received.run.placement().clone();
-        let (engine, failure) = match buffer_response(call, machine, received).await {
+        let (placement, sent) = (received.run.placement().clone(), received.run.sent());
+        let failure = match buffer_response(call, machine, received).await {
             Ok((head, bytes)) => {
-                let response = BufferedResponse { head, bytes, placement };
-                let engine = response.placement.engine.clone();
-                if !response.head.status.is_server_error() || !machine.may_run_elsewhere(&engine) {
+                let response = BufferedResponse { head, bytes, placement: placement.clone() };
+                if !response.head.status.is_server_error() || !machine.may_run_elsewhere(&placement.engine) {
                     return Ok(response.forward(call, machine));
                 }
                 failed = Some(response);
-                (engine, Failure::ServerError)
+                Failure::ServerError
             }
-            Err(failure) => (placement.engine, failure),
+            Err(failure) => failure,
         };
-        next = machine.record_failure(&engine, failure, call.edge.clock.now());
+        next = call.record_failure(machine, &placement, sent, failure).await;
     }
 }
 
@@ -59,6 +58,7 @@
             let elapsed = call.edge.clock.now().since(call.accepted);
             call.edge.metrics.buffered_seconds.observe(elapsed.as_secs_f64());
             call.observe_served(elapsed);
+            call.record_served(machine);
             if let Some(slot) = &call.slot {
                 slot.mark_served();
             }
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -130,11 +130,12 @@
     let started = call.edge.clock.now();
     let begun = begin_turn(&call, &machine, started).await;
     call.edge.metrics.ledger_seconds.observe(call.edge.clock.now().since(started).as_secs_f64());
-    let BegunTurn { mut turn, body, has_started, resumed_origin } = match begun {
+    let BegunTurn { mut turn, body, has_started, resumed_origin, crashes } = match begun {
         Ok(begun) => begun,
         Err(error) => return reject_turn(&call.edge, &call.head, error),
     };
     call.forwarded.body = body;
+    call.record_known_crashes(&mut machine, crashes);
     if call.resumes_stream() {
         if let Err(code) = call.bind_resumed_stream(&mut machine, resumed_origin) {
             let next = machine.end_without_engine(code);
@@ -154,11 +155,15 @@
     }
 }
 
+/// Waits until the call may be sent to an engine, unless its request is in quarantine.
 async fn wait_for_slot<D: WireFormat>(
     call: &CallContext<D>,
     machine: &CallMachine,
     has_started: bool,
 ) -> Result<Option<QueueSlot<D>>, Next> {
+    if let Some(remaining) = call.quarantine_remaining() {
+        return Err(machine.end_quarantined(remaining));
+    }
     let CallContext { edge, head, caller, selected, accepted, .. } = call;
     let (accepted, bytes) = (*accepted, call.forwarded.body.len());
     edge.wait_for_slot(EnqueueRequest { head, caller, selected, machine, accepted, bytes, has_started }).await
@@ -188,6 +193,8 @@
     has_started: bool,
     /// Origin of the stream that the call resumes, if the ledger knows it.
     resumed_origin: Option<StreamOrigin>,
+    /// Engines that crashed in succession under the request, as the ledger knows.
+    crashes: usize,
 }
 
 /// Begins the call's turn in the ledger, if it has a program with a budget, a retained route, or a stream that may be
@@ -199,7 +206,8 @@
 ) -> Result<BegunTurn, LedgerError> {
     let CallContext { edge, head, caller, selected, .. } = call;
     let body = &call.forwarded.body;
-    let untracked = || BegunTurn { turn: None, body: body.clone(), has_started: true, resumed_origin: None };
+    let untracked =
+        || BegunTurn { turn: None, body: body.clone(), has_started: true, resumed_origin: None, crashes: 0 };
     let is_retained = selected.route.is_retained;
     let has_budget = head.program.as_ref().is_some_and(|program| program.token_budget.is_some());
     let must_track = has_budget || (is_retained && head.program.is_some());
@@ -216,6 +224,7 @@
         input: body,
         origin: call.expected_origin(),
         resumed_call: head.resumed_call.as_deref().filter(|_| call.resumes_stream()),
+        fingerprint: call.fingerprint(),
         update: edge.update_at_begin(&call.parts),
     };
     let ledger = edge.ledger_for(&call.regions);
@@ -230,7 +239,8 @@
     };
     let has_started = head.previous.is_some() || admission.counted_tokens > 0 || !must_track;
     let body = if is_retained { admission.chain.into_prompt(body) } else { body.clone() };
-    Ok(BegunTurn { turn: Some(turn), body, has_started, resumed_origin: admission.resumed_origin })
+    let (resumed_origin, crashes) = (admission.resumed_origin, admission.crashes);
+    Ok(BegunTurn { turn: Some(turn), body, has_started, resumed_origin, crashes })
 }
 
 fn give_up<D: WireFormat>(call: &CallContext<D>, machine: &CallMachine, next: &Next) -> Response<EdgeBody> {
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -20,6 +20,7 @@
 
 use crate::clock::Clock;
 use crate::cold_permit::ColdTolerance;
+use crate::engine_crash::RequestCrashes;
 use crate::engine_pool::EnginePool;
 use crate::metrics::EdgeMetrics;
 use crate::route_durations::RouteDurations;
@@ -85,6 +86,7 @@
     route_durations: Mutex<RouteDurations>,
     freshness: Mutex<ConfigurationAge>,
     pub(crate) quotas: QuotaClient,
+    pub(crate) crashes: RequestCrashes,
     pub(crate) exchange_schedule: ExchangeSchedule,
     pub(crate) queues: ServiceQueues,
     /// True once a configuration is in force and, if it requires keys, its age is known.
@@ -107,6 +109,7 @@
         let edge = Arc::new(Self {
             settings: parts.settings,
             quotas: QuotaClient::new(Arc::clone(&parts.ledger)),
+            crashes: RequestCrashes::new(Arc::clone(&parts.ledger)),
             freshness: Mutex::default(),
             wire_format: parts.wire_format,
             ledger: parts.ledger,
@@ -287,6 +290,7 @@
         engines.regroup_interchangeable(|engine| self.pool.is_connected(engine), now);
         drop(engines);
         self.update_outliers(now);
+        self.expire_quarantine();
     }
 
     /// The edge's counters, gauges and histograms.
--- /dev/null
+++ b/crates/edge/src/engine_crash.rs
@@ -0,0 +1,254 @@
+//! Crashes of engines while they run a call.
+//!
+//! After a connection to an engine breaks, the edge finds out whether the engine still accepts connections. If it does not,
+//! the crash is reported to the storage nodes before the call goes on or ends, since its caller may retry at any
+//! edge. They know how many engines crashed under the same request; at the limit the request is put in quarantine.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use slog::info;
+use sumacdrift_calls::{CallMachine, EngineId, Failure, MAX_CRASHES, Next, RequestFingerprint};
+use sumacdrift_quarantine::{CrashReport, QUARANTINE_TIME, Quarantine, QuarantinedRequest, RecentlyServed};
+use sumacdrift_routing::Placement;
+use sumacdrift_storage::{CrashClient, LedgerClient, Recorders};
+use sumacdrift_types::Timestamp;
+use tokio::sync::watch;
+
+use crate::attempt::CallContext;
+use crate::edge::Edge;
+use crate::wire_format::WireFormat;
+
+/// How long the caller of a request that enters the quarantine waits until the feeds have distributed it. They take
+/// milliseconds, and a caller that retries at once would otherwise reach an edge that doesn't know of it.
+const DISTRIBUTION_TIMEOUT: Duration = Duration::from_millis(250);
+/// Body size up to which equal requests of several callers are expected; larger bodies tell requests apart.
+const MAX_SHARED_BODY_BYTES: usize = 4 << 10;
+
+/// What an edge knows of requests and crashes.
+pub(crate) struct RequestCrashes {
+    client: CrashClient,
+    quarantine: Mutex<Quarantine>,
+    quarantine_changed: watch::Sender<()>,
+    served: Mutex<RecentlyServed>,
+}
+
+impl RequestCrashes {
+    pub(crate) fn new(ledger: Arc<LedgerClient>) -> Self {
+        Self {
+            client: CrashClient::new(ledger),
+            quarantine: Mutex::default(),
+            quarantine_changed: watch::Sender::new(()),
+            served: Mutex::default(),
+        }
+    }
+
+    fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
+        self.quarantine.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn served(&self) -> MutexGuard<'_, RecentlyServed> {
+        self.served.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// An engine to which a call was lost.
+struct LostEngine {
+    id: EngineId,
+    address: SocketAddr,
+    /// When the call was sent to it.
+    sent: Timestamp,
+}
+
+/// A call that an engine lost.
+struct LostCall {
+    id: String,
+    request: RequestFingerprint,
+    /// Name of its program in the ledger.
+    program: Option<String>,
+    engine: LostEngine,
+    /// Engines that crashed under this call before.
+    own_crashes: usize,
+    /// Whether other callers may send equal requests.
+    is_shared: bool,
+}
+
+fn recorders(program: Option<&str>, request: RequestFingerprint) -> Recorders<'_> {
+    program.map_or(Recorders::OfRequest(request), Recorders::OfProgram)
+}
+
+impl<D: WireFormat> CallContext<D> {
+    /// Records a failed attempt and returns the next step. If the connection broke, first finds out whether the engine
+    /// crashed, and reports that. `sent` is when the attempt was sent.
+    pub(crate) async fn record_failure(
+        &self,
+        machine: &mut CallMachine,
+        placement: &Placement,
+        sent: Timestamp,
+        failure: Failure,
+    ) -> Next {
+        let engine = &placement.engine;
+        let may_have_crashed = match failure {
+            Failure::Lost => true,
+            // The engine lost the call before and is gone now.
+            Failure::NotSent => machine.may_have_run_at(engine),
+            _ => false,
+        };
+        let mut failure = failure;
+        if may_have_crashed
+            && self.edge.clock.now() < machine.deadline()
+            && let Some(crashes) = self.crashes_after_loss(machine, placement, sent).await
+        {
+            failure = Failure::Crashed;
+            machine.record_known_crashes(crashes);
+        }
+        machine.record_failure(engine, failure, self.edge.clock.now())
+    }
+
+    /// Number of crashes in succession under the request, if the engine crashed. Carried on if the caller leaves meanwhile, as
+    /// it may retry elsewhere.
+    async fn crashes_after_loss(
+        &self,
+        machine: &CallMachine,
+        placement: &Placement,
+        sent: Timestamp,
+    ) -> Option<usize> {
+        let engine = LostEngine { id: placement.engine.clone(), address: placement.address, sent };
+        let call = LostCall {
+            id: self.head.id.clone(),
+            request: self.fingerprint(),
+            program: self.recording_program(),
+            engine,
+            own_crashes: machine.own_crashes(),
+            is_shared: self.may_be_shared(),
+        };
+        let edge = Arc::clone(&self.edge);
+        let handling = tokio::spawn(async move { edge.handle_lost_call(call).await });
+        let deadline = self.edge.clock.instant(machine.deadline());
+        // Late or aborted handling leaves the failure a lost connection.
+        tokio::time::timeout_at(deadline, handling).await.ok()?.ok()?
+    }
+
+    /// Whether other callers may send equal requests.
+    fn may_be_shared(&self) -> bool {
+        self.head.program.is_none() && self.forwarded.body.len() <= MAX_SHARED_BODY_BYTES
+    }
+
+    /// Records crashes under the request that the ledger knows of, and puts the request in quarantine at the limit.
+    pub(crate) fn record_known_crashes(&self, machine: &mut CallMachine, crashes: usize) {
+        machine.record_known_crashes(crashes);
+        if machine.has_reached_crash_limit() {
+            let request = self.fingerprint();
+            self.edge.quarantine(QuarantinedRequest { request, remaining: QUARANTINE_TIME }, "ledger");
+        }
+    }
+
+    /// Name in the ledger of the call's program, whose ledger group records the crashes under its requests.
+    fn recording_program(&self) -> Option<String> {
+        let program = self.head.program.as_ref()?;
+        Some(self.caller.name_in_ledger(&program.program))
+    }
+
+    /// Records that an engine served the call.
+    pub(crate) fn record_served(&self, machine: &CallMachine) {
+        if self.may_be_shared() && !self.selected.route.rules.kind.is_stream() {
+            self.edge.crashes.served().record(self.fingerprint(), self.edge.clock.now());
+        }
+        if machine.crashes() > 0 {
+            let (edge, request) = (Arc::clone(&self.edge), self.fingerprint());
+            let program = self.recording_program();
+            tokio::spawn(async move {
+                let recorders = recorders(program.as_deref(), request);
+                edge.crashes.client.report_served(request, recorders).await;
+            });
+        }
+    }
+
+    /// Time until the call's request leaves the quarantine; `None` if it is not in it.
+    pub(crate) fn quarantine_remaining(&self) -> Option<Duration> {
+        let quarantine = self.edge.crashes.quarantine();
+        if quarantine.is_empty() {
+            return None;
+        }
+        quarantine.remaining(self.fingerprint(), self.edge.clock.now())
+    }
+}
+
+impl<D: WireFormat> Edge<D> {
+    /// Puts a request in quarantine.
+    pub fn quarantine(&self, quarantined: QuarantinedRequest, source: &'static str) {
+        let (is_new, requests) = {
+            let mut quarantine = self.crashes.quarantine();
+            (quarantine.add(quarantined, self.clock.now()), quarantine.len())
+        };
+        if is_new {
+            self.metrics.quarantined.set(i64::try_from(requests).unwrap_or(i64::MAX));
+            info!(self.logger, "request put in quarantine"; "event" => "request_quarantined",
+                "request" => %quarantined.request, "source" => source,
+                "remaining_ms" => quarantined.remaining.as_millis() as u64);
+            self.crashes.quarantine_changed.send_replace(());
+        }
+    }
+
+    /// Drops requests whose quarantine is over.
+    pub(crate) fn expire_quarantine(&self) {
+        let mut quarantine = self.crashes.quarantine();
+        quarantine.expire(self.clock.now());
+        self.metrics.quarantined.set(i64::try_from(quarantine.len()).unwrap_or(i64::MAX));
+    }
+
+    /// Number of crashes in succession under the request of a lost call; `None` if its engine did not crash.
+    async fn handle_lost_call(self: Arc<Self>, call: LostCall) -> Option<usize> {
+        if !self.pool.has_crashed(&call.engine.id, call.engine.address).await {
+            return None;
+        }
+        self.metrics.engine_crashes.inc();
+        let now = self.clock.now();
+        let own_crashes = call.own_crashes + 1;
+        if call.is_shared && self.crashes.served().contains(call.request, now) {
+            info!(self.logger, "engine crashed under a request that was served recently"; "event" => "engine_crashed",
+                "call" => &call.id, "request" => %call.request, "engine" => %call.engine.id, "counted" => false);
+            return Some(own_crashes);
+        }
+        let report = CrashReport {
+            request: call.request,
+            engine: &call.engine.id.incarnation_text(),
+            sent_ago: now.since(call.engine.sent),
+        };
+        let known =
+            self.crashes.client.report(report, recorders(call.program.as_deref(), call.request)).await;
+        let crashes = own_crashes.max(known.engines.len());
+        info!(self.logger, "engine crashed under a request"; "event" => "engine_crashed", "call" => &call.id,
+            "request" => %call.request, "engine" => %call.engine.id, "counted" => true, "crashes" => crashes,
+            "engines" => known.engines.join(" "), "majority" => known.is_complete,
+            "sent_ms" => report.sent_ago.as_millis() as u64,
+            "took_ms" => self.clock.now().since(now).as_millis() as u64);
+        if crashes >= MAX_CRASHES {
+            self.begin_quarantine(call.request).await;
+        }
+        Some(crashes)
+    }
+
+    /// Distributes a request in quarantine to all edges; returns once this edge has learned of it, or after a timeout.
+    async fn begin_quarantine(&self, request: RequestFingerprint) {
+        let quarantined = QuarantinedRequest { request, remaining: QUARANTINE_TIME };
+        let mut changed = self.crashes.quarantine_changed.subscribe();
+        let distributing = async {
+            let is_published = self.crashes.client.quarantine(quarantined).await;
+            while self.crashes.quarantine().remaining(request, self.clock.now()).is_none() {
+                if changed.changed().await.is_err() {
+                    break;
+                }
+            }
+            is_published
+        };
+        let is_distributed = tokio::time::timeout(DISTRIBUTION_TIMEOUT, distributing).await;
+        if !matches!(is_distributed, Ok(true)) {
+            info!(self.logger, "request in quarantine may be unknown to other edges";
+                "event" => "quarantine_not_distributed", "request" => %request,
+                "published" => is_distributed.unwrap_or(false));
+        }
+        self.quarantine(quarantined, "own crash");
+    }
+}
--- a/crates/edge/src/engine_pool.rs
+++ b/crates/edge/src/engine_pool.rs
@@ -2,6 +2,7 @@
 //! the engine can be expected to keep it open.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -31,6 +32,12 @@
 /// Time for an idle connection to become ready for a request.
 const READY_TIMEOUT: Duration = Duration::from_millis(20);
 
+/// Timeout of a connection that is opened only to learn whether an engine still accepts any. Exceeds a round trip between
+/// regions.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time after which an accepted connection would have been closed if nothing served it.
+const CLOSE_TIME: Duration = Duration::from_millis(2);
+
 /// Read buffer of a connection, also held while it is idle. Response heads and events are far smaller.
 const READ_BUFFER_BYTES: usize = 2 << 10;
 
@@ -156,6 +163,25 @@
         }
     }
 
+    /// Whether the engine at this address no longer accepts connections: it refuses them, or closes them at once, as a load
+    /// balancer in front of it does. An engine that doesn't answer in time may only be partitioned from this node.
+    pub(crate) async fn has_crashed(&self, engine: &EngineId, address: SocketAddr) -> bool {
+        let probe = async {
+            let sender = match connect(address).await {
+                Ok(sender) => sender,
+                Err(ConnectError::Socket(error)) => return error.kind() == ErrorKind::ConnectionRefused,
+                Err(ConnectError::Http(_)) => return true,
+            };
+            tokio::time::sleep(CLOSE_TIME).await;
+            let is_closed = sender.is_closed();
+            if !is_closed {
+                self.return_unused(engine, sender);
+            }
+            is_closed
+        };
+        tokio::time::timeout(PROBE_TIMEOUT, probe).await.unwrap_or(false)
+    }
+
     /// Returns a connection to the pool without having used it.
     fn return_unused(&self, engine: &EngineId, sender: Sender) {
         let now = Instant::now();
--- a/crates/edge/src/engine_run.rs
+++ b/crates/edge/src/engine_run.rs
@@ -67,6 +67,11 @@
         &self.placement
     }
 
+    /// When the call was sent to the engine.
+    pub(crate) fn sent(&self) -> Timestamp {
+        self.sent
+    }
+
     /// Records events of a stream. The first ones show that the prefill is complete.
     pub(crate) fn record_events(&mut self, events: usize) {
         let now = self.edge.clock.now();
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -12,6 +12,7 @@
 mod cold_permit;
 mod connections;
 mod edge;
+mod engine_crash;
 mod engine_pool;
 mod engine_run;
 mod headers;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -27,6 +27,8 @@
     pub(crate) events: Counter,
     pub(crate) failed_attempts: Counter,
     pub(crate) server_errors: Counter,
+    pub(crate) engine_crashes: Counter,
+    pub(crate) quarantined: Gauge,
     pub(crate) withheld: Counter,
     pub(crate) permits: Counter,
     pub(crate) permits_refused: Counter,
@@ -59,6 +61,8 @@
             events: Counter::default(),
             failed_attempts: Counter::default(),
             server_errors: Counter::default(),
+            engine_crashes: Counter::default(),
+            quarantined: Gauge::default(),
             withheld: Counter::default(),
             permits: Counter::default(),
             permits_refused: Counter::default(),
@@ -98,6 +102,16 @@
             "Answers of engines with a status of 500 and above",
             self.server_errors.clone(),
         );
+        registry.register(
+            "engine_crashes",
+            "Calls whose engine accepted no connections after it lost them",
+            self.engine_crashes.clone(),
+        );
+        registry.register(
+            "quarantined",
+            "Requests that are sent to no engine, as several crashed under them",
+            self.quarantined.clone(),
+        );
         registry.register(
             "withheld",
             "Calls that were not sent as their engine might not get them any more",
--- a/crates/edge/src/report.rs
+++ b/crates/edge/src/report.rs
@@ -41,10 +41,10 @@
     /// Logs a call that was rejected, failed or aborted, as `outcome` says.
     pub(crate) fn report_unsuccessful_call(&self, machine: &CallMachine, outcome: &str, code: ResultCode) {
         self.edge.metrics.record_unsuccessful_call(code);
-        let may_have_run = machine.possible_runs() > 0;
+        let names_request = machine.possible_runs() > 0 || code == ResultCode::RequestCrashesEngines;
         info!(self.edge.logger, "call rejected, failed or aborted"; "event" => "given_up", "call" => &self.head.id, "what" => outcome,
-            "request" => may_have_run.then(|| self.fingerprint().to_string()),
-            "code" => code.number(), "title" => code.title(), "runs" => machine.possible_runs(),
+            "request" => names_request.then(|| self.fingerprint().to_string()),
+            "code" => code.number(), "title" => code.title(), "runs" => machine.possible_runs(), "crashes" => machine.crashes(),
             "misses" => machine.attempts_not_run(), "events" => machine.events(), "age_ms" => self.age_millis(),
             "route" => &*self.selected.route.name, "service" => &*self.selected.service.name,
             "version" => self.selected.version);
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -199,6 +199,7 @@
         let service_time = elapsed.saturating_sub(waited);
         self.call.edge.route_durations().observe(&self.call.selected.route.name, service_time);
         self.call.edge.metrics.stream_seconds.observe(elapsed.as_secs_f64());
+        self.call.record_served(&self.machine);
         self.call.report_served(&self.machine, StatusCode::OK.as_u16(), &placement);
         None
     }
@@ -215,11 +216,11 @@
     /// Resumes the stream after the engine failed. Returns the result code if that is not possible.
     async fn resume(&mut self) -> Option<ResultCode> {
         self.splitter.clear();
-        let placement = self.source.as_ref().map(|(_, run)| run.placement().clone());
+        let lost = self.source.as_ref().map(|(_, run)| (run.placement().clone(), run.sent()));
         self.fail_source(Outcome::Faulty);
-        let Some(Placement { engine, version, .. }) = placement else { return Some(ResultCode::Internal) };
-        let now = self.call.edge.clock.now();
-        let next = self.machine.record_failure(&engine, Failure::Lost, now);
+        let Some((placement, sent)) = lost else { return Some(ResultCode::Internal) };
+        let next = self.call.record_failure(&mut self.machine, &placement, sent, Failure::Lost).await;
+        let Placement { engine, version, .. } = placement;
         slog::info!(self.call.edge.logger, "engine aborted the stream"; "event" => "stream_broke_off",
             "call" => &self.call.head.id, "request" => %self.call.fingerprint(), "engine" => %engine, "engine_version" => %version,
             "events" => self.machine.events(), "next" => ?next, "age_ms" => self.call.age_millis());
--- a/crates/edge/src/turn.rs
+++ b/crates/edge/src/turn.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use slog::{Logger, info};
-use sumacdrift_calls::{CallMetadata, EngineVersion, ProgramMetadata};
+use sumacdrift_calls::{CallMetadata, EngineVersion, ProgramMetadata, RequestFingerprint};
 use sumacdrift_ledger::{RetainedTurn, StreamOrigin, TurnBegun, TurnEnded};
 use sumacdrift_routing::{SelectedRoute, ServiceSpec};
 use sumacdrift_storage::{Admission, BeginTurn, LedgerClient, LedgerError};
@@ -50,6 +50,7 @@
     pub(crate) origin: Option<StreamOrigin>,
     /// Call whose stream this one resumes.
     pub(crate) resumed_call: Option<&'a str>,
+    pub(crate) fingerprint: RequestFingerprint,
     /// Encoded state for other edges, sent with the request.
     pub(crate) update: Bytes,
 }
@@ -97,7 +98,8 @@
         request: TurnRequest<'_>,
         until: Instant,
     ) -> Result<(Self, Admission), LedgerError> {
-        let TurnRequest { head, program, caller, selected, input, origin, resumed_call, update } = request;
+        let TurnRequest { head, program, caller, selected, input, origin, resumed_call, fingerprint, update } =
+            request;
         let named = |name: &str| caller.name_in_ledger(name);
         let route = &selected.route;
         let retention = if route.retention.is_zero() { DEFAULT_RETENTION } else { route.retention };
@@ -125,6 +127,7 @@
             needs_chain: route.is_retained && !previous.is_empty(),
             previous,
             resumed_turn: resumed_call.map(named).unwrap_or_default(),
+            request: Some(fingerprint),
             report: update,
         };
         // If this future is dropped while waiting, dropping `open` ends the turn.
@@ -164,6 +167,7 @@
             previous: String::new(),
             needs_chain: false,
             resumed_turn: String::new(),
+            request: None,
             report: Bytes::new(),
         };
         self.ledger.begin(begin, until).await?;
--- a/crates/ledger/src/begin_quorum.rs
+++ b/crates/ledger/src/begin_quorum.rs
@@ -1,6 +1,6 @@
 //! Admission of a turn by a quorum of replica votes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::message::{BeginVote, ChainReply, KnownTurn, StreamOrigin};
 
@@ -35,6 +35,7 @@
     known: BTreeMap<String, KnownTurn>,
     chain: Option<ChainReply>,
     resumed_origin: Option<StreamOrigin>,
+    crashed_engines: BTreeSet<String>,
 }
 
 impl BeginQuorum {
@@ -51,6 +52,7 @@
             known: BTreeMap::new(),
             chain: None,
             resumed_origin: None,
+            crashed_engines: BTreeSet::new(),
         }
     }
 
@@ -68,6 +70,7 @@
         for turn in vote.known {
             self.merge_known_turn(turn);
         }
+        self.crashed_engines.extend(vote.crashed_engines);
         self.chain = self.chain.take().or(vote.chain);
         let newer = vote.resumed_origin.filter(|origin| origin.replaces(self.resumed_origin.as_ref()));
         self.resumed_origin = newer.or(self.resumed_origin.take());
@@ -85,6 +88,12 @@
         self.resumed_origin.as_ref()
     }
 
+    /// Number of engines that crashed in succession under the turn's request. With the votes of a quorum, a crash that was
+    /// reported to a quorum is never missed.
+    pub fn crashes(&self) -> usize {
+        self.crashed_engines.len()
+    }
+
     /// Number of votes received.
     pub fn votes(&self) -> usize {
         self.votes
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use sumacdrift_mutants::{Rule, is_broken};
 
+use crate::crash_message::{CrashedEngines, EngineCrash, QuarantineNotice};
 use crate::quota_message::{QuotaAnswer, QuotaQuestion, QuotaTotals};
 
 /// Which software began the stream of a turn: only that can continue it.
@@ -201,7 +202,7 @@
     /// Epoch of the group as known to the sender.
     #[prost(uint64, tag = "1")]
     pub epoch: u64,
-    #[prost(oneof = "RequestKind", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 16, 17")]
+    #[prost(oneof = "RequestKind", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 16, 17, 18, 19, 20")]
     pub kind: Option<RequestKind>,
     /// Number of the group addressed.
     #[prost(uint32, tag = "14")]
@@ -255,6 +256,15 @@
     /// Announces the planned shutdown of the named member. Handled by the replica's host.
     #[prost(string, tag = "17")]
     Stopping(String),
+    /// Reports an engine that crashed under a request. Answered by the replica's host.
+    #[prost(message, tag = "18")]
+    EngineCrash(EngineCrash),
+    /// Reports that an engine served the request of this fingerprint after others crashed. Handled by the replica's host.
+    #[prost(fixed64, tag = "19")]
+    ServedAfterCrash(u64),
+    /// Puts a request in quarantine. Handled by the replica's host.
+    #[prost(message, tag = "20")]
+    Quarantine(QuarantineNotice),
 }
 
 /// Request to admit a turn.
@@ -278,6 +288,9 @@
     /// Number of votes that the sender waits for; 0 from a build that always waits for a majority.
     #[prost(uint32, tag = "6")]
     pub commit_quorum: u32,
+    /// Fingerprint of the turn's request, for the crashes of engines under it; absent from a build without them.
+    #[prost(fixed64, optional, tag = "7")]
+    pub request: Option<u64>,
 }
 
 /// Request to record the end of a turn.
@@ -336,7 +349,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 #[allow(missing_docs)]
 pub struct LedgerReply {
-    #[prost(oneof = "ReplyKind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(oneof = "ReplyKind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
     pub kind: Option<ReplyKind>,
     /// Opaque data from the host of the replica in reply to `LedgerRequest::report`.
     #[prost(bytes = "bytes", tag = "15")]
@@ -379,6 +392,9 @@
     Busy(bool),
     #[prost(message, tag = "12")]
     Quota(QuotaAnswer),
+    /// Reply to `RequestKind::EngineCrash`.
+    #[prost(message, tag = "13")]
+    CrashedEngines(CrashedEngines),
 }
 
 /// Vote of one replica on whether a turn may begin.
@@ -399,6 +415,9 @@
     /// Newest origin of `resumed_turn` that this replica knows.
     #[prost(message, optional, tag = "5")]
     pub resumed_origin: Option<StreamOrigin>,
+    /// Engines that crashed in succession under the turn's request, as known to the replica's host.
+    #[prost(string, repeated, tag = "6")]
+    pub crashed_engines: Vec<String>,
 }
 
 /// Tokens that a turn is charged with.
--- a/crates/ledger/src/replica.rs
+++ b/crates/ledger/src/replica.rs
@@ -203,6 +203,9 @@
             Some(RequestKind::Quota(_) | RequestKind::QuotaTotals(_)) => {
                 reply_only(ReplyKind::Failed("a replica counts no calls".to_owned()))
             }
+            Some(
+                RequestKind::EngineCrash(_) | RequestKind::ServedAfterCrash(_) | RequestKind::Quarantine(_),
+            ) => reply_only(ReplyKind::Failed("a replica records no crashes".to_owned())),
             Some(RequestKind::Stopping(_)) => {
                 reply_only(ReplyKind::Failed("a replica watches no other".to_owned()))
             }
--- a/crates/ledger/src/state.rs
+++ b/crates/ledger/src/state.rs
@@ -168,6 +168,7 @@
             knows_previous: previous.is_empty() || self.turns.contains_key(previous),
             chain: (begin.wants_chain && !previous.is_empty()).then(|| self.chain(previous)),
             resumed_origin: account.and_then(|account| account.origin_of(&begin.resumed_turn)),
+            crashed_engines: Vec::new(),
         }
     }
 
--- a/crates/ledger/tests/cluster/mod.rs
+++ b/crates/ledger/tests/cluster/mod.rs
@@ -205,6 +205,7 @@
             wants_chain: false,
             resumed_turn: operation.resumed_turn.clone(),
             commit_quorum: wire_quorum(&operation),
+            request: None,
         };
         self.operations.insert(self.last_id, operation);
         self.send_to_group(self.last_id, RequestKind::Begin(begin));
--- a/crates/ledger/tests/recorded_forms/main.rs
+++ b/crates/ledger/tests/recorded_forms/main.rs
@@ -36,6 +36,9 @@
         Quota,
         QuotaTotals,
         Stopping,
+        EngineCrash,
+        ServedAfterCrash,
+        Quarantine,
     }
 );
 
@@ -55,6 +58,7 @@
         Map,
         Busy,
         Quota,
+        CrashedEngines,
     }
 );
 
--- a/crates/ledger/tests/recorded_forms/older.rs
+++ b/crates/ledger/tests/recorded_forms/older.rs
@@ -22,7 +22,14 @@
 
 pub fn first_knows_reply(reply: &LedgerReply) -> bool {
     let kind = reply.kind.as_ref().expect("kind is set");
-    !matches!(kind, ReplyKind::NeverVoted(_) | ReplyKind::Map(_) | ReplyKind::Busy(_) | ReplyKind::Quota(_))
+    !matches!(
+        kind,
+        ReplyKind::NeverVoted(_)
+            | ReplyKind::Map(_)
+            | ReplyKind::Busy(_)
+            | ReplyKind::Quota(_)
+            | ReplyKind::CrashedEngines(_)
+    )
 }
 
 /// First build of the ledger, e62608e.
--- a/crates/ledger/tests/recorded_forms/samples.rs
+++ b/crates/ledger/tests/recorded_forms/samples.rs
@@ -2,11 +2,11 @@
 
 use bytes::Bytes;
 use sumacdrift_ledger::{
-    Begin, BeginVote, ChainReply, ChainRequest, ContentsRequest, End, GroupMapMessage, GroupMessage,
-    KnownTurn, LedgerReply, LedgerRequest, MemberMessage, Page, PageRequest, Push, QuotaAnswer,
-    QuotaDecision, QuotaQuestion, QuotaTotals, Reading, Record, RecordKind, ReplyKind, RequestKind,
-    RetainedTurn, SilentMember, Standing, StatusReply, StoredCopy, StreamOrigin, TenantTotalMessage,
-    TurnBegun, TurnEnded,
+    Begin, BeginVote, ChainReply, ChainRequest, ContentsRequest, CrashedEngines, End, EngineCrash,
+    GroupMapMessage, GroupMessage, KnownTurn, LedgerReply, LedgerRequest, MemberMessage, Page, PageRequest,
+    Push, QuarantineNotice, QuotaAnswer, QuotaDecision, QuotaQuestion, QuotaTotals, Reading, Record,
+    RecordKind, ReplyKind, RequestKind, RetainedTurn, SilentMember, Standing, StatusReply, StoredCopy,
+    StreamOrigin, TenantTotalMessage, TurnBegun, TurnEnded,
 };
 
 const EPOCH: u64 = 5;
@@ -89,6 +89,7 @@
         wants_chain: true,
         resumed_turn: String::new(),
         commit_quorum: 0,
+        request: None,
     }
 }
 
@@ -113,9 +114,13 @@
     ChainRequest { turn: text("turn-1") }
 }
 
-fn begin_with_quorum() -> RequestKind {
+fn begin_with_quorum() -> Begin {
     let turn = Some(turn_begun_at_origin());
-    RequestKind::Begin(Begin { turn, resumed_turn: text("turn-1"), commit_quorum: 3, ..first_begin() })
+    Begin { turn, resumed_turn: text("turn-1"), commit_quorum: 3, ..first_begin() }
+}
+
+fn begin_with_fingerprint() -> RequestKind {
+    RequestKind::Begin(Begin { request: Some(99), ..begin_with_quorum() })
 }
 
 fn end_with_quorum() -> RequestKind {
@@ -147,14 +152,36 @@
     RequestKind::QuotaTotals(QuotaTotals { node: text("m1"), incarnation: 77, is_warm: true, totals })
 }
 
+fn engine_crash() -> RequestKind {
+    RequestKind::EngineCrash(EngineCrash { request: 99, engine: text("e1@5"), sent_millis_ago: 12 })
+}
+
+fn quarantine() -> RequestKind {
+    RequestKind::Quarantine(QuarantineNotice { request: 99, remaining_millis: 600_000 })
+}
+
+fn crashed_engines() -> ReplyKind {
+    ReplyKind::CrashedEngines(CrashedEngines { engines: vec![text("e1@5"), text("e2@6")] })
+}
+
 fn vote(resumed_origin: Option<StreamOrigin>) -> ReplyKind {
-    ReplyKind::Vote(BeginVote {
+    ReplyKind::Vote(begin_vote(resumed_origin))
+}
+
+fn vote_with_crashes() -> ReplyKind {
+    let crashed_engines = vec![text("e1@5"), text("e2@6")];
+    ReplyKind::Vote(BeginVote { crashed_engines, ..begin_vote(Some(origin())) })
+}
+
+fn begin_vote(resumed_origin: Option<StreamOrigin>) -> BeginVote {
+    BeginVote {
         known: vec![KnownTurn { turn: text("turn-1"), tokens: 120, has_ended: true }],
         fits: true,
         knows_previous: true,
         chain: Some(chain()),
         resumed_origin,
-    })
+        crashed_engines: Vec::new(),
+    }
 }
 
 fn page(retained_keys: Vec<String>, turn: TurnEnded) -> ReplyKind {
@@ -202,7 +229,7 @@
     pub fn requests() -> Vec<(&'static str, LedgerRequest)> {
         let contents = ContentsRequest { turns: vec![text("turn-1"), text("turn-2")] };
         let kinds = vec![
-            ("5", begin_with_quorum()),
+            ("6", begin_with_fingerprint()),
             ("5", end_with_quorum()),
             ("2", RequestKind::Chain(chain_request())),
             ("4", page_request(group_with_copies(), true)),
@@ -216,6 +243,9 @@
             ("2", quota(Some(9))),
             ("2", quota_totals(4)),
             ("1", RequestKind::Stopping(text("m2"))),
+            ("1", engine_crash()),
+            ("1", RequestKind::ServedAfterCrash(99)),
+            ("1", quarantine()),
         ];
         let report = Bytes::from_static(b"news");
         let request =
@@ -234,7 +264,7 @@
             QuotaAnswer { decision: QuotaDecision::Exceeded as i32, retry_after_millis: 250, counted: 12 };
         let map = GroupMapMessage { groups: vec![group(0), group_with_copies()] };
         let kinds = vec![
-            ("3", vote(Some(origin()))),
+            ("4", vote_with_crashes()),
             ("2", ReplyKind::Done(true)),
             ("2", ReplyKind::Chain(chain())),
             ("3", page(vec![text("turn-1")], turn_ended_at_origin())),
@@ -246,6 +276,7 @@
             ("2", ReplyKind::Map(map)),
             ("1", ReplyKind::Busy(true)),
             ("1", ReplyKind::Quota(quota)),
+            ("1", crashed_engines()),
         ];
         let reply = |kind| LedgerReply { kind: Some(kind), view: Bytes::from_static(b"view") };
         kinds.into_iter().map(|(form, kind)| (form, reply(kind))).collect()
@@ -284,6 +315,9 @@
             RequestKind::Quota(QuotaQuestion::default()),
             RequestKind::QuotaTotals(QuotaTotals::default()),
             RequestKind::Stopping(String::new()),
+            RequestKind::EngineCrash(EngineCrash::default()),
+            RequestKind::ServedAfterCrash(0),
+            RequestKind::Quarantine(QuarantineNotice::default()),
         ];
         kinds.map(|kind| LedgerRequest { kind: Some(kind), ..LedgerRequest::default() }).to_vec()
     }
@@ -302,6 +336,7 @@
             ReplyKind::Map(GroupMapMessage::default()),
             ReplyKind::Busy(false),
             ReplyKind::Quota(QuotaAnswer::default()),
+            ReplyKind::CrashedEngines(CrashedEngines::default()),
         ];
         kinds.map(|kind| LedgerReply { kind: Some(kind), ..LedgerReply::default() }).to_vec()
     }
@@ -342,6 +377,7 @@
             ("3", push(group(GROUP), turn_begun_at_origin())),
             ("2", RequestKind::Install(group(GROUP))),
         ];
+        let without_fingerprint = [("5", RequestKind::Begin(begin_with_quorum()))];
         let report = Bytes::from_static(b"news");
         let plain = |kind| LedgerRequest { epoch: EPOCH, kind: Some(kind), ..LedgerRequest::default() };
         let first = first.map(|kind| ("1", plain(kind)));
@@ -349,7 +385,8 @@
             with_report.map(|kind| ("2", LedgerRequest { report: report.clone(), ..plain(kind) }));
         let with_group = with_group
             .map(|kind| ("1", LedgerRequest { report: report.clone(), group: GROUP, ..plain(kind) }));
-        let later = without_origin.into_iter().chain(without_copies).map(|(form, kind)| {
+        let later = without_origin.into_iter().chain(without_copies).chain(without_fingerprint);
+        let later = later.map(|(form, kind)| {
             (form, LedgerRequest { report: report.clone(), group: GROUP, ..plain(kind) })
         });
         first.into_iter().chain(with_report).chain(with_group).chain(later).collect()
@@ -377,9 +414,11 @@
             ("4", ReplyKind::Status(StatusReply { offers_membership: true, ..watching_status() })),
             ("1", ReplyKind::Map(map)),
         ];
+        let without_crashes = [("3", vote(Some(origin())))];
         let later = without_origin
             .into_iter()
             .chain(without_copies)
+            .chain(without_crashes)
             .map(|(form, kind)| (form, LedgerReply { view: Bytes::from_static(b"view"), ..plain(kind) }));
         let first = first.map(|kind| ("1", plain(kind)));
         first.into_iter().chain(statuses).chain(later).collect()
--- a/crates/ledger/tests/replica.rs
+++ b/crates/ledger/tests/replica.rs
@@ -58,7 +58,7 @@
         tokens: *tokens,
         has_ended: *has_ended,
     });
-    BeginVote { known: known.collect(), fits, knows_previous: true, chain: None, resumed_origin: None }
+    BeginVote { known: known.collect(), fits, knows_previous: true, ..BeginVote::default() }
 }
 
 #[test]
--- a/crates/mutants/src/lib.rs
+++ b/crates/mutants/src/lib.rs
@@ -76,6 +76,10 @@
     EvacuationRevisionsCount,
     /// An engine in an evacuated zone is never chosen.
     EvacuatedZonesGetNoCalls,
+    /// Only crashes under requests that were sent after the previous one count against a request.
+    CrashesCountInSequence,
+    /// A request under which too many engines crashed is sent to no other.
+    CrashLimitEndsCall,
     /// Engines count as cold after an evacuation.
     EvacuatedEnginesBecomeCold,
     /// A cold engine gets a call only with a permit that has not expired.
--- /dev/null
+++ b/crates/quarantine/src/lib.rs
@@ -0,0 +1,14 @@
+//! Quarantine of requests under which engine after engine crashed.
+//!
+//! A request that crashes its engine is sent again by its caller, with another call id and at any edge. Storage nodes keep
+//! a [`CrashHistory`] of such requests by fingerprint; edges report each crash to it before they send the request
+//! anywhere else. A request that reaches the limit enters the [`Quarantine`] of every edge and is rejected there. Neither
+//! does I/O or reads a clock.
+
+mod crash_history;
+mod quarantine;
+mod recently_served;
+
+pub use crash_history::{CRASH_RETENTION, CrashHistory, CrashReport};
+pub use quarantine::{QUARANTINE_TIME, Quarantine, QuarantinedRequest};
+pub use recently_served::RecentlyServed;
--- a/crates/storage/src/begin_turn.rs
+++ b/crates/storage/src/begin_turn.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use sumacdrift_calls::RequestFingerprint;
 use sumacdrift_ledger::{ChainAssembly, StreamOrigin, TurnBegun};
 
 /// Timeouts of ledger requests.
@@ -40,6 +41,8 @@
     pub needs_chain: bool,
     /// Turn whose stream this one resumes; empty if it begins a stream.
     pub resumed_turn: String,
+    /// Fingerprint of the request; `None` if its crashes don't matter.
+    pub request: Option<RequestFingerprint>,
     /// Encoded [`sumacdrift_fleet_view::NodeReport`] sent along with the request.
     pub report: Bytes,
 }
@@ -55,6 +58,8 @@
     pub epoch: u64,
     /// Origin of the resumed stream; `None` if nothing is resumed, or if no replica of a majority knows it.
     pub resumed_origin: Option<StreamOrigin>,
+    /// Engines that crashed in succession under the request.
+    pub crashes: usize,
 }
 
 /// Error of a ledger request.
--- a/crates/storage/src/client.rs
+++ b/crates/storage/src/client.rs
@@ -289,6 +289,7 @@
                 wants_chain,
                 resumed_turn: begin.resumed_turn.clone(),
                 commit_quorum: wire_count(group.commit_quorum()),
+                request: begin.request.map(|request| request.0),
             };
             encode_with_report(group, RequestKind::Begin(request), begin.report.clone())
         };
@@ -340,9 +341,9 @@
         deadline: Instant,
     ) -> Result<Admission, LedgerError> {
         let counted_tokens = quorum.counted_tokens();
-        let resumed_origin = quorum.resumed_origin().cloned();
+        let (resumed_origin, crashes) = (quorum.resumed_origin().cloned(), quorum.crashes());
         let mut admission =
-            Admission { counted_tokens, epoch: group.epoch, resumed_origin, ..Admission::default() };
+            Admission { counted_tokens, epoch: group.epoch, resumed_origin, crashes, ..Admission::default() };
         if begin.needs_chain && !begin.previous.is_empty() {
             let first = quorum.take_chain();
             let nothing = ChainReply { turns: Vec::new(), missing: begin.previous.clone() };
--- a/crates/storage/src/host.rs
+++ b/crates/storage/src/host.rs
@@ -33,6 +33,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::clock::unix_millis;
+use crate::crash_host::CrashHost;
 use crate::directory::DirectoryView;
 use crate::feed_host::FeedHost;
 use crate::known_map::KnownMap;
@@ -155,6 +156,7 @@
     feed: Arc<FeedHost>,
     board: HostReportBoard,
     quotas: QuotaHost,
+    crashes: CrashHost,
     map: KnownMap,
     admission: Mutex<HostAdmission>,
     /// Time of the last request of a machine that waits for membership of a group.
@@ -224,6 +226,7 @@
             metrics: HostMetrics::default(),
             board: HostReportBoard::new(),
             quotas,
+            crashes: CrashHost::new(),
             map: KnownMap::default(),
             admission: Mutex::new(HostAdmission::new(settings.waiting_bytes)),
             membership_requested_at: Mutex::default(),
@@ -507,6 +510,9 @@
                 self.quotas.apply_totals(totals.clone());
                 return LedgerReply { kind: Some(ReplyKind::Done(true)), ..LedgerReply::default() };
             }
+            Some(RequestKind::EngineCrash(crash)) => return self.record_crash(crash),
+            Some(RequestKind::ServedAfterCrash(request)) => return self.record_served_after_crash(*request),
+            Some(RequestKind::Quarantine(notice)) => return self.quarantine(notice.clone()),
             Some(RequestKind::Stopping(node)) => {
                 self.record_planned_stop(node);
                 return LedgerReply { kind: Some(ReplyKind::Done(true)), ..LedgerReply::default() };
@@ -522,7 +528,14 @@
                 Some(Instant::now());
         }
         let (group, epoch) = (request.group, request.epoch);
+        let begun_request = match &request.kind {
+            Some(RequestKind::Begin(begin)) => begin.request,
+            _ => None,
+        };
         let mut step = self.replica().handle(request, unix_millis());
+        if let (Some(begun_request), Some(ReplyKind::Vote(vote))) = (begun_request, &mut step.reply.kind) {
+            vote.crashed_engines = self.crashes.engines(begun_request);
+        }
         if let Some(newer) = self.newer_version(group, epoch, &step.reply) {
             step.reply.kind = Some(ReplyKind::WrongEpoch(newer));
         }
@@ -547,6 +560,11 @@
         &self.quotas
     }
 
+    /// Crashes of engines by request.
+    pub(crate) fn crashes(&self) -> &CrashHost {
+        &self.crashes
+    }
+
     /// The newer version of a group to return to a requester, if this replica is not a member of that group.
     fn newer_version(&self, group: GroupNumber, epoch: u64, reply: &LedgerReply) -> Option<GroupMessage> {
         let is_not_voting = matches!(reply.kind, Some(ReplyKind::NotVoting(_)));
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -11,6 +11,8 @@
 mod circuit_breaker;
 mod client;
 mod clock;
+mod crash_client;
+mod crash_host;
 mod directory;
 mod directory_feed;
 mod feed_host;
@@ -27,6 +29,7 @@
 mod member_selection;
 mod member_watcher;
 mod offer_membership;
+mod quarantine_feed;
 mod quota_client;
 mod quota_host;
 mod relay_host;
@@ -39,6 +42,7 @@
 pub use begin_turn::{Admission, BeginTurn, LedgerError, LedgerTimeouts};
 pub use client::LedgerClient;
 pub use clock::unix_millis;
+pub use crash_client::{CrashClient, KnownCrashes, Recorders};
 pub use directory::{
     DirectoryError, DirectoryFuture, DirectoryView, GroupDirectory, Registration, Retirement, Revision,
     StoredMap,
@@ -49,6 +53,7 @@
 pub use group_maintenance::{GroupMaintenance, GroupMaintenanceSettings};
 pub use host::{HostMetrics, HostSettings, OpenError, ReplicaHost};
 pub use offer_membership::offer_membership;
+pub use quarantine_feed::quarantined_request;
 pub use quota_client::{QuotaClient, QuotaOutcome};
 pub use quota_host::report_quotas;
 pub use relay_host::RelayHost;
--- a/crates/storage/tests/cluster/mod.rs
+++ b/crates/storage/tests/cluster/mod.rs
@@ -299,6 +299,7 @@
             previous: previous.clone(),
             report: Bytes::new(),
             resumed_turn: String::new(),
+            request: None,
         };
         let admission = client.begin(begin, Instant::now() + Duration::from_secs(1)).await?;
         let expected: String = self.retained_turns.iter().map(|turn| format!("[{turn}]")).collect();
--- a/crates/storage/tests/fleet/mod.rs
+++ b/crates/storage/tests/fleet/mod.rs
@@ -276,6 +276,7 @@
         previous: previous.to_owned(),
         report: Bytes::new(),
         resumed_turn: String::new(),
+        request: None,
     }
 }
 
--- a/crates/types/src/result_code.rs
+++ b/crates/types/src/result_code.rs
@@ -117,6 +117,8 @@
     NoEngineOfVersion = 4013, 503, "No engine of the stream's version";
     /// It is not known which software version began the stream, and engines may run others.
     UnknownStreamVersion = 4014, 503, "Version of the stream is unknown";
+    /// Several engines crashed in succession while they ran the request; it is sent to no other for some minutes.
+    RequestCrashesEngines = 4015, 502, "Engines crashed under the request";
     /// The node is shutting down and accepts no new work.
     NodeStopping = 5001, 503, "Node is stopping";
     /// The program's shard has no leader.
