--- a/crates/edge/src/engine_crash.rs
+++ b/crates/edge/src/engine_crash.rs
@@ -13,7 +13,7 @@
 use sumacdrift_quarantine::{CrashReport, QUARANTINE_TIME, Quarantine, QuarantinedRequest, RecentlyServed};
 use sumacdrift_routing::Placement;
 use sumacdrift_storage::{CrashClient, LedgerClient, Recorders};
-use sumacdrift_types::Timestamp;
+use sumacdrift_types::{Mechanism, Timestamp};
 use tokio::sync::watch;
 
 use crate::attempt::CallContext;
@@ -137,6 +137,9 @@
 
     /// Records crashes under the request that the ledger knows of, and puts the request in quarantine at the limit.
     pub(crate) fn record_known_crashes(&self, machine: &mut CallMachine, crashes: usize) {
+        if !self.edge.settings.disabled.is_enabled(Mechanism::Quarantine) {
+            return;
+        }
         machine.record_known_crashes(crashes);
         if machine.has_reached_crash_limit() {
             let request = self.fingerprint();
@@ -167,11 +170,12 @@
 
     /// Time until the call's request leaves the quarantine; `None` if it is not in it.
     pub(crate) fn quarantine_remaining(&self) -> Option<Duration> {
-        let quarantine = self.edge.crashes.quarantine();
-        if quarantine.is_empty() {
+        let is_enabled = self.edge.settings.disabled.is_enabled(Mechanism::Quarantine);
+        if !is_enabled || self.edge.crashes.quarantine().is_empty() {
             return None;
         }
-        quarantine.remaining(self.fingerprint(), self.edge.clock.now())
+        let request = self.fingerprint();
+        self.edge.crashes.quarantine().remaining(request, self.edge.clock.now())
     }
 }
 
@@ -206,6 +210,9 @@
         self.metrics.engine_crashes.inc();
         let now = self.clock.now();
         let own_crashes = call.own_crashes + 1;
+        if !self.settings.disabled.is_enabled(Mechanism::Quarantine) {
+            return Some(own_crashes);
+        }
         if call.is_shared && self.crashes.served().contains(call.request, now) {
             info!(self.logger, "engine crashed under a request that was served recently"; "event" => "engine_crashed",
                 "call" => &call.id, "request" => %call.request, "engine" => %call.engine.id, "counted" => false);
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -176,8 +176,8 @@
     async fn finish(&mut self) -> Chunk {
         if !self.splitter.rest().is_empty() {
             // The stream ended within an event.
-            self.fail_source(Outcome::Faulty);
-            return Some(Err(self.abort(ResultCode::BackEndCut)));
+            let code = self.record_loss().await.map_or(ResultCode::Internal, |_| ResultCode::BackEndCut);
+            return Some(Err(self.abort(code)));
         }
         self.has_ended = true;
         let Some((_, run)) = self.source.take() else {
@@ -216,11 +216,11 @@
     /// Resumes the stream after the engine failed. Returns the result code if that is not possible.
     async fn resume(&mut self) -> Option<ResultCode> {
         self.splitter.clear();
-        let lost = self.source.as_ref().map(|(_, run)| (run.placement().clone(), run.sent()));
-        self.fail_source(Outcome::Faulty);
-        let Some((placement, sent)) = lost else { return Some(ResultCode::Internal) };
-        let next = self.call.record_failure(&mut self.machine, &placement, sent, Failure::Lost).await;
-        let Placement { engine, version, .. } = placement;
+        let Some(LostStream { placement: Placement { engine, version, .. }, next }) =
+            self.record_loss().await
+        else {
+            return Some(ResultCode::Internal);
+        };
         slog::info!(self.call.edge.logger, "engine aborted the stream"; "event" => "stream_broke_off",
             "call" => &self.call.head.id, "request" => %self.call.fingerprint(), "engine" => %engine, "engine_version" => %version,
             "events" => self.machine.events(), "next" => ?next, "age_ms" => self.call.age_millis());
@@ -240,10 +240,13 @@
         }
     }
 
-    fn fail_source(&mut self, outcome: Outcome) {
-        if let Some((_, run)) = self.source.take() {
-            run.fail(outcome);
-        }
+    /// Records that the engine broke the stream off; `None` if no engine runs it.
+    async fn record_loss(&mut self) -> Option<LostStream> {
+        let (_, run) = self.source.take()?;
+        let (placement, sent) = (run.placement().clone(), run.sent());
+        run.fail(Outcome::Faulty);
+        let next = self.call.record_failure(&mut self.machine, &placement, sent, Failure::Lost).await;
+        Some(LostStream { placement, next })
     }
 
     fn abort(&mut self, code: ResultCode) -> RelayError {
@@ -253,6 +256,12 @@
     }
 }
 
+/// A stream that its engine broke off, and the next step.
+struct LostStream {
+    placement: Placement,
+    next: Next,
+}
+
 enum ReadOutcome {
     Data,
     End,
--- a/crates/types/src/mechanism.rs
+++ b/crates/types/src/mechanism.rs
@@ -42,10 +42,13 @@
     ColdPermits,
     /// Calls that exceed a node's share of the capacity wait in order at the node.
     WaitingQueue,
+    /// Requests under which several engines crashed are rejected for a time. Without this mechanism crashes count within one
+    /// call only.
+    Quarantine,
 }
 
 /// Names in settings.
-const NAMES: [(Mechanism, &str); 18] = [
+const NAMES: [(Mechanism, &str); 19] = [
     (Mechanism::CachedPrompts, "held-prompts"),
     (Mechanism::PeerPrompts, "told-prompts"),
     (Mechanism::PeerLoads, "told-loads"),
@@ -64,6 +67,7 @@
     (Mechanism::Relays, "relays"),
     (Mechanism::ColdPermits, "cold-permits"),
     (Mechanism::WaitingQueue, "waiting-queue"),
+    (Mechanism::Quarantine, "quarantine"),
 ];
 
 /// No mechanism has this name.
