--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -20,7 +20,7 @@
 
 use crate::clock::Clock;
 use crate::cold_permit::ColdTolerance;
-use crate::engine_crash::RequestCrashes;
+use crate::engine_crash::{CrashTimeouts, RequestCrashes};
 use crate::engine_pool::EnginePool;
 use crate::metrics::EdgeMetrics;
 use crate::route_durations::RouteDurations;
@@ -57,6 +57,8 @@
     pub configuration_age_limits: ConfigurationAgeLimits,
     /// Tolerated excess over the configured call rate of cold engines.
     pub cold: ColdTolerance,
+    /// Timeouts after a crash of an engine.
+    pub crash_timeouts: CrashTimeouts,
     /// Mechanisms that are switched off.
     pub disabled: DisabledMechanisms,
 }
@@ -107,9 +109,9 @@
         let (location, prices) = (parts.settings.location.clone(), parts.settings.prices);
         let region_bound_ledger = Arc::new(parts.ledger.without_relays());
         let edge = Arc::new(Self {
-            settings: parts.settings,
             quotas: QuotaClient::new(Arc::clone(&parts.ledger)),
-            crashes: RequestCrashes::new(Arc::clone(&parts.ledger)),
+            crashes: RequestCrashes::new(Arc::clone(&parts.ledger), parts.settings.crash_timeouts),
+            settings: parts.settings,
             freshness: Mutex::default(),
             wire_format: parts.wire_format,
             ledger: parts.ledger,
--- a/crates/edge/src/engine_crash.rs
+++ b/crates/edge/src/engine_crash.rs
@@ -20,12 +20,31 @@
 use crate::edge::Edge;
 use crate::wire_format::WireFormat;
 
-/// How long the caller of a request that enters the quarantine waits until the feeds have distributed it. They take
-/// milliseconds, and a caller that retries at once would otherwise reach an edge that doesn't know of it.
-const DISTRIBUTION_TIMEOUT: Duration = Duration::from_millis(250);
 /// Body size up to which equal requests of several callers are expected; larger bodies tell requests apart.
 const MAX_SHARED_BODY_BYTES: usize = 4 << 10;
 
+/// Timeouts of the steps between a crash and the answer to the call. The caller waits meanwhile.
+#[derive(Debug, Clone, Copy)]
+pub struct CrashTimeouts {
+    /// Opening a connection to learn whether an engine still accepts any. Exceeds a round trip between regions.
+    pub probe: Duration,
+    /// Reporting a crash to a majority of the storage nodes. An unresponsive one takes less time to go around.
+    pub report: Duration,
+    /// Distributing a request in quarantine through the feeds. They take milliseconds, and a caller that retries at once
+    /// would otherwise reach an edge that doesn't know of it.
+    pub distribution: Duration,
+}
+
+impl Default for CrashTimeouts {
+    fn default() -> Self {
+        Self {
+            probe: Duration::from_millis(100),
+            report: Duration::from_millis(300),
+            distribution: Duration::from_millis(250),
+        }
+    }
+}
+
 /// What an edge knows of requests and crashes.
 pub(crate) struct RequestCrashes {
     client: CrashClient,
@@ -35,9 +54,9 @@
 }
 
 impl RequestCrashes {
-    pub(crate) fn new(ledger: Arc<LedgerClient>) -> Self {
+    pub(crate) fn new(ledger: Arc<LedgerClient>, timeouts: CrashTimeouts) -> Self {
         Self {
-            client: CrashClient::new(ledger),
+            client: CrashClient::new(ledger, timeouts.report),
             quarantine: Mutex::default(),
             quarantine_changed: watch::Sender::new(()),
             served: Mutex::default(),
@@ -195,6 +214,11 @@
         }
     }
 
+    /// Number of requests in quarantine.
+    pub fn quarantined_requests(&self) -> usize {
+        self.crashes.quarantine().len()
+    }
+
     /// Drops requests whose quarantine is over.
     pub(crate) fn expire_quarantine(&self) {
         let mut quarantine = self.crashes.quarantine();
@@ -204,7 +228,8 @@
 
     /// Number of crashes in succession under the request of a lost call; `None` if its engine did not crash.
     async fn handle_lost_call(self: Arc<Self>, call: LostCall) -> Option<usize> {
-        if !self.pool.has_crashed(&call.engine.id, call.engine.address).await {
+        let timeouts = self.settings.crash_timeouts;
+        if !self.pool.has_crashed(&call.engine.id, call.engine.address, timeouts.probe).await {
             return None;
         }
         self.metrics.engine_crashes.inc();
@@ -250,7 +275,8 @@
             }
             is_published
         };
-        let is_distributed = tokio::time::timeout(DISTRIBUTION_TIMEOUT, distributing).await;
+        let is_distributed =
+            tokio::time::timeout(self.settings.crash_timeouts.distribution, distributing).await;
         if !matches!(is_distributed, Ok(true)) {
             info!(self.logger, "request in quarantine may be unknown to other edges";
                 "event" => "quarantine_not_distributed", "request" => %request,
--- a/crates/edge/src/engine_pool.rs
+++ b/crates/edge/src/engine_pool.rs
@@ -32,9 +32,6 @@
 /// Time for an idle connection to become ready for a request.
 const READY_TIMEOUT: Duration = Duration::from_millis(20);
 
-/// Timeout of a connection that is opened only to learn whether an engine still accepts any. Exceeds a round trip between
-/// regions.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time after which an accepted connection would have been closed if nothing served it.
 const CLOSE_TIME: Duration = Duration::from_millis(2);
 
@@ -165,7 +162,7 @@
 
     /// Whether the engine at this address no longer accepts connections: it refuses them, or closes them at once, as a load
     /// balancer in front of it does. An engine that doesn't answer in time may only be partitioned from this node.
-    pub(crate) async fn has_crashed(&self, engine: &EngineId, address: SocketAddr) -> bool {
+    pub(crate) async fn has_crashed(&self, engine: &EngineId, address: SocketAddr, within: Duration) -> bool {
         let probe = async {
             let sender = match connect(address).await {
                 Ok(sender) => sender,
@@ -179,7 +176,7 @@
             }
             is_closed
         };
-        tokio::time::timeout(PROBE_TIMEOUT, probe).await.unwrap_or(false)
+        tokio::time::timeout(within, probe).await.unwrap_or(false)
     }
 
     /// Returns a connection to the pool without having used it.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -34,6 +34,7 @@
 pub use clock::Clock;
 pub use cold_permit::ColdTolerance;
 pub use edge::{Edge, EdgeParts, EdgeSettings};
+pub use engine_crash::CrashTimeouts;
 pub use headers::without_hop_by_hop;
 pub use idle_limit::{IdleLimit, Reset};
 pub use listener::{Listeners, ShutdownTimeouts, serve_listeners};
--- a/crates/storage/src/crash_client.rs
+++ b/crates/storage/src/crash_client.rs
@@ -16,9 +16,6 @@
 use crate::member_client::MIN_RELAY_DELAY;
 use crate::rpc::encode_to_node;
 
-/// How long to wait for a majority. A caller waits meanwhile; an unresponsive member takes less time to go around.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// The nodes that record the crashes under a request.
 #[derive(Debug, Clone, Copy)]
 pub enum Recorders<'a> {
@@ -44,12 +41,14 @@
 /// share a member, so no crash is missed that an earlier report announced to one.
 pub struct CrashClient {
     ledger: Arc<LedgerClient>,
+    /// How long to wait for a majority.
+    timeout: Duration,
 }
 
 impl CrashClient {
-    /// A client that finds the nodes through the groups of the ledger.
-    pub fn new(ledger: Arc<LedgerClient>) -> Self {
-        Self { ledger }
+    /// A client that finds the nodes through the groups of the ledger, and waits this long for a majority of them.
+    pub fn new(ledger: Arc<LedgerClient>, timeout: Duration) -> Self {
+        Self { ledger, timeout }
     }
 
     /// Reports that an engine crashed while it ran a request; returns all crashes that are known under it.
@@ -98,7 +97,7 @@
         let request = encode_to_node(kind);
         let mut in_flight: FuturesUnordered<_> =
             members.into_iter().map(|member| self.ask(member, request.clone())).collect();
-        let until = Instant::now() + REPORT_TIMEOUT;
+        let until = Instant::now() + self.timeout;
         let mut kinds = Vec::new();
         while kinds.len() < majority {
             match tokio::time::timeout_at(until, in_flight.next()).await {
@@ -112,10 +111,11 @@
 
     /// Runs apart from the caller, so that members get the request that the majority does not wait for.
     async fn ask(&self, member: Member, request: Bytes) -> Option<ReplyKind> {
-        let client = self.ledger.member_client();
-        let asking = tokio::spawn(async move {
-            client.request(member.address, &request, REPORT_TIMEOUT, MIN_RELAY_DELAY).await
-        });
+        let (client, timeout) = (self.ledger.member_client(), self.timeout);
+        let asking =
+            tokio::spawn(
+                async move { client.request(member.address, &request, timeout, MIN_RELAY_DELAY).await },
+            );
         asking.await.ok()??.kind
     }
 }
