--- a/crates/edge/src/engine_crash.rs
+++ b/crates/edge/src/engine_crash.rs
@@ -233,16 +233,25 @@
             return None;
         }
         self.metrics.engine_crashes.inc();
-        let now = self.clock.now();
         let own_crashes = call.own_crashes + 1;
         if !self.settings.disabled.is_enabled(Mechanism::Quarantine) {
             return Some(own_crashes);
         }
-        if call.is_shared && self.crashes.served().contains(call.request, now) {
+        if call.is_shared && self.crashes.served().contains(call.request, self.clock.now()) {
             info!(self.logger, "engine crashed under a request that was served recently"; "event" => "engine_crashed",
                 "call" => &call.id, "request" => %call.request, "engine" => %call.engine.id, "counted" => false);
             return Some(own_crashes);
         }
+        let crashes = own_crashes.max(self.report_crash(&call).await);
+        if crashes >= MAX_CRASHES {
+            self.begin_quarantine(call.request).await;
+        }
+        Some(crashes)
+    }
+
+    /// Reports a crash to the storage nodes; returns the number of crashes in succession that they know of.
+    async fn report_crash(&self, call: &LostCall) -> usize {
+        let now = self.clock.now();
         let report = CrashReport {
             request: call.request,
             engine: &call.engine.id.incarnation_text(),
@@ -250,16 +259,13 @@
         };
         let known =
             self.crashes.client.report(report, recorders(call.program.as_deref(), call.request)).await;
-        let crashes = own_crashes.max(known.engines.len());
         info!(self.logger, "engine crashed under a request"; "event" => "engine_crashed", "call" => &call.id,
-            "request" => %call.request, "engine" => %call.engine.id, "counted" => true, "crashes" => crashes,
+            "request" => %call.request, "engine" => %call.engine.id, "counted" => true,
+            "own_crashes" => call.own_crashes + 1, "crashes" => known.engines.len(),
             "engines" => known.engines.join(" "), "majority" => known.is_complete,
             "sent_ms" => report.sent_ago.as_millis() as u64,
             "took_ms" => self.clock.now().since(now).as_millis() as u64);
-        if crashes >= MAX_CRASHES {
-            self.begin_quarantine(call.request).await;
-        }
-        Some(crashes)
+        known.engines.len()
     }
 
     /// Distributes a request in quarantine to all edges; returns once this edge has learned of it, or after a timeout.
