Replies of the ledger announce new requests in quarantine

Nearly every edge gets replies of other replicas meanwhile, so each reply of the 3 s after a request enters the quarantine carries it.

--- a/crates/edge/src/state_exchange.rs
+++ b/crates/edge/src/state_exchange.rs
@@ -8,6 +8,7 @@
 use prost::Message;
 use sumacdrift_calls::{CallMetadata, EngineId};
 use sumacdrift_fleet_view::{CachedPart, NodeReport, PeerView, engine_key, part_key};
+use sumacdrift_quarantine::QuarantinedRequest;
 use sumacdrift_routing::RequiredPart;
 use sumacdrift_storage::ViewSink;
 use sumacdrift_types::Timestamp;
@@ -157,6 +158,12 @@
             edge.apply_view(view);
         }
     }
+
+    fn quarantine(&self, quarantined: QuarantinedRequest) {
+        if let Some(edge) = self.0.upgrade() {
+            edge.quarantine(quarantined, "ledger");
+        }
+    }
 }
 
 /// Subscribes an edge to the views that the ledger's replicas send.
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -354,6 +354,9 @@
     /// Opaque data from the host of the replica in reply to `LedgerRequest::report`.
     #[prost(bytes = "bytes", tag = "15")]
     pub view: Bytes,
+    /// Requests that were put in quarantine within the last seconds, for nodes whose feed is late.
+    #[prost(message, repeated, tag = "16")]
+    pub quarantined: Vec<QuarantineNotice>,
 }
 
 /// Result of a request.
--- a/crates/ledger/tests/recorded_forms/samples.rs
+++ b/crates/ledger/tests/recorded_forms/samples.rs
@@ -264,7 +264,6 @@
             QuotaAnswer { decision: QuotaDecision::Exceeded as i32, retry_after_millis: 250, counted: 12 };
         let map = GroupMapMessage { groups: vec![group(0), group_with_copies()] };
         let kinds = vec![
-            ("4", vote_with_crashes()),
             ("2", ReplyKind::Done(true)),
             ("2", ReplyKind::Chain(chain())),
             ("3", page(vec![text("turn-1")], turn_ended_at_origin())),
@@ -278,8 +277,12 @@
             ("1", ReplyKind::Quota(quota)),
             ("1", crashed_engines()),
         ];
-        let reply = |kind| LedgerReply { kind: Some(kind), view: Bytes::from_static(b"view") };
-        kinds.into_iter().map(|(form, kind)| (form, reply(kind))).collect()
+        let view = Bytes::from_static(b"view");
+        let reply = |kind| LedgerReply { kind: Some(kind), view: view.clone(), ..LedgerReply::default() };
+        let quarantined = vec![QuarantineNotice { request: 99, remaining_millis: 600_000 }];
+        let vote = ("5", LedgerReply { quarantined, ..reply(vote_with_crashes()) });
+        let others = kinds.into_iter().map(|(form, kind)| (form, reply(kind)));
+        std::iter::once(vote).chain(others).collect()
     }
 }
 
@@ -414,7 +417,7 @@
             ("4", ReplyKind::Status(StatusReply { offers_membership: true, ..watching_status() })),
             ("1", ReplyKind::Map(map)),
         ];
-        let without_crashes = [("3", vote(Some(origin())))];
+        let without_crashes = [("3", vote(Some(origin()))), ("4", vote_with_crashes())];
         let later = without_origin
             .into_iter()
             .chain(without_copies)
--- a/crates/storage/src/feed_host.rs
+++ b/crates/storage/src/feed_host.rs
@@ -14,6 +14,7 @@
 
 use crate::clock::unix_millis;
 use crate::follower::FeedReply;
+use crate::quarantine_feed::RecentQuarantine;
 
 /// Maximum time that a follow request is held.
 const MAX_WAIT: Duration = Duration::from_secs(5);
@@ -26,6 +27,7 @@
 pub struct FeedHost {
     feed: Mutex<Feed>,
     change_count: watch::Sender<u64>,
+    recent_quarantine: Mutex<RecentQuarantine>,
     /// Since when no merged feed belongs to a node in contact with the store.
     without_current_peer_since: Mutex<Option<Instant>>,
     started: Instant,
@@ -41,6 +43,7 @@
         Self {
             feed: Mutex::new(feed),
             change_count,
+            recent_quarantine: Mutex::default(),
             without_current_peer_since: Mutex::default(),
             started: Instant::now(),
             logger,
@@ -94,6 +97,9 @@
     /// Merges a reply of the feed of another node.
     pub(crate) fn merge(&self, reply: FeedReply) {
         let now = self.now();
+        let items = reply.changes.changes.iter().filter_map(|change| change.item.as_ref());
+        let quarantined = items.filter(|item| item.known_kind() == Some(ItemKind::Quarantine));
+        self.recent_quarantine().add(quarantined, unix_millis());
         self.update(|feed| feed.merge(reply.changes, now));
         if let Some(confirmed) = reply.configuration_confirmed {
             self.confirm_configuration(confirmed);
@@ -167,6 +173,11 @@
         is_changed
     }
 
+    /// Requests that were put in quarantine recently.
+    pub(crate) fn recent_quarantine(&self) -> MutexGuard<'_, RecentQuarantine> {
+        self.recent_quarantine.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn feed(&self) -> MutexGuard<'_, Feed> {
         self.feed.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/storage/src/host.rs
+++ b/crates/storage/src/host.rs
@@ -521,7 +521,7 @@
         }
         if !self.admits(&request) {
             self.metrics.busy.inc();
-            return LedgerReply { kind: Some(ReplyKind::Busy(true)), view: self.board.exchange(report) };
+            return self.reply_with_news(Some(ReplyKind::Busy(true)), report);
         }
         if matches!(request.kind, Some(RequestKind::Status(false))) {
             *self.membership_requested_at.lock().unwrap_or_else(PoisonError::into_inner) =
@@ -550,7 +550,13 @@
             }
         };
         // Exchanged as late as possible, so that the view is fresh when the reply is sent.
-        LedgerReply { kind, view: self.board.exchange(report) }
+        self.reply_with_news(kind, report)
+    }
+
+    /// A reply with the view that a report asks for, and the requests that were put in quarantine recently.
+    fn reply_with_news(&self, kind: Option<ReplyKind>, report: Bytes) -> LedgerReply {
+        let quarantined = self.feed.recent_quarantine().announced();
+        LedgerReply { kind, view: self.board.exchange(report), quarantined }
     }
 }
 
--- a/crates/storage/src/quarantine_feed.rs
+++ b/crates/storage/src/quarantine_feed.rs
@@ -1,12 +1,14 @@
 //! Requests in quarantine as feed items, by which they reach every edge.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use bytes::Bytes;
 use sumacdrift_calls::RequestFingerprint;
 use sumacdrift_dissemination::{Item, ItemKind};
 use sumacdrift_ledger::QuarantineNotice;
-use sumacdrift_quarantine::QuarantinedRequest;
+use sumacdrift_quarantine::{QUARANTINE_TIME, QuarantinedRequest};
+use tokio::time::Instant;
 
 use crate::feed_host::FeedHost;
 
@@ -19,10 +21,55 @@
         let expires = unix_millis.saturating_add(notice.remaining_millis);
         let name = RequestFingerprint(notice.request).to_string();
         let content = Bytes::copy_from_slice(&expires.to_be_bytes());
-        self.put(Item::new(ItemKind::Quarantine, &name, content, REVISION));
+        let item = Item::new(ItemKind::Quarantine, &name, content, REVISION);
+        self.recent_quarantine().add(std::iter::once(&item), unix_millis);
+        self.put(item);
     }
 }
 
+/// How long replies announce a request. Exceeds the time in which a follower gives up a feed that hangs.
+const ANNOUNCEMENT_TIME: Duration = Duration::from_secs(3);
+/// Requests that one reply announces.
+const MAX_ANNOUNCED: usize = 16;
+
+/// Requests that were put in quarantine recently.
+#[derive(Default)]
+pub(crate) struct RecentQuarantine(VecDeque<AnnouncedRequest>);
+
+struct AnnouncedRequest {
+    since: Instant,
+    notice: QuarantineNotice,
+}
+
+impl RecentQuarantine {
+    /// Adds the new requests among the items of a feed. `unix_millis` is the current Unix time.
+    pub(crate) fn add<'a>(&mut self, items: impl Iterator<Item = &'a Item>, unix_millis: u64) {
+        for quarantined in items.filter_map(|item| quarantined_request(item, unix_millis)) {
+            let (request, remaining) = (quarantined.request.0, quarantined.remaining);
+            let is_new = remaining + ANNOUNCEMENT_TIME > QUARANTINE_TIME;
+            if is_new && self.0.iter().all(|announced| announced.notice.request != request) {
+                let remaining_millis = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
+                let notice = QuarantineNotice { request, remaining_millis };
+                self.0.push_back(AnnouncedRequest { since: Instant::now(), notice });
+            }
+        }
+    }
+
+    /// Requests to announce now.
+    pub(crate) fn announced(&mut self) -> Vec<QuarantineNotice> {
+        while self.0.front().is_some_and(|first| first.since.elapsed() > ANNOUNCEMENT_TIME) {
+            self.0.pop_front();
+        }
+        self.0.iter().rev().take(MAX_ANNOUNCED).map(|announced| announced.notice.clone()).collect()
+    }
+}
+
+/// Decodes an announcement.
+pub(crate) fn announced_request(notice: &QuarantineNotice) -> QuarantinedRequest {
+    let remaining = Duration::from_millis(notice.remaining_millis);
+    QuarantinedRequest { request: RequestFingerprint(notice.request), remaining }
+}
+
 /// Decodes an item of kind [`ItemKind::Quarantine`]; `None` if it is malformed. `unix_millis` is the current Unix time.
 pub fn quarantined_request(item: &Item, unix_millis: u64) -> Option<QuarantinedRequest> {
     let request = u64::from_str_radix(&item.name, 16).ok()?;
--- a/crates/storage/src/report_board.rs
+++ b/crates/storage/src/report_board.rs
@@ -7,9 +7,12 @@
 use prost::Message;
 use sumacdrift_fleet_view::{BoardLimits, BoardReport, NodeReport, ReportBoard};
 use sumacdrift_ledger::{LedgerReply, ReplyKind};
+use sumacdrift_quarantine::QuarantinedRequest;
 use sumacdrift_types::Timestamp;
 use tokio::time::Instant;
 
+use crate::quarantine_feed::announced_request;
+
 /// Maximum number of prompt parts that a board remembers; about a megabyte.
 const MAX_BOARD_PARTS: usize = 8192;
 /// How long after its last use a part counts as cached by an engine. Engines evict unused parts, the sooner
@@ -20,14 +23,18 @@
 pub trait ViewSink: Send + Sync + 'static {
     /// Accepts an encoded [`sumacdrift_fleet_view::PeerView`].
     fn apply(&self, view: Bytes);
+    /// Accepts a request that was put in quarantine.
+    fn quarantine(&self, quarantined: QuarantinedRequest);
 }
 
-/// Passes the view in a reply to the sink and returns the reply's result. Must be called before the result is
+/// Passes the view and the requests in quarantine of a reply to the sink and returns the reply's result. Must be called before the result is
 /// evaluated.
 pub(crate) fn forward_view(views: Option<&Arc<dyn ViewSink>>, answer: LedgerReply) -> Option<ReplyKind> {
-    if let Some(views) = views.filter(|_| !answer.view.is_empty()) {
+    let Some(views) = views else { return answer.kind };
+    if !answer.view.is_empty() {
         views.apply(answer.view);
     }
+    answer.quarantined.iter().for_each(|notice| views.quarantine(announced_request(notice)));
     answer.kind
 }
 
