Crashes and quarantine: one key for the recorders, one eviction, one conversion

Read again as a whole; behaviour, bounds, messages and tests are unchanged. What stood twice or needed less:

- A lost call holds its Placement instead of a struct with three of its fields.
- The crash history and the quarantine evicted by two copies of one loop: bounded::make_room.
- A request in quarantine became a notice in two places: quarantine_notice.

--- a/crates/edge/src/engine_crash.rs
+++ b/crates/edge/src/engine_crash.rs
@@ -4,15 +4,14 @@
 //! the crash is reported to the storage nodes before the call goes on or ends, since its caller may retry at any
 //! edge. They know how many engines crashed under the same request; at the limit the request is put in quarantine.
 
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use slog::info;
-use sumacdrift_calls::{CallMachine, EngineId, Failure, MAX_CRASHES, Next, RequestFingerprint};
+use sumacdrift_calls::{CallMachine, Failure, MAX_CRASHES, Next, RequestFingerprint};
 use sumacdrift_quarantine::{CrashReport, QUARANTINE_TIME, Quarantine, QuarantinedRequest, RecentlyServed};
 use sumacdrift_routing::Placement;
-use sumacdrift_storage::{CrashClient, LedgerClient, Recorders};
+use sumacdrift_storage::{CrashClient, LedgerClient};
 use sumacdrift_types::{Mechanism, Timestamp};
 use tokio::sync::watch;
 
@@ -72,31 +71,21 @@
     }
 }
 
-/// An engine to which a call was lost.
-struct LostEngine {
-    id: EngineId,
-    address: SocketAddr,
-    /// When the call was sent to it.
-    sent: Timestamp,
-}
-
 /// A call that an engine lost.
 struct LostCall {
     id: String,
     request: RequestFingerprint,
-    /// Name of its program in the ledger.
-    program: Option<String>,
-    engine: LostEngine,
+    /// See [`CallContext::crash_key`].
+    key: String,
+    placement: Placement,
+    /// When the call was sent to the engine.
+    sent: Timestamp,
     /// Engines that crashed under this call before.
     own_crashes: usize,
     /// Whether other callers may send equal requests.
     is_shared: bool,
 }
 
-fn recorders(program: Option<&str>, request: RequestFingerprint) -> Recorders<'_> {
-    program.map_or(Recorders::OfRequest(request), Recorders::OfProgram)
-}
-
 impl<D: WireFormat> CallContext<D> {
     /// Records a failed attempt and returns the next step. If the connection broke, first finds out whether the engine
     /// crashed, and reports that. `sent` is when the attempt was sent.
@@ -133,12 +122,12 @@
         placement: &Placement,
         sent: Timestamp,
     ) -> Option<usize> {
-        let engine = LostEngine { id: placement.engine.clone(), address: placement.address, sent };
         let call = LostCall {
             id: self.head.id.clone(),
             request: self.fingerprint(),
-            program: self.recording_program(),
-            engine,
+            key: self.crash_key(),
+            placement: placement.clone(),
+            sent,
             own_crashes: machine.own_crashes(),
             is_shared: self.may_be_shared(),
         };
@@ -166,10 +155,12 @@
         }
     }
 
-    /// Name in the ledger of the call's program, whose ledger group records the crashes under its requests.
-    fn recording_program(&self) -> Option<String> {
-        let program = self.head.program.as_ref()?;
-        Some(self.caller.name_in_ledger(&program.program))
+    /// Determines the ledger group that records the crashes under the call's request, see [`CrashClient`].
+    fn crash_key(&self) -> String {
+        match &self.head.program {
+            Some(program) => self.caller.name_in_ledger(&program.program),
+            None => self.fingerprint().to_string(),
+        }
     }
 
     /// Records that an engine served the call.
@@ -178,12 +169,8 @@
             self.edge.crashes.served().record(self.fingerprint(), self.edge.clock.now());
         }
         if machine.crashes() > 0 {
-            let (edge, request) = (Arc::clone(&self.edge), self.fingerprint());
-            let program = self.recording_program();
-            tokio::spawn(async move {
-                let recorders = recorders(program.as_deref(), request);
-                edge.crashes.client.report_served(request, recorders).await;
-            });
+            let (edge, request, key) = (Arc::clone(&self.edge), self.fingerprint(), self.crash_key());
+            tokio::spawn(async move { edge.crashes.client.report_served(request, &key).await });
         }
     }
 
@@ -228,8 +215,8 @@
 
     /// Number of crashes in succession under the request of a lost call; `None` if its engine did not crash.
     async fn handle_lost_call(self: Arc<Self>, call: LostCall) -> Option<usize> {
-        let timeouts = self.settings.crash_timeouts;
-        if !self.pool.has_crashed(&call.engine.id, call.engine.address, timeouts.probe).await {
+        let (placement, within) = (&call.placement, self.settings.crash_timeouts.probe);
+        if !self.pool.has_crashed(&placement.engine, placement.address, within).await {
             return None;
         }
         self.metrics.engine_crashes.inc();
@@ -239,7 +226,7 @@
         }
         if call.is_shared && self.crashes.served().contains(call.request, self.clock.now()) {
             info!(self.logger, "engine crashed under a request that was served recently"; "event" => "engine_crashed",
-                "call" => &call.id, "request" => %call.request, "engine" => %call.engine.id, "counted" => false);
+                "call" => &call.id, "request" => %call.request, "engine" => %call.placement.engine, "counted" => false);
             return Some(own_crashes);
         }
         let crashes = own_crashes.max(self.report_crash(&call).await);
@@ -254,13 +241,12 @@
         let now = self.clock.now();
         let report = CrashReport {
             request: call.request,
-            engine: &call.engine.id.incarnation_text(),
-            sent_ago: now.since(call.engine.sent),
+            engine: &call.placement.engine.incarnation_text(),
+            sent_ago: now.since(call.sent),
         };
-        let known =
-            self.crashes.client.report(report, recorders(call.program.as_deref(), call.request)).await;
+        let known = self.crashes.client.report(report, &call.key).await;
         info!(self.logger, "engine crashed under a request"; "event" => "engine_crashed", "call" => &call.id,
-            "request" => %call.request, "engine" => %call.engine.id, "counted" => true,
+            "request" => %call.request, "engine" => %call.placement.engine, "counted" => true,
             "own_crashes" => call.own_crashes + 1, "crashes" => known.engines.len(),
             "engines" => known.engines.join(" "), "majority" => known.is_complete,
             "sent_ms" => report.sent_ago.as_millis() as u64,
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -38,7 +38,7 @@
     }
     let head = response.head.clone();
     if !call.selected.route.rules.kind.may_run_again() {
-        // No other engine will get the prompt, which may be large.
+        // No other engine will get the prompt, which may be large. The fingerprint covers it.
         call.fingerprint();
         call.forwarded.body = Bytes::new();
     }
--- a/crates/quarantine/src/crash_history.rs
+++ b/crates/quarantine/src/crash_history.rs
@@ -7,11 +7,11 @@
 use sumacdrift_mutants::{Rule, is_broken};
 use sumacdrift_types::Timestamp;
 
+use crate::bounded::make_room;
+
 /// How long after a crash the next one under the same request counts as its successor. Longer than callers and programs
 /// keep trying.
 pub const CRASH_RETENTION: Duration = Duration::from_secs(60);
-/// Maximum number of requests that are remembered; about 1 MB. The one whose last crash is the oldest gives way.
-const MAX_REQUESTS: usize = 4096;
 /// Maximum number of engines that are remembered by name for one request.
 const MAX_ENGINES: usize = 8;
 
@@ -32,7 +32,7 @@
     last_crash: Timestamp,
 }
 
-/// Consecutive crashes by request.
+/// Consecutive crashes by request; at most 4,096, about 1 MB. The request whose last crash is the oldest gives way.
 ///
 /// Only a request that was sent after the previous crash extends the chain: engines that crash at the same time under
 /// equal requests of several callers count as one.
@@ -45,7 +45,7 @@
     /// Records a crash; returns the number of consecutive crashes under the request.
     pub fn record(&mut self, report: CrashReport<'_>, now: Timestamp) -> usize {
         if !self.chains.contains_key(&report.request) {
-            self.make_room(now);
+            make_room(&mut self.chains, |chain| chain.is_expired(now), |chain| chain.last_crash);
         }
         let empty = CrashChain { engines: Vec::new(), last_crash: now };
         let chain = self.chains.entry(report.request).or_insert(empty);
@@ -74,19 +74,6 @@
     pub fn requests(&self) -> usize {
         self.chains.len()
     }
-
-    fn make_room(&mut self, now: Timestamp) {
-        if self.chains.len() < MAX_REQUESTS {
-            return;
-        }
-        self.chains.retain(|_, chain| !chain.is_expired(now));
-        let oldest = self.chains.iter().min_by_key(|(request, chain)| (chain.last_crash, **request));
-        if let Some(oldest) =
-            oldest.map(|(request, _)| *request).filter(|_| self.chains.len() >= MAX_REQUESTS)
-        {
-            self.chains.remove(&oldest);
-        }
-    }
 }
 
 impl CrashChain {
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -5,6 +5,7 @@
 //! anywhere else. A request that reaches the limit enters the [`Quarantine`] of every edge and is rejected there. Neither
 //! does I/O or reads a clock.
 
+mod bounded;
 mod crash_history;
 mod quarantine;
 mod recently_served;
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -6,10 +6,10 @@
 use sumacdrift_calls::RequestFingerprint;
 use sumacdrift_types::Timestamp;
 
+use crate::bounded::make_room;
+
 /// How long a request stays in quarantine.
 pub const QUARANTINE_TIME: Duration = Duration::from_secs(600);
-/// Maximum number of requests in quarantine. The one that leaves first gives way.
-const MAX_REQUESTS: usize = 4096;
 
 /// A request in quarantine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -20,7 +20,7 @@
     pub remaining: Duration,
 }
 
-/// Requests in quarantine, with the time at which they leave it.
+/// Requests in quarantine, with the time at which they leave it; at most 4,096. The one that leaves first gives way.
 #[derive(Debug, Default)]
 pub struct Quarantine {
     until: HashMap<RequestFingerprint, Timestamp>,
@@ -36,7 +36,7 @@
         let until = now + remaining.min(QUARANTINE_TIME);
         let is_new = self.remaining(request, now).is_none();
         if is_new {
-            self.make_room(now);
+            make_room(&mut self.until, |until| *until <= now, |until| *until);
         }
         let known = self.until.entry(request).or_insert(until);
         *known = until.max(*known);
@@ -62,15 +62,4 @@
     pub fn expire(&mut self, now: Timestamp) {
         self.until.retain(|_, until| *until > now);
     }
-
-    fn make_room(&mut self, now: Timestamp) {
-        if self.until.len() < MAX_REQUESTS {
-            return;
-        }
-        self.expire(now);
-        let first = self.until.iter().min_by_key(|(request, until)| (**until, **request));
-        if let Some(first) = first.map(|(request, _)| *request).filter(|_| self.until.len() >= MAX_REQUESTS) {
-            self.until.remove(&first);
-        }
-    }
 }
--- a/crates/quarantine/src/recently_served.rs
+++ b/crates/quarantine/src/recently_served.rs
@@ -5,12 +5,10 @@
 use sumacdrift_calls::RequestFingerprint;
 use sumacdrift_types::Timestamp;
 
+use crate::bounded::MAX_REQUESTS;
 use crate::crash_history::CRASH_RETENTION;
 
-/// Maximum number of requests that are remembered; about 200 KB.
-const MAX_REQUESTS: usize = 4096;
-
-/// Recently served requests. Many callers may send equal requests, such as the same path without a body. An engine that
+/// Recently served requests; at most 4,096, about 200 KB. Many callers may send equal requests, such as the same path without a body. An engine that
 /// crashes under one of them has crashed for another reason if others were served.
 #[derive(Debug, Default)]
 pub struct RecentlyServed {
--- a/crates/storage/src/crash_client.rs
+++ b/crates/storage/src/crash_client.rs
@@ -1,6 +1,7 @@
 //! Client of the storage nodes that record crashes of engines by request.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,23 +9,15 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use sumacdrift_calls::RequestFingerprint;
-use sumacdrift_ledger::{EngineCrash, Member, QuarantineNotice, ReplyKind, RequestKind};
+use sumacdrift_ledger::{EngineCrash, Group, ReplyKind, RequestKind};
 use sumacdrift_quarantine::{CrashReport, QuarantinedRequest};
 use tokio::time::Instant;
 
 use crate::client::LedgerClient;
 use crate::member_client::MIN_RELAY_DELAY;
+use crate::quarantine_feed::quarantine_notice;
 use crate::rpc::encode_to_node;
 
-/// The nodes that record the crashes under a request.
-#[derive(Debug, Clone, Copy)]
-pub enum Recorders<'a> {
-    /// Those that admit the turns of this program, by its name in the ledger. Every turn that begins gets to know of crashes.
-    OfProgram(&'a str),
-    /// Those of a request without a program.
-    OfRequest(RequestFingerprint),
-}
-
 /// What the storage nodes know of a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[allow(missing_docs)]
@@ -37,8 +30,10 @@
 
 /// Reports crashes of engines to storage nodes.
 ///
-/// A report goes to all members of a request's group, and the union of what a majority knows counts: any two majorities
-/// share a member, so no crash is missed that an earlier report announced to one.
+/// A report goes to all members of a ledger group, and the union of what a majority knows counts: any two majorities share a
+/// member, so no crash is missed that an earlier report announced to one. The group is that of a key, which all calls for a
+/// request must share: the program's name in the ledger, whose group also admits its turns, or the fingerprint of a request
+/// without a program.
 pub struct CrashClient {
     ledger: Arc<LedgerClient>,
     /// How long to wait for a majority.
@@ -52,13 +47,14 @@
     }
 
     /// Reports that an engine crashed while it ran a request; returns all crashes that are known under it.
-    pub async fn report(&self, report: CrashReport<'_>, recorders: Recorders<'_>) -> KnownCrashes {
+    pub async fn report(&self, report: CrashReport<'_>, key: &str) -> KnownCrashes {
         let crash = EngineCrash {
             request: report.request.0,
             engine: report.engine.to_owned(),
             sent_millis_ago: u64::try_from(report.sent_ago.as_millis()).unwrap_or(u64::MAX),
         };
-        let replies = self.ask_majority(self.members(recorders), RequestKind::EngineCrash(crash)).await;
+        let group = self.ledger.map().group_of(key).cloned();
+        let replies = self.ask_majority(group, RequestKind::EngineCrash(crash)).await;
         let engines = replies.kinds.into_iter().filter_map(|kind| match kind {
             ReplyKind::CrashedEngines(known) => Some(known.engines),
             _ => None,
@@ -68,35 +64,30 @@
     }
 
     /// Reports that an engine served a request under which others had crashed.
-    pub async fn report_served(&self, request: RequestFingerprint, recorders: Recorders<'_>) {
-        self.ask_majority(self.members(recorders), RequestKind::ServedAfterCrash(request.0)).await;
+    pub async fn report_served(&self, request: RequestFingerprint, key: &str) {
+        let group = self.ledger.map().group_of(key).cloned();
+        self.ask_majority(group, RequestKind::ServedAfterCrash(request.0)).await;
     }
 
     /// Publishes a request in quarantine to the feeds that edges follow; returns whether a majority of their nodes
     /// acknowledged it.
     pub async fn quarantine(&self, quarantined: QuarantinedRequest) -> bool {
-        let remaining_millis = u64::try_from(quarantined.remaining.as_millis()).unwrap_or(u64::MAX);
-        let notice = QuarantineNotice { request: quarantined.request.0, remaining_millis };
         // Other nodes fill their feeds from those of the first group.
-        let publishers = self.ledger.map().group(0).map(|group| group.members.clone()).unwrap_or_default();
-        self.ask_majority(publishers, RequestKind::Quarantine(notice)).await.is_majority
-    }
-
-    fn members(&self, recorders: Recorders<'_>) -> Vec<Member> {
-        let map = self.ledger.map();
-        let group = match recorders {
-            Recorders::OfProgram(program) => map.group_of(program),
-            Recorders::OfRequest(request) => map.group_of(&request.to_string()),
-        };
-        group.map(|group| group.members.clone()).unwrap_or_default()
+        let publishers = self.ledger.map().group(0).cloned();
+        self.ask_majority(publishers, RequestKind::Quarantine(quarantine_notice(quarantined)))
+            .await
+            .is_majority
     }
 
-    /// Sends a request to all members and waits for the replies of a majority.
-    async fn ask_majority(&self, members: Vec<Member>, kind: RequestKind) -> Replies {
-        let majority = members.len() / 2 + 1;
+    /// Sends a request to all members of a group and waits for the replies of a majority. No member replies while no group is
+    /// known.
+    async fn ask_majority(&self, group: Option<Arc<Group>>, kind: RequestKind) -> Replies {
+        let Some(group) = group else { return Replies::default() };
+        let majority = group.majority();
         let request = encode_to_node(kind);
+        let members = group.members.iter();
         let mut in_flight: FuturesUnordered<_> =
-            members.into_iter().map(|member| self.ask(member, request.clone())).collect();
+            members.map(|member| self.ask(member.address, request.clone())).collect();
         let until = Instant::now() + self.timeout;
         let mut kinds = Vec::new();
         while kinds.len() < majority {
@@ -110,16 +101,15 @@
     }
 
     /// Runs apart from the caller, so that members get the request that the majority does not wait for.
-    async fn ask(&self, member: Member, request: Bytes) -> Option<ReplyKind> {
+    async fn ask(&self, member: SocketAddr, request: Bytes) -> Option<ReplyKind> {
         let (client, timeout) = (self.ledger.member_client(), self.timeout);
         let asking =
-            tokio::spawn(
-                async move { client.request(member.address, &request, timeout, MIN_RELAY_DELAY).await },
-            );
+            tokio::spawn(async move { client.request(member, &request, timeout, MIN_RELAY_DELAY).await });
         asking.await.ok()??.kind
     }
 }
 
+#[derive(Default)]
 struct Replies {
     kinds: Vec<ReplyKind>,
     is_majority: bool,
--- a/crates/storage/src/host.rs
+++ b/crates/storage/src/host.rs
@@ -9,10 +9,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use prometheus_client::metrics::counter::Counter;
-use prometheus_client::metrics::gauge::Gauge;
-use prometheus_client::metrics::histogram::Histogram;
-use prometheus_client::registry::Registry;
 use prost::Message;
 use slog::{Logger, error, info, warn};
 use sumacdrift_dissemination::Snapshot;
@@ -25,7 +21,6 @@
     ReplicaSettings, ReplyKind, RequestClass, RequestKind, SilentMember, StatusReply, StoredCopy,
 };
 use sumacdrift_proto::{OneWay, Request, Response};
-use sumacdrift_telemetry::time_histogram;
 use sumacdrift_transport::Handler;
 use sumacdrift_types::{Problem, ResultCode, Timestamp};
 use tokio::sync::oneshot;
@@ -36,6 +31,7 @@
 use crate::crash_host::CrashHost;
 use crate::directory::DirectoryView;
 use crate::feed_host::FeedHost;
+use crate::host_metrics::HostMetrics;
 use crate::known_map::KnownMap;
 use crate::quota_host::QuotaHost;
 use crate::report_board::HostReportBoard;
@@ -93,59 +89,6 @@
     last_snapshot: AtomicU64,
 }
 
-/// Metrics of a replica.
-pub struct HostMetrics {
-    requests: Counter,
-    busy: Counter,
-    commits: Counter,
-    commit_seconds: Histogram,
-    is_voting: Gauge,
-    sources_left: Gauge,
-    programs: Gauge,
-    kept_turns: Gauge,
-    epoch: Gauge,
-    group: Gauge,
-    waiting_bytes: Gauge,
-}
-
-impl Default for HostMetrics {
-    fn default() -> Self {
-        Self {
-            requests: Counter::default(),
-            busy: Counter::default(),
-            commits: Counter::default(),
-            commit_seconds: time_histogram(),
-            is_voting: Gauge::default(),
-            sources_left: Gauge::default(),
-            programs: Gauge::default(),
-            kept_turns: Gauge::default(),
-            epoch: Gauge::default(),
-            group: Gauge::default(),
-            waiting_bytes: Gauge::default(),
-        }
-    }
-}
-
-impl HostMetrics {
-    /// Registers the metrics under the prefix `sumacdrift_ledger`.
-    pub fn register(&self, registry: &mut Registry) {
-        let registry = registry.sub_registry_with_prefix("sumacdrift_ledger");
-        registry.register("requests", "Requests of other nodes", self.requests.clone());
-        registry.register("busy", "Requests turned away because the disk is behind", self.busy.clone());
-        registry.register("commits", "Batches of records made durable", self.commits.clone());
-        registry.register("commit_seconds", "Time until records are durable", self.commit_seconds.clone());
-        registry.register("voting", "Whether the replica votes", self.is_voting.clone());
-        let sources_left = self.sources_left.clone();
-        registry.register("sources_left", "Members still to be read before the replica votes", sources_left);
-        registry.register("programs", "Programs known", self.programs.clone());
-        registry.register("kept_turns", "Turns whose content is kept", self.kept_turns.clone());
-        registry.register("epoch", "Epoch of the group", self.epoch.clone());
-        registry.register("group", "Number of the group; -1 where the node has no seat", self.group.clone());
-        let waiting = self.waiting_bytes.clone();
-        registry.register("waiting_bytes", "Bytes of records that wait for the disk", waiting);
-    }
-}
-
 /// A replica with its journal, which serves other nodes.
 pub struct ReplicaHost {
     replica: Mutex<Replica>,
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -22,6 +22,7 @@
 mod group_request;
 mod handover;
 mod host;
+mod host_metrics;
 mod known_map;
 mod member_answers;
 mod member_client;
@@ -42,7 +43,7 @@
 pub use begin_turn::{Admission, BeginTurn, LedgerError, LedgerTimeouts};
 pub use client::LedgerClient;
 pub use clock::unix_millis;
-pub use crash_client::{CrashClient, KnownCrashes, Recorders};
+pub use crash_client::{CrashClient, KnownCrashes};
 pub use directory::{
     DirectoryError, DirectoryFuture, DirectoryView, GroupDirectory, Registration, Retirement, Revision,
     StoredMap,
@@ -51,7 +52,8 @@
 pub use feed_peers::{PeerFeeds, StoreFollowers};
 pub use follower::{Follower, FollowerSettings, FollowerSink};
 pub use group_maintenance::{GroupMaintenance, GroupMaintenanceSettings};
-pub use host::{HostMetrics, HostSettings, OpenError, ReplicaHost};
+pub use host::{HostSettings, OpenError, ReplicaHost};
+pub use host_metrics::HostMetrics;
 pub use offer_membership::offer_membership;
 pub use quarantine_feed::quarantined_request;
 pub use quota_client::{QuotaClient, QuotaOutcome};
--- a/crates/storage/src/quarantine_feed.rs
+++ b/crates/storage/src/quarantine_feed.rs
@@ -45,11 +45,9 @@
     /// Adds the new requests among the items of a feed. `unix_millis` is the current Unix time.
     pub(crate) fn add<'a>(&mut self, items: impl Iterator<Item = &'a Item>, unix_millis: u64) {
         for quarantined in items.filter_map(|item| quarantined_request(item, unix_millis)) {
-            let (request, remaining) = (quarantined.request.0, quarantined.remaining);
-            let is_new = remaining + ANNOUNCEMENT_TIME > QUARANTINE_TIME;
-            if is_new && self.0.iter().all(|announced| announced.notice.request != request) {
-                let remaining_millis = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
-                let notice = QuarantineNotice { request, remaining_millis };
+            let is_new = quarantined.remaining + ANNOUNCEMENT_TIME > QUARANTINE_TIME;
+            let notice = quarantine_notice(quarantined);
+            if is_new && self.0.iter().all(|announced| announced.notice.request != notice.request) {
                 self.0.push_back(AnnouncedRequest { since: Instant::now(), notice });
             }
         }
@@ -64,6 +62,12 @@
     }
 }
 
+/// Encodes a request in quarantine for a message.
+pub(crate) fn quarantine_notice(quarantined: QuarantinedRequest) -> QuarantineNotice {
+    let remaining_millis = u64::try_from(quarantined.remaining.as_millis()).unwrap_or(u64::MAX);
+    QuarantineNotice { request: quarantined.request.0, remaining_millis }
+}
+
 /// Decodes an announcement.
 pub(crate) fn announced_request(notice: &QuarantineNotice) -> QuarantinedRequest {
     let remaining = Duration::from_millis(notice.remaining_millis);
