--- a/review/harness/src/cases.rs
+++ b/review/harness/src/cases.rs
@@ -12,12 +12,13 @@
 const RESTART: Duration = Duration::from_millis(660);
 /// How long a machine is away that loses its disk, as on the standard days of the site.
 const DISK_LOSS_S: f64 = 1.3;
+/// How long a stopped machine is away: as long as a killed store machine in the site's troubles.
+const AWAY_S: f64 = 2.8;
 
 pub fn run(case: &str, setup: Setup) -> io::Result<u8> {
     match case {
         "1" => planned_stop_and_disk_loss(setup),
-        "shrink" => shrink(setup),
-        "fuzz" => crate::fuzz::run(setup),
+        "3" => disk_loss_and_planned_stop(setup),
         _ => Err(io::Error::other("no such case")),
     }
 }
@@ -26,6 +27,11 @@
     std::thread::sleep(Duration::from_secs_f64(seconds));
 }
 
+/// Whether a part of the disruption happens: with `ONLY=stop` or `ONLY=disk` the other one is left out.
+fn has_part(part: &str) -> bool {
+    std::env::var("ONLY").map_or(true, |only| only == part)
+}
+
 fn number(name: &str, default: f64) -> f64 {
     std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
 }
@@ -51,10 +57,15 @@
     let wiped = fleet.storage(&members[1]).expect("a member");
     let trouble_at = record.seconds();
     if has_trouble {
-        planned.signal(&fleet.site, SIGTERM);
+        if has_part("stop") {
+            planned.signal(&fleet.site, SIGTERM);
+        }
         std::thread::scope(|scope| {
             scope.spawn(|| {
                 let site = &fleet.site;
+                if !has_part("stop") {
+                    return;
+                }
                 planned.wait(site, Duration::from_secs(8));
                 planned.kill(site);
                 std::thread::sleep(RESTART);
@@ -63,8 +74,17 @@
             });
             scope.spawn(|| {
                 let site = &fleet.site;
-                let has_moved = |fleet: &Fleet| fleet.members().is_some_and(|(_, members)| !members.contains(&planned.name));
-                fleet.wait_until(Duration::from_secs(4), "the store has acknowledged the new members", has_moved);
+                if !has_part("disk") {
+                    return;
+                }
+                let has_moved = |fleet: &Fleet| {
+                    fleet.members().is_some_and(|(_, members)| !members.contains(&planned.name))
+                };
+                fleet.wait_until(
+                    Duration::from_secs(4),
+                    "the store has acknowledged the new members",
+                    has_moved,
+                );
                 sleep(number("DELAY", 0.03));
                 wiped.kill(site);
                 let _ = wiped.wipe(site);
@@ -91,7 +111,15 @@
     if let Some((epoch, members)) = fleet.members() {
         record.say(&format!("group of epoch {epoch}: {}", members.join(",")));
     }
-    let words = ["group_changed", "group_adopted", "catch_up", "seat_", "\"start\"", "stop_begun", "journal_replayed"];
+    let words = [
+        "group_changed",
+        "group_adopted",
+        "catch_up",
+        "seat_",
+        "\"start\"",
+        "stop_begun",
+        "journal_replayed",
+    ];
     fleet.record_logs(&words);
     let broken = fleet.clients.broken.lock().unwrap().clone();
     for (rule, what) in broken.iter().take(5) {
@@ -110,9 +138,9 @@
     Ok(u8::from(is_broken))
 }
 
-/// Experiment: a planned stop that lasts, and another machine's disk loss after the group has shrunk.
-fn shrink(setup: Setup) -> io::Result<u8> {
-    let Setup { root, record, .. } = setup;
+/// A storage machine loses its disk; soon after its return another one is stopped as planned and is away for some seconds.
+fn disk_loss_and_planned_stop(setup: Setup) -> io::Result<u8> {
+    let Setup { root, record, has_trouble } = setup;
     let fleet = Fleet::start(root, record.clone(), 4, 3)?;
     let is_up = fleet.wait_until(Duration::from_secs(20), "all edges are ready", |fleet| {
         fleet.members().is_some_and(|(_, members)| members.len() == 3) && fleet.are_edges_ready()
@@ -122,39 +150,66 @@
         return Err(io::Error::other("the system did not start"));
     }
     let threads = fleet.clients.start(16, 8);
-    sleep(10.0);
+    sleep(12.0);
     let (_, members) = fleet.members().unwrap_or_default();
-    let stopped = fleet.storage(&members[number("STOPPED", 0.0) as usize]).expect("a member");
-    let wiped = fleet.storage(&members[number("WIPED", 1.0) as usize]).expect("a member");
-    let site = &fleet.site;
-    stopped.signal(site, SIGTERM);
-    stopped.wait(site, Duration::from_secs(8));
-    fleet.wait_until(Duration::from_secs(12), "the group has shrunk", |fleet| fleet.members().is_some_and(|(_, members)| members.len() == 2));
-    sleep(number("DELAY", 1.0));
-    if number("WIPE", 1.0) > 0.0 {
-        wiped.kill(site);
-        wiped.wipe(site)?;
-        sleep(DISK_LOSS_S);
-        wiped.start(site, false)?;
-        record.say(&format!("{} is back", wiped.name));
-        sleep(3.0);
-    }
-    if number("BACK", 1.0) > 0.0 {
-        stopped.start(site, false)?;
-        record.say(&format!("{} is back", stopped.name));
-        sleep(4.8 + 12.0);
+    record.say(&format!("members {}", members.join(",")));
+    let trouble_at = record.seconds();
+    if has_trouble {
+        let site = &fleet.site;
+        let wiped = fleet.storage(&members[2]).expect("a member");
+        let stopped = fleet.storage(&members[0]).expect("a member");
+        if has_part("disk") {
+            wiped.kill(site);
+            wiped.wipe(site)?;
+            sleep(DISK_LOSS_S);
+            wiped.start(site, false)?;
+            record.say(&format!("{} is back", wiped.name));
+        }
+        if has_part("stop") {
+            sleep(number("DELAY", 0.6));
+            stopped.signal(site, SIGTERM);
+            stopped.wait(site, Duration::from_secs(8));
+            sleep(AWAY_S);
+            stopped.start(site, false)?;
+            record.say(&format!("{} is back", stopped.name));
+        }
     }
-    let (all, found, unknown) = fleet.clients.go_on_from_all(50.0, 600, 8);
+    // The bounds of the pages: catchUpS for machines that are back, then recoverS. The turns are kept for 60 s.
+    sleep(4.8 + 12.0);
+    let (all, found, unknown) = fleet.clients.go_on_from_all(trouble_at, 1500, 12);
     fleet.clients.is_over.store(true, Ordering::Relaxed);
     for thread in threads {
         let _ = thread.join();
     }
-    record.say(&format!("went on from {all}: found {found}, unknown {unknown}"));
-    for machine in &fleet.storages {
-        for line in machine.log_lines(&["member_reread", "group_changed", "group_conflict", "group_adopted", "\"catch_up"]) {
-            record.say(&line.chars().take(230).collect::<String>());
-        }
+    record.say(&format!(
+        "of {all} turns answered whole before the disk was lost, {found} could be gone on from, {unknown} got 404"
+    ));
+    if let Some((epoch, members)) = fleet.members() {
+        record.say(&format!("group of epoch {epoch}: {}", members.join(",")));
+    }
+    let words = [
+        "member_reread",
+        "group_changed",
+        "group_conflict",
+        "group_adopted",
+        "catch_up",
+        "stop_begun",
+        "journal_replayed",
+    ];
+    fleet.record_logs(&words);
+    let broken = fleet.clients.broken.lock().unwrap().clone();
+    for (rule, what) in broken.iter().take(5) {
+        record.say(&format!("{rule}: {what}"));
+    }
+    let ended = fleet.ended();
+    if !ended.is_empty() {
+        record.say(&format!("ended by themselves: {}", ended.join(",")));
     }
     fleet.end();
-    Ok(u8::from(unknown > 0))
+    if found == 0 {
+        return Err(io::Error::other("no turn could be gone on from"));
+    }
+    let is_broken = broken.iter().any(|(rule, _)| *rule == "LOST");
+    record.say(if is_broken { "LOST is broken" } else { "LOST held" });
+    Ok(u8::from(is_broken))
 }
--- a/review/harness/src/client.rs
+++ b/review/harness/src/client.rs
@@ -11,13 +11,11 @@
 
 pub const HOST: &str = "ficu95.example";
 
-/// Counters of requests by when they were sent.
+/// A request: when it was sent, and whether it was served.
 #[derive(Debug, Clone, Default)]
 pub struct Sent {
     pub at: f64,
-    pub kind: &'static str,
     pub is_served: bool,
-    pub last_status: u16,
 }
 
 /// A turn answered whole.
@@ -126,7 +124,10 @@
             head.push_str(&format!("X-Sumacdrift-Previous-Turn: {previous}\r\n"));
         }
         head.push_str("\r\n");
-        self.record.line(&format!("send {front} {route} {id} program={program} previous={previous} bytes={}", body.len()));
+        self.record.line(&format!(
+            "send {front} {route} {id} program={program} previous={previous} bytes={}",
+            body.len()
+        ));
         let answer = call(front, &head, body, within + Duration::from_millis(300), on_body);
         self.record.line(&format!(
             "answer {id} {} whole={} bytes={} {}",
@@ -139,7 +140,14 @@
     }
 
     /// A kept turn with a client's attempts: a second one after a promise that the first was not run.
-    pub fn kept_turn(&self, program: &str, previous: &str, input: &[u8], history: &[u8], budget: u64) -> Outcome {
+    pub fn kept_turn(
+        &self,
+        program: &str,
+        previous: &str,
+        input: &[u8],
+        history: &[u8],
+        budget: u64,
+    ) -> Outcome {
         let until = Instant::now() + Duration::from_millis(3000);
         let mut attempts = 0;
         let at = self.record.seconds();
@@ -147,16 +155,25 @@
             attempts += 1;
             let id = self.id();
             let left = until.saturating_duration_since(Instant::now()).max(Duration::from_millis(10));
-            let answer =
-                self.attempt_turn(self.pick_front(), "kept", &id, program, previous, budget, input, left, |_| true);
+            let answer = self.attempt_turn(
+                self.pick_front(),
+                "kept",
+                &id,
+                program,
+                previous,
+                budget,
+                input,
+                left,
+                |_| true,
+            );
             self.check_runs(&id, &answer, Some((history, input)));
             let is_served = answer.status == 200 && answer.is_whole;
-            let may_retry = matches!(answer.status, 429 | 503) || (answer.status == 0 && answer.error.contains("refused"));
+            let may_retry = matches!(answer.status, 429 | 503)
+                || (answer.status == 0 && answer.error.contains("refused"));
             let pause = answer.header("Retry-After").and_then(|text| text.parse::<f64>().ok()).unwrap_or(0.1);
             let pause = Duration::from_secs_f64(pause.clamp(0.0, 1.0));
             if is_served || !may_retry || attempts > 1 || Instant::now() + pause >= until {
-                let last_status = answer.status;
-                self.sent.lock().unwrap().push(Sent { at, kind: "kept", is_served, last_status });
+                self.sent.lock().unwrap().push(Sent { at, is_served });
                 return Outcome { id, answer };
             }
             std::thread::sleep(pause);
@@ -172,16 +189,30 @@
         if let Some((history, input)) = expected {
             let whole = [history, input].concat();
             if let Some(other) = runs.iter().find(|run| run.body_hash != hash(&whole)) {
-                self.break_rule("UNASKED", format!("{id}: body of {} bytes, {} expected", other.body_length, whole.len()));
+                self.break_rule(
+                    "UNASKED",
+                    format!("{id}: body of {} bytes, {} expected", other.body_length, whole.len()),
+                );
             }
         }
         if matches!(answer.status, 402 | 408 | 421 | 429 | 503) && !runs.is_empty() {
             self.break_rule("REFUSED", format!("{id}: {} though an engine ran it", answer.status));
         }
         if answer.status == 200 && answer.is_whole {
-            let expected: String = (0..self.events).map(|number| format!("id: {number}\ndata: {}\n\n", event_data(id, number))).collect();
-            if answer.header("Content-Type") == Some("text/event-stream") && answer.body != expected.as_bytes() {
-                self.break_rule("ORDER", format!("{id}: a whole stream of {} bytes, {} expected", answer.body.len(), expected.len()));
+            let expected: String = (0..self.events)
+                .map(|number| format!("id: {number}\ndata: {}\n\n", event_data(id, number)))
+                .collect();
+            if answer.header("Content-Type") == Some("text/event-stream")
+                && answer.body != expected.as_bytes()
+            {
+                self.break_rule(
+                    "ORDER",
+                    format!(
+                        "{id}: a whole stream of {} bytes, {} expected",
+                        answer.body.len(),
+                        expected.len()
+                    ),
+                );
             }
         }
     }
@@ -206,17 +237,25 @@
         let front = self.pick_front();
         self.record.line(&format!("send {front} tool {id} program={program}"));
         let answer = call(front, &head, &[], Duration::from_millis(1500), |_| true);
-        self.record.line(&format!("answer {id} {} whole={} bytes={} {}", answer.status, answer.is_whole, answer.body.len(), answer.error));
+        self.record.line(&format!(
+            "answer {id} {} whole={} bytes={} {}",
+            answer.status,
+            answer.is_whole,
+            answer.body.len(),
+            answer.error
+        ));
         let is_served = answer.status == 200 && answer.is_whole;
-        self.sent.lock().unwrap().push(Sent { at, kind: "tool", is_served, last_status: answer.status });
+        self.sent.lock().unwrap().push(Sent { at, is_served });
         is_served
     }
 
     /// A program of kept turns; goes on from `from` if given. Returns the whole turns.
     pub fn program(&self, turns: usize, from: Option<&WholeTurn>) -> usize {
         let program = from.map_or_else(|| self.id(), |from| from.program.clone());
-        let (mut previous, mut history) =
-            from.map_or_else(|| (String::new(), Arc::default()), |from| (from.id.clone(), Arc::clone(&from.history)));
+        let (mut previous, mut history) = from.map_or_else(
+            || (String::new(), Arc::default()),
+            |from| (from.id.clone(), Arc::clone(&from.history)),
+        );
         for done in 0..turns {
             let mut tries = 0;
             let (id, input) = loop {
@@ -230,7 +269,10 @@
                     break (outcome.id, input);
                 }
                 if matches!(outcome.answer.status, 404 | 410) {
-                    self.break_rule("LOST", format!("{}: {} for a turn after {previous}", outcome.id, outcome.answer.status));
+                    self.break_rule(
+                        "LOST",
+                        format!("{}: {} for a turn after {previous}", outcome.id, outcome.answer.status),
+                    );
                 }
                 if tries > 2 || matches!(outcome.answer.status, 400..=404 | 413) {
                     return done;
@@ -278,68 +320,12 @@
 }
 
 impl Clients {
-    /// Programs with a small budget that go on until they are told that it is spent, and twice more. Some attempts are given
-    /// up by the client in the middle.
-    pub fn budget_program(&self, budget: u64) {
-        let program = self.id();
-        let most = self.events as u64 * self.tokens_per_event;
-        let (mut handed, mut refusals, mut failures) = (0_u64, 0, 0);
-        while refusals < 3 && failures < 20 && !self.is_over.load(Ordering::Relaxed) {
-            let id = self.id();
-            let input = self.input(&program);
-            let stop_after = if self.number() % 4 == 0 { 1 + self.number() % 8 } else { u64::MAX };
-            let at = self.record.seconds();
-            let mut seen = 0_u64;
-            let answer = self.attempt_turn(
-                self.pick_front(),
-                "draft",
-                &id,
-                &program,
-                "",
-                budget,
-                &input,
-                Duration::from_millis(3000),
-                |chunk| {
-                    seen += chunk.windows(6).filter(|window| *window == b"data: ").count() as u64;
-                    seen < stop_after
-                },
-            );
-            self.check_runs(&id, &answer, None);
-            handed += seen * self.tokens_per_event;
-            if handed > budget + most {
-                self.break_rule("BUDGET", format!("program {program} was handed {handed} tokens, budget {budget}"));
-            }
-            let is_served = answer.status == 200 && (answer.is_whole || answer.error.starts_with("given up"));
-            self.sent.lock().unwrap().push(Sent { at, kind: "draft", is_served, last_status: answer.status });
-            match answer.status {
-                402 => refusals += 1,
-                200 => {}
-                _ => {
-                    failures += 1;
-                    std::thread::sleep(Duration::from_millis(100 + self.number() % 400));
-                }
-            }
-            std::thread::sleep(Duration::from_millis(20 + self.number() % 200));
-        }
-    }
-
-    pub fn start_budget(&self, threads: usize, budget: u64) -> Vec<std::thread::JoinHandle<()>> {
-        let start_one = |_| {
-            let clients = self.clone();
-            std::thread::spawn(move || {
-                while !clients.is_over.load(Ordering::Relaxed) {
-                    clients.budget_program(budget);
-                }
-            })
-        };
-        (0..threads).map(start_one).collect()
-    }
-
-    /// Goes on from whole turns of the last seconds; returns how many turns were asked for, found, and said to be unknown.
-    pub fn go_on_from_all(&self, seconds: f64, most: usize, threads: usize) -> (usize, usize, usize) {
-        let now = self.record.seconds();
-        let mut turns: Vec<WholeTurn> = self.whole.lock().unwrap().iter().filter(|turn| turn.at > now - seconds).cloned().collect();
-        let skip = (turns.len() / most.max(1)).max(1);
+    /// Goes on from the turns that were answered whole before `until`; returns how many were asked for, found, and said to be
+    /// unknown.
+    pub fn go_on_from_all(&self, until: f64, most: usize, threads: usize) -> (usize, usize, usize) {
+        let mut turns: Vec<WholeTurn> =
+            self.whole.lock().unwrap().iter().filter(|turn| turn.at < until).cloned().collect();
+        let skip = turns.len().div_ceil(most).max(1);
         turns = turns.into_iter().step_by(skip).collect();
         let all = turns.len();
         let queue = Arc::new(Mutex::new(turns));
@@ -347,13 +333,15 @@
         let unknown = Arc::new(AtomicU64::new(0));
         let threads: Vec<_> = (0..threads)
             .map(|_| {
-                let (clients, queue, found, unknown) = (self.clone(), Arc::clone(&queue), Arc::clone(&found), Arc::clone(&unknown));
+                let (clients, queue, found, unknown) =
+                    (self.clone(), Arc::clone(&queue), Arc::clone(&found), Arc::clone(&unknown));
                 std::thread::spawn(move || {
                     loop {
                         let Some(turn) = queue.lock().unwrap().pop() else { return };
                         for _ in 0..3 {
                             let input = clients.input(&turn.program);
-                            let outcome = clients.kept_turn(&turn.program, &turn.id, &input, &turn.history, 100_000);
+                            let outcome =
+                                clients.kept_turn(&turn.program, &turn.id, &input, &turn.history, 100_000);
                             match outcome.answer.status {
                                 200 => {
                                     found.fetch_add(1, Ordering::Relaxed);
@@ -362,7 +350,13 @@
                                 404 | 410 => {
                                     unknown.fetch_add(1, Ordering::Relaxed);
                                     let age = clients.record.seconds() - turn.at;
-                                    clients.break_rule("LOST", format!("404 for a turn after {}, answered whole {age:.1} s before", turn.id));
+                                    clients.break_rule(
+                                        "LOST",
+                                        format!(
+                                            "404 for a turn after {}, answered whole {age:.1} s before",
+                                            turn.id
+                                        ),
+                                    );
                                     break;
                                 }
                                 _ => std::thread::sleep(Duration::from_millis(200)),
--- a/review/harness/src/engine.rs
+++ b/review/harness/src/engine.rs
@@ -18,18 +18,16 @@
 
 #[derive(Clone)]
 pub struct RunSeen {
-    #[allow(dead_code)]
-    pub engine: String,
     pub body_hash: u64,
     pub body_length: usize,
-    /// Events handed to the system.
-    pub events: usize,
 }
 
 pub type SharedRuns = Arc<Mutex<Runs>>;
 
 pub fn hash(bytes: &[u8]) -> u64 {
-    bytes.iter().fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(0x100_0000_01b3))
+    bytes
+        .iter()
+        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(0x100_0000_01b3))
 }
 
 /// The data of an event; the client knows it too.
@@ -63,7 +61,10 @@
     fn answer(&self, connection: &mut Connection, request: &Request) -> std::io::Result<()> {
         let stream = &mut connection.stream;
         if request.path == "/healthz" {
-            let head = format!("HTTP/1.1 200 OK\r\nX-Sumacdrift-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n", self.id);
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nX-Sumacdrift-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                self.id
+            );
             return stream.write_all(head.as_bytes());
         }
         let Some(id) = request.header("X-Sumacdrift-Attempt-Id").map(str::to_owned) else {
@@ -77,18 +78,8 @@
             );
             return stream.write_all(head.as_bytes());
         }
-        let seen = RunSeen {
-            engine: self.id.clone(),
-            body_hash: hash(&request.body),
-            body_length: request.body.len(),
-            events: 0,
-        };
-        let position = {
-            let mut runs = self.runs.lock().unwrap();
-            let of_id = runs.bodies.entry(id.clone()).or_default();
-            of_id.push(seen);
-            of_id.len() - 1
-        };
+        let seen = RunSeen { body_hash: hash(&request.body), body_length: request.body.len() };
+        self.runs.lock().unwrap().bodies.entry(id.clone()).or_default().push(seen);
         self.record.line(&format!(
             "run {} {} {} {id} body={} previous={}",
             self.id,
@@ -97,23 +88,28 @@
             request.body.len(),
             request.header("X-Sumacdrift-Previous-Turn").unwrap_or("-")
         ));
-        let common = format!("X-Sumacdrift-Attempt-Id: {id}\r\nX-Sumacdrift-Response-Signature: s.{}.{id}\r\n", self.id);
+        let common = format!(
+            "X-Sumacdrift-Attempt-Id: {id}\r\nX-Sumacdrift-Response-Signature: s.{}.{id}\r\n",
+            self.id
+        );
         if request.method == "GET" || request.path.starts_with("/tool/") {
             std::thread::sleep(self.work);
             let body = format!("done {id} {:-<700}", "");
             let head = format!("HTTP/1.1 200 OK\r\n{common}Content-Length: {}\r\n\r\n", body.len());
             return stream.write_all(format!("{head}{body}").as_bytes());
         }
-        let first = request.header("Last-Event-Id").and_then(|text| text.parse::<usize>().ok()).map_or(0, |last| last + 1);
+        let first = request
+            .header("Last-Event-Id")
+            .and_then(|text| text.parse::<usize>().ok())
+            .map_or(0, |last| last + 1);
         std::thread::sleep(self.work);
-        let head = format!("HTTP/1.1 200 OK\r\n{common}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+        let head = format!(
+            "HTTP/1.1 200 OK\r\n{common}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        );
         stream.write_all(head.as_bytes())?;
         for number in first..self.events {
             let event = format!("id: {number}\ndata: {}\n\n", event_data(&id, number));
             stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
-            if let Some(of_id) = self.runs.lock().unwrap().bodies.get_mut(&id) {
-                of_id[position].events += 1;
-            }
             std::thread::sleep(self.event_gap);
         }
         stream.write_all(b"0\r\n\r\n")
--- a/review/harness/src/fleet.rs
+++ b/review/harness/src/fleet.rs
@@ -18,8 +18,6 @@
     pub store: Store,
     pub edges: Vec<Machine>,
     pub storages: Vec<Machine>,
-    #[allow(dead_code)]
-    pub runs: SharedRuns,
     pub clients: Clients,
 }
 
@@ -32,8 +30,18 @@
         )
     };
     let routes = [
-        route("kept", "streaming", "agent-llm", ",\"retained\":true,\"retentionS\":60.0,\"sticky\":true,\"resumable\":false,\"gapAimMs\":300"),
-        route("draft", "streaming", "agent-llm", ",\"retained\":false,\"retentionS\":60.0,\"sticky\":true,\"resumable\":true,\"gapAimMs\":300"),
+        route(
+            "kept",
+            "streaming",
+            "agent-llm",
+            ",\"retained\":true,\"retentionS\":60.0,\"sticky\":true,\"resumable\":false,\"gapAimMs\":300",
+        ),
+        route(
+            "draft",
+            "streaming",
+            "agent-llm",
+            ",\"retained\":false,\"retentionS\":60.0,\"sticky\":true,\"resumable\":true,\"gapAimMs\":300",
+        ),
         route("tool", "idempotent", "alert-app", ""),
         route("once", "non_idempotent", "alert-app", ""),
     ];
@@ -94,15 +102,19 @@
                 number += 1;
             }
         }
-        let machine = |role, position: usize, number| Machine::new(&site, role, ZONES[position % ZONES.len()], position / ZONES.len() + 1, number);
-        let edges: Vec<Machine> = (0..edges).map(|position| machine(Role::Edge, position, 1 + position as u8)).collect();
-        let storages: Vec<Machine> = (0..storages).map(|position| machine(Role::Storage, position, 101 + position as u8)).collect();
+        let machine = |role, position: usize, number| {
+            Machine::new(&site, role, ZONES[position % ZONES.len()], position / ZONES.len() + 1, number)
+        };
+        let edges: Vec<Machine> =
+            (0..edges).map(|position| machine(Role::Edge, position, 1 + position as u8)).collect();
+        let storages: Vec<Machine> =
+            (0..storages).map(|position| machine(Role::Storage, position, 101 + position as u8)).collect();
         for machine in storages.iter().chain(&edges) {
             machine.start(&site, true)?;
         }
         let fronts = edges.iter().map(|edge| site.front(edge.number)).collect();
         let clients = Clients::new(record, Arc::clone(&runs), fronts);
-        Ok(Self { site, store, edges, storages, runs, clients })
+        Ok(Self { site, store, edges, storages, clients })
     }
 
     /// Adds an empty storage machine, as one of `zone`.
--- a/review/harness/src/http.rs
+++ b/review/harness/src/http.rs
@@ -156,7 +156,9 @@
     let outcome = (|| -> io::Result<()> {
         let stream = TcpStream::connect_timeout(&to, Duration::from_secs(1).min(within))?;
         let mut connection = Connection::new(stream);
-        let left = |deadline: Instant| deadline.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
+        let left = |deadline: Instant| {
+            deadline.saturating_duration_since(Instant::now()).max(Duration::from_millis(1))
+        };
         connection.stream.set_write_timeout(Some(left(deadline)))?;
         connection.stream.set_read_timeout(Some(left(deadline)))?;
         let mut bytes = Vec::with_capacity(head.len() + body.len());
@@ -180,7 +182,8 @@
                 }
             }
         } else {
-            let length = header(&answer.headers, "content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+            let length =
+                header(&answer.headers, "content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
             answer.body = connection.exactly(length)?;
         }
         answer.is_whole = true;
--- a/review/harness/src/machine.rs
+++ b/review/harness/src/machine.rs
@@ -13,10 +13,7 @@
     fn kill(process: i32, signal: i32) -> i32;
 }
 
-pub const SIGHUP: i32 = 1;
 pub const SIGTERM: i32 = 15;
-pub const SIGCONT: i32 = 18;
-pub const SIGSTOP: i32 = 19;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Role {
@@ -85,7 +82,11 @@
     fn settings(&self, site: &Site, bootstrap: bool) -> String {
         let is_storage = self.role == Role::Storage;
         let listen = match self.role {
-            Role::Edge => format!("{{\"front\":\"{}\",\"ready\":\"{}\"}}", site.front(self.number), site.ready(self.number)),
+            Role::Edge => format!(
+                "{{\"front\":\"{}\",\"ready\":\"{}\"}}",
+                site.front(self.number),
+                site.ready(self.number)
+            ),
             Role::Storage => format!("{{\"control\":\"{}\"}}", site.control(self.number)),
         };
         let zones: Vec<String> = site.zones.iter().map(|zone| format!("\"{zone}\":\"home\"")).collect();
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -6,7 +6,6 @@
 mod client;
 mod engine;
 mod fleet;
-mod fuzz;
 mod http;
 mod json;
 mod machine;
--- a/review/harness/src/store.rs
+++ b/review/harness/src/store.rs
@@ -44,7 +44,6 @@
 struct Change {
     rev: u64,
     kind: String,
-    name: String,
     object: Json,
     is_gone: bool,
 }
@@ -56,57 +55,33 @@
     history: Vec<Change>,
 }
 
-/// A write that a process made: kind, name, spec.
-pub type OnWrite = Box<dyn Fn(&str, &str, &Json) + Send + Sync>;
-
 #[derive(Clone)]
 pub struct Store {
     content: Arc<(Mutex<Content>, Condvar)>,
     record: Record,
-    on_write: Arc<Mutex<Option<OnWrite>>>,
 }
 
 impl Store {
     pub fn start(at: SocketAddr, record: Record) -> std::io::Result<Self> {
-        let store = Self { content: Arc::default(), record, on_write: Arc::default() };
+        let store = Self { content: Arc::default(), record };
         let served = store.clone();
         serve(at, move |connection| served.serve(connection))?;
         Ok(store)
     }
 
-    /// Calls `on_write` after each write of a process, before it is answered.
-    pub fn on_write(&self, on_write: OnWrite) {
-        *self.on_write.lock().unwrap() = Some(on_write);
-    }
-
     /// Writes as the operator or an engine.
     pub fn put(&self, kind: &str, name: &str, spec: &str) {
         let spec = parse(spec).expect("a valid object");
         let (content, changed) = &*self.content;
         let mut content = content.lock().unwrap();
-        let status = content.kinds.get(kind).and_then(|objects| objects.get(name)).map(|found| found.status.clone());
+        let status =
+            content.kinds.get(kind).and_then(|objects| objects.get(name)).map(|found| found.status.clone());
         content.write(kind, name, spec, status.unwrap_or(Json::Null));
         drop(content);
         changed.notify_all();
     }
 
-    pub fn remove(&self, kind: &str, name: &str) {
-        let (content, changed) = &*self.content;
-        content.lock().unwrap().remove(kind, name);
-        changed.notify_all();
-    }
-
-    /// The spec of an object.
-    pub fn spec(&self, kind: &str, name: &str) -> Option<Json> {
-        self.content.0.lock().unwrap().kinds.get(kind)?.get(name).map(|object| object.spec.clone())
-    }
-
-    /// The status of an object.
-    pub fn status(&self, kind: &str, name: &str) -> Option<Json> {
-        self.content.0.lock().unwrap().kinds.get(kind)?.get(name).map(|object| object.status.clone())
-    }
-
-    /// All objects whose spec holds a list of members: kind, name, names of the members.
+    /// The list of members that the system keeps: its epoch and their names.
     pub fn find_member_list(&self) -> Option<(u64, Vec<String>)> {
         let content = self.content.0.lock().unwrap();
         for objects in content.kinds.values() {
@@ -138,7 +113,11 @@
         let (path, query) = request.path.split_once('?').unwrap_or((&request.path, ""));
         let Some(path) = path.strip_prefix(PREFIX) else { return (404, String::new()) };
         let parameter = |name: &str| {
-            query.split('&').filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name).map(|(_, value)| value)
+            query
+                .split('&')
+                .filter_map(|pair| pair.split_once('='))
+                .find(|(key, _)| *key == name)
+                .map(|(_, value)| value)
         };
         let parts: Vec<&str> = path.split('/').collect();
         match (request.method.as_str(), &parts[..]) {
@@ -233,9 +212,6 @@
             _ => return (404, String::new()),
         };
         drop(content);
-        if let Some(on_write) = &*self.on_write.lock().unwrap() {
-            on_write(&kind, &name, &spec);
-        }
         changed.notify_all();
         self.record.line(&format!("store {method} {}", parts.join("/")));
         (200, written.to_json(&name).to_string())
@@ -245,7 +221,8 @@
 /// The epoch and the names of the members, if a spec is a group of the ledger.
 pub fn member_list(spec: &Json) -> Option<(u64, Vec<String>)> {
     let members = spec.get("members")?.list();
-    let names = members.iter().filter_map(|member| member.get("node").and_then(Json::text)).map(str::to_owned);
+    let names =
+        members.iter().filter_map(|member| member.get("node").and_then(Json::text)).map(str::to_owned);
     Some((spec.get("epoch").and_then(Json::number)?, names.collect()))
 }
 
@@ -257,7 +234,7 @@
         let made = objects.get(name).map_or(rev, |found| found.made);
         let object = Object { rev, made, spec, status };
         objects.insert(name.to_owned(), object.clone());
-        let change = Change { rev, kind: kind.into(), name: name.into(), object: object.to_json(name), is_gone: false };
+        let change = Change { rev, kind: kind.into(), object: object.to_json(name), is_gone: false };
         self.history.push(change);
         object
     }
@@ -267,15 +244,8 @@
             self.rev += 1;
             let object = Object { rev: self.rev, ..object };
             let change =
-                Change { rev: self.rev, kind: kind.into(), name: name.into(), object: object.to_json(name), is_gone: true };
+                Change { rev: self.rev, kind: kind.into(), object: object.to_json(name), is_gone: true };
             self.history.push(change);
         }
     }
 }
-
-impl Change {
-    #[allow(dead_code)]
-    fn describe(&self) -> String {
-        format!("{} {}/{}", self.rev, self.kind, self.name)
-    }
-}
