--- a/review/harness/src/cases.rs
+++ b/review/harness/src/cases.rs
@@ -6,6 +6,7 @@
 
 use crate::Setup;
 use crate::fleet::Fleet;
+use crate::json::Json;
 use crate::machine::SIGTERM;
 
 /// Pause after which the platform starts a process again that has ended.
@@ -18,7 +19,9 @@
 pub fn run(case: &str, setup: Setup) -> io::Result<u8> {
     match case {
         "1" => planned_stop_and_disk_loss(setup),
-        "3" => disk_loss_and_planned_stop(setup),
+        "3" => disk_loss_and_retirement(setup),
+        // Not a case of its own, see the report.
+        "given-up" => disk_loss_and_planned_stop(setup),
         _ => Err(io::Error::other("no such case")),
     }
 }
@@ -166,7 +169,7 @@
             record.say(&format!("{} is back", wiped.name));
         }
         if has_part("stop") {
-            sleep(number("DELAY", 0.6));
+            sleep(number("DELAY", 0.9));
             stopped.signal(site, SIGTERM);
             stopped.wait(site, Duration::from_secs(8));
             sleep(AWAY_S);
@@ -213,3 +216,79 @@
     record.say(if is_broken { "LOST is broken" } else { "LOST held" });
     Ok(u8::from(is_broken))
 }
+
+/// A storage machine loses its disk, and the operator has it emptied and takes it away.
+fn disk_loss_and_retirement(setup: Setup) -> io::Result<u8> {
+    let Setup { root, record, has_trouble } = setup;
+    let fleet = Fleet::start(root, record.clone(), 4, 4)?;
+    let is_up = fleet.wait_until(Duration::from_secs(20), "all edges are ready", |fleet| {
+        fleet.members().is_some_and(|(_, members)| members.len() == 3) && fleet.are_edges_ready()
+    });
+    if !is_up {
+        fleet.end();
+        return Err(io::Error::other("the system did not start"));
+    }
+    let threads = fleet.clients.start(16, 8);
+    sleep(12.0);
+    let (_, members) = fleet.members().unwrap_or_default();
+    record.say(&format!("members {}", members.join(",")));
+    let trouble_at = record.seconds();
+    let site = &fleet.site;
+    let retired = fleet.storage(&members[number("RETIRED", 0.0) as usize]).expect("a member");
+    if has_trouble && has_part("disk") {
+        retired.kill(site);
+        retired.wipe(site)?;
+        sleep(DISK_LOSS_S);
+        retired.start(site, false)?;
+        record.say(&format!("{} is back", retired.name));
+    }
+    sleep(number("DELAY", 0.3));
+    fleet.store.put("retirements", &retired.name, "{\"durationS\":8.8}");
+    record.say(&format!("{} is to be emptied", retired.name));
+    let is_emptied = fleet.wait_until(Duration::from_secs(20), "it is emptied", |fleet| {
+        let status = fleet.store.status("retirements", &retired.name);
+        status.as_ref().and_then(|status| status.get("state")).and_then(Json::text) == Some("completed")
+    });
+    if is_emptied {
+        retired.kill(site);
+        retired.wipe(site)?;
+    }
+    // The bounds of the pages: catchUpS for machines that are back, then recoverS. The turns are kept for 60 s.
+    sleep(4.8 + 12.0);
+    let (all, found, unknown) = fleet.clients.go_on_from_all(trouble_at, 1500, 12);
+    fleet.clients.is_over.store(true, Ordering::Relaxed);
+    for thread in threads {
+        let _ = thread.join();
+    }
+    record.say(&format!(
+        "of {all} turns answered whole before the disk was lost, {found} could be gone on from, {unknown} got 404"
+    ));
+    if let Some((epoch, members)) = fleet.members() {
+        record.say(&format!("group of epoch {epoch}: {}", members.join(",")));
+    }
+    let words = [
+        "member_reread",
+        "group_changed",
+        "group_conflict",
+        "group_adopted",
+        "catch_up",
+        "retirement",
+        "journal_replayed",
+    ];
+    fleet.record_logs(&words);
+    let broken = fleet.clients.broken.lock().unwrap().clone();
+    for (rule, what) in broken.iter().take(5) {
+        record.say(&format!("{rule}: {what}"));
+    }
+    let ended = fleet.ended();
+    if !ended.is_empty() {
+        record.say(&format!("ended by themselves: {}", ended.join(",")));
+    }
+    fleet.end();
+    if found == 0 {
+        return Err(io::Error::other("no turn could be gone on from"));
+    }
+    let is_broken = broken.iter().any(|(rule, _)| *rule == "LOST");
+    record.say(if is_broken { "LOST is broken" } else { "LOST held" });
+    Ok(u8::from(is_broken))
+}
--- a/review/harness/src/store.rs
+++ b/review/harness/src/store.rs
@@ -81,6 +81,11 @@
         changed.notify_all();
     }
 
+    /// The status of an object.
+    pub fn status(&self, kind: &str, name: &str) -> Option<Json> {
+        self.content.0.lock().unwrap().kinds.get(kind)?.get(name).map(|object| object.status.clone())
+    }
+
     /// The list of members that the system keeps: its epoch and their names.
     pub fn find_member_list(&self) -> Option<(u64, Vec<String>)> {
         let content = self.content.0.lock().unwrap();
