--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -1,4 +1,4 @@
-//! Runs one case of the review: `review-harness CASE FOLDER`, in the repository's root.
+//! Runs one case of the review: `review-harness CASE RECORD`, in the repository's root. `RECORD` is the file to write.
 //!
 //! Exit code 0: the rule held; 1: it was broken; 2: the case couldn't run.
 
@@ -30,8 +30,8 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, folder] = &arguments[..] else {
-        eprintln!("usage: review-harness CASE FOLDER");
+    let [_, case, file] = &arguments[..] else {
+        eprintln!("usage: review-harness CASE RECORD");
         return ExitCode::from(2);
     };
     let Ok(root) = std::env::current_dir() else { return ExitCode::from(2) };
@@ -39,7 +39,7 @@
         eprintln!("target/release/sumacdrift-platform is missing: run the build of the deploy file first");
         return ExitCode::from(2);
     }
-    let record = match Record::create(&PathBuf::from(folder).join("record.txt")) {
+    let record = match Record::create(&PathBuf::from(file)) {
         Ok(record) => record,
         Err(error) => {
             eprintln!("the record can't be written: {error}");
