--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -106,6 +106,11 @@
         self.engines_suspected.get()
     }
 
+    /// Number of engine crashes that were found under calls.
+    pub fn engine_crashes(&self) -> u64 {
+        self.engine_crashes.get()
+    }
+
     /// Number of suspected engines that showed a sign of life later.
     pub fn withdrawn_suspicions(&self) -> u64 {
         self.suspicions_withdrawn.get()
