Engines that end after a sign of life count under the requests that they lost

Callers saw a request go on to further engines after three had ended under it: an engine that answers with an error, or not at all, shows signs of life until it ends, and the suspicion was withdrawn for good by then.

Cause: evidence at one moment was taken for the outcome. A request's history with an engine is over only when the engine has outlived it by a bound. An end that was not planned counts under each request that the engine lost. From the first crash on, engines under observation count as well, as they may follow. A call keeps the open attempts that its turn's admission told it, and a caller that leaves after a loss has its engine examined however short the silence was.

--- a/crates/calls/src/machine.rs
+++ b/crates/calls/src/machine.rs
@@ -56,17 +56,34 @@
     pub confirmed: usize,
     /// Engines that may have crashed: they lost the request and have shown no sign of life since.
     pub suspected: usize,
+    /// Engines that lost the request and have shown a sign of life since. They may still crash because of it.
+    pub observed: usize,
+    /// Attempts of the same turn that have not ended. The engine of each may have crashed.
+    pub open_attempts: usize,
 }
 
 impl CrashCount {
     /// Engines that have crashed or may have.
     pub fn total(self) -> usize {
-        self.confirmed + self.suspected
+        self.confirmed + self.suspected + self.open_attempts
     }
 
-    /// Whether the request may be sent to no other engine, at least while the suspicions last.
+    /// Whether no engine has lost the request.
+    pub fn is_empty(self) -> bool {
+        self.total() + self.observed == 0
+    }
+
+    /// Whether the request may be sent to no other engine, at least while the suspicions last. Once a request has crashed an
+    /// engine, those that failed it before may follow.
     pub fn has_reached_limit(self) -> bool {
-        self.total() >= MAX_CRASHES
+        let may_follow = if self.confirmed > 0 { self.observed } else { 0 };
+        self.total() + may_follow >= MAX_CRASHES
+    }
+
+    /// The same with the attempts of the turn that have not ended.
+    #[must_use]
+    pub fn with_open_attempts(self, open_attempts: usize) -> Self {
+        Self { open_attempts, ..self }
     }
 
     /// Why the request is sent to no other engine.
@@ -218,10 +235,13 @@
     }
 
     /// Records the crashes that are known under the request, in all calls for it. Suspicions replace earlier ones, which may
-    /// have been withdrawn.
+    /// have been withdrawn; open attempts are known from the admission of the turn only.
     pub fn record_known_crashes(&mut self, known: CrashCount) {
-        self.crashes.confirmed = self.crashes.confirmed.max(known.confirmed);
-        self.crashes.suspected = known.suspected;
+        self.crashes = CrashCount {
+            confirmed: self.crashes.confirmed.max(known.confirmed),
+            open_attempts: self.crashes.open_attempts.max(known.open_attempts),
+            ..known
+        };
     }
 
     /// Whether the engine may have run the call.
--- a/crates/calls/tests/machine.rs
+++ b/crates/calls/tests/machine.rs
@@ -240,13 +240,13 @@
 #[test]
 fn suspected_crashes_count_until_they_are_withdrawn() {
     let mut machine = machine(CallKind::Repeatable, 100);
-    machine.record_known_crashes(CrashCount { confirmed: 1, suspected: 1 });
+    machine.record_known_crashes(CrashCount { confirmed: 1, suspected: 1, ..CrashCount::default() });
     let next = machine.record_failure(&engine("a"), Failure::Lost, START);
     assert!(matches!(next, Next::Try { .. }), "{next:?}");
-    machine.record_known_crashes(CrashCount { confirmed: 1, suspected: 2 });
+    machine.record_known_crashes(CrashCount { confirmed: 1, suspected: 2, ..CrashCount::default() });
     let next = machine.record_failure(&engine("b"), Failure::Spoiled, START);
     assert_eq!(next, Next::Fail { code: ResultCode::RequestMayCrashEngines });
-    machine.record_known_crashes(CrashCount { confirmed: 1, suspected: 0 });
+    machine.record_known_crashes(CrashCount { confirmed: 1, ..CrashCount::default() });
     let next = machine.record_failure(&engine("c"), Failure::Lost, START);
     assert!(matches!(next, Next::Try { .. }), "{next:?}");
 }
@@ -255,11 +255,31 @@
 fn call_whose_request_is_at_the_limit_is_refused_before_it_is_sent() {
     let mut machine = machine(CallKind::Once, 1);
     assert_eq!(machine.end_at_crash_limit(), None);
-    machine.record_known_crashes(CrashCount { confirmed: 2, suspected: 1 });
+    machine.record_known_crashes(CrashCount { confirmed: 2, suspected: 1, ..CrashCount::default() });
     let next = machine.end_at_crash_limit();
     assert!(matches!(next, Some(Next::Refuse { code: ResultCode::RequestMayCrashEngines, .. })), "{next:?}");
 }
 
 fn confirmed(engines: usize) -> CrashCount {
-    CrashCount { confirmed: engines, suspected: 0 }
+    CrashCount { confirmed: engines, ..CrashCount::default() }
+}
+
+/// Guards against forgetting, between two engines of one call, an attempt whose node was lost before it could report.
+#[test]
+fn open_attempts_known_at_admission_count_after_later_reports() {
+    let mut machine = machine(CallKind::Repeatable, 9);
+    machine.record_known_crashes(CrashCount { open_attempts: 1, ..confirmed(1) });
+    assert!(!machine.has_reached_crash_limit());
+    machine.record_known_crashes(confirmed(2));
+    assert!(machine.has_reached_crash_limit());
+}
+
+/// Guards against engines that failed a request and end after another one has.
+#[test]
+fn observed_engines_count_once_the_request_has_crashed_one() {
+    let mut machine = machine(CallKind::Repeatable, 9);
+    machine.record_known_crashes(CrashCount { observed: 5, ..CrashCount::default() });
+    assert!(!machine.has_reached_crash_limit());
+    machine.record_known_crashes(CrashCount { observed: 2, ..confirmed(1) });
+    assert!(machine.has_reached_crash_limit());
 }
--- a/crates/edge/src/engine_crash.rs
+++ b/crates/edge/src/engine_crash.rs
@@ -22,10 +22,15 @@
 
 use crate::edge::Edge;
 use crate::engine_examination::Examination;
+use crate::engine_watch::EngineWatches;
 use crate::wire_format::WireFormat;
 
 /// Suspected engines that are examined at the same time. Beyond that, only engines that refuse connections are reported.
 const MAX_EXAMINATIONS: usize = 256;
+/// Lost calls whose engines are observed at the same time, after they have shown a sign of life.
+const MAX_OBSERVATIONS: usize = 1024;
+/// Path of a health check in a service that has none.
+const DEFAULT_HEALTH_PATH: &str = "/";
 
 /// Timeouts of the steps after an engine has lost a call.
 #[derive(Debug, Clone, Copy)]
@@ -69,6 +74,9 @@
     seen: Mutex<CrashHistory>,
     /// Permits for examinations of suspected engines.
     pub(crate) examinations: Arc<Semaphore>,
+    /// Permits for observations of engines that have shown a sign of life.
+    pub(crate) observations: Arc<Semaphore>,
+    pub(crate) watches: EngineWatches,
     /// Examinations that have not reported what they found.
     reports: TaskTracker,
 }
@@ -82,6 +90,8 @@
             served: Mutex::default(),
             seen: Mutex::default(),
             examinations: Arc::new(Semaphore::new(MAX_EXAMINATIONS)),
+            observations: Arc::new(Semaphore::new(MAX_OBSERVATIONS)),
+            watches: EngineWatches::default(),
             reports: TaskTracker::new(),
         }
     }
@@ -98,10 +108,17 @@
         self.seen.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records a crash that this edge has seen; returns how many there are under the request.
+    /// Records what this edge has seen of a crash; returns how many there are under the request.
     fn record_seen(&self, report: CrashReport<'_>, now: Timestamp) -> CrashCount {
         let mut seen = self.seen();
-        seen.record(report, now);
+        match report.certainty {
+            Certainty::Observed => {
+                seen.withdraw(report.request, report.engine);
+            }
+            Certainty::Suspected | Certainty::Confirmed => {
+                seen.record(report, now);
+            }
+        }
         seen.count(report.request, now)
     }
 
@@ -141,12 +158,19 @@
     /// When the engine was found to have lost it.
     pub(crate) lost: Timestamp,
     pub(crate) loss: Loss,
-    /// Path for health checks of the engine.
+    /// Path for health checks in the configuration of the engine's service.
     pub(crate) health_path: Option<Arc<str>>,
     /// Crashes under the request that the call knows of, this one not included.
     pub(crate) known: CrashCount,
 }
 
+impl LostCall {
+    /// Path for a health check of the engine. Any response is a sign of life.
+    pub(crate) fn health_check_path(&self) -> &str {
+        self.health_path.as_deref().unwrap_or(DEFAULT_HEALTH_PATH)
+    }
+}
+
 impl<D: WireFormat> Edge<D> {
     /// Examines the engine of a lost call, also if nothing waits for the result.
     pub(crate) fn begin_examination(self: &Arc<Self>, call: LostCall) -> JoinHandle<Examination> {
@@ -163,17 +187,18 @@
         }
     }
 
-    /// Reports that the engine of a lost call crashed, or may have; returns all crashes that are known under the request.
+    /// Reports what became of the engine of a lost call; returns all crashes that are known under the request.
     pub(crate) async fn report_crash(&self, call: &LostCall, certainty: Certainty) -> CrashCount {
         let started = self.clock.now();
         let known = self.crashes.client.report(self.crash_report(call, certainty), &call.key).await;
         let (event, message) = match certainty {
             Certainty::Confirmed => ("engine_crashed", "engine crashed under a request"),
             Certainty::Suspected => ("engine_suspected", "engine may have crashed under a request"),
+            Certainty::Observed => ("suspicion_withdrawn", "suspected engine is alive and under observation"),
         };
         self.log_crash(call, event, message, &known, started);
         let seen = self.crashes.record_seen(self.crash_report(call, certainty), self.clock.now());
-        let reported = known.count();
+        let reported = known.count().with_open_attempts(call.known.open_attempts);
         if known.is_complete {
             return reported;
         }
@@ -182,22 +207,21 @@
         let own = match certainty {
             Certainty::Confirmed => CrashCount { confirmed: before.confirmed + 1, ..before },
             Certainty::Suspected => CrashCount { suspected: before.suspected + 1, ..before },
+            Certainty::Observed => CrashCount { suspected: before.suspected.saturating_sub(1), ..before },
         };
         CrashCount {
             confirmed: reported.confirmed.max(own.confirmed).max(seen.confirmed),
             suspected: reported.suspected.max(own.suspected).max(seen.suspected),
+            observed: reported.observed.max(own.observed).max(seen.observed),
+            open_attempts: own.open_attempts,
         }
     }
 
-    /// Reports that a suspected engine is alive; returns the crashes that are left under the request.
-    pub(crate) async fn withdraw_suspicion(&self, call: &LostCall) -> CrashCount {
-        let started = self.clock.now();
-        let report = self.crash_report(call, Certainty::Suspected);
-        self.crashes.seen().withdraw(call.request, &call.engine);
-        let known = self.crashes.client.withdraw(report, &call.key).await;
-        self.metrics.suspicions_withdrawn.inc();
-        self.log_crash(call, "suspicion_withdrawn", "suspected engine is alive", &known, started);
-        known.count()
+    /// The crashes that are known under the request of a lost call whose engine is under observation.
+    pub(crate) async fn crashes_under(&self, call: &LostCall) -> CrashCount {
+        let report = self.crash_report(call, Certainty::Observed);
+        let known = self.crashes.client.report(report, &call.key).await;
+        known.count().with_open_attempts(call.known.open_attempts)
     }
 
     /// Reports that an engine served a request under which others had crashed.
@@ -230,7 +254,7 @@
         let names = known.confirmed.iter().chain(&known.suspected).map(String::as_str);
         info!(self.logger, "{}", message; "event" => event, "call" => &call.id, "request" => %call.request,
             "engine" => %call.placement.engine, "loss" => ?call.loss, "counted" => true,
-            "crashes" => known.confirmed.len(), "suspected" => known.suspected.len(),
+            "crashes" => known.confirmed.len(), "suspected" => known.suspected.len(), "observed" => known.observed.len(),
             "engines" => names.collect::<Vec<_>>().join(" "), "majority" => known.is_complete,
             "sent_ms" => now.since(call.sent).as_millis() as u64,
             "took_ms" => now.since(started).as_millis() as u64);
--- a/crates/edge/src/engine_examination.rs
+++ b/crates/edge/src/engine_examination.rs
@@ -1,8 +1,8 @@
 //! Finds out whether an engine that lost a call has crashed.
 //!
 //! A refused connection, or another process in the engine's place, confirms a crash. Otherwise the engine is suspected until
-//! it shows a sign of life: it keeps a new connection open, or, if it had fallen silent, responds to a health check. An
-//! examination goes on when the call is over and its caller has left.
+//! it shows a sign of life: it keeps a new connection open, or, if it had fallen silent, responds to a health check. From
+//! then on it is observed. An examination goes on when the call is over and its caller has left.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,8 +18,6 @@
 use crate::engine_pool::{Health, Probe};
 use crate::wire_format::WireFormat;
 
-/// Path of a health check in a service that has none. Any response is a sign of life.
-const DEFAULT_HEALTH_PATH: &str = "/";
 /// Timeout of a health check, and the interval between two of them. Engines that are full answer late.
 const HEALTH_INTERVAL: Duration = Duration::from_secs(1);
 /// How long a silent engine is examined. Exceeds the time in which the entry of an engine lapses.
@@ -82,7 +80,7 @@
         let edge = Arc::clone(&self);
         let resolving = tokio::spawn(async move {
             let _permit = permit;
-            edge.resolve_suspicion(&call, probe, known).await
+            edge.resolve_suspicion(call, probe, known).await
         });
         let suspected = Examination { has_crashed: false, known };
         if !known.has_reached_limit() {
@@ -104,19 +102,46 @@
         self.presence(call) == EnginePresence::Replaced
     }
 
-    fn presence(&self, call: &LostCall) -> EnginePresence {
+    pub(crate) fn presence(&self, call: &LostCall) -> EnginePresence {
         self.engines().presence(&call.placement.engine, self.clock.now())
     }
 
-    async fn confirm_crash(&self, call: &LostCall) -> Examination {
+    pub(crate) async fn confirm_crash(&self, call: &LostCall) -> Examination {
         let known = self.report_crash(call, Certainty::Confirmed).await;
         self.enforce_crash_limit(call.request, known).await;
         Examination { has_crashed: true, known }
     }
 
     /// Finds out what has become of a suspected engine, and reports it.
-    async fn resolve_suspicion(&self, call: &LostCall, probe: Probe, known: CrashCount) -> Examination {
-        let verdict = match (call.loss, probe) {
+    async fn resolve_suspicion(
+        self: &Arc<Self>,
+        call: LostCall,
+        probe: Probe,
+        known: CrashCount,
+    ) -> Examination {
+        let verdict = self.await_verdict(&call, probe, known).await;
+        match verdict {
+            Verdict::Crashed => {
+                self.metrics.engine_crashes.inc();
+                self.confirm_crash(&call).await
+            }
+            Verdict::Alive => {
+                let known = self.report_crash(&call, Certainty::Observed).await;
+                self.begin_observation(call, known);
+                self.metrics.suspicions_withdrawn.inc();
+                Examination { has_crashed: false, known }
+            }
+            Verdict::Unknown => {
+                info!(self.logger, "a suspected engine is neither known to be alive nor to have crashed";
+                    "event" => "suspicion_unresolved", "call" => &call.id, "request" => %call.request,
+                    "engine" => %call.placement.engine);
+                Examination { has_crashed: false, known }
+            }
+        }
+    }
+
+    async fn await_verdict(&self, call: &LostCall, probe: Probe, known: CrashCount) -> Verdict {
+        match (call.loss, probe) {
             (Loss::Broken, Probe::Accepted(connection)) => {
                 tokio::time::sleep(self.settings.crash_timeouts.settle).await;
                 if self.is_replaced(call) {
@@ -134,25 +159,12 @@
                 }
             }
             _ => self.await_response(call, known).await,
-        };
-        match verdict {
-            Verdict::Crashed => {
-                self.metrics.engine_crashes.inc();
-                self.confirm_crash(call).await
-            }
-            Verdict::Alive => Examination { has_crashed: false, known: self.withdraw_suspicion(call).await },
-            Verdict::Unknown => {
-                info!(self.logger, "a suspected engine is neither known to be alive nor to have crashed";
-                    "event" => "suspicion_unresolved", "call" => &call.id, "request" => %call.request,
-                    "engine" => %call.placement.engine);
-                Examination { has_crashed: false, known }
-            }
         }
     }
 
     /// Checks the health of a silent engine until it responds, or until it is known to have crashed.
     async fn await_response(&self, call: &LostCall, known: CrashCount) -> Verdict {
-        let path = call.health_path.as_deref().unwrap_or(DEFAULT_HEALTH_PATH);
+        let path = call.health_check_path();
         let until = self.clock.now() + EXAMINATION_TIME;
         loop {
             let started = self.clock.now();
@@ -171,7 +183,7 @@
         }
     }
 
-    async fn sleep_until(&self, at: Timestamp) {
+    pub(crate) async fn sleep_until(&self, at: Timestamp) {
         tokio::time::sleep_until(self.clock.instant(at)).await;
     }
 }
--- a/crates/edge/src/lost_call.rs
+++ b/crates/edge/src/lost_call.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use http::StatusCode;
-use sumacdrift_calls::{CallMachine, CrashCount, Failure, Next};
+use sumacdrift_calls::{CallMachine, CrashCount, Failure, MAX_CRASHES, Next};
 use sumacdrift_quarantine::{Callers, Certainty, QuarantinedRequest};
 use sumacdrift_routing::Placement;
 use sumacdrift_types::{Mechanism, ResultCode, Timestamp};
@@ -164,7 +164,7 @@
             return;
         }
         machine.record_known_crashes(crashes);
-        if machine.has_reached_crash_limit() && crashes.suspected == 0 {
+        if crashes.confirmed >= MAX_CRASHES {
             self.edge.quarantine(QuarantinedRequest::confirmed(self.fingerprint()), "ledger");
         }
     }
@@ -183,7 +183,7 @@
         if self.callers() == Callers::Many && !self.selected.route.rules.kind.is_stream() {
             self.edge.crashes.record_served(self.fingerprint(), self.edge.clock.now());
         }
-        if machine.crashes().total() > 0 {
+        if !machine.crashes().is_empty() {
             let (edge, request, key) = (Arc::clone(&self.edge), self.fingerprint(), self.crash_key());
             tokio::spawn(async move { edge.report_served_after_crash(request, &key).await });
         }
@@ -196,7 +196,7 @@
         }
         let quarantined = self.edge.find_quarantined(self.fingerprint())?;
         let code = match quarantined.certainty {
-            Certainty::Suspected => ResultCode::RequestMayCrashEngines,
+            Certainty::Observed | Certainty::Suspected => ResultCode::RequestMayCrashEngines,
             Certainty::Confirmed => ResultCode::RequestCrashesEngines,
         };
         Some(machine.end_quarantined(quarantined.remaining, code))
@@ -209,7 +209,9 @@
         let Some(attempt) = self.unanswered.lock().take() else { return };
         let silence = self.edge.clock.now().since(attempt.heard);
         let has_runtime = tokio::runtime::Handle::try_current().is_ok();
-        if has_runtime && silence >= self.edge.settings.crash_timeouts.silence {
+        // After a crash or a loss under the request, the next engine is examined however short its silence was.
+        let is_silent = silence >= self.edge.settings.crash_timeouts.silence || !attempt.known.is_empty();
+        if has_runtime && is_silent {
             let call = self.lost_call(&attempt.placement, attempt.sent, Loss::Silent, attempt.known);
             self.edge.begin_examination(call);
         }
--- a/crates/ledger/src/begin_quorum.rs
+++ b/crates/ledger/src/begin_quorum.rs
@@ -37,6 +37,7 @@
     resumed_origin: Option<StreamOrigin>,
     crashed_engines: BTreeSet<String>,
     suspected_engines: BTreeSet<String>,
+    observed_engines: BTreeSet<String>,
 }
 
 impl BeginQuorum {
@@ -55,6 +56,7 @@
             resumed_origin: None,
             crashed_engines: BTreeSet::new(),
             suspected_engines: BTreeSet::new(),
+            observed_engines: BTreeSet::new(),
         }
     }
 
@@ -74,6 +76,7 @@
         }
         self.crashed_engines.extend(vote.crashed_engines);
         self.suspected_engines.extend(vote.suspected_engines);
+        self.observed_engines.extend(vote.observed_engines);
         self.chain = self.chain.take().or(vote.chain);
         let newer = vote.resumed_origin.filter(|origin| origin.replaces(self.resumed_origin.as_ref()));
         self.resumed_origin = newer.or(self.resumed_origin.take());
@@ -97,11 +100,22 @@
         self.crashed_engines.len()
     }
 
-    /// Number of engines that may have crashed under it besides: those that are suspected, and one for each earlier attempt
-    /// that has not ended, as its node may have been lost with what it knew.
+    /// Number of other engines that may have crashed under it.
     pub fn suspected_engines(&self) -> usize {
-        let open_attempts = self.known.values().filter(|known| known.is_open_attempt).count();
-        self.suspected_engines.difference(&self.crashed_engines).count() + open_attempts
+        self.suspected_engines.difference(&self.crashed_engines).count()
+    }
+
+    /// Number of other engines that lost the request and have shown a sign of life since.
+    pub fn observed_engines(&self) -> usize {
+        let counted = |engine: &&String| {
+            self.crashed_engines.contains(*engine) || self.suspected_engines.contains(*engine)
+        };
+        self.observed_engines.iter().filter(|engine| !counted(engine)).count()
+    }
+
+    /// Number of earlier attempts of the turn that have not ended. Their nodes may have been lost with what they knew.
+    pub fn open_attempts(&self) -> usize {
+        self.known.values().filter(|known| known.is_open_attempt).count()
     }
 
     /// Number of votes received.
--- a/crates/ledger/src/crash_message.rs
+++ b/crates/ledger/src/crash_message.rs
@@ -30,6 +30,9 @@
     /// Engines that may have crashed under it.
     #[prost(string, repeated, tag = "2")]
     pub suspected: Vec<String>,
+    /// Engines that lost the request and have shown a sign of life since.
+    #[prost(string, repeated, tag = "3")]
+    pub observed: Vec<String>,
 }
 
 /// Crashes that a host keeps on its disk.
@@ -52,6 +55,9 @@
     /// Engines that crashed, the first crash first.
     #[prost(message, repeated, tag = "3")]
     pub engines: Vec<CrashedEngineCopy>,
+    /// Engines that lost the request and have shown a sign of life since.
+    #[prost(message, repeated, tag = "4")]
+    pub observed: Vec<ObservedEngineCopy>,
 }
 
 /// An engine that crashed under a request.
@@ -65,6 +71,17 @@
     pub is_confirmed: bool,
 }
 
+/// An engine that lost a request and has shown a sign of life since.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct ObservedEngineCopy {
+    /// Name as in [`EngineCrash::engine`].
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Unix time in milliseconds at which it lost the request.
+    #[prost(uint64, tag = "2")]
+    pub lost_millis: u64,
+}
+
 /// Notice that a request is in quarantine, for the feed of the host.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 #[allow(missing_docs)]
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -30,7 +30,8 @@
 pub use chain::{ChainAssembly, ChainStep};
 pub use copy_plan::plan_copies;
 pub use crash_message::{
-    CrashHistoryCopy, CrashedEngineCopy, CrashedEngines, CrashedRequest, EngineCrash, QuarantineNotice,
+    CrashHistoryCopy, CrashedEngineCopy, CrashedEngines, CrashedRequest, EngineCrash, ObservedEngineCopy,
+    QuarantineNotice,
 };
 pub use group::{Group, GroupNumber, Member};
 pub use group_map::GroupMap;
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -439,6 +439,9 @@
     /// Engines that may have crashed under it.
     #[prost(string, repeated, tag = "7")]
     pub suspected_engines: Vec<String>,
+    /// Engines that lost the request and have shown a sign of life since.
+    #[prost(string, repeated, tag = "8")]
+    pub observed_engines: Vec<String>,
 }
 
 /// Tokens that a turn is charged with.
--- a/crates/ledger/src/state.rs
+++ b/crates/ledger/src/state.rs
@@ -179,6 +179,7 @@
             resumed_origin: account.and_then(|account| account.origin_of(&begin.resumed_turn)),
             crashed_engines: Vec::new(),
             suspected_engines: Vec::new(),
+            observed_engines: Vec::new(),
         }
     }
 
--- a/crates/ledger/tests/recorded_forms/samples.rs
+++ b/crates/ledger/tests/recorded_forms/samples.rs
@@ -175,14 +175,21 @@
     QuarantineNotice { request: 99, remaining_millis: 600_000, is_suspicion }
 }
 
-fn crashed_engines(suspected: Vec<String>) -> ReplyKind {
-    ReplyKind::CrashedEngines(CrashedEngines { engines: vec![text("e1@5"), text("e2@6")], suspected })
+fn crashed_engines(suspected: Vec<String>, observed: Vec<String>) -> ReplyKind {
+    let engines = vec![text("e1@5"), text("e2@6")];
+    ReplyKind::CrashedEngines(CrashedEngines { engines, suspected, observed })
 }
 
-fn vote_with_suspicions() -> ReplyKind {
+fn vote_with_suspicions(observed_engines: Vec<String>) -> ReplyKind {
     let (crashed_engines, suspected_engines) = (vec![text("e1@5"), text("e2@6")], vec![text("e3@7")]);
     let known = vec![KnownTurn { is_open_attempt: true, ..known_turn() }];
-    ReplyKind::Vote(BeginVote { known, crashed_engines, suspected_engines, ..begin_vote(Some(origin())) })
+    ReplyKind::Vote(BeginVote {
+        known,
+        crashed_engines,
+        suspected_engines,
+        observed_engines,
+        ..begin_vote(Some(origin()))
+    })
 }
 
 fn vote(resumed_origin: Option<StreamOrigin>) -> ReplyKind {
@@ -207,6 +214,7 @@
         resumed_origin,
         crashed_engines: Vec::new(),
         suspected_engines: Vec::new(),
+        observed_engines: Vec::new(),
     }
 }
 
@@ -304,12 +312,12 @@
             ("2", ReplyKind::Map(map)),
             ("1", ReplyKind::Busy(true)),
             ("1", ReplyKind::Quota(quota)),
-            ("2", crashed_engines(vec![text("e3@7")])),
+            ("3", crashed_engines(vec![text("e3@7")], vec![text("e4@8")])),
         ];
         let view = Bytes::from_static(b"view");
         let reply = |kind| LedgerReply { kind: Some(kind), view: view.clone(), ..LedgerReply::default() };
         let quarantined = vec![quarantine(true)];
-        let vote = ("6", LedgerReply { quarantined, ..reply(vote_with_suspicions()) });
+        let vote = ("7", LedgerReply { quarantined, ..reply(vote_with_suspicions(vec![text("e4@8")])) });
         let others = kinds.into_iter().map(|(form, kind)| (form, reply(kind)));
         std::iter::once(vote).chain(others).collect()
     }
@@ -461,7 +469,8 @@
             ("1", ReplyKind::Map(map)),
         ];
         let without_crashes = [("3", vote(Some(origin()))), ("4", vote_with_crashes())];
-        let without_suspicions = [("1", crashed_engines(Vec::new()))];
+        let without_suspicions = [("1", crashed_engines(Vec::new(), Vec::new()))];
+        let without_observations = [("2", crashed_engines(vec![text("e3@7")], Vec::new()))];
         let vote_without_suspicions = LedgerReply {
             quarantined: vec![quarantine(false)],
             view: Bytes::from_static(b"view"),
@@ -472,9 +481,15 @@
             .chain(without_copies)
             .chain(without_crashes)
             .chain(without_suspicions)
+            .chain(without_observations)
             .map(|(form, kind)| (form, LedgerReply { view: Bytes::from_static(b"view"), ..plain(kind) }));
         let first = first.map(|kind| ("1", plain(kind)));
-        let vote = [("5", vote_without_suspicions)];
+        let vote_without_observations = LedgerReply {
+            quarantined: vec![quarantine(true)],
+            view: Bytes::from_static(b"view"),
+            ..plain(vote_with_suspicions(Vec::new()))
+        };
+        let vote = [("5", vote_without_suspicions), ("6", vote_without_observations)];
         first.into_iter().chain(statuses).chain(later).chain(vote).collect()
     }
 }
--- a/crates/quarantine/src/crash_history.rs
+++ b/crates/quarantine/src/crash_history.rs
@@ -12,6 +12,9 @@
 /// How long after a crash the next one under the same request counts as its successor. Longer than callers and programs
 /// keep trying.
 pub const CRASH_RETENTION: Duration = Duration::from_secs(60);
+/// How long after an engine lost a request its end is attributed to the request. Longer than a supervisor or watchdog takes
+/// to end a process.
+pub const OBSERVATION_TIME: Duration = Duration::from_secs(30);
 /// Maximum number of engines that are remembered by name for one request.
 const MAX_ENGINES: usize = 8;
 
@@ -19,8 +22,10 @@
 const REPORT_JITTER: Duration = Duration::from_millis(20);
 
 /// How sure it is that an engine that lost a request has crashed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Certainty {
+    /// The engine has shown a sign of life since. It counts if it ends within [`OBSERVATION_TIME`].
+    Observed,
     /// The engine has shown no sign of life since, and may yet.
     Suspected,
     /// The engine accepts no connections, or another one runs in its place.
@@ -58,6 +63,18 @@
     /// Name that differs between incarnations of an engine.
     pub name: String,
     pub certainty: Certainty,
+    /// When the engine lost the request.
+    pub lost: Timestamp,
+}
+
+impl CrashedEngine {
+    fn counts(&self) -> bool {
+        self.certainty != Certainty::Observed
+    }
+
+    fn is_expired(&self, now: Timestamp) -> bool {
+        !self.counts() && now.since(self.lost) >= OBSERVATION_TIME
+    }
 }
 
 /// Crashes in succession under one request.
@@ -95,21 +112,19 @@
         if chain.is_expired(now) {
             chain.engines.clear();
         }
+        chain.engines.retain(|engine| !engine.is_expired(now));
         chain.record(&report, now)
     }
 
-    /// Forgets the suspicion that an engine crashed under a request, as the engine has shown a sign of life since; returns
-    /// whether there was one.
+    /// Withdraws the suspicion that an engine crashed under a request, as the engine has shown a sign of life since; returns
+    /// whether there was one. The engine stays under observation.
     pub fn withdraw(&mut self, request: RequestFingerprint, engine: &str) -> bool {
         let Some(chain) = self.chains.get_mut(&request) else { return false };
-        let known = chain.engines.len();
-        let is_suspected = |known: &CrashedEngine| known.certainty == Certainty::Suspected;
-        chain.engines.retain(|known| known.name != engine || !is_suspected(known));
-        let has_changed = chain.engines.len() < known;
-        if chain.engines.is_empty() {
-            self.chains.remove(&request);
-        }
-        has_changed
+        let is_suspected =
+            |known: &&mut CrashedEngine| known.name == engine && known.certainty == Certainty::Suspected;
+        let Some(suspected) = chain.engines.iter_mut().find(is_suspected) else { return false };
+        suspected.certainty = Certainty::Observed;
+        true
     }
 
     /// Forgets the crashes under a request that an engine has served since; returns whether there were any.
@@ -117,22 +132,42 @@
         self.chains.remove(&request).is_some()
     }
 
-    /// Engines that crashed in succession under a request, the first one first.
-    pub fn engines(&self, request: RequestFingerprint, now: Timestamp) -> &[CrashedEngine] {
+    /// Engines that crashed in succession under a request, or may have, the first one first.
+    pub fn engines(&self, request: RequestFingerprint, now: Timestamp) -> Vec<&CrashedEngine> {
+        self.known_engines(request, now).filter(|engine| engine.counts()).collect()
+    }
+
+    /// Engines that lost a request and have shown a sign of life since.
+    pub fn observed(&self, request: RequestFingerprint, now: Timestamp) -> Vec<&CrashedEngine> {
+        self.known_engines(request, now).filter(|engine| !engine.counts()).collect()
+    }
+
+    fn known_engines(
+        &self,
+        request: RequestFingerprint,
+        now: Timestamp,
+    ) -> impl Iterator<Item = &CrashedEngine> {
         let chain = self.chains.get(&request).filter(|chain| !chain.is_expired(now));
-        chain.map_or(&[], |chain| &chain.engines)
+        chain.into_iter().flat_map(|chain| &chain.engines).filter(move |engine| !engine.is_expired(now))
     }
 
     /// Number of crashes in succession under a request.
     pub fn count(&self, request: RequestFingerprint, now: Timestamp) -> CrashCount {
-        let engines = self.engines(request, now);
-        let confirmed = engines.iter().filter(|engine| engine.certainty == Certainty::Confirmed).count();
-        CrashCount { confirmed, suspected: engines.len() - confirmed }
+        let count = |certainty| {
+            self.known_engines(request, now).filter(|engine| engine.certainty == certainty).count()
+        };
+        CrashCount {
+            confirmed: count(Certainty::Confirmed),
+            suspected: count(Certainty::Suspected),
+            observed: count(Certainty::Observed),
+            open_attempts: 0,
+        }
     }
 
-    /// The chains that still count.
+    /// The chains in which engines crashed or may have, and that still count.
     pub fn chains(&self, now: Timestamp) -> impl Iterator<Item = &CrashChain> {
-        self.chains.values().filter(move |chain| !chain.is_expired(now))
+        let counts = |chain: &&CrashChain| chain.engines.iter().any(CrashedEngine::counts);
+        self.chains.values().filter(move |chain| !chain.is_expired(now)).filter(counts)
     }
 
     /// Number of requests that are remembered.
@@ -147,23 +182,33 @@
     }
 
     fn record(&mut self, report: &CrashReport<'_>, now: Timestamp) -> bool {
+        let lost = now - report.lost_ago;
         if let Some(known) = self.engines.iter_mut().find(|known| known.name == report.engine) {
-            let is_confirmed =
-                known.certainty == Certainty::Suspected && report.certainty == Certainty::Confirmed;
-            if is_confirmed {
-                known.certainty = Certainty::Confirmed;
+            let is_surer = known.certainty < report.certainty;
+            if is_surer {
+                known.certainty = report.certainty;
+                known.lost = known.lost.max(lost);
             }
-            return is_confirmed;
+            return is_surer;
         }
-        let may_extend = self.engines.len() < MAX_ENGINES && self.is_extended_by(report, now);
+        let may_extend = self.has_room() && self.is_extended_by(report, now);
         if may_extend {
             let name = report.engine.to_owned();
-            self.engines.push(CrashedEngine { name, certainty: report.certainty });
-            self.last_crash = now - report.lost_ago;
+            self.engines.push(CrashedEngine { name, certainty: report.certainty, lost });
+            self.last_crash = lost;
         }
         may_extend
     }
 
+    /// Whether another engine can be recorded. The first one under observation gives way.
+    fn has_room(&mut self) -> bool {
+        if self.engines.len() < MAX_ENGINES {
+            return true;
+        }
+        let observed = self.engines.iter().position(|engine| !engine.counts());
+        observed.map(|observed| self.engines.remove(observed)).is_some()
+    }
+
     fn is_extended_by(&self, report: &CrashReport<'_>, now: Timestamp) -> bool {
         let sent_at = now - report.sent_ago;
         self.engines.is_empty()
--- a/crates/quarantine/tests/crash_history.rs
+++ b/crates/quarantine/tests/crash_history.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use sumacdrift_calls::RequestFingerprint;
+use sumacdrift_calls::{CrashCount, RequestFingerprint};
 use sumacdrift_quarantine::{
-    CRASH_RETENTION, Callers, Certainty, CrashHistory, CrashReport, Quarantine, QuarantinedRequest,
-    RecentlyServed, SUSPICION_TIME,
+    CRASH_RETENTION, Callers, Certainty, CrashHistory, CrashReport, OBSERVATION_TIME, Quarantine,
+    QuarantinedRequest, RecentlyServed, SUSPICION_TIME,
 };
 use sumacdrift_types::Timestamp;
 
@@ -181,3 +181,64 @@
     );
     assert_eq!(record(&mut history, crash("b", second), at(3_010)), 2);
 }
+
+/// Records that an engine lost the request and has shown a sign of life.
+fn survive(history: &mut CrashHistory, engine: &str, now: Timestamp) {
+    history.record(suspicion(engine), now);
+    assert!(history.withdraw(REQUEST, engine));
+}
+
+/// Guards against taking a sign of life for the outcome: an engine may end long after it lost the request.
+#[test]
+fn an_engine_that_ends_after_a_sign_of_life_counts() {
+    for delay in [300, 1_000, 5_000, 20_000] {
+        let mut history = CrashHistory::default();
+        for (position, engine) in ["a", "b", "c"].into_iter().enumerate() {
+            survive(&mut history, engine, at(position as u64 * 100));
+        }
+        assert!(!history.count(REQUEST, at(300)).has_reached_limit(), "no engine has ended");
+        let lost_ago = Duration::from_millis(delay);
+        let late = |engine| CrashReport { lost_ago, ..crash(engine, lost_ago + SENT_AGO) };
+        assert!(history.record(late("a"), at(delay)));
+        assert!(history.count(REQUEST, at(delay)).has_reached_limit(), "the others may follow");
+        assert!(history.record(late("b"), at(delay + 100)));
+        assert!(history.record(late("c"), at(delay + 200)));
+        let confirmed = CrashCount { confirmed: 3, ..CrashCount::default() };
+        assert_eq!(history.count(REQUEST, at(delay + 200)), confirmed);
+    }
+}
+
+/// Guards against holding a request back for engines that fail requests and go on.
+#[test]
+fn engines_that_outlive_the_observation_no_longer_count() {
+    let mut history = CrashHistory::default();
+    survive(&mut history, "a", at(0));
+    survive(&mut history, "b", at(100));
+    record(&mut history, crash("c", SENT_AGO), at(200));
+    assert!(history.count(REQUEST, at(200)).has_reached_limit());
+    let later = at(100) + OBSERVATION_TIME;
+    assert_eq!(history.count(REQUEST, later), CrashCount { confirmed: 1, ..CrashCount::default() });
+}
+
+/// Guards against missing a crash because the names of engines that went on take all the room.
+#[test]
+fn an_observed_engine_gives_way_to_a_crash() {
+    let mut history = CrashHistory::default();
+    for number in 0..20 {
+        survive(&mut history, &format!("e{number}"), at(number));
+    }
+    for (position, engine) in ["a", "b", "c"].into_iter().enumerate() {
+        record(&mut history, crash(engine, SENT_AGO), at(100 + position as u64 * 10));
+    }
+    assert_eq!(names(&history, REQUEST, at(130)), ["a", "b", "c"]);
+}
+
+#[test]
+fn an_observation_is_restored_with_the_crashes_beside_it() {
+    let mut history = CrashHistory::default();
+    survive(&mut history, "a", at(0));
+    assert_eq!(history.chains(at(0)).count(), 0, "there is no crash to keep");
+    record(&mut history, crash("b", SENT_AGO), at(10));
+    let restored = CrashHistory::restored(history.chains(at(10)).cloned());
+    assert_eq!(restored.count(REQUEST, at(20)), history.count(REQUEST, at(20)));
+}
--- a/crates/storage/src/client.rs
+++ b/crates/storage/src/client.rs
@@ -343,8 +343,12 @@
     ) -> Result<Admission, LedgerError> {
         let counted_tokens = quorum.counted_tokens();
         let resumed_origin = quorum.resumed_origin().cloned();
-        let crashes =
-            CrashCount { confirmed: quorum.crashed_engines(), suspected: quorum.suspected_engines() };
+        let crashes = CrashCount {
+            confirmed: quorum.crashed_engines(),
+            suspected: quorum.suspected_engines(),
+            observed: quorum.observed_engines(),
+            open_attempts: quorum.open_attempts(),
+        };
         let mut admission =
             Admission { counted_tokens, epoch: group.epoch, resumed_origin, crashes, ..Admission::default() };
         if begin.needs_chain && !begin.previous.is_empty() {
--- a/crates/storage/src/crash_client.rs
+++ b/crates/storage/src/crash_client.rs
@@ -26,6 +26,8 @@
     pub confirmed: BTreeSet<String>,
     /// Other engines that may have.
     pub suspected: BTreeSet<String>,
+    /// Other engines that lost the request and have shown a sign of life since.
+    pub observed: BTreeSet<String>,
     /// Whether a majority of the nodes replied. Otherwise further crashes may be known to the others.
     pub is_complete: bool,
 }
@@ -33,7 +35,12 @@
 impl KnownCrashes {
     /// Number of crashes.
     pub fn count(&self) -> CrashCount {
-        CrashCount { confirmed: self.confirmed.len(), suspected: self.suspected.len() }
+        CrashCount {
+            confirmed: self.confirmed.len(),
+            suspected: self.suspected.len(),
+            observed: self.observed.len(),
+            open_attempts: 0,
+        }
     }
 }
 
@@ -55,21 +62,17 @@
         Self { ledger, timeout }
     }
 
-    /// Reports that an engine crashed while it ran a request, or may have; returns all crashes that are known under it.
+    /// Reports that an engine crashed while it ran a request, or may have, or has shown a sign of life since, which withdraws
+    /// an earlier suspicion; returns all crashes that are known under it.
     pub async fn report(&self, report: CrashReport<'_>, key: &str) -> KnownCrashes {
         let kind = match report.certainty {
             Certainty::Confirmed => RequestKind::EngineCrash(crash_message(report)),
             Certainty::Suspected => RequestKind::SuspectedCrash(crash_message(report)),
+            Certainty::Observed => RequestKind::EngineSurvived(crash_message(report)),
         };
         self.exchange(kind, key).await
     }
 
-    /// Reports that an engine has shown a sign of life, which withdraws an earlier report that it may have crashed; returns
-    /// the crashes that are left under the request.
-    pub async fn withdraw(&self, report: CrashReport<'_>, key: &str) -> KnownCrashes {
-        self.exchange(RequestKind::EngineSurvived(crash_message(report)), key).await
-    }
-
     async fn exchange(&self, kind: RequestKind, key: &str) -> KnownCrashes {
         let group = self.ledger.map().group_of(key).cloned();
         let replies = self.ask_majority(group, kind).await;
@@ -78,9 +81,12 @@
             if let ReplyKind::CrashedEngines(crashed) = kind {
                 known.confirmed.extend(crashed.engines);
                 known.suspected.extend(crashed.suspected);
+                known.observed.extend(crashed.observed);
             }
         }
         known.suspected = known.suspected.difference(&known.confirmed).cloned().collect();
+        known.observed = known.observed.difference(&known.confirmed).cloned().collect();
+        known.observed = known.observed.difference(&known.suspected).cloned().collect();
         known
     }
 
--- a/crates/storage/src/crash_host.rs
+++ b/crates/storage/src/crash_host.rs
@@ -9,7 +9,7 @@
 use sumacdrift_journal::JournalFailure;
 use sumacdrift_ledger::{
     CrashHistoryCopy, CrashedEngineCopy, CrashedEngines, CrashedRequest, EngineCrash, LedgerReply,
-    QuarantineNotice, ReplyKind, StoredCopy,
+    ObservedEngineCopy, QuarantineNotice, ReplyKind, StoredCopy,
 };
 use sumacdrift_quarantine::{Callers, Certainty, CrashChain, CrashHistory, CrashReport, CrashedEngine};
 use sumacdrift_types::Timestamp;
@@ -81,12 +81,18 @@
     /// Engines that crashed, or may have, in succession under a request.
     pub(crate) fn engines(&self, request: u64) -> CrashedEngines {
         let history = self.history();
-        let engines = history.engines(RequestFingerprint(request), self.now());
+        let (request, now) = (RequestFingerprint(request), self.now());
+        let engines = history.engines(request, now);
         let names = |certainty: Certainty| {
             let engines = engines.iter().filter(|engine| engine.certainty == certainty);
             engines.map(|engine| engine.name.clone()).collect()
         };
-        CrashedEngines { engines: names(Certainty::Confirmed), suspected: names(Certainty::Suspected) }
+        let observed = history.observed(request, now);
+        CrashedEngines {
+            engines: names(Certainty::Confirmed),
+            suspected: names(Certainty::Suspected),
+            observed: observed.iter().map(|engine| engine.name.clone()).collect(),
+        }
     }
 
     /// The encoded history, and the number of changes in it.
@@ -107,30 +113,48 @@
 }
 
 fn to_chain(kept: CrashedRequest) -> CrashChain {
+    let at = |unix_millis| Timestamp::default() + Duration::from_millis(unix_millis);
+    let last_crash = at(kept.last_crash_millis);
     let engines = kept.engines.into_iter().map(|engine| CrashedEngine {
         name: engine.name,
         certainty: if engine.is_confirmed { Certainty::Confirmed } else { Certainty::Suspected },
+        lost: last_crash,
+    });
+    let observed = kept.observed.into_iter().map(|engine| CrashedEngine {
+        name: engine.name,
+        certainty: Certainty::Observed,
+        lost: at(engine.lost_millis),
     });
     CrashChain {
         request: RequestFingerprint(kept.request),
-        engines: engines.collect(),
-        last_crash: Timestamp::default() + Duration::from_millis(kept.last_crash_millis),
+        engines: engines.chain(observed).collect(),
+        last_crash,
     }
 }
 
 fn to_message(chain: &CrashChain) -> CrashedRequest {
-    let engines = chain.engines.iter().map(|engine| CrashedEngineCopy {
+    let (observed, crashed): (Vec<_>, Vec<_>) =
+        chain.engines.iter().partition(|engine| engine.certainty == Certainty::Observed);
+    let crashed = crashed.into_iter().map(|engine| CrashedEngineCopy {
         name: engine.name.clone(),
         is_confirmed: engine.certainty == Certainty::Confirmed,
     });
-    let last_crash = chain.last_crash.since(Timestamp::default());
+    let observed = observed.into_iter().map(|engine| ObservedEngineCopy {
+        name: engine.name.clone(),
+        lost_millis: unix_millis_of(engine.lost),
+    });
     CrashedRequest {
         request: chain.request.0,
-        last_crash_millis: u64::try_from(last_crash.as_millis()).unwrap_or(u64::MAX),
-        engines: engines.collect(),
+        last_crash_millis: unix_millis_of(chain.last_crash),
+        engines: crashed.collect(),
+        observed: observed.collect(),
     }
 }
 
+fn unix_millis_of(at: Timestamp) -> u64 {
+    u64::try_from(at.since(Timestamp::default()).as_millis()).unwrap_or(u64::MAX)
+}
+
 impl ReplicaHost {
     /// Records a crash, and returns all that are known under the request.
     pub(crate) async fn record_crash(&self, crash: &EngineCrash, certainty: Certainty) -> LedgerReply {
--- a/crates/storage/src/host.rs
+++ b/crates/storage/src/host.rs
@@ -498,7 +498,9 @@
         let mut step = self.replica().handle(request, unix_millis());
         if let (Some(begun_request), Some(ReplyKind::Vote(vote))) = (begun_request, &mut step.reply.kind) {
             let known = self.crashes.engines(begun_request);
-            (vote.crashed_engines, vote.suspected_engines) = (known.engines, known.suspected);
+            vote.crashed_engines = known.engines;
+            vote.suspected_engines = known.suspected;
+            vote.observed_engines = known.observed;
         }
         if let Some(newer) = self.newer_version(group, epoch, &step.reply) {
             step.reply.kind = Some(ReplyKind::WrongEpoch(newer));
--- a/crates/storage/src/quarantine_feed.rs
+++ b/crates/storage/src/quarantine_feed.rs
@@ -82,7 +82,7 @@
 
 fn total_time(certainty: Certainty) -> Duration {
     match certainty {
-        Certainty::Suspected => SUSPICION_TIME,
+        Certainty::Observed | Certainty::Suspected => SUSPICION_TIME,
         Certainty::Confirmed => QUARANTINE_TIME,
     }
 }
@@ -94,7 +94,9 @@
 /// fingerprint.
 fn item_name(quarantined: &QuarantinedRequest, expires: u64) -> String {
     match quarantined.certainty {
-        Certainty::Suspected => format!("{}{SUSPICION_SEPARATOR}{expires:x}", quarantined.request),
+        Certainty::Observed | Certainty::Suspected => {
+            format!("{}{SUSPICION_SEPARATOR}{expires:x}", quarantined.request)
+        }
         Certainty::Confirmed => quarantined.request.to_string(),
     }
 }
--- a/crates/storage/tests/crashes_outlast_processes.rs
+++ b/crates/storage/tests/crashes_outlast_processes.rs
@@ -57,13 +57,15 @@
     let second = start(&folder).await;
     let known = ask(&second, RequestKind::EngineCrash(crash("e3"))).await;
     let (engines, suspected) = (vec!["e1".to_owned(), "e3".to_owned()], vec!["e2".to_owned()]);
-    assert_eq!(known, ReplyKind::CrashedEngines(CrashedEngines { engines, suspected }));
+    let observed = Vec::new();
+    assert_eq!(known, ReplyKind::CrashedEngines(CrashedEngines { engines, suspected, observed }));
     ask(&second, RequestKind::EngineSurvived(crash("e2"))).await;
     drop(second);
     let third = start(&folder).await;
     let known = ask(&third, RequestKind::EngineCrash(crash("e3"))).await;
     let engines = vec!["e1".to_owned(), "e3".to_owned()];
-    assert_eq!(known, ReplyKind::CrashedEngines(CrashedEngines { engines, suspected: Vec::new() }));
+    let (suspected, observed) = (Vec::new(), vec!["e2".to_owned()]);
+    assert_eq!(known, ReplyKind::CrashedEngines(CrashedEngines { engines, suspected, observed }));
 }
 
 #[tokio::test]
