Engines that a killed edge observed are observed by the edges that lose the same request later

Callers saw, after an edge was killed, that ends of engines under its earlier attempts did not count: only the edge that lost a call watched its engine. The reply to each report names the engines of the request, and the reporting edge now observes all of them. One that has ended meanwhile is found at once: it refuses connections, has a successor, or has lapsed.

--- a/crates/edge/src/engine_crash.rs
+++ b/crates/edge/src/engine_crash.rs
@@ -4,15 +4,15 @@
 //! storage nodes know how many engines crashed, or may have, under the same request; at the limit the request is put in
 //! quarantine.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use slog::info;
-use sumacdrift_calls::{CrashCount, MAX_CRASHES, RequestFingerprint};
+use sumacdrift_calls::{CrashCount, EngineId, MAX_CRASHES, RequestFingerprint};
 use sumacdrift_quarantine::{
     Callers, Certainty, CrashHistory, CrashReport, Quarantine, QuarantinedRequest, RecentlyServed,
 };
-use sumacdrift_routing::Placement;
 use sumacdrift_storage::{CrashClient, KnownCrashes, LedgerClient};
 use sumacdrift_types::{Mechanism, Timestamp};
 use tokio::sync::{Semaphore, watch};
@@ -22,13 +22,12 @@
 
 use crate::edge::Edge;
 use crate::engine_examination::Examination;
+use crate::engine_observation::Observations;
 use crate::engine_watch::EngineWatches;
 use crate::wire_format::WireFormat;
 
 /// Suspected engines that are examined at the same time. Beyond that, only engines that refuse connections are reported.
 const MAX_EXAMINATIONS: usize = 256;
-/// Lost calls whose engines are observed at the same time, after they have shown a sign of life.
-const MAX_OBSERVATIONS: usize = 1024;
 /// Path of a health check in a service that has none.
 const DEFAULT_HEALTH_PATH: &str = "/";
 
@@ -74,8 +73,7 @@
     seen: Mutex<CrashHistory>,
     /// Permits for examinations of suspected engines.
     pub(crate) examinations: Arc<Semaphore>,
-    /// Permits for observations of engines that have shown a sign of life.
-    pub(crate) observations: Arc<Semaphore>,
+    pub(crate) observations: Observations,
     pub(crate) watches: EngineWatches,
     /// Examinations that have not reported what they found.
     reports: TaskTracker,
@@ -90,7 +88,7 @@
             served: Mutex::default(),
             seen: Mutex::default(),
             examinations: Arc::new(Semaphore::new(MAX_EXAMINATIONS)),
-            observations: Arc::new(Semaphore::new(MAX_OBSERVATIONS)),
+            observations: Observations::default(),
             watches: EngineWatches::default(),
             reports: TaskTracker::new(),
         }
@@ -150,9 +148,10 @@
     pub(crate) callers: Callers,
     /// See [`CrashClient`].
     pub(crate) key: String,
-    pub(crate) placement: Placement,
+    pub(crate) engine: EngineId,
     /// Name of the engine that differs between its incarnations.
-    pub(crate) engine: String,
+    pub(crate) incarnation: String,
+    pub(crate) address: SocketAddr,
     /// When the call was sent to the engine.
     pub(crate) sent: Timestamp,
     /// When the engine was found to have lost it.
@@ -188,7 +187,7 @@
     }
 
     /// Reports what became of the engine of a lost call; returns all crashes that are known under the request.
-    pub(crate) async fn report_crash(&self, call: &LostCall, certainty: Certainty) -> CrashCount {
+    pub(crate) async fn report_crash(self: &Arc<Self>, call: &LostCall, certainty: Certainty) -> CrashCount {
         let started = self.clock.now();
         let known = self.crashes.client.report(self.crash_report(call, certainty), &call.key).await;
         let (event, message) = match certainty {
@@ -197,6 +196,7 @@
             Certainty::Observed => ("suspicion_withdrawn", "suspected engine is alive and under observation"),
         };
         self.log_crash(call, event, message, &known, started);
+        self.observe_engines_of_others(call, &known);
         let seen = self.crashes.record_seen(self.crash_report(call, certainty), self.clock.now());
         let reported = known.count().with_open_attempts(call.known.open_attempts);
         if known.is_complete {
@@ -235,7 +235,7 @@
         CrashReport {
             request: call.request,
             callers: call.callers,
-            engine: &call.engine,
+            engine: &call.incarnation,
             certainty,
             sent_ago: now.since(call.sent),
             lost_ago: now.since(call.lost),
@@ -253,7 +253,7 @@
         let now = self.clock.now();
         let names = known.confirmed.iter().chain(&known.suspected).map(String::as_str);
         info!(self.logger, "{}", message; "event" => event, "call" => &call.id, "request" => %call.request,
-            "engine" => %call.placement.engine, "loss" => ?call.loss, "counted" => true,
+            "engine" => %call.engine, "loss" => ?call.loss, "counted" => true,
             "crashes" => known.confirmed.len(), "suspected" => known.suspected.len(), "observed" => known.observed.len(),
             "engines" => names.collect::<Vec<_>>().join(" "), "majority" => known.is_complete,
             "sent_ms" => now.since(call.sent).as_millis() as u64,
--- a/crates/edge/src/engine_examination.rs
+++ b/crates/edge/src/engine_examination.rs
@@ -57,7 +57,7 @@
             if has_crashed {
                 info!(self.logger, "engine crashed under a request that was served recently";
                     "event" => "engine_crashed", "call" => &call.id, "request" => %call.request,
-                    "engine" => %call.placement.engine, "counted" => false);
+                    "engine" => %call.engine, "counted" => false);
             }
             return Examination { has_crashed, ..unexamined };
         }
@@ -67,7 +67,7 @@
         let Ok(permit) = Arc::clone(&self.crashes.examinations).try_acquire_owned() else {
             self.metrics.engines_not_examined.inc();
             info!(self.logger, "too many suspected engines are being examined"; "event" => "engine_not_examined",
-                "call" => &call.id, "request" => %call.request, "engine" => %call.placement.engine);
+                "call" => &call.id, "request" => %call.request, "engine" => %call.engine);
             return unexamined;
         };
         if matches!(probe, Probe::Silent) {
@@ -94,7 +94,7 @@
     }
 
     async fn probe(&self, call: &LostCall) -> Probe {
-        let (engine, address) = (&call.placement.engine, call.placement.address);
+        let (engine, address) = (&call.engine, call.address);
         self.pool.probe(engine, address, self.settings.crash_timeouts.probe).await
     }
 
@@ -103,10 +103,10 @@
     }
 
     pub(crate) fn presence(&self, call: &LostCall) -> EnginePresence {
-        self.engines().presence(&call.placement.engine, self.clock.now())
+        self.engines().presence(&call.engine, self.clock.now())
     }
 
-    pub(crate) async fn confirm_crash(&self, call: &LostCall) -> Examination {
+    pub(crate) async fn confirm_crash(self: &Arc<Self>, call: &LostCall) -> Examination {
         let known = self.report_crash(call, Certainty::Confirmed).await;
         self.enforce_crash_limit(call.request, known).await;
         Examination { has_crashed: true, known }
@@ -134,7 +134,7 @@
             Verdict::Unknown => {
                 info!(self.logger, "a suspected engine is neither known to be alive nor to have crashed";
                     "event" => "suspicion_unresolved", "call" => &call.id, "request" => %call.request,
-                    "engine" => %call.placement.engine);
+                    "engine" => %call.engine);
                 Examination { has_crashed: false, known }
             }
         }
@@ -168,7 +168,7 @@
         let until = self.clock.now() + EXAMINATION_TIME;
         loop {
             let started = self.clock.now();
-            match self.pool.check_health(call.placement.address, path, HEALTH_INTERVAL).await {
+            match self.pool.check_health(call.address, path, HEALTH_INTERVAL).await {
                 Health::Responds if !self.is_replaced(call) => return Verdict::Alive,
                 Health::Responds | Health::Refused => return Verdict::Crashed,
                 Health::Silent if self.presence(call) != EnginePresence::Listed => return Verdict::Crashed,
--- a/crates/edge/src/engine_observation.rs
+++ b/crates/edge/src/engine_observation.rs
@@ -1,11 +1,16 @@
-//! Observes an engine that lost a call and has shown a sign of life since: if it ends soon, that counts under the request.
+//! Observes engines that lost a call and have shown a sign of life since: if one ends soon, that counts under the request.
+//!
+//! The edge that lost the call observes its engine, and so does each edge that loses the same request later, since the first
+//! one may be gone by then.
 
-use std::sync::Arc;
+use std::collections::HashSet;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use slog::info;
-use sumacdrift_calls::{CrashCount, MAX_CRASHES};
+use sumacdrift_calls::{CrashCount, EngineId, MAX_CRASHES, RequestFingerprint};
 use sumacdrift_quarantine::OBSERVATION_TIME;
+use sumacdrift_storage::KnownCrashes;
 use sumacdrift_types::Timestamp;
 use tokio::sync::watch;
 
@@ -14,26 +19,64 @@
 use crate::engine_watch::EngineFate;
 use crate::wire_format::WireFormat;
 
+/// Engines that are observed at the same time, each counted once for every request that it lost.
+const MAX_OBSERVATIONS: usize = 1024;
 /// Interval at which the quarantine of a request is renewed while its engines are observed. Shorter than it lasts.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
 
+/// An engine that is observed because of a request.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Observation {
+    request: RequestFingerprint,
+    engine: EngineId,
+}
+
+/// Observations that are under way.
+#[derive(Debug, Default)]
+pub(crate) struct Observations(Mutex<HashSet<Observation>>);
+
+impl Observations {
+    fn lock(&self) -> MutexGuard<'_, HashSet<Observation>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 impl<D: WireFormat> Edge<D> {
     /// Observes the engine of a lost call, apart from the call. `known` are the crashes under its request.
     pub(crate) fn begin_observation(self: &Arc<Self>, call: LostCall, known: CrashCount) {
-        let Ok(permit) = Arc::clone(&self.crashes.observations).try_acquire_owned() else {
-            self.metrics.engines_not_examined.inc();
-            info!(self.logger, "too many engines are being observed"; "event" => "engine_not_observed",
-                "call" => &call.id, "request" => %call.request, "engine" => %call.placement.engine);
-            return;
-        };
+        let observation = Observation { request: call.request, engine: call.engine.clone() };
+        {
+            let mut observations = self.crashes.observations.lock();
+            if observations.len() >= MAX_OBSERVATIONS {
+                self.metrics.engines_not_examined.inc();
+                info!(self.logger, "too many engines are being observed"; "event" => "engine_not_observed",
+                    "call" => &call.id, "request" => %call.request, "engine" => %call.engine);
+                return;
+            }
+            if !observations.insert(observation.clone()) {
+                return;
+            }
+        }
         let edge = Arc::clone(self);
         tokio::spawn(async move {
-            let _permit = permit;
             edge.observe(call, known).await;
+            edge.crashes.observations.lock().remove(&observation);
         });
     }
 
-    async fn observe(self: Arc<Self>, call: LostCall, mut known: CrashCount) {
+    /// Observes the other engines that lost the same request, whichever edge sent it there.
+    pub(crate) fn observe_engines_of_others(self: &Arc<Self>, call: &LostCall, known: &KnownCrashes) {
+        for incarnation in known.observed.iter().chain(&known.suspected) {
+            let Some((engine, address)) = self.engines().find_incarnation(incarnation) else { continue };
+            if engine != call.engine {
+                let incarnation = incarnation.clone();
+                let other = LostCall { engine, incarnation, address, ..call.clone() };
+                self.begin_observation(other, known.count());
+            }
+        }
+    }
+
+    async fn observe(self: &Arc<Self>, call: LostCall, mut known: CrashCount) {
         let until = call.lost + OBSERVATION_TIME;
         let mut fate = self.watch_engine(&call);
         while self.clock.now() < until {
@@ -63,7 +106,7 @@
     }
 
     /// Counts the crash of an observed engine, and holds the request back while others that failed it are observed.
-    async fn record_late_crash(&self, call: &LostCall, until: Timestamp) {
+    async fn record_late_crash(self: &Arc<Self>, call: &LostCall, until: Timestamp) {
         self.metrics.engine_crashes.inc();
         let mut known = self.confirm_crash(call).await.known;
         while known.has_reached_limit() && known.confirmed < MAX_CRASHES && self.clock.now() < until {
--- a/crates/edge/src/engine_watch.rs
+++ b/crates/edge/src/engine_watch.rs
@@ -83,11 +83,11 @@
     /// Watches the engine of a lost call until it has ended or nobody waits for that any more.
     pub(crate) fn watch_engine(self: &Arc<Self>, call: &LostCall) -> watch::Receiver<EngineFate> {
         let mut fates = self.crashes.watches.fates();
-        if let Some(fate) = fates.get(&call.placement.engine) {
+        if let Some(fate) = fates.get(&call.engine) {
             return fate.subscribe();
         }
         let (fate, waiting) = watch::channel(EngineFate::Running);
-        fates.insert(call.placement.engine.clone(), fate.clone());
+        fates.insert(call.engine.clone(), fate.clone());
         tokio::spawn(Arc::clone(self).follow_engine(call.clone(), fate));
         waiting
     }
@@ -98,7 +98,7 @@
                 found = self.await_end(&call) => found,
                 () = fate.closed() => EngineFate::Running,
             };
-            if self.crashes.watches.finish(&call.placement.engine, &fate, found) {
+            if self.crashes.watches.finish(&call.engine, &fate, found) {
                 return;
             }
         }
@@ -119,7 +119,7 @@
             }
             if connection.is_none() && connects_left > 0 {
                 connects_left -= 1;
-                match connect(call.placement.address, self.settings.crash_timeouts.probe).await {
+                match connect(call.address, self.settings.crash_timeouts.probe).await {
                     Contact::Connected(stream) => connection = Some(stream),
                     Contact::Refused if self.is_draining(call) => return EngineFate::Leaving,
                     Contact::Refused => return EngineFate::Crashed,
@@ -143,14 +143,14 @@
             EnginePresence::Listed => self.is_draining(call).then_some(EngineFate::Leaving),
             EnginePresence::Missing => {
                 let path = call.health_check_path();
-                let health = self.pool.check_health(call.placement.address, path, HEALTH_TIMEOUT).await;
+                let health = self.pool.check_health(call.address, path, HEALTH_TIMEOUT).await;
                 Some(if health == Health::Responds { EngineFate::Leaving } else { EngineFate::Crashed })
             }
         }
     }
 
     fn is_draining(&self, call: &LostCall) -> bool {
-        self.engines().spec(&call.placement.engine).is_some_and(|spec| spec.is_draining)
+        self.engines().spec(&call.engine).is_some_and(|spec| spec.is_draining)
     }
 }
 
--- a/crates/routing/src/registry/incarnations.rs
+++ b/crates/routing/src/registry/incarnations.rs
@@ -4,9 +4,11 @@
 //! whatever their report numbers; within one incarnation the report of the higher number is newer.
 
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use sumacdrift_calls::EngineId;
+use sumacdrift_fleet_view::engine_key;
 use sumacdrift_types::Timestamp;
 
 use crate::engine::{Engine, EngineSpec};
@@ -61,6 +63,13 @@
         }
     }
 
+    /// The engine with this name among all incarnations, see [`EngineId::incarnation_text`], and its address.
+    pub fn find_incarnation(&self, name: &str) -> Option<(EngineId, SocketAddr)> {
+        let id = self.engines.id_of(engine_key(name))?;
+        let spec = &self.engines.get(id)?.spec;
+        (id.incarnation_text() == name).then(|| (id.clone(), spec.address))
+    }
+
     /// Applies an engine's directory entry.
     pub fn upsert(&mut self, mut spec: EngineSpec, now: Timestamp) -> EntryChange {
         self.names.intern(&mut spec.service);
