A plain request that one more crash brings to the limit is reported before it is sent

A request one below the limit is announced to all edges through the feeds, in a form that earlier builds ignore. An edge asks the members for its crashes and reports the engine as suspected before it sends such a request; the report is withdrawn if the engine didn't get it, or answered. Other requests cost nothing.

The quorum's count of open attempts is asked apart from the suspected engines; the test of open attempts asserts the same numbers there.

--- a/crates/calls/src/machine.rs
+++ b/crates/calls/src/machine.rs
@@ -76,8 +76,17 @@
     /// Whether the request may be sent to no other engine, at least while the suspicions last. Once a request has crashed an
     /// engine, those that failed it before may follow.
     pub fn has_reached_limit(self) -> bool {
+        self.limited() >= MAX_CRASHES
+    }
+
+    /// Whether one more crash reaches the limit.
+    pub fn is_one_below_limit(self) -> bool {
+        self.limited() + 1 == MAX_CRASHES
+    }
+
+    fn limited(self) -> usize {
         let may_follow = if self.confirmed > 0 { self.observed } else { 0 };
-        self.total() + may_follow >= MAX_CRASHES
+        self.total() + may_follow
     }
 
     /// The same with the attempts of the turn that have not ended.
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -173,7 +173,8 @@
         {
             return Err(machine.end_without_engine(code));
         }
-        let sent = call.record_sent(machine, &placement);
+        let is_reported = call.report_before_sending(machine, &placement).await?;
+        let sent = call.record_sent(machine, &placement, is_reported);
         match try_engine(call, machine, &placement, permit).await {
             Ok(response) => {
                 call.record_heard();
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -202,6 +202,21 @@
     crashes: CrashCount,
 }
 
+impl<D: WireFormat> CallContext<D> {
+    /// Whether the call is a turn that the ledger has to admit.
+    fn must_track(&self) -> bool {
+        let program = self.head.program.as_ref();
+        let has_budget = program.is_some_and(|program| program.token_budget.is_some());
+        has_budget || (self.selected.route.is_retained && program.is_some())
+    }
+
+    /// Whether the ledger admits the call before it is sent.
+    pub(crate) fn is_admitted(&self) -> bool {
+        let is_stream = self.selected.route.rules.kind.is_stream();
+        is_stream && (self.must_track() || self.is_resumable())
+    }
+}
+
 /// Begins the call's turn in the ledger, if it has a program with a budget, a retained route, or a stream that may be
 /// resumed.
 async fn begin_turn<D: WireFormat>(
@@ -219,9 +234,8 @@
         crashes: CrashCount::default(),
     };
     let is_retained = selected.route.is_retained;
-    let has_budget = head.program.as_ref().is_some_and(|program| program.token_budget.is_some());
-    let must_track = has_budget || (is_retained && head.program.is_some());
-    if !must_track && !call.is_resumable() {
+    let must_track = call.must_track();
+    if !call.is_admitted() {
         return Ok(untracked());
     }
     let program = ledger_program(head);
--- a/crates/edge/src/engine_crash.rs
+++ b/crates/edge/src/engine_crash.rs
@@ -12,6 +12,7 @@
 use sumacdrift_calls::{CrashCount, EngineId, MAX_CRASHES, RequestFingerprint};
 use sumacdrift_quarantine::{
     Callers, Certainty, CrashHistory, CrashReport, Quarantine, QuarantinedRequest, RecentlyServed,
+    SuspectRequest, SuspectRequests,
 };
 use sumacdrift_storage::{CrashClient, KnownCrashes, LedgerClient};
 use sumacdrift_types::{Mechanism, Timestamp};
@@ -67,6 +68,8 @@
 pub(crate) struct RequestCrashes {
     client: CrashClient,
     quarantine: Mutex<Quarantine>,
+    suspects: Mutex<SuspectRequests>,
+    /// Changes with the quarantine and the suspects.
     quarantine_changed: watch::Sender<()>,
     served: Mutex<RecentlyServed>,
     /// Crashes that this edge has seen. They count while no majority of the storage nodes replies.
@@ -84,6 +87,7 @@
         Self {
             client: CrashClient::new(ledger, timeouts.report),
             quarantine: Mutex::default(),
+            suspects: Mutex::default(),
             quarantine_changed: watch::Sender::new(()),
             served: Mutex::default(),
             seen: Mutex::default(),
@@ -98,6 +102,10 @@
         self.quarantine.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn suspects(&self) -> MutexGuard<'_, SuspectRequests> {
+        self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn served(&self) -> MutexGuard<'_, RecentlyServed> {
         self.served.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -157,12 +165,23 @@
     /// When the engine was found to have lost it.
     pub(crate) lost: Timestamp,
     pub(crate) loss: Loss,
+    /// Whether the ledger has admitted the call as a turn, whose open attempt counts if this process is lost.
+    pub(crate) is_admitted: bool,
     /// Path for health checks in the configuration of the engine's service.
     pub(crate) health_path: Option<Arc<str>>,
     /// Crashes under the request that the call knows of, this one not included.
     pub(crate) known: CrashCount,
 }
 
+/// What is known of a request that is about to be sent to an engine.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct CrashesElsewhere {
+    /// Crashes at other engines.
+    pub(crate) count: CrashCount,
+    /// Whether the engine lost the request before.
+    pub(crate) is_known_here: bool,
+}
+
 impl LostCall {
     /// Path for a health check of the engine. Any response is a sign of life.
     pub(crate) fn health_check_path(&self) -> &str {
@@ -199,6 +218,9 @@
         self.observe_engines_of_others(call, &known);
         let seen = self.crashes.record_seen(self.crash_report(call, certainty), self.clock.now());
         let reported = known.count().with_open_attempts(call.known.open_attempts);
+        if reported.is_one_below_limit() && certainty != Certainty::Observed && !call.is_admitted {
+            self.announce_suspect(SuspectRequest::new(call.request)).await;
+        }
         if known.is_complete {
             return reported;
         }
@@ -217,10 +239,29 @@
         }
     }
 
-    /// The crashes that are known under the request of a lost call whose engine is under observation.
+    /// The crashes that are known under a request before it is sent to an engine, without those at this engine, and whether
+    /// there is one.
+    pub(crate) async fn crashes_elsewhere(&self, call: &LostCall) -> CrashesElsewhere {
+        let mut known = self.crashes.client.known(call.request, &call.key).await;
+        let is_known_here = known.remove(&call.incarnation);
+        CrashesElsewhere { count: known.count(), is_known_here }
+    }
+
+    /// Reports an engine as suspected before it gets a request, since this process may be lost with the call.
+    pub(crate) async fn report_before_sending(&self, call: &LostCall) {
+        let report = self.crash_report(call, Certainty::Suspected);
+        self.crashes.client.report(report, &call.key).await;
+    }
+
+    /// Withdraws such a report, as the engine did not get the request or answered it.
+    pub(crate) async fn report_not_run(&self, call: &LostCall) {
+        let report = self.crash_report(call, Certainty::Suspected);
+        self.crashes.client.report_not_run(report, &call.key).await;
+    }
+
+    /// The crashes that are known under the request of a lost call.
     pub(crate) async fn crashes_under(&self, call: &LostCall) -> CrashCount {
-        let report = self.crash_report(call, Certainty::Observed);
-        let known = self.crashes.client.report(report, &call.key).await;
+        let known = self.crashes.client.known(call.request, &call.key).await;
         known.count().with_open_attempts(call.known.open_attempts)
     }
 
@@ -272,26 +313,65 @@
     /// Distributes a request in quarantine to all edges; returns once this edge has learned of it, or after a timeout.
     async fn begin_quarantine(&self, quarantined: QuarantinedRequest) {
         let request = quarantined.request;
+        let publishing = self.crashes.client.quarantine(quarantined);
+        let is_known =
+            || self.find_quarantined(request).is_some_and(|known| known.certainty == quarantined.certainty);
+        if !self.distribute(publishing, is_known).await {
+            info!(self.logger, "request in quarantine may be unknown to other edges";
+                "event" => "quarantine_not_distributed", "request" => %request);
+        }
+        self.quarantine(quarantined, "own crash");
+    }
+
+    /// Announces a request for which one more crash reaches the limit to all edges, which report it before they send it;
+    /// returns once this edge has learned of it, or after a timeout.
+    async fn announce_suspect(&self, suspect: SuspectRequest) {
+        let request = suspect.request;
+        if self.is_suspect(request) {
+            return;
+        }
+        let publishing = self.crashes.client.announce_suspect(suspect);
+        if !self.distribute(publishing, || self.is_suspect(request)).await {
+            info!(self.logger, "request close to the crash limit may be unknown to other edges";
+                "event" => "suspect_not_distributed", "request" => %request);
+        }
+        self.add_suspect(suspect);
+    }
+
+    /// Publishes something to the feeds and waits until this edge's own feed has brought it; returns whether it has in time.
+    async fn distribute(&self, publishing: impl Future<Output = bool>, is_known: impl Fn() -> bool) -> bool {
         let mut changed = self.crashes.quarantine_changed.subscribe();
         let distributing = async {
-            let is_published = self.crashes.client.quarantine(quarantined).await;
-            while is_published
-                && self.find_quarantined(request).is_none_or(|known| known.certainty != quarantined.certainty)
-            {
+            let is_published = publishing.await;
+            while is_published && !is_known() {
                 if changed.changed().await.is_err() {
                     break;
                 }
             }
             is_published
         };
-        let is_distributed =
-            tokio::time::timeout(self.settings.crash_timeouts.distribution, distributing).await;
-        if !matches!(is_distributed, Ok(true)) {
-            info!(self.logger, "request in quarantine may be unknown to other edges";
-                "event" => "quarantine_not_distributed", "request" => %request,
-                "published" => is_distributed.unwrap_or(false));
+        let within = self.settings.crash_timeouts.distribution;
+        tokio::time::timeout(within, distributing).await.unwrap_or(false)
+    }
+
+    /// Adds a request for which one more crash reaches the limit.
+    pub fn add_suspect(&self, suspect: SuspectRequest) {
+        if self.crashes.suspects().add(suspect, self.clock.now()) {
+            info!(self.logger, "one more crash under the request reaches the limit"; "event" => "request_suspected",
+                "request" => %suspect.request, "remaining_ms" => suspect.remaining.as_millis() as u64);
+            self.crashes.quarantine_changed.send_replace(());
         }
-        self.quarantine(quarantined, "own crash");
+    }
+
+    /// Whether one more crash under a request reaches the limit.
+    pub(crate) fn is_suspect(&self, request: RequestFingerprint) -> bool {
+        self.crashes.suspects().contains(request, self.clock.now())
+    }
+
+    /// Whether there may be such requests; `false` if the mechanism is disabled.
+    pub(crate) fn may_have_suspects(&self) -> bool {
+        let is_enabled = self.settings.disabled.is_enabled(Mechanism::Quarantine);
+        is_enabled && !self.crashes.suspects().is_empty()
     }
 
     /// Puts a request in quarantine.
@@ -325,8 +405,14 @@
         self.crashes.quarantine().len()
     }
 
+    /// Number of requests for which one more crash reaches the limit.
+    pub fn suspect_requests(&self) -> usize {
+        self.crashes.suspects().len()
+    }
+
     /// Drops requests whose quarantine is over.
     pub(crate) fn expire_quarantine(&self) {
+        self.crashes.suspects().expire(self.clock.now());
         let mut quarantine = self.crashes.quarantine();
         quarantine.expire(self.clock.now());
         self.metrics.quarantined.set(i64::try_from(quarantine.len()).unwrap_or(i64::MAX));
--- a/crates/edge/src/engine_observation.rs
+++ b/crates/edge/src/engine_observation.rs
@@ -71,7 +71,8 @@
             if engine != call.engine {
                 let incarnation = incarnation.clone();
                 let other = LostCall { engine, incarnation, address, ..call.clone() };
-                self.begin_observation(other, known.count());
+                // Whether the request is held back is decided where it was lost.
+                self.begin_observation(other, CrashCount::default());
             }
         }
     }
--- a/crates/edge/src/lost_call.rs
+++ b/crates/edge/src/lost_call.rs
@@ -24,6 +24,8 @@
     /// When the engine last sent something, or got the call.
     heard: Timestamp,
     known: CrashCount,
+    /// Whether the engine was reported as suspected before it was sent.
+    is_reported: bool,
 }
 
 /// The unanswered attempt of a call, if there is one.
@@ -38,7 +40,12 @@
 
 impl<D: WireFormat> CallContext<D> {
     /// Records that the call is being sent to an engine; returns when.
-    pub(crate) fn record_sent(&self, machine: &mut CallMachine, placement: &Placement) -> Timestamp {
+    pub(crate) fn record_sent(
+        &self,
+        machine: &mut CallMachine,
+        placement: &Placement,
+        is_reported: bool,
+    ) -> Timestamp {
         machine.record_sent(&placement.engine);
         let now = self.edge.clock.now();
         let attempt = UnansweredAttempt {
@@ -46,6 +53,7 @@
             sent: now,
             heard: now,
             known: machine.crashes(),
+            is_reported,
         };
         *self.unanswered.lock() = Some(attempt);
         now
@@ -63,6 +71,45 @@
         *self.unanswered.lock() = None;
     }
 
+    /// Reports the engine before a request is sent to it under which another crash reaches the limit; returns whether it has.
+    /// Ends the call if the limit has been reached meanwhile.
+    pub(crate) async fn report_before_sending(
+        &self,
+        machine: &mut CallMachine,
+        placement: &Placement,
+    ) -> Result<bool, Next> {
+        if self.is_admitted() || !self.edge.may_have_suspects() {
+            return Ok(false);
+        }
+        let (request, now) = (self.fingerprint(), self.edge.clock.now());
+        let was_served = self.callers() == Callers::Many && self.edge.crashes.was_served(request, now);
+        if was_served || !self.edge.is_suspect(request) {
+            return Ok(false);
+        }
+        let call = self.lost_call(placement, now, Loss::Silent, machine.crashes());
+        let elsewhere = self.edge.crashes_elsewhere(&call).await;
+        machine.record_known_crashes(elsewhere.count);
+        if let Some(end) = machine.end_at_crash_limit() {
+            return Err(end);
+        }
+        if elsewhere.is_known_here {
+            return Ok(false);
+        }
+        self.edge.report_before_sending(&call).await;
+        Ok(true)
+    }
+
+    /// Withdraws the report of an attempt that did not cost the engine, apart from the call.
+    fn withdraw_report(&self, machine: &CallMachine, placement: &Placement, sent: Timestamp) {
+        let call = self.lost_call(placement, sent, Loss::Silent, machine.crashes());
+        let edge = Arc::clone(&self.edge);
+        tokio::spawn(async move { edge.report_not_run(&call).await });
+    }
+
+    fn has_reported(&self) -> bool {
+        self.unanswered.lock().as_ref().is_some_and(|attempt| attempt.is_reported)
+    }
+
     /// Records a failed attempt and returns the next step. If the engine may have crashed, examines it first. `sent` is when
     /// the attempt was sent.
     pub(crate) async fn record_failure(
@@ -72,6 +119,7 @@
         sent: Timestamp,
         failure: Failure,
     ) -> Next {
+        let is_reported = self.has_reported();
         self.record_answered();
         let engine = &placement.engine;
         let may_have_crashed = match failure {
@@ -80,6 +128,9 @@
             Failure::NotSent => machine.may_have_run_at(engine),
             _ => false,
         };
+        if is_reported && !may_have_crashed {
+            self.withdraw_report(machine, placement, sent);
+        }
         let mut failure = failure;
         if may_have_crashed && let Some(found) = self.examine(machine, placement, sent).await {
             machine.record_known_crashes(found.known);
@@ -100,9 +151,13 @@
     ) {
         if status.is_server_error() {
             self.examine_after_error(machine, placement, sent).await;
-        } else {
-            self.record_answered();
+            return;
         }
+        // A success clears all crashes under the request.
+        if self.has_reported() && !status.is_success() {
+            self.withdraw_report(machine, placement, sent);
+        }
+        self.record_answered();
     }
 
     /// Examines an engine that ends the call with an error.
@@ -148,6 +203,7 @@
             sent,
             lost: self.edge.clock.now(),
             loss,
+            is_admitted: self.is_admitted(),
             health_path: self.selected.service.health_path.clone(),
             known,
         }
--- a/crates/ledger/src/crash_message.rs
+++ b/crates/ledger/src/crash_message.rs
@@ -19,6 +19,10 @@
     /// Time in milliseconds since the engine lost the request.
     #[prost(uint64, tag = "5")]
     pub lost_millis_ago: u64,
+    /// Whether the engine did not get the request after all, so that nothing counts that becomes of it. Only with
+    /// `RequestKind::EngineSurvived`.
+    #[prost(bool, tag = "6")]
+    pub has_not_run: bool,
 }
 
 /// Engines that crashed in succession under a request, as far as one host knows.
@@ -96,3 +100,15 @@
     #[prost(bool, tag = "3")]
     pub is_suspicion: bool,
 }
+
+/// Notice that one more crash under a request reaches the limit, for the feed of the host.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+#[allow(missing_docs)]
+pub struct SuspectNotice {
+    /// Fingerprint of the request.
+    #[prost(fixed64, tag = "1")]
+    pub request: u64,
+    /// Time in milliseconds until the notice expires.
+    #[prost(uint64, tag = "2")]
+    pub remaining_millis: u64,
+}
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -31,7 +31,7 @@
 pub use copy_plan::plan_copies;
 pub use crash_message::{
     CrashHistoryCopy, CrashedEngineCopy, CrashedEngines, CrashedRequest, EngineCrash, ObservedEngineCopy,
-    QuarantineNotice,
+    QuarantineNotice, SuspectNotice,
 };
 pub use group::{Group, GroupNumber, Member};
 pub use group_map::GroupMap;
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use sumacdrift_mutants::{Rule, is_broken};
 
-use crate::crash_message::{CrashedEngines, EngineCrash, QuarantineNotice};
+use crate::crash_message::{CrashedEngines, EngineCrash, QuarantineNotice, SuspectNotice};
 use crate::quota_message::{QuotaAnswer, QuotaQuestion, QuotaTotals};
 
 /// Which software began the stream of a turn: only that can continue it.
@@ -210,7 +210,7 @@
     pub epoch: u64,
     #[prost(
         oneof = "RequestKind",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 16, 17, 18, 19, 20, 21, 22"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 16, 17, 18, 19, 20, 21, 22, 23"
     )]
     pub kind: Option<RequestKind>,
     /// Number of the group addressed.
@@ -280,6 +280,9 @@
     /// Reports a sign of life of an engine that was suspected. Answered by the replica's host.
     #[prost(message, tag = "22")]
     EngineSurvived(EngineCrash),
+    /// Announces that one more crash under a request reaches the limit. Handled by the replica's host.
+    #[prost(message, tag = "23")]
+    Suspect(SuspectNotice),
 }
 
 /// Request to admit a turn.
--- a/crates/ledger/src/replica.rs
+++ b/crates/ledger/src/replica.rs
@@ -208,7 +208,8 @@
                 | RequestKind::SuspectedCrash(_)
                 | RequestKind::EngineSurvived(_)
                 | RequestKind::ServedAfterCrash(_)
-                | RequestKind::Quarantine(_),
+                | RequestKind::Quarantine(_)
+                | RequestKind::Suspect(_),
             ) => reply_only(ReplyKind::Failed("a replica records no crashes".to_owned())),
             Some(RequestKind::Stopping(_)) => {
                 reply_only(ReplyKind::Failed("a replica watches no other".to_owned()))
--- a/crates/ledger/tests/recorded_forms/main.rs
+++ b/crates/ledger/tests/recorded_forms/main.rs
@@ -41,6 +41,7 @@
         Quarantine,
         SuspectedCrash,
         EngineSurvived,
+        Suspect,
     }
 );
 
--- a/crates/ledger/tests/recorded_forms/samples.rs
+++ b/crates/ledger/tests/recorded_forms/samples.rs
@@ -6,7 +6,7 @@
     GroupMapMessage, GroupMessage, KnownTurn, LedgerReply, LedgerRequest, MemberMessage, Page, PageRequest,
     Push, QuarantineNotice, QuotaAnswer, QuotaDecision, QuotaQuestion, QuotaTotals, Reading, Record,
     RecordKind, ReplyKind, RequestKind, RetainedTurn, SilentMember, Standing, StatusReply, StoredCopy,
-    StreamOrigin, TenantTotalMessage, TurnBegun, TurnEnded,
+    StreamOrigin, SuspectNotice, TenantTotalMessage, TurnBegun, TurnEnded,
 };
 
 const EPOCH: u64 = 5;
@@ -282,7 +282,8 @@
             ("1", RequestKind::ServedAfterCrash(99)),
             ("2", RequestKind::Quarantine(quarantine(true))),
             ("1", RequestKind::SuspectedCrash(engine_crash())),
-            ("1", RequestKind::EngineSurvived(engine_crash())),
+            ("2", RequestKind::EngineSurvived(EngineCrash { has_not_run: true, ..engine_crash() })),
+            ("1", RequestKind::Suspect(SuspectNotice { request: 99, remaining_millis: 60_000 })),
         ];
         let report = Bytes::from_static(b"news");
         let request =
@@ -361,6 +362,7 @@
             RequestKind::Quarantine(QuarantineNotice::default()),
             RequestKind::SuspectedCrash(EngineCrash::default()),
             RequestKind::EngineSurvived(EngineCrash::default()),
+            RequestKind::Suspect(SuspectNotice::default()),
         ];
         kinds.map(|kind| LedgerRequest { kind: Some(kind), ..LedgerRequest::default() }).to_vec()
     }
@@ -423,6 +425,7 @@
         ];
         let without_fingerprint = [("5", RequestKind::Begin(begin_with_quorum()))];
         let without_suspicions = [
+            ("1", RequestKind::EngineSurvived(engine_crash())),
             ("6", begin_with_fingerprint()),
             ("4", push(group_with_copies(), turn_begun_at_origin())),
             ("1", RequestKind::EngineCrash(first_engine_crash())),
--- a/crates/ledger/tests/replica.rs
+++ b/crates/ledger/tests/replica.rs
@@ -432,7 +432,7 @@
         };
         let mut quorum = BeginQuorum::new(1, 0, 100);
         quorum.vote(vote);
-        quorum.suspected_engines()
+        quorum.open_attempts()
     };
     assert_eq!((admit("first", 7), admit("second", 7)), (0, 1));
     assert_eq!(admit("other", 8), 0, "turns of other requests may be open");
--- a/crates/quarantine/src/crash_history.rs
+++ b/crates/quarantine/src/crash_history.rs
@@ -127,6 +127,14 @@
         true
     }
 
+    /// Forgets that an engine may have crashed under a request that it did not get; returns whether that was known.
+    pub fn forget(&mut self, request: RequestFingerprint, engine: &str) -> bool {
+        let Some(chain) = self.chains.get_mut(&request) else { return false };
+        let known = chain.engines.len();
+        chain.engines.retain(|known| known.name != engine || known.certainty == Certainty::Confirmed);
+        chain.engines.len() < known
+    }
+
     /// Forgets the crashes under a request that an engine has served since; returns whether there were any.
     pub fn clear(&mut self, request: RequestFingerprint) -> bool {
         self.chains.remove(&request).is_some()
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -10,6 +10,7 @@
 mod crash_history;
 mod quarantine;
 mod recently_served;
+mod suspects;
 
 pub use crash_history::{
     CRASH_RETENTION, Callers, Certainty, CrashChain, CrashHistory, CrashReport, CrashedEngine,
@@ -17,3 +18,4 @@
 };
 pub use quarantine::{QUARANTINE_TIME, Quarantine, QuarantinedRequest, SUSPICION_TIME};
 pub use recently_served::RecentlyServed;
+pub use suspects::{SuspectRequest, SuspectRequests};
--- a/crates/quarantine/tests/crash_history.rs
+++ b/crates/quarantine/tests/crash_history.rs
@@ -5,7 +5,7 @@
 use sumacdrift_calls::{CrashCount, RequestFingerprint};
 use sumacdrift_quarantine::{
     CRASH_RETENTION, Callers, Certainty, CrashHistory, CrashReport, OBSERVATION_TIME, Quarantine,
-    QuarantinedRequest, RecentlyServed, SUSPICION_TIME,
+    QuarantinedRequest, RecentlyServed, SUSPICION_TIME, SuspectRequest, SuspectRequests,
 };
 use sumacdrift_types::Timestamp;
 
@@ -242,3 +242,19 @@
     let restored = CrashHistory::restored(history.chains(at(10)).cloned());
     assert_eq!(restored.count(REQUEST, at(20)), history.count(REQUEST, at(20)));
 }
+
+/// Guards against reporting a request before each send for longer than crashes count, and against forgetting it sooner.
+#[test]
+fn a_suspect_request_is_remembered_for_as_long_as_crashes_count() {
+    let mut suspects = SuspectRequests::default();
+    assert!(suspects.add(SuspectRequest::new(REQUEST), at(0)));
+    assert!(!suspects.add(SuspectRequest::new(REQUEST), at(10)), "it was known");
+    assert!(suspects.contains(REQUEST, at(0) + CRASH_RETENTION));
+    assert!(!suspects.contains(REQUEST, at(10) + CRASH_RETENTION));
+    suspects.expire(at(10) + CRASH_RETENTION);
+    assert!(suspects.is_empty());
+    for number in 0..10_000 {
+        suspects.add(SuspectRequest::new(RequestFingerprint(number)), at(number));
+    }
+    assert!(suspects.len() <= 4096, "{}", suspects.len());
+}
--- a/crates/storage/src/crash_client.rs
+++ b/crates/storage/src/crash_client.rs
@@ -9,8 +9,8 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use sumacdrift_calls::{CrashCount, RequestFingerprint};
-use sumacdrift_ledger::{EngineCrash, Group, ReplyKind, RequestKind};
-use sumacdrift_quarantine::{Callers, Certainty, CrashReport, QuarantinedRequest};
+use sumacdrift_ledger::{EngineCrash, Group, ReplyKind, RequestKind, SuspectNotice};
+use sumacdrift_quarantine::{Callers, Certainty, CrashReport, QuarantinedRequest, SuspectRequest};
 use tokio::time::Instant;
 
 use crate::client::LedgerClient;
@@ -33,6 +33,12 @@
 }
 
 impl KnownCrashes {
+    /// Removes an engine; returns whether it was known.
+    pub fn remove(&mut self, engine: &str) -> bool {
+        let sets = [&mut self.confirmed, &mut self.suspected, &mut self.observed];
+        sets.into_iter().any(|engines| engines.remove(engine))
+    }
+
     /// Number of crashes.
     pub fn count(&self) -> CrashCount {
         CrashCount {
@@ -73,6 +79,19 @@
         self.exchange(kind, key).await
     }
 
+    /// Reports that an engine did not get a request after all, for which it was reported as suspected.
+    pub async fn report_not_run(&self, report: CrashReport<'_>, key: &str) {
+        let message = EngineCrash { has_not_run: true, ..crash_message(report) };
+        self.exchange(RequestKind::EngineSurvived(message), key).await;
+    }
+
+    /// All crashes that are known under a request.
+    pub async fn known(&self, request: RequestFingerprint, key: &str) -> KnownCrashes {
+        // A sign of life of no engine changes nothing.
+        let message = EngineCrash { request: request.0, ..EngineCrash::default() };
+        self.exchange(RequestKind::EngineSurvived(message), key).await
+    }
+
     async fn exchange(&self, kind: RequestKind, key: &str) -> KnownCrashes {
         let group = self.ledger.map().group_of(key).cloned();
         let replies = self.ask_majority(group, kind).await;
@@ -106,6 +125,15 @@
             .is_majority
     }
 
+    /// Announces a request for which one more crash reaches the limit to the feeds that edges follow; returns whether a
+    /// majority of their nodes acknowledged it.
+    pub async fn announce_suspect(&self, suspect: SuspectRequest) -> bool {
+        let publishers = self.ledger.map().group(0).cloned();
+        let notice =
+            SuspectNotice { request: suspect.request.0, remaining_millis: to_millis(suspect.remaining) };
+        self.ask_majority(publishers, RequestKind::Suspect(notice)).await.is_majority
+    }
+
     /// Sends a request to all members of a group and waits for the replies of a majority. No member replies while no group is
     /// known.
     async fn ask_majority(&self, group: Option<Arc<Group>>, kind: RequestKind) -> Replies {
@@ -143,6 +171,7 @@
         sent_millis_ago: to_millis(report.sent_ago),
         lost_millis_ago: to_millis(report.lost_ago),
         has_one_caller: report.callers == Callers::One,
+        has_not_run: false,
     }
 }
 
--- a/crates/storage/src/crash_host.rs
+++ b/crates/storage/src/crash_host.rs
@@ -9,7 +9,7 @@
 use sumacdrift_journal::JournalFailure;
 use sumacdrift_ledger::{
     CrashHistoryCopy, CrashedEngineCopy, CrashedEngines, CrashedRequest, EngineCrash, LedgerReply,
-    ObservedEngineCopy, QuarantineNotice, ReplyKind, StoredCopy,
+    ObservedEngineCopy, QuarantineNotice, ReplyKind, StoredCopy, SuspectNotice,
 };
 use sumacdrift_quarantine::{Callers, Certainty, CrashChain, CrashHistory, CrashReport, CrashedEngine};
 use sumacdrift_types::Timestamp;
@@ -64,7 +64,11 @@
     }
 
     fn withdraw(&self, crash: &EngineCrash) {
-        self.change(|history| history.withdraw(RequestFingerprint(crash.request), &crash.engine));
+        let request = RequestFingerprint(crash.request);
+        self.change(|history| match crash.has_not_run {
+            true => history.forget(request, &crash.engine),
+            false => history.withdraw(request, &crash.engine),
+        });
     }
 
     fn clear(&self, request: u64) {
@@ -177,6 +181,16 @@
     /// Distributes a request in quarantine to the followers of this node's feed; acknowledged once it is on disk.
     pub(crate) async fn quarantine(&self, notice: QuarantineNotice) -> LedgerReply {
         self.feed().quarantine(notice, unix_millis());
+        self.reply_once_feed_is_durable().await
+    }
+
+    /// Distributes a request for which one more crash reaches the limit, likewise.
+    pub(crate) async fn announce_suspect(&self, notice: &SuspectNotice) -> LedgerReply {
+        self.feed().announce_suspect(notice, unix_millis());
+        self.reply_once_feed_is_durable().await
+    }
+
+    async fn reply_once_feed_is_durable(&self) -> LedgerReply {
         host_reply(match self.store_feed().await {
             Ok(()) => ReplyKind::Done(true),
             Err(failure) => ReplyKind::Failed(failure.to_string()),
--- a/crates/storage/src/host.rs
+++ b/crates/storage/src/host.rs
@@ -476,6 +476,7 @@
                 return self.record_served_after_crash(*request).await;
             }
             Some(RequestKind::Quarantine(notice)) => return self.quarantine(notice.clone()).await,
+            Some(RequestKind::Suspect(notice)) => return self.announce_suspect(notice).await,
             Some(RequestKind::Stopping(node)) => {
                 self.record_planned_stop(node);
                 return LedgerReply { kind: Some(ReplyKind::Done(true)), ..LedgerReply::default() };
--- a/crates/storage/src/quarantine_feed.rs
+++ b/crates/storage/src/quarantine_feed.rs
@@ -6,8 +6,8 @@
 use bytes::Bytes;
 use sumacdrift_calls::RequestFingerprint;
 use sumacdrift_dissemination::{Item, ItemKind};
-use sumacdrift_ledger::QuarantineNotice;
-use sumacdrift_quarantine::{Certainty, QUARANTINE_TIME, QuarantinedRequest, SUSPICION_TIME};
+use sumacdrift_ledger::{QuarantineNotice, SuspectNotice};
+use sumacdrift_quarantine::{Certainty, QUARANTINE_TIME, QuarantinedRequest, SUSPICION_TIME, SuspectRequest};
 use tokio::time::Instant;
 
 use crate::feed_host::FeedHost;
@@ -25,6 +25,14 @@
         self.recent_quarantine().add(std::iter::once(&item), unix_millis);
         self.put(item);
     }
+
+    /// Adds a request for which one more crash reaches the limit. `unix_millis` is the current Unix time.
+    pub(crate) fn announce_suspect(&self, notice: &SuspectNotice, unix_millis: u64) {
+        let expires = unix_millis.saturating_add(notice.remaining_millis);
+        let name = format!("{}{SUSPECT_SEPARATOR}{expires:x}", RequestFingerprint(notice.request));
+        let content = Bytes::copy_from_slice(&expires.to_be_bytes());
+        self.put(Item::new(ItemKind::Quarantine, &name, content, REVISION));
+    }
 }
 
 /// How long replies announce a request. Exceeds the time in which a follower gives up a feed that hangs.
@@ -90,6 +98,9 @@
 /// Separates the fingerprint in an item's name from the time until which a suspicion is announced.
 const SUSPICION_SEPARATOR: char = '-';
 
+/// The same in the name of a request for which one more crash reaches the limit, which is not in quarantine.
+const SUSPECT_SEPARATOR: char = '+';
+
 /// An item never changes, so a suspicion that is renewed needs a new name. Earlier builds ignore names that are no
 /// fingerprint.
 fn item_name(quarantined: &QuarantinedRequest, expires: u64) -> String {
@@ -108,7 +119,19 @@
         None => (&*item.name, Certainty::Confirmed),
     };
     let request = u64::from_str_radix(request, 16).ok()?;
-    let expires = u64::from_be_bytes(item.content.as_ref().try_into().ok()?);
-    let remaining = Duration::from_millis(expires.saturating_sub(unix_millis));
+    let remaining = remaining_time(item, unix_millis)?;
     Some(QuarantinedRequest { request: RequestFingerprint(request), certainty, remaining })
 }
+
+/// Decodes an item of the same kind that announces a request for which one more crash reaches the limit; `None` for others.
+pub fn suspect_request(item: &Item, unix_millis: u64) -> Option<SuspectRequest> {
+    let (request, _) = item.name.split_once(SUSPECT_SEPARATOR)?;
+    let request = u64::from_str_radix(request, 16).ok()?;
+    let remaining = remaining_time(item, unix_millis)?;
+    Some(SuspectRequest { request: RequestFingerprint(request), remaining })
+}
+
+fn remaining_time(item: &Item, unix_millis: u64) -> Option<Duration> {
+    let expires = u64::from_be_bytes(item.content.as_ref().try_into().ok()?);
+    Some(Duration::from_millis(expires.saturating_sub(unix_millis)))
+}
--- a/crates/storage/tests/crashes_outlast_processes.rs
+++ b/crates/storage/tests/crashes_outlast_processes.rs
@@ -9,10 +9,10 @@
 use sumacdrift_dissemination::ItemKind;
 use sumacdrift_ledger::{
     CrashedEngines, EngineCrash, LedgerReply, LedgerRequest, QuarantineNotice, ReplicaSettings, ReplyKind,
-    RequestKind,
+    RequestKind, SuspectNotice,
 };
 use sumacdrift_proto::{Request, Response};
-use sumacdrift_storage::{HostSettings, ReplicaHost};
+use sumacdrift_storage::{HostSettings, ReplicaHost, quarantined_request, suspect_request, unix_millis};
 use sumacdrift_transport::Handler;
 use tempfile::TempDir;
 
@@ -68,6 +68,34 @@
     assert_eq!(known, ReplyKind::CrashedEngines(CrashedEngines { engines, suspected, observed }));
 }
 
+/// Guards against counting an engine that was reported before it got a request, and didn't.
+#[tokio::test]
+async fn an_engine_that_did_not_get_the_request_is_forgotten() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let host = start(&folder).await;
+    ask(&host, RequestKind::EngineCrash(crash("e1"))).await;
+    ask(&host, RequestKind::SuspectedCrash(crash("e2"))).await;
+    let not_run = EngineCrash { has_not_run: true, ..crash("e2") };
+    let known = ask(&host, RequestKind::EngineSurvived(not_run)).await;
+    let engines = vec!["e1".to_owned()];
+    assert_eq!(known, ReplyKind::CrashedEngines(CrashedEngines { engines, ..CrashedEngines::default() }));
+}
+
+/// Guards against taking an announced request for one in quarantine, and against announcing it to nobody.
+#[tokio::test]
+async fn a_suspect_request_reaches_the_feed_and_is_not_in_quarantine() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let host = start(&folder).await;
+    let notice = SuspectNotice { request: REQUEST, remaining_millis: 60_000 };
+    assert_eq!(ask(&host, RequestKind::Suspect(notice)).await, ReplyKind::Done(true));
+    let (_, snapshot) = host.feed().snapshot();
+    let now = unix_millis();
+    let suspects: Vec<_> = snapshot.items.iter().filter_map(|item| suspect_request(item, now)).collect();
+    assert_eq!(suspects.len(), 1);
+    assert_eq!(suspects[0].request.0, REQUEST);
+    assert!(snapshot.items.iter().all(|item| quarantined_request(item, now).is_none()));
+}
+
 #[tokio::test]
 async fn a_quarantine_that_was_acknowledged_holds_after_a_restart() {
     let folder = tempfile::tempdir().expect("a folder");
