--- a/crates/edge/src/engine_observation.rs
+++ b/crates/edge/src/engine_observation.rs
@@ -88,7 +88,12 @@
             let next = if is_held { until.min(self.clock.now() + RENEWAL_INTERVAL) } else { until };
             match self.fate_before(&mut fate, next).await {
                 EngineFate::Crashed => return self.record_late_crash(&call, until).await,
-                EngineFate::Leaving => return,
+                EngineFate::Leaving => {
+                    info!(self.logger, "observed engine ends as planned"; "event" => "observation_ended",
+                        "call" => &call.id, "request" => %call.request, "engine" => %call.engine,
+                        "observed_ms" => self.clock.now().since(call.lost).as_millis() as u64);
+                    return;
+                }
                 EngineFate::Running if is_held => known = self.crashes_under(&call).await,
                 EngineFate::Running => {}
             }
--- a/crates/edge/src/lost_call.rs
+++ b/crates/edge/src/lost_call.rs
@@ -89,6 +89,7 @@
         let call = self.lost_call(placement, now, Loss::Silent, machine.crashes());
         let elsewhere = self.edge.crashes_elsewhere(&call).await;
         machine.record_known_crashes(elsewhere.count);
+        self.report_suspect_checked(placement, elsewhere, now);
         if let Some(end) = machine.end_at_crash_limit() {
             return Err(end);
         }
--- a/crates/edge/src/report.rs
+++ b/crates/edge/src/report.rs
@@ -3,9 +3,10 @@
 use slog::info;
 use sumacdrift_calls::{CallMachine, Failure, Next};
 use sumacdrift_routing::Placement;
-use sumacdrift_types::ResultCode;
+use sumacdrift_types::{ResultCode, Timestamp};
 
 use crate::attempt::CallContext;
+use crate::engine_crash::CrashesElsewhere;
 use crate::engine_pool::ConnectError;
 use crate::wire_format::WireFormat;
 
@@ -18,6 +19,21 @@
             "age_ms" => self.age_millis());
     }
 
+    /// Logs what is known of a request that one more crash brings to the limit, before it is sent.
+    pub(crate) fn report_suspect_checked(
+        &self,
+        placement: &Placement,
+        elsewhere: CrashesElsewhere,
+        asked: Timestamp,
+    ) {
+        let CrashesElsewhere { count, is_known_here } = elsewhere;
+        let took = self.edge.clock.now().since(asked);
+        info!(self.edge.logger, "crashes under the request checked before it is sent"; "event" => "suspect_checked",
+            "call" => &self.head.id, "request" => %self.fingerprint(), "engine" => %placement.engine,
+            "crashes" => count.confirmed, "suspected" => count.suspected, "observed" => count.observed,
+            "known_here" => is_known_here, "sent" => !count.has_reached_limit(), "took_ms" => took.as_millis() as u64);
+    }
+
     /// Logs why a connection to an engine failed; without an error, it timed out.
     pub(crate) fn report_connect_failure(&self, placement: &Placement, error: Option<&ConnectError>) {
         info!(self.edge.logger, "connection to an engine failed"; "event" => "engine_unreachable",
