Engines that have left by the time a request is lost again are not observed

An engine that leaves unannounced and then ends looks like one that crashed to an edge that did not see it leave: requests that it had failed were held back. engines_that_leave_after_they_failed_a_request_do_not_count failed so (an observation went on while the request was held) and passes.

--- a/crates/edge/src/engine_observation.rs
+++ b/crates/edge/src/engine_observation.rs
@@ -10,6 +10,7 @@
 use slog::info;
 use sumacdrift_calls::{CrashCount, EngineId, MAX_CRASHES, RequestFingerprint};
 use sumacdrift_quarantine::OBSERVATION_TIME;
+use sumacdrift_routing::EnginePresence;
 use sumacdrift_storage::KnownCrashes;
 use sumacdrift_types::Timestamp;
 use tokio::sync::watch;
@@ -42,6 +43,11 @@
 }
 
 impl<D: WireFormat> Edge<D> {
+    /// Number of engines under observation, each counted once for every request that it lost.
+    pub fn observed_engines(&self) -> usize {
+        self.crashes.observations.lock().len()
+    }
+
     /// Observes the engine of a lost call, apart from the call. `known` are the crashes under its request.
     pub(crate) fn begin_observation(self: &Arc<Self>, call: LostCall, known: CrashCount) {
         let observation = Observation { request: call.request, engine: call.engine.clone() };
@@ -68,9 +74,10 @@
     pub(crate) fn observe_engines_of_others(self: &Arc<Self>, call: &LostCall, known: &KnownCrashes) {
         for incarnation in known.observed.iter().chain(&known.suspected) {
             let Some((engine, address)) = self.engines().find_incarnation(incarnation) else { continue };
-            if engine != call.engine {
-                let incarnation = incarnation.clone();
-                let other = LostCall { engine, incarnation, address, ..call.clone() };
+            let incarnation = incarnation.clone();
+            let other = LostCall { engine, incarnation, address, ..call.clone() };
+            // One that is missing by now may have left as planned before it ended.
+            if other.engine != call.engine && self.presence(&other) != EnginePresence::Missing {
                 // Whether the request is held back is decided where it was lost.
                 self.begin_observation(other, CrashCount::default());
             }
