--- a/crates/edge/src/lost_call.rs
+++ b/crates/edge/src/lost_call.rs
@@ -71,20 +71,20 @@
         *self.unanswered.lock() = None;
     }
 
-    /// Reports the engine before a request is sent to it that has crashed one in this call, or under which another crash
-    /// reaches the limit; returns whether it has. Ends the call if the limit has been reached meanwhile.
+    /// Reports the engine before a request is sent to it that may have crashed one already, as far as the call knows, or under
+    /// which another crash reaches the limit; returns whether it has. Ends the call if the limit has been reached meanwhile.
     pub(crate) async fn report_before_sending(
         &self,
         machine: &mut CallMachine,
         placement: &Placement,
     ) -> Result<bool, Next> {
-        let has_crashed_engines = machine.crashes().total() > 0;
-        if self.is_admitted() || !(has_crashed_engines || self.edge.may_have_suspects()) {
+        let may_have_crashed_engines = machine.crashes().total() > 0;
+        if self.is_admitted() || !(may_have_crashed_engines || self.edge.may_have_suspects()) {
             return Ok(false);
         }
         let (request, now) = (self.fingerprint(), self.edge.clock.now());
         let was_served = self.callers() == Callers::Many && self.edge.crashes.was_served(request, now);
-        if was_served || !(has_crashed_engines || self.edge.is_suspect(request)) {
+        if was_served || !(may_have_crashed_engines || self.edge.is_suspect(request)) {
             return Ok(false);
         }
         let call = self.lost_call(placement, now, Loss::Silent, machine.crashes());
--- a/crates/storage/src/crash_client.rs
+++ b/crates/storage/src/crash_client.rs
@@ -103,9 +103,9 @@
                 known.observed.extend(crashed.observed);
             }
         }
-        known.suspected = known.suspected.difference(&known.confirmed).cloned().collect();
-        known.observed = known.observed.difference(&known.confirmed).cloned().collect();
-        known.observed = known.observed.difference(&known.suspected).cloned().collect();
+        let KnownCrashes { confirmed, suspected, observed, .. } = &mut known;
+        suspected.retain(|engine| !confirmed.contains(engine));
+        observed.retain(|engine| !confirmed.contains(engine) && !suspected.contains(engine));
         known
     }
 
--- a/crates/storage/src/quarantine_feed.rs
+++ b/crates/storage/src/quarantine_feed.rs
@@ -19,9 +19,7 @@
     /// Adds a request to the quarantine. `unix_millis` is the current Unix time.
     pub(crate) fn quarantine(&self, notice: QuarantineNotice, unix_millis: u64) {
         let expires = unix_millis.saturating_add(notice.remaining_millis);
-        let name = item_name(&announced_request(&notice), expires);
-        let content = Bytes::copy_from_slice(&expires.to_be_bytes());
-        let item = Item::new(ItemKind::Quarantine, &name, content, REVISION);
+        let item = item(&item_name(&announced_request(&notice), expires), expires);
         self.recent_quarantine().add(std::iter::once(&item), unix_millis);
         self.put(item);
     }
@@ -30,11 +28,15 @@
     pub(crate) fn announce_suspect(&self, notice: &SuspectNotice, unix_millis: u64) {
         let expires = unix_millis.saturating_add(notice.remaining_millis);
         let name = format!("{}{SUSPECT_SEPARATOR}{expires:x}", RequestFingerprint(notice.request));
-        let content = Bytes::copy_from_slice(&expires.to_be_bytes());
-        self.put(Item::new(ItemKind::Quarantine, &name, content, REVISION));
+        self.put(item(&name, expires));
     }
 }
 
+/// An item that expires at this Unix time in milliseconds.
+fn item(name: &str, expires: u64) -> Item {
+    Item::new(ItemKind::Quarantine, name, Bytes::copy_from_slice(&expires.to_be_bytes()), REVISION)
+}
+
 /// How long replies announce a request. Exceeds the time in which a follower gives up a feed that hangs.
 const ANNOUNCEMENT_TIME: Duration = Duration::from_secs(3);
 /// Requests that one reply announces.
