--- a/crates/edge/src/lost_call.rs
+++ b/crates/edge/src/lost_call.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use http::StatusCode;
+use slog::info;
 use sumacdrift_calls::{CallMachine, CrashCount, Failure, MAX_CRASHES, Next};
 use sumacdrift_quarantine::{Callers, Certainty, QuarantinedRequest};
 use sumacdrift_routing::Placement;
@@ -270,6 +271,10 @@
         let has_runtime = tokio::runtime::Handle::try_current().is_ok();
         // After a crash or a loss under the request, the next engine is examined however short its silence was.
         let is_silent = silence >= self.edge.settings.crash_timeouts.silence || !attempt.known.is_empty();
+        info!(self.edge.logger, "caller left before its engine had answered"; "event" => "attempt_abandoned",
+            "call" => &self.head.id, "request" => %self.fingerprint(), "engine" => %attempt.placement.engine,
+            "sent_ms" => self.edge.clock.now().since(attempt.sent).as_millis() as u64,
+            "silent_ms" => silence.as_millis() as u64, "examined" => is_silent);
         if has_runtime && is_silent {
             let call = self.lost_call(&attempt.placement, attempt.sent, Loss::Silent, attempt.known);
             self.edge.begin_examination(call);
