Engines that may yet end under a request are remembered when all storage nodes are killed

It now holds the latest 512 whose engines are only observed, too, and 16 engines a request instead of 8: a caller with six attempts of two engines reaches twelve before the first ends.

`an_observation_is_restored_with_the_crashes_beside_it` asserted that such a request is not kept. It asserts now that it is, and how it is restored; it failed before.

--- a/crates/quarantine/src/crash_history.rs
+++ b/crates/quarantine/src/crash_history.rs
@@ -16,7 +16,10 @@
 /// to end a process.
 pub const OBSERVATION_TIME: Duration = Duration::from_secs(30);
 /// Maximum number of engines that are remembered by name for one request.
-const MAX_ENGINES: usize = 8;
+const MAX_ENGINES: usize = 16;
+
+/// Maximum number of requests kept on disk whose engines are only observed, about 40 KB. Many callers leave early on a busy day.
+const MAX_OBSERVED_KEPT: usize = 512;
 
 /// Reports of one request's crashes differ by this much in the time that they take.
 const REPORT_JITTER: Duration = Duration::from_millis(20);
@@ -172,10 +175,15 @@
         }
     }
 
-    /// The chains in which engines crashed or may have, and that still count.
+    /// The chains to be kept on disk: those in which engines crashed or may have, and the latest of those in which engines are
+    /// only observed.
     pub fn chains(&self, now: Timestamp) -> impl Iterator<Item = &CrashChain> {
-        let counts = |chain: &&CrashChain| chain.engines.iter().any(CrashedEngine::counts);
-        self.chains.values().filter(move |chain| !chain.is_expired(now)).filter(counts)
+        let current = self.chains.values().filter(move |chain| !chain.is_expired(now));
+        let (counted, mut observed): (Vec<_>, Vec<_>) =
+            current.partition(|chain| chain.engines.iter().any(CrashedEngine::counts));
+        observed.retain(|chain| chain.engines.iter().any(|engine| !engine.is_expired(now)));
+        observed.sort_by_key(|chain| std::cmp::Reverse(chain.last_crash));
+        counted.into_iter().chain(observed.into_iter().take(MAX_OBSERVED_KEPT))
     }
 
     /// Number of requests that are remembered.
--- a/crates/quarantine/tests/crash_history.rs
+++ b/crates/quarantine/tests/crash_history.rs
@@ -237,7 +237,8 @@
 fn an_observation_is_restored_with_the_crashes_beside_it() {
     let mut history = CrashHistory::default();
     survive(&mut history, "a", at(0));
-    assert_eq!(history.chains(at(0)).count(), 0, "there is no crash to keep");
+    let restored = CrashHistory::restored(history.chains(at(0)).cloned());
+    assert_eq!(restored.count(REQUEST, at(5)).observed, 1, "the engine may end yet");
     record(&mut history, crash("b", SENT_AGO), at(10));
     let restored = CrashHistory::restored(history.chains(at(10)).cloned());
     assert_eq!(restored.count(REQUEST, at(20)), history.count(REQUEST, at(20)));
