--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -22,7 +22,7 @@
 use crate::engine_pool::SendError;
 use crate::engine_run::EngineRun;
 use crate::headers::without_hop_by_hop;
-use crate::lost_call::Unanswered;
+use crate::lost_call::CurrentAttempt;
 use crate::service_queues::QueueSlot;
 use crate::turn::OpenTurn;
 use crate::wire_format::{EngineAttempt, KeyHandling, ResponseKind, WireFormat};
@@ -69,7 +69,7 @@
     pub(crate) regions: AllowedRegions,
     /// The slot that the call holds in its service's queue; `None` if calls are not queued.
     pub(crate) slot: Option<QueueSlot<D>>,
-    pub(crate) unanswered: Unanswered,
+    pub(crate) attempt: CurrentAttempt,
     /// Computed when it is first needed, which it is for few calls.
     pub(crate) fingerprint: OnceLock<RequestFingerprint>,
 }
@@ -177,7 +177,6 @@
         let sent = call.record_sent(machine, &placement, is_reported);
         match try_engine(call, machine, &placement, permit).await {
             Ok(response) => {
-                call.record_heard();
                 return Ok(response);
             }
             Err(failure) => {
--- a/crates/edge/src/buffered.rs
+++ b/crates/edge/src/buffered.rs
@@ -97,7 +97,6 @@
             let elapsed = call.edge.clock.now().since(call.accepted);
             call.edge.metrics.buffered_seconds.observe(elapsed.as_secs_f64());
             call.observe_served(elapsed);
-            call.record_served(machine);
             if let Some(slot) = &call.slot {
                 slot.mark_served();
             }
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -19,7 +19,7 @@
 use crate::attempt::{CallContext, ForwardedRequest};
 use crate::buffered::run_buffered;
 use crate::edge::Edge;
-use crate::lost_call::Unanswered;
+use crate::lost_call::CurrentAttempt;
 use crate::responses::{EdgeBody, problem_response};
 use crate::service_queues::{EnqueueRequest, QueueSlot};
 use crate::state_exchange::prompt_parts;
@@ -103,7 +103,7 @@
         accepted,
         regions,
         slot: None,
-        unanswered: Unanswered::default(),
+        attempt: CurrentAttempt::default(),
         fingerprint: OnceLock::new(),
     };
     if is_stream { run_stream_call(call, machine).await } else { run_buffered_call(call, machine).await }
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -15,13 +15,14 @@
 use sumacdrift_scheduling::CircuitBreakerSettings;
 use sumacdrift_storage::{LedgerClient, QuotaClient};
 use sumacdrift_types::{AllowedRegions, DisabledMechanisms, Location, Mechanism, Timestamp};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
 use crate::buffered::ResponseMemory;
 use crate::clock::Clock;
 use crate::cold_permit::ColdTolerance;
 use crate::engine_crash::{CrashTimeouts, RequestCrashes};
+use crate::engine_observation::watch_closed_connections;
 use crate::engine_pool::EnginePool;
 use crate::metrics::EdgeMetrics;
 use crate::route_durations::RouteDurations;
@@ -42,6 +43,8 @@
 
 /// How long after the start calls wait for the first configuration.
 const STARTUP_WAIT: Duration = Duration::from_millis(1000);
+/// Ended connections to engines that have not been looked at. An engine's end closes all of its connections at once.
+const CLOSED_CONNECTIONS: usize = 1024;
 
 /// Settings of an edge.
 #[derive(Debug, Clone)]
@@ -108,6 +111,7 @@
             slow_start: SLOW_START,
         };
         let disabled = parts.settings.disabled;
+        let (closed_connections, closed) = mpsc::channel(CLOSED_CONNECTIONS);
         let (location, prices) = (parts.settings.location.clone(), parts.settings.prices);
         let region_bound_ledger = Arc::new(parts.ledger.without_relays());
         let edge = Arc::new(Self {
@@ -121,7 +125,7 @@
             region_bound_ledger,
             logger: parts.logger,
             clock: Clock::default(),
-            pool: Arc::new(EnginePool::new(disabled)),
+            pool: Arc::new(EnginePool::new(disabled, closed_connections)),
             metrics: EdgeMetrics::default(),
             routes: Mutex::default(),
             engines: Mutex::new(EngineRegistry::new(location, prices, disabled, circuit_breaker)),
@@ -132,6 +136,7 @@
             is_stopping: AtomicBool::new(false),
         });
         subscribe_to_views(&edge);
+        watch_closed_connections(&edge, closed);
         edge
     }
 
@@ -284,7 +289,7 @@
 
     /// Periodic maintenance: closes expired connections, drops outdated engine state, and updates gauges and
     /// outlier ejections.
-    pub fn sweep(&self) {
+    pub fn sweep(self: &Arc<Self>) {
         let now = self.clock.now();
         let mut engines = self.engines();
         let cold = engines.cold_engines(now);
--- a/crates/edge/src/engine_crash.rs
+++ b/crates/edge/src/engine_crash.rs
@@ -47,8 +47,6 @@
     pub distribution: Duration,
     /// How long a call whose deadline has passed waits for these steps. Its caller has given up or will soon.
     pub after_deadline: Duration,
-    /// Silence of an engine beyond which it may be the reason why the caller leaves.
-    pub silence: Duration,
 }
 
 impl Default for CrashTimeouts {
@@ -59,7 +57,6 @@
             report: Duration::from_millis(300),
             distribution: Duration::from_millis(250),
             after_deadline: Duration::from_millis(100),
-            silence: Duration::from_millis(200),
         }
     }
 }
@@ -79,7 +76,7 @@
     pub(crate) observations: Observations,
     pub(crate) watches: EngineWatches,
     /// Examinations that have not reported what they found.
-    reports: TaskTracker,
+    pub(crate) reports: TaskTracker,
 }
 
 impl RequestCrashes {
@@ -139,18 +136,22 @@
     }
 }
 
-/// How an engine lost a call.
+/// How a call ended at an engine that may have run it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Loss {
-    /// Its connection broke, or its answer was an error or none at all.
+pub(crate) enum Ending {
+    /// Its connection broke, or its answer was a server error or none at all.
     Broken,
-    /// Nothing came until the deadline, or until the caller left.
+    /// No complete answer came until the deadline, or until the caller left.
     Silent,
+    /// With a complete answer that is no success.
+    Answered,
+    /// With a complete success.
+    Served,
 }
 
-/// A call that an engine lost.
+/// A call as it was sent to an engine, and how that ended.
 #[derive(Debug, Clone)]
-pub(crate) struct LostCall {
+pub(crate) struct SentCall {
     pub(crate) id: String,
     pub(crate) request: RequestFingerprint,
     pub(crate) callers: Callers,
@@ -162,9 +163,10 @@
     pub(crate) address: SocketAddr,
     /// When the call was sent to the engine.
     pub(crate) sent: Timestamp,
-    /// When the engine was found to have lost it.
-    pub(crate) lost: Timestamp,
-    pub(crate) loss: Loss,
+    /// When the engine answered it, or was found to have lost it.
+    pub(crate) ended: Timestamp,
+    pub(crate) ending: Ending,
+    pub(crate) is_stream: bool,
     /// Whether the ledger has admitted the call as a turn, whose open attempt counts if this process is lost.
     pub(crate) is_admitted: bool,
     /// Path for health checks in the configuration of the engine's service.
@@ -182,7 +184,7 @@
     pub(crate) is_known_here: bool,
 }
 
-impl LostCall {
+impl SentCall {
     /// Path for a health check of the engine. Any response is a sign of life.
     pub(crate) fn health_check_path(&self) -> &str {
         self.health_path.as_deref().unwrap_or(DEFAULT_HEALTH_PATH)
@@ -190,8 +192,13 @@
 }
 
 impl<D: WireFormat> Edge<D> {
+    /// Whether an end of a call's engine counts under its request: not if an equal request of another caller was served.
+    pub(crate) fn counts_crashes(&self, call: &SentCall) -> bool {
+        call.callers == Callers::One || !self.crashes.was_served(call.request, self.clock.now())
+    }
+
     /// Examines the engine of a lost call, also if nothing waits for the result.
-    pub(crate) fn begin_examination(self: &Arc<Self>, call: LostCall) -> JoinHandle<Examination> {
+    pub(crate) fn begin_examination(self: &Arc<Self>, call: SentCall) -> JoinHandle<Examination> {
         self.crashes.reports.spawn(Arc::clone(self).examine(call))
     }
 
@@ -206,7 +213,7 @@
     }
 
     /// Reports what became of the engine of a lost call; returns all crashes that are known under the request.
-    pub(crate) async fn report_crash(self: &Arc<Self>, call: &LostCall, certainty: Certainty) -> CrashCount {
+    pub(crate) async fn report_crash(self: &Arc<Self>, call: &SentCall, certainty: Certainty) -> CrashCount {
         let started = self.clock.now();
         let known = self.crashes.client.report(self.crash_report(call, certainty), &call.key).await;
         let (event, message) = match certainty {
@@ -241,26 +248,26 @@
 
     /// The crashes that are known under a request before it is sent to an engine, without those at this engine, and whether
     /// there is one.
-    pub(crate) async fn crashes_elsewhere(&self, call: &LostCall) -> CrashesElsewhere {
+    pub(crate) async fn crashes_elsewhere(&self, call: &SentCall) -> CrashesElsewhere {
         let mut known = self.crashes.client.known(call.request, &call.key).await;
         let is_known_here = known.remove(&call.incarnation);
         CrashesElsewhere { count: known.count(), is_known_here }
     }
 
     /// Reports an engine as suspected before it gets a request, since this process may be lost with the call.
-    pub(crate) async fn report_before_sending(&self, call: &LostCall) {
+    pub(crate) async fn report_before_sending(&self, call: &SentCall) {
         let report = self.crash_report(call, Certainty::Suspected);
         self.crashes.client.report(report, &call.key).await;
     }
 
     /// Withdraws such a report, as the engine did not get the request or answered it.
-    pub(crate) async fn report_not_run(&self, call: &LostCall) {
+    pub(crate) async fn report_not_run(&self, call: &SentCall) {
         let report = self.crash_report(call, Certainty::Suspected);
         self.crashes.client.report_not_run(report, &call.key).await;
     }
 
     /// The crashes that are known under the request of a lost call.
-    pub(crate) async fn crashes_under(&self, call: &LostCall) -> CrashCount {
+    pub(crate) async fn crashes_under(&self, call: &SentCall) -> CrashCount {
         let known = self.crashes.client.known(call.request, &call.key).await;
         known.count().with_open_attempts(call.known.open_attempts)
     }
@@ -271,7 +278,7 @@
         self.crashes.client.report_served(request, key).await;
     }
 
-    fn crash_report<'a>(&self, call: &'a LostCall, certainty: Certainty) -> CrashReport<'a> {
+    fn crash_report<'a>(&self, call: &'a SentCall, certainty: Certainty) -> CrashReport<'a> {
         let now = self.clock.now();
         CrashReport {
             request: call.request,
@@ -279,13 +286,13 @@
             engine: &call.incarnation,
             certainty,
             sent_ago: now.since(call.sent),
-            lost_ago: now.since(call.lost),
+            lost_ago: now.since(call.ended),
         }
     }
 
     fn log_crash(
         &self,
-        call: &LostCall,
+        call: &SentCall,
         event: &'static str,
         message: &'static str,
         known: &KnownCrashes,
@@ -294,7 +301,7 @@
         let now = self.clock.now();
         let names = known.confirmed.iter().chain(&known.suspected).map(String::as_str);
         info!(self.logger, "{}", message; "event" => event, "call" => &call.id, "request" => %call.request,
-            "engine" => %call.engine, "loss" => ?call.loss, "counted" => true,
+            "engine" => %call.engine, "loss" => ?call.ending, "counted" => true,
             "crashes" => known.confirmed.len(), "suspected" => known.suspected.len(), "observed" => known.observed.len(),
             "engines" => names.collect::<Vec<_>>().join(" "), "majority" => known.is_complete,
             "sent_ms" => now.since(call.sent).as_millis() as u64,
@@ -410,8 +417,9 @@
         self.crashes.suspects().len()
     }
 
-    /// Drops requests whose quarantine is over.
-    pub(crate) fn expire_quarantine(&self) {
+    /// Drops requests whose quarantine is over, and attempts that their engines have outlived.
+    pub(crate) fn expire_quarantine(self: &Arc<Self>) {
+        self.expire_observations();
         self.crashes.suspects().expire(self.clock.now());
         let mut quarantine = self.crashes.quarantine();
         quarantine.expire(self.clock.now());
--- a/crates/edge/src/engine_examination.rs
+++ b/crates/edge/src/engine_examination.rs
@@ -8,13 +8,13 @@
 use std::time::Duration;
 
 use slog::info;
-use sumacdrift_calls::CrashCount;
-use sumacdrift_quarantine::{Callers, Certainty};
+use sumacdrift_calls::{CrashCount, EngineId};
+use sumacdrift_quarantine::Certainty;
 use sumacdrift_routing::EnginePresence;
 use sumacdrift_types::{Mechanism, Timestamp};
 
 use crate::edge::Edge;
-use crate::engine_crash::{Loss, LostCall};
+use crate::engine_crash::{Ending, SentCall};
 use crate::engine_pool::{Health, Probe};
 use crate::wire_format::WireFormat;
 
@@ -43,40 +43,40 @@
     /// Examines the engine of a lost call and reports what it finds. Returns when the call may go on: if as many engines as
     /// allowed may have crashed under its request, only once it is known what has become of this one, unless the call has no
     /// time left.
-    pub(crate) async fn examine(self: Arc<Self>, mut call: LostCall) -> Examination {
-        let unexamined = Examination { has_crashed: false, known: call.known };
-        let probe = self.probe(&call).await;
-        let has_crashed = matches!(probe, Probe::Refused) || self.is_replaced(&call);
-        if has_crashed {
-            self.metrics.engine_crashes.inc();
-        }
+    pub(crate) async fn examine(self: Arc<Self>, mut call: SentCall) -> Examination {
         if !self.settings.disabled.is_enabled(Mechanism::Quarantine) {
-            return Examination { has_crashed, ..unexamined };
+            let has_crashed = self.has_crashed(&call, &self.probe(&call).await);
+            return Examination { has_crashed, known: call.known };
         }
-        if call.callers == Callers::Many && self.crashes.was_served(call.request, self.clock.now()) {
-            if has_crashed {
-                info!(self.logger, "engine crashed under a request that was served recently";
-                    "event" => "engine_crashed", "call" => &call.id, "request" => %call.request,
-                    "engine" => %call.engine, "counted" => false);
-            }
-            return Examination { has_crashed, ..unexamined };
+        if !self.counts_crashes(&call) {
+            return self.examine_uncounted(&call).await;
         }
-        if has_crashed {
+        self.observe_lost(&call);
+        let permit = Arc::clone(&self.crashes.examinations).try_acquire_owned().ok();
+        // The caller of a silent engine may be gone, and at another edge before the probe has ended.
+        let is_reported = call.ending == Ending::Silent && permit.is_some();
+        let (probe, reported) = tokio::join!(self.probe(&call), async {
+            if is_reported { Some(self.report_suspicion(&call).await) } else { None }
+        });
+        if self.has_crashed(&call, &probe) {
+            self.metrics.engine_crashes.inc();
+            self.attribute_end_unless_planned(&call.engine);
             return self.confirm_crash(&call).await;
         }
-        let Ok(permit) = Arc::clone(&self.crashes.examinations).try_acquire_owned() else {
+        let Some(permit) = permit else {
             self.metrics.engines_not_examined.inc();
             info!(self.logger, "too many suspected engines are being examined"; "event" => "engine_not_examined",
                 "call" => &call.id, "request" => %call.request, "engine" => %call.engine);
-            return unexamined;
+            return Examination { has_crashed: false, known: call.known };
         };
         if matches!(probe, Probe::Silent) {
-            call.loss = Loss::Silent;
+            call.ending = Ending::Silent;
         }
-        self.metrics.engines_suspected.inc();
-        let known = self.report_crash(&call, Certainty::Suspected).await;
-        let loss = call.loss;
-        let request = call.request;
+        let known = match reported {
+            Some(known) => known,
+            None => self.report_suspicion(&call).await,
+        };
+        let (ending, request) = (call.ending, call.request);
         let edge = Arc::clone(&self);
         let resolving = tokio::spawn(async move {
             let _permit = permit;
@@ -86,27 +86,54 @@
         if !known.has_reached_limit() {
             return suspected;
         }
-        if loss == Loss::Silent {
+        if ending == Ending::Silent {
             self.enforce_crash_limit(request, known).await;
             return suspected;
         }
         resolving.await.unwrap_or(suspected)
     }
 
-    async fn probe(&self, call: &LostCall) -> Probe {
+    /// Finds out whether the engine of a call has crashed, which doesn't count under the call's request.
+    async fn examine_uncounted(self: &Arc<Self>, call: &SentCall) -> Examination {
+        let probe = self.probe(call).await;
+        let has_crashed = self.has_crashed(call, &probe);
+        if has_crashed {
+            self.metrics.engine_crashes.inc();
+            info!(self.logger, "engine crashed under a request that was served recently";
+                "event" => "engine_crashed", "call" => &call.id, "request" => %call.request,
+                "engine" => %call.engine, "counted" => false);
+            self.attribute_end_unless_planned(&call.engine);
+        }
+        Examination { has_crashed, known: call.known }
+    }
+
+    async fn report_suspicion(self: &Arc<Self>, call: &SentCall) -> CrashCount {
+        self.metrics.engines_suspected.inc();
+        self.report_crash(call, Certainty::Suspected).await
+    }
+
+    fn has_crashed(&self, call: &SentCall, probe: &Probe) -> bool {
+        matches!(probe, Probe::Refused) || self.is_replaced(call)
+    }
+
+    pub(crate) async fn probe(&self, call: &SentCall) -> Probe {
         let (engine, address) = (&call.engine, call.address);
         self.pool.probe(engine, address, self.settings.crash_timeouts.probe).await
     }
 
-    fn is_replaced(&self, call: &LostCall) -> bool {
-        self.presence(call) == EnginePresence::Replaced
+    fn is_replaced(&self, call: &SentCall) -> bool {
+        self.is_engine_replaced(&call.engine)
+    }
+
+    pub(crate) fn is_engine_replaced(&self, engine: &EngineId) -> bool {
+        self.engines().presence(engine, self.clock.now()) == EnginePresence::Replaced
     }
 
-    pub(crate) fn presence(&self, call: &LostCall) -> EnginePresence {
+    pub(crate) fn presence(&self, call: &SentCall) -> EnginePresence {
         self.engines().presence(&call.engine, self.clock.now())
     }
 
-    pub(crate) async fn confirm_crash(self: &Arc<Self>, call: &LostCall) -> Examination {
+    pub(crate) async fn confirm_crash(self: &Arc<Self>, call: &SentCall) -> Examination {
         let known = self.report_crash(call, Certainty::Confirmed).await;
         self.enforce_crash_limit(call.request, known).await;
         Examination { has_crashed: true, known }
@@ -115,7 +142,7 @@
     /// Finds out what has become of a suspected engine, and reports it.
     async fn resolve_suspicion(
         self: &Arc<Self>,
-        call: LostCall,
+        call: SentCall,
         probe: Probe,
         known: CrashCount,
     ) -> Examination {
@@ -123,11 +150,12 @@
         match verdict {
             Verdict::Crashed => {
                 self.metrics.engine_crashes.inc();
+                self.attribute_end(&call.engine);
                 self.confirm_crash(&call).await
             }
             Verdict::Alive => {
                 let known = self.report_crash(&call, Certainty::Observed).await;
-                self.begin_observation(call, known);
+                self.hold_request(call, known);
                 self.metrics.suspicions_withdrawn.inc();
                 Examination { has_crashed: false, known }
             }
@@ -140,9 +168,9 @@
         }
     }
 
-    async fn await_verdict(&self, call: &LostCall, probe: Probe, known: CrashCount) -> Verdict {
-        match (call.loss, probe) {
-            (Loss::Broken, Probe::Accepted(connection)) => {
+    async fn await_verdict(&self, call: &SentCall, probe: Probe, known: CrashCount) -> Verdict {
+        match (call.ending, probe) {
+            (Ending::Broken, Probe::Accepted(connection)) => {
                 tokio::time::sleep(self.settings.crash_timeouts.settle).await;
                 if self.is_replaced(call) {
                     Verdict::Crashed
@@ -163,7 +191,7 @@
     }
 
     /// Checks the health of a silent engine until it responds, or until it is known to have crashed.
-    async fn await_response(&self, call: &LostCall, known: CrashCount) -> Verdict {
+    async fn await_response(&self, call: &SentCall, known: CrashCount) -> Verdict {
         let path = call.health_check_path();
         let until = self.clock.now() + EXAMINATION_TIME;
         loop {
--- a/crates/edge/src/engine_observation.rs
+++ b/crates/edge/src/engine_observation.rs
@@ -1,131 +1,209 @@
-//! Observes engines that lost a call and have shown a sign of life since: if one ends soon, that counts under the request.
+//! Attributes the unplanned end of an engine to the requests that it had last.
 //!
-//! The edge that lost the call observes its engine, and so does each edge that loses the same request later, since the first
-//! one may be gone by then.
+//! Each attempt that may have run is remembered for a while after it has ended, however it did: an engine may end some time
+//! after it lost a request, or answered it. When an engine ends unplanned, each request that it had counts a crash. Engines
+//! that lost a request are watched; the end of others shows by their connections. Each edge observes the engines of its own
+//! attempts, and those at which other edges lost the same requests, since these edges may be gone by then.
 
 use std::collections::HashSet;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use futures::StreamExt;
 use slog::info;
 use sumacdrift_calls::{CrashCount, EngineId, MAX_CRASHES, RequestFingerprint};
-use sumacdrift_quarantine::OBSERVATION_TIME;
+use sumacdrift_quarantine::{Callers, OBSERVATION_TIME};
 use sumacdrift_routing::EnginePresence;
 use sumacdrift_storage::KnownCrashes;
-use sumacdrift_types::Timestamp;
-use tokio::sync::watch;
+use tokio::sync::mpsc;
 
 use crate::edge::Edge;
-use crate::engine_crash::LostCall;
-use crate::engine_watch::EngineFate;
+use crate::engine_crash::{Ending, SentCall};
+use crate::engine_pool::Probe;
+use crate::recent_attempts::RecentAttempts;
 use crate::wire_format::WireFormat;
 
-/// Engines that are observed at the same time, each counted once for every request that it lost.
-const MAX_OBSERVATIONS: usize = 1024;
 /// Interval at which the quarantine of a request is renewed while its engines are observed. Shorter than it lasts.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
+/// Requests of one engine that are reported at the same time.
+const MAX_REPORTS: usize = 16;
 
-/// An engine that is observed because of a request.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-struct Observation {
-    request: RequestFingerprint,
-    engine: EngineId,
-}
-
-/// Observations that are under way.
+/// Attempts whose engines are observed.
 #[derive(Debug, Default)]
-pub(crate) struct Observations(Mutex<HashSet<Observation>>);
+pub(crate) struct Observations {
+    attempts: Mutex<RecentAttempts>,
+    /// Requests that are held back until it is known what becomes of their engines.
+    held: Mutex<HashSet<RequestFingerprint>>,
+}
 
 impl Observations {
-    fn lock(&self) -> MutexGuard<'_, HashSet<Observation>> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    fn attempts(&self) -> MutexGuard<'_, RecentAttempts> {
+        self.attempts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn held(&self) -> MutexGuard<'_, HashSet<RequestFingerprint>> {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl<D: WireFormat> Edge<D> {
     /// Number of engines under observation, each counted once for every request that it lost.
     pub fn observed_engines(&self) -> usize {
-        self.crashes.observations.lock().len()
-    }
-
-    /// Observes the engine of a lost call, apart from the call. `known` are the crashes under its request.
-    pub(crate) fn begin_observation(self: &Arc<Self>, call: LostCall, known: CrashCount) {
-        let observation = Observation { request: call.request, engine: call.engine.clone() };
-        {
-            let mut observations = self.crashes.observations.lock();
-            if observations.len() >= MAX_OBSERVATIONS {
-                self.metrics.engines_not_examined.inc();
-                info!(self.logger, "too many engines are being observed"; "event" => "engine_not_observed",
-                    "call" => &call.id, "request" => %call.request, "engine" => %call.engine);
-                return;
-            }
-            if !observations.insert(observation.clone()) {
-                return;
-            }
-        }
-        let edge = Arc::clone(self);
-        tokio::spawn(async move {
-            edge.observe(call, known).await;
-            edge.crashes.observations.lock().remove(&observation);
-        });
+        self.crashes.observations.attempts().lost()
+    }
+
+    /// Whether an engine has lost a request that is remembered.
+    pub(crate) fn is_observed(&self, engine: &EngineId) -> bool {
+        self.crashes.observations.attempts().has_lost_at(engine)
+    }
+
+    /// Remembers an attempt without a complete answer, and watches its engine.
+    pub(crate) fn observe_lost(self: &Arc<Self>, call: &SentCall) {
+        let evicted = self.crashes.observations.attempts().add_lost(call.clone());
+        self.report_evicted(evicted);
+        self.watch_engine(call);
+    }
+
+    /// Remembers an attempt with a complete answer.
+    pub(crate) fn observe_answered(&self, call: SentCall) {
+        let evicted = self.crashes.observations.attempts().add_answered(call);
+        self.report_evicted(evicted);
+    }
+
+    fn report_evicted(&self, evicted: Option<SentCall>) {
+        let Some(call) = evicted else { return };
+        self.metrics.engines_not_examined.inc();
+        info!(self.logger, "too many attempts are remembered, the oldest one is dropped";
+            "event" => "engine_not_observed", "call" => &call.id, "request" => %call.request,
+            "engine" => %call.engine, "ending" => ?call.ending,
+            "age_ms" => self.clock.now().since(call.ended).as_millis() as u64);
     }
 
     /// Observes the other engines that lost the same request, whichever edge sent it there.
-    pub(crate) fn observe_engines_of_others(self: &Arc<Self>, call: &LostCall, known: &KnownCrashes) {
+    pub(crate) fn observe_engines_of_others(self: &Arc<Self>, call: &SentCall, known: &KnownCrashes) {
         for incarnation in known.observed.iter().chain(&known.suspected) {
             let Some((engine, address)) = self.engines().find_incarnation(incarnation) else { continue };
-            let incarnation = incarnation.clone();
-            let other = LostCall { engine, incarnation, address, ..call.clone() };
+            let (incarnation, ended) = (incarnation.clone(), self.clock.now());
+            let other = SentCall { engine, incarnation, address, ended, ..call.clone() };
             // One that is missing by now may have left as planned before it ended.
             if other.engine != call.engine && self.presence(&other) != EnginePresence::Missing {
-                // Whether the request is held back is decided where it was lost.
-                self.begin_observation(other, CrashCount::default());
+                self.observe_lost(&other);
             }
         }
     }
 
-    async fn observe(self: &Arc<Self>, call: LostCall, mut known: CrashCount) {
-        let until = call.lost + OBSERVATION_TIME;
-        let mut fate = self.watch_engine(&call);
-        while self.clock.now() < until {
-            let is_held = known.has_reached_limit();
-            if is_held {
-                self.enforce_crash_limit(call.request, known).await;
+    /// Drops the attempts that their engines have outlived. The answers among them clear what earlier crashes have shown.
+    pub(crate) fn expire_observations(self: &Arc<Self>) {
+        let outlived = self.crashes.observations.attempts().expire(self.clock.now());
+        for call in outlived.into_iter().filter(|call| call.ending == Ending::Served) {
+            if call.callers == Callers::Many && !call.is_stream {
+                self.crashes.record_served(call.request, call.ended);
             }
-            let next = if is_held { until.min(self.clock.now() + RENEWAL_INTERVAL) } else { until };
-            match self.fate_before(&mut fate, next).await {
-                EngineFate::Crashed => return self.record_late_crash(&call, until).await,
-                EngineFate::Leaving => {
-                    info!(self.logger, "observed engine ends as planned"; "event" => "observation_ended",
-                        "call" => &call.id, "request" => %call.request, "engine" => %call.engine,
-                        "observed_ms" => self.clock.now().since(call.lost).as_millis() as u64);
-                    return;
-                }
-                EngineFate::Running if is_held => known = self.crashes_under(&call).await,
-                EngineFate::Running => {}
+            if !call.known.is_empty() {
+                tokio::spawn(Arc::clone(self).clear_crashes(call));
             }
         }
     }
 
-    /// Waits for the end of a watched engine; [`EngineFate::Running`] if it goes on running until then.
-    async fn fate_before(&self, fate: &mut watch::Receiver<EngineFate>, until: Timestamp) -> EngineFate {
-        let ending = fate.wait_for(|fate| *fate != EngineFate::Running);
-        match tokio::time::timeout_at(self.clock.instant(until), ending).await {
-            Ok(Ok(fate)) => *fate,
-            // Without a watch, nothing more is learned of the engine.
-            Ok(Err(_)) => EngineFate::Leaving,
-            Err(_) => EngineFate::Running,
+    /// Clears the crashes under a request that an engine has served and outlived.
+    async fn clear_crashes(self: Arc<Self>, call: SentCall) {
+        match self.probe(&call).await {
+            Probe::Refused => self.record_late_crash(call).await,
+            Probe::Accepted(connection) => {
+                connection.release();
+                self.report_served_after_crash(call.request, &call.key).await;
+            }
+            Probe::Silent => {}
         }
     }
 
-    /// Counts the crash of an observed engine, and holds the request back while others that failed it are observed.
-    async fn record_late_crash(self: &Arc<Self>, call: &LostCall, until: Timestamp) {
+    /// Counts the unplanned end of an engine under each request that it had last, apart from the calls.
+    pub(crate) fn attribute_end(self: &Arc<Self>, engine: &EngineId) {
+        let calls = self.crashes.observations.attempts().take(engine);
+        let counted: Vec<SentCall> = calls.into_iter().filter(|call| self.counts_crashes(call)).collect();
+        if counted.is_empty() {
+            return;
+        }
+        let edge = Arc::clone(self);
+        self.crashes.reports.spawn(async move {
+            let reports = futures::stream::iter(counted);
+            reports.for_each_concurrent(MAX_REPORTS, |call| edge.record_late_crash(call)).await;
+        });
+    }
+
+    async fn record_late_crash(self: &Arc<Self>, call: SentCall) {
         self.metrics.engine_crashes.inc();
-        let mut known = self.confirm_crash(call).await.known;
-        while known.has_reached_limit() && known.confirmed < MAX_CRASHES && self.clock.now() < until {
+        let known = self.confirm_crash(&call).await.known;
+        self.hold_request(call, known);
+    }
+
+    /// Forgets the attempts at an engine that ends as planned.
+    pub(crate) fn forget_attempts(&self, engine: &EngineId) {
+        let calls = self.crashes.observations.attempts().take(engine);
+        info!(self.logger, "observed engine ends as planned"; "event" => "observation_ended", "engine" => %engine,
+            "requests" => calls.len());
+    }
+
+    /// Holds a request back for as long as its engines may have crashed, apart from the call. `known` are the crashes under it.
+    pub(crate) fn hold_request(self: &Arc<Self>, call: SentCall, known: CrashCount) {
+        let is_unresolved = known.has_reached_limit() && known.confirmed < MAX_CRASHES;
+        if !is_unresolved || !self.crashes.observations.held().insert(call.request) {
+            return;
+        }
+        let edge = Arc::clone(self);
+        tokio::spawn(async move {
+            edge.renew_quarantine(&call, known).await;
+            edge.crashes.observations.held().remove(&call.request);
+        });
+    }
+
+    async fn renew_quarantine(&self, call: &SentCall, mut known: CrashCount) {
+        let until = call.ended + OBSERVATION_TIME;
+        while known.has_reached_limit() && self.clock.now() < until {
+            self.enforce_crash_limit(call.request, known).await;
+            if known.confirmed >= MAX_CRASHES {
+                return;
+            }
             self.sleep_until(self.clock.now() + RENEWAL_INTERVAL).await;
             known = self.crashes_under(call).await;
-            self.enforce_crash_limit(call.request, known).await;
         }
     }
+
+    /// Probes an engine that has closed an idle connection, if its end would be attributed to a request.
+    async fn check_after_close(self: Arc<Self>, engine: EngineId) {
+        if !self.crashes.observations.attempts().has_any_at(&engine) || !self.pool.remove_closed(&engine) {
+            return;
+        }
+        let Some(address) = self.engines().spec(&engine).map(|spec| spec.address) else { return };
+        match self.pool.probe(&engine, address, self.settings.crash_timeouts.probe).await {
+            Probe::Accepted(connection) if !self.is_engine_replaced(&engine) => connection.release(),
+            Probe::Silent => {}
+            Probe::Accepted(_) | Probe::Refused => self.attribute_end_unless_planned(&engine),
+        }
+    }
+
+    /// Does the same as [`Edge::attribute_end`] for an engine that refuses connections. One that drains or has left the
+    /// directory ends as planned.
+    pub(crate) fn attribute_end_unless_planned(self: &Arc<Self>, engine: &EngineId) {
+        let presence = self.engines().presence(engine, self.clock.now());
+        if self.is_draining(engine) || presence == EnginePresence::Missing {
+            self.forget_attempts(engine);
+        } else {
+            self.attribute_end(engine);
+        }
+    }
+}
+
+/// Checks engines that close idle connections, until the edge is dropped.
+pub(crate) fn watch_closed_connections<D: WireFormat>(
+    edge: &Arc<Edge<D>>,
+    mut closed: mpsc::Receiver<EngineId>,
+) {
+    let edge = Arc::downgrade(edge);
+    tokio::spawn(async move {
+        while let Some(engine) = closed.recv().await {
+            let Some(edge) = edge.upgrade() else { return };
+            tokio::spawn(edge.check_after_close(engine));
+        }
+    });
 }
--- a/crates/edge/src/engine_pool.rs
+++ b/crates/edge/src/engine_pool.rs
@@ -18,6 +18,7 @@
 use sumacdrift_transport::configure_stream;
 use sumacdrift_types::{DisabledMechanisms, Mechanism};
 use tokio::net::TcpStream;
+use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use crate::clock::Clock;
@@ -114,6 +115,8 @@
     idle: Mutex<HashMap<EngineId, Vec<IdleConnection>>>,
     idle_limit: Mutex<IdleLimit>,
     clock: Clock,
+    /// Engines whose connections have ended, whichever side closed them.
+    closed: mpsc::Sender<EngineId>,
 }
 
 pub(crate) struct PoolResponse {
@@ -144,8 +147,10 @@
 }
 
 impl EnginePool {
-    pub(crate) fn new(disabled: DisabledMechanisms) -> Self {
-        Self { disabled, idle: Mutex::default(), idle_limit: Mutex::default(), clock: Clock::default() }
+    /// A pool without connections. It tells `closed` of each one that ends.
+    pub(crate) fn new(disabled: DisabledMechanisms, closed: mpsc::Sender<EngineId>) -> Self {
+        let (idle, idle_limit) = (Mutex::default(), Mutex::default());
+        Self { disabled, idle, idle_limit, clock: Clock::default(), closed }
     }
 
     /// Sends a request and waits for the response head. `may_send` is checked immediately before sending, since
@@ -176,7 +181,7 @@
             }
         }
         let connecting_since = Instant::now();
-        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, connect(address)).await;
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, self.connect(engine, address)).await;
         let mut sender = match connecting {
             Ok(Ok(sender)) => sender,
             Ok(Err(error)) => return Err(SendError::NotSent(Some(error))),
@@ -205,7 +210,7 @@
         within: Duration,
     ) -> Probe {
         let probing = async {
-            let sender = match connect(address).await {
+            let sender = match self.connect(engine, address).await {
                 Ok(sender) => sender,
                 Err(ConnectError::Socket(error)) if error.kind() == ErrorKind::ConnectionRefused => {
                     return Probe::Refused;
@@ -225,7 +230,7 @@
     /// Asks the engine at this address for any response, on a connection of its own.
     pub(crate) async fn check_health(&self, address: SocketAddr, path: &str, within: Duration) -> Health {
         let checking = async {
-            let mut sender = match connect(address).await {
+            let mut sender = match connect(address, async {}).await {
                 Ok(sender) => sender,
                 Err(ConnectError::Socket(error)) if error.kind() == ErrorKind::ConnectionRefused => {
                     return Health::Refused;
@@ -242,6 +247,25 @@
         tokio::time::timeout(within, checking).await.unwrap_or(Health::Silent)
     }
 
+    /// Opens a connection whose end is told.
+    async fn connect(&self, engine: &EngineId, address: SocketAddr) -> Result<Sender, ConnectError> {
+        let (closed, engine) = (self.closed.clone(), engine.clone());
+        let tell = async move {
+            // If the channel is full, the engine's end is found in another way.
+            let _ = closed.try_send(engine);
+        };
+        connect(address, tell).await
+    }
+
+    /// Removes the idle connections that an engine has closed; returns whether there were any.
+    pub(crate) fn remove_closed(&self, engine: &EngineId) -> bool {
+        let mut pool = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(idle) = pool.get_mut(engine) else { return false };
+        let before = idle.len();
+        idle.retain(|connection| !connection.sender.is_closed());
+        idle.len() < before
+    }
+
     /// Returns a connection to the pool without having used it.
     fn return_unused(&self, engine: &EngineId, sender: Sender) {
         let now = Instant::now();
@@ -319,7 +343,11 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<Sender, ConnectError> {
+/// Opens a connection; `on_close` runs once it has ended.
+async fn connect(
+    address: SocketAddr,
+    on_close: impl Future<Output = ()> + Send + 'static,
+) -> Result<Sender, ConnectError> {
     let stream = TcpStream::connect(address).await?;
     configure_stream(&stream)?;
     let mut builder = http1::Builder::new();
@@ -329,6 +357,7 @@
         // Ends when the sender is dropped or the engine closes the connection. Errors are reported through the
         // sender.
         let _ = connection.await;
+        on_close.await;
     });
     Ok(sender)
 }
--- a/crates/edge/src/engine_watch.rs
+++ b/crates/edge/src/engine_watch.rs
@@ -3,7 +3,7 @@
 //! A process that ends closes its connections, and accepts no others. An engine that drains, or that has left the directory
 //! while it runs, ends as planned.
 
-use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -12,11 +12,11 @@
 use sumacdrift_routing::EnginePresence;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::Semaphore;
 use tokio::time::Instant;
 
 use crate::edge::Edge;
-use crate::engine_crash::LostCall;
+use crate::engine_crash::SentCall;
 use crate::engine_pool::Health;
 use crate::wire_format::WireFormat;
 
@@ -42,33 +42,22 @@
     Leaving,
 }
 
-/// Watched processes, each by one task for as long as anybody waits for its end.
+/// Processes that are watched, each by one task.
 #[derive(Debug)]
 pub(crate) struct EngineWatches {
-    fates: Mutex<HashMap<EngineId, watch::Sender<EngineFate>>>,
+    engines: Mutex<HashSet<EngineId>>,
     connections: Semaphore,
 }
 
 impl Default for EngineWatches {
     fn default() -> Self {
-        Self { fates: Mutex::default(), connections: Semaphore::new(MAX_CONNECTIONS) }
+        Self { engines: Mutex::default(), connections: Semaphore::new(MAX_CONNECTIONS) }
     }
 }
 
 impl EngineWatches {
-    fn fates(&self) -> MutexGuard<'_, HashMap<EngineId, watch::Sender<EngineFate>>> {
-        self.fates.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Ends a watch with what was found. Goes on if nothing was and somebody waits again.
-    fn finish(&self, engine: &EngineId, fate: &watch::Sender<EngineFate>, found: EngineFate) -> bool {
-        let mut fates = self.fates();
-        if found == EngineFate::Running && fate.receiver_count() > 0 {
-            return false;
-        }
-        fates.remove(engine);
-        fate.send_replace(found);
-        true
+    fn engines(&self) -> MutexGuard<'_, HashSet<EngineId>> {
+        self.engines.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -80,31 +69,34 @@
 }
 
 impl<D: WireFormat> Edge<D> {
-    /// Watches the engine of a lost call until it has ended or nobody waits for that any more.
-    pub(crate) fn watch_engine(self: &Arc<Self>, call: &LostCall) -> watch::Receiver<EngineFate> {
-        let mut fates = self.crashes.watches.fates();
-        if let Some(fate) = fates.get(&call.engine) {
-            return fate.subscribe();
+    /// Watches the engine of a lost call for as long as its end would be attributed to a request that it lost.
+    pub(crate) fn watch_engine(self: &Arc<Self>, call: &SentCall) {
+        if self.crashes.watches.engines().insert(call.engine.clone()) {
+            tokio::spawn(Arc::clone(self).follow_engine(call.clone()));
         }
-        let (fate, waiting) = watch::channel(EngineFate::Running);
-        fates.insert(call.engine.clone(), fate.clone());
-        tokio::spawn(Arc::clone(self).follow_engine(call.clone(), fate));
-        waiting
     }
 
-    async fn follow_engine(self: Arc<Self>, call: LostCall, fate: watch::Sender<EngineFate>) {
+    async fn follow_engine(self: Arc<Self>, call: SentCall) {
         loop {
-            let found = tokio::select! {
-                found = self.await_end(&call) => found,
-                () = fate.closed() => EngineFate::Running,
-            };
-            if self.crashes.watches.finish(&call.engine, &fate, found) {
-                return;
+            let fate = self.await_end(&call).await;
+            {
+                let mut watched = self.crashes.watches.engines();
+                if fate == EngineFate::Running && self.is_observed(&call.engine) {
+                    continue;
+                }
+                watched.remove(&call.engine);
+            }
+            match fate {
+                EngineFate::Crashed => self.attribute_end(&call.engine),
+                EngineFate::Leaving => self.forget_attempts(&call.engine),
+                EngineFate::Running => {}
             }
+            return;
         }
     }
 
-    async fn await_end(&self, call: &LostCall) -> EngineFate {
+    /// Waits until the engine has ended, or until no request that it lost is remembered any more.
+    async fn await_end(&self, call: &SentCall) -> EngineFate {
         let permit = self.crashes.watches.connections.try_acquire();
         let mut connection: Option<TcpStream> = None;
         let mut connects_left = 0;
@@ -116,12 +108,15 @@
                 if let Some(fate) = self.fate_in_directory(call).await {
                     return fate;
                 }
+                if !self.is_observed(&call.engine) {
+                    return EngineFate::Running;
+                }
             }
             if connection.is_none() && connects_left > 0 {
                 connects_left -= 1;
                 match connect(call.address, self.settings.crash_timeouts.probe).await {
                     Contact::Connected(stream) => connection = Some(stream),
-                    Contact::Refused if self.is_draining(call) => return EngineFate::Leaving,
+                    Contact::Refused if self.is_draining(&call.engine) => return EngineFate::Leaving,
                     Contact::Refused => return EngineFate::Crashed,
                     Contact::Silent => connects_left = 0,
                 }
@@ -137,10 +132,10 @@
     }
 
     /// What the directory says of a watched process; `None` if it runs.
-    async fn fate_in_directory(&self, call: &LostCall) -> Option<EngineFate> {
+    async fn fate_in_directory(&self, call: &SentCall) -> Option<EngineFate> {
         match self.presence(call) {
             EnginePresence::Replaced => Some(EngineFate::Crashed),
-            EnginePresence::Listed => self.is_draining(call).then_some(EngineFate::Leaving),
+            EnginePresence::Listed => self.is_draining(&call.engine).then_some(EngineFate::Leaving),
             EnginePresence::Missing => {
                 let path = call.health_check_path();
                 let health = self.pool.check_health(call.address, path, HEALTH_TIMEOUT).await;
@@ -149,8 +144,8 @@
         }
     }
 
-    fn is_draining(&self, call: &LostCall) -> bool {
-        self.engines().spec(&call.engine).is_some_and(|spec| spec.is_draining)
+    pub(crate) fn is_draining(&self, engine: &EngineId) -> bool {
+        self.engines().spec(engine).is_some_and(|spec| spec.is_draining)
     }
 }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -24,6 +24,7 @@
 mod lost_call;
 mod metrics;
 mod outliers;
+mod recent_attempts;
 mod regions;
 mod report;
 mod responses;
--- a/crates/edge/src/lost_call.rs
+++ b/crates/edge/src/lost_call.rs
@@ -1,4 +1,5 @@
-//! Calls that an engine has not answered: what happens when it fails them, or when their caller leaves.
+//! Attempts of a call from their sending on. Each one that may have run is examined or remembered once it has ended; one that
+//! nothing else ends is lost when its caller leaves.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -10,31 +11,29 @@
 use sumacdrift_types::{Mechanism, ResultCode, Timestamp};
 
 use crate::attempt::CallContext;
-use crate::engine_crash::{Loss, LostCall};
+use crate::engine_crash::{Ending, SentCall};
 use crate::engine_examination::Examination;
 use crate::wire_format::WireFormat;
 
 /// Body size up to which equal requests of several callers are expected; larger bodies tell requests apart.
 const MAX_SHARED_BODY_BYTES: usize = 4 << 10;
 
-/// The attempt of a call that an engine has not answered yet.
+/// The attempt of a call that has not ended yet.
 #[derive(Debug, Clone)]
-struct UnansweredAttempt {
+struct OpenAttempt {
     placement: Placement,
     sent: Timestamp,
-    /// When the engine last sent something, or got the call.
-    heard: Timestamp,
     known: CrashCount,
     /// Whether the engine was reported as suspected before it was sent.
     is_reported: bool,
 }
 
-/// The unanswered attempt of a call, if there is one.
+/// The open attempt of a call, if there is one.
 #[derive(Debug, Default)]
-pub(crate) struct Unanswered(Mutex<Option<UnansweredAttempt>>);
+pub(crate) struct CurrentAttempt(Mutex<Option<OpenAttempt>>);
 
-impl Unanswered {
-    fn lock(&self) -> MutexGuard<'_, Option<UnansweredAttempt>> {
+impl CurrentAttempt {
+    fn lock(&self) -> MutexGuard<'_, Option<OpenAttempt>> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -48,28 +47,31 @@
         is_reported: bool,
     ) -> Timestamp {
         machine.record_sent(&placement.engine);
-        let now = self.edge.clock.now();
-        let attempt = UnansweredAttempt {
-            placement: placement.clone(),
-            sent: now,
-            heard: now,
-            known: machine.crashes(),
-            is_reported,
-        };
-        *self.unanswered.lock() = Some(attempt);
-        now
+        let sent = self.edge.clock.now();
+        let attempt =
+            OpenAttempt { placement: placement.clone(), sent, known: machine.crashes(), is_reported };
+        *self.attempt.lock() = Some(attempt);
+        sent
     }
 
-    /// Records that the engine has sent a part of its answer.
-    pub(crate) fn record_heard(&self) {
-        if let Some(attempt) = self.unanswered.lock().as_mut() {
-            attempt.heard = self.edge.clock.now();
-        }
+    /// Ends the open attempt; returns it if there is one.
+    fn end_attempt(&self) -> Option<OpenAttempt> {
+        self.attempt.lock().take()
     }
 
-    /// Records that the engine has answered.
-    pub(crate) fn record_answered(&self) {
-        *self.unanswered.lock() = None;
+    /// Records that the engine has answered completely.
+    pub(crate) fn record_answered(&self, machine: &CallMachine, status: StatusCode) {
+        let Some(attempt) = self.end_attempt() else { return };
+        if !self.edge.settings.disabled.is_enabled(Mechanism::Quarantine) {
+            return;
+        }
+        let ending = if status.is_success() { Ending::Served } else { Ending::Answered };
+        self.edge.observe_answered(self.sent_call(
+            &attempt.placement,
+            attempt.sent,
+            ending,
+            machine.crashes(),
+        ));
     }
 
     /// Reports the engine before a request is sent to it that may have crashed one already, as far as the call knows, or under
@@ -84,11 +86,11 @@
             return Ok(false);
         }
         let (request, now) = (self.fingerprint(), self.edge.clock.now());
-        let was_served = self.callers() == Callers::Many && self.edge.crashes.was_served(request, now);
-        if was_served || !(may_have_crashed_engines || self.edge.is_suspect(request)) {
+        let is_suspected = may_have_crashed_engines || self.edge.is_suspect(request);
+        let call = self.sent_call(placement, now, Ending::Silent, machine.crashes());
+        if !is_suspected || !self.edge.counts_crashes(&call) {
             return Ok(false);
         }
-        let call = self.lost_call(placement, now, Loss::Silent, machine.crashes());
         let elsewhere = self.edge.crashes_elsewhere(&call).await;
         machine.record_known_crashes(elsewhere.count);
         self.report_suspect_checked(placement, elsewhere, now);
@@ -104,13 +106,13 @@
 
     /// Withdraws the report of an attempt that did not cost the engine, apart from the call.
     fn withdraw_report(&self, machine: &CallMachine, placement: &Placement, sent: Timestamp) {
-        let call = self.lost_call(placement, sent, Loss::Silent, machine.crashes());
+        let call = self.sent_call(placement, sent, Ending::Silent, machine.crashes());
         let edge = Arc::clone(&self.edge);
         tokio::spawn(async move { edge.report_not_run(&call).await });
     }
 
     fn has_reported(&self) -> bool {
-        self.unanswered.lock().as_ref().is_some_and(|attempt| attempt.is_reported)
+        self.attempt.lock().as_ref().is_some_and(|attempt| attempt.is_reported)
     }
 
     /// Records a failed attempt and returns the next step. If the engine may have crashed, examines it first. `sent` is when
@@ -122,14 +124,13 @@
         sent: Timestamp,
         failure: Failure,
     ) -> Next {
-        let is_reported = self.has_reported();
-        self.record_answered();
+        let is_reported = self.end_attempt().is_some_and(|attempt| attempt.is_reported);
         let engine = &placement.engine;
         let may_have_crashed = match failure {
-            Failure::Lost | Failure::Spoiled | Failure::ServerError => true,
-            // The engine lost the call before and is gone now.
+            // If the engine lost the call before, it is gone now.
             Failure::NotSent => machine.may_have_run_at(engine),
-            _ => false,
+            Failure::Rejected { .. } | Failure::WrongEngine | Failure::Withheld => false,
+            Failure::Lost | Failure::Crashed | Failure::Spoiled | Failure::ServerError => true,
         };
         if is_reported && !may_have_crashed {
             self.withdraw_report(machine, placement, sent);
@@ -156,11 +157,11 @@
             self.examine_after_error(machine, placement, sent).await;
             return;
         }
-        // A success clears all crashes under the request.
+        // A success clears all crashes under the request once the engine has outlived it.
         if self.has_reported() && !status.is_success() {
             self.withdraw_report(machine, placement, sent);
         }
-        self.record_answered();
+        self.record_answered(machine, status);
     }
 
     /// Examines an engine that ends the call with an error.
@@ -170,7 +171,7 @@
         placement: &Placement,
         sent: Timestamp,
     ) {
-        self.record_answered();
+        self.end_attempt();
         // What it finds counts for later calls.
         let _ = self.examine(machine, placement, sent).await;
     }
@@ -184,18 +185,24 @@
         sent: Timestamp,
     ) -> Option<Examination> {
         let now = self.edge.clock.now();
-        let (loss, until) = if now >= machine.deadline() {
-            (Loss::Silent, now + self.edge.settings.crash_timeouts.after_deadline)
+        let (ending, until) = if now >= machine.deadline() {
+            (Ending::Silent, now + self.edge.settings.crash_timeouts.after_deadline)
         } else {
-            (Loss::Broken, machine.deadline())
+            (Ending::Broken, machine.deadline())
         };
-        let call = self.lost_call(placement, sent, loss, machine.crashes());
+        let call = self.sent_call(placement, sent, ending, machine.crashes());
         let examining = self.edge.begin_examination(call);
         tokio::time::timeout_at(self.edge.clock.instant(until), examining).await.ok()?.ok()
     }
 
-    fn lost_call(&self, placement: &Placement, sent: Timestamp, loss: Loss, known: CrashCount) -> LostCall {
-        LostCall {
+    fn sent_call(
+        &self,
+        placement: &Placement,
+        sent: Timestamp,
+        ending: Ending,
+        known: CrashCount,
+    ) -> SentCall {
+        SentCall {
             id: self.head.id.clone(),
             request: self.fingerprint(),
             callers: self.callers(),
@@ -204,8 +211,9 @@
             incarnation: placement.engine.incarnation_text().into_owned(),
             address: placement.address,
             sent,
-            lost: self.edge.clock.now(),
-            loss,
+            ended: self.edge.clock.now(),
+            ending,
+            is_stream: self.selected.route.rules.kind.is_stream(),
             is_admitted: self.is_admitted(),
             health_path: self.selected.service.health_path.clone(),
             known,
@@ -238,17 +246,6 @@
         }
     }
 
-    /// Records that an engine served the call.
-    pub(crate) fn record_served(&self, machine: &CallMachine) {
-        if self.callers() == Callers::Many && !self.selected.route.rules.kind.is_stream() {
-            self.edge.crashes.record_served(self.fingerprint(), self.edge.clock.now());
-        }
-        if !machine.crashes().is_empty() {
-            let (edge, request, key) = (Arc::clone(&self.edge), self.fingerprint(), self.crash_key());
-            tokio::spawn(async move { edge.report_served_after_crash(request, &key).await });
-        }
-    }
-
     /// Ends the call if its request is in quarantine.
     pub(crate) fn end_if_quarantined(&self, machine: &CallMachine) -> Option<Next> {
         if !self.edge.may_have_quarantined() {
@@ -264,19 +261,14 @@
 }
 
 impl<D: WireFormat> Drop for CallContext<D> {
-    /// A caller that leaves while its engine is silent may do so because the engine has crashed, and retry elsewhere.
+    /// A caller that leaves may do so because its engine has crashed or will, and retry elsewhere.
     fn drop(&mut self) {
-        let Some(attempt) = self.unanswered.lock().take() else { return };
-        let silence = self.edge.clock.now().since(attempt.heard);
-        let has_runtime = tokio::runtime::Handle::try_current().is_ok();
-        // After a crash or a loss under the request, the next engine is examined however short its silence was.
-        let is_silent = silence >= self.edge.settings.crash_timeouts.silence || !attempt.known.is_empty();
+        let Some(attempt) = self.end_attempt() else { return };
         info!(self.edge.logger, "caller left before its engine had answered"; "event" => "attempt_abandoned",
             "call" => &self.head.id, "request" => %self.fingerprint(), "engine" => %attempt.placement.engine,
-            "sent_ms" => self.edge.clock.now().since(attempt.sent).as_millis() as u64,
-            "silent_ms" => silence.as_millis() as u64, "examined" => is_silent);
-        if has_runtime && is_silent {
-            let call = self.lost_call(&attempt.placement, attempt.sent, Loss::Silent, attempt.known);
+            "sent_ms" => self.edge.clock.now().since(attempt.sent).as_millis() as u64);
+        if tokio::runtime::Handle::try_current().is_ok() {
+            let call = self.sent_call(&attempt.placement, attempt.sent, Ending::Silent, attempt.known);
             self.edge.begin_examination(call);
         }
     }
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -145,7 +145,6 @@
         }
         if let Some((_, run)) = self.source.as_mut().filter(|_| !self.pending.is_empty()) {
             run.record_events(self.pending.len());
-            self.call.record_heard();
         }
     }
 
@@ -197,7 +196,7 @@
             return Some(Err(self.abort(code)));
         }
         self.has_ended = true;
-        self.call.record_answered();
+        self.call.record_answered(&self.machine, StatusCode::OK);
         let Some((_, run)) = self.source.take() else {
             return Some(Err(self.abort(ResultCode::Internal)));
         };
@@ -217,7 +216,6 @@
         let service_time = elapsed.saturating_sub(waited);
         self.call.edge.route_durations().observe(&self.call.selected.route.name, service_time);
         self.call.edge.metrics.stream_seconds.observe(elapsed.as_secs_f64());
-        self.call.record_served(&self.machine);
         self.call.report_served(&self.machine, StatusCode::OK.as_u16(), &placement);
         None
     }
