An edge whose view of crashes is old asks before it sends a plain request

Cause: an edge took what it knew for what is known. Plain requests have no admission that would tell it. Now a follower records each reply of a feed, which comes within 0.5 s while the feed works. An edge without one for 0.7 s asks the members of the request's group before it sends a plain request; if no majority of them replies, it sends, and doesn't ask again for a second.

--- a/crates/edge/src/engine_crash.rs
+++ b/crates/edge/src/engine_crash.rs
@@ -21,6 +21,7 @@
 use tokio::time::Instant;
 use tokio_util::task::TaskTracker;
 
+use crate::crash_view_age::CrashViewAge;
 use crate::edge::Edge;
 use crate::engine_examination::Examination;
 use crate::engine_observation::Observations;
@@ -75,6 +76,7 @@
     pub(crate) examinations: Arc<Semaphore>,
     pub(crate) observations: Observations,
     pub(crate) watches: EngineWatches,
+    pub(crate) view_age: CrashViewAge,
     /// Examinations that have not reported what they found.
     pub(crate) reports: TaskTracker,
 }
@@ -91,6 +93,7 @@
             examinations: Arc::new(Semaphore::new(MAX_EXAMINATIONS)),
             observations: Observations::default(),
             watches: EngineWatches::default(),
+            view_age: CrashViewAge::default(),
             reports: TaskTracker::new(),
         }
     }
@@ -250,6 +253,9 @@
     /// there is one.
     pub(crate) async fn crashes_elsewhere(&self, call: &SentCall) -> CrashesElsewhere {
         let mut known = self.crashes.client.known(call.request, &call.key).await;
+        if !known.is_complete {
+            self.crashes.view_age.record_failure(self.clock.now());
+        }
         let is_known_here = known.remove(&call.incarnation);
         CrashesElsewhere { count: known.count(), is_known_here }
     }
@@ -361,6 +367,17 @@
         tokio::time::timeout(within, distributing).await.unwrap_or(false)
     }
 
+    /// Records that a feed has brought all that it knows.
+    pub fn confirm_crash_view(&self) {
+        self.crashes.view_age.confirm(self.clock.now());
+    }
+
+    /// Whether crashes may have been reported that this edge has not learned of; `false` if the mechanism is disabled.
+    pub(crate) fn is_crash_view_old(&self) -> bool {
+        let is_enabled = self.settings.disabled.is_enabled(Mechanism::Quarantine);
+        is_enabled && self.crashes.view_age.must_ask(self.clock.now())
+    }
+
     /// Adds a request for which one more crash reaches the limit.
     pub fn add_suspect(&self, suspect: SuspectRequest) {
         if self.crashes.suspects().add(suspect, self.clock.now()) {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -11,6 +11,7 @@
 mod clock;
 mod cold_permit;
 mod connections;
+mod crash_view_age;
 mod edge;
 mod engine_crash;
 mod engine_examination;
--- a/crates/edge/src/lost_call.rs
+++ b/crates/edge/src/lost_call.rs
@@ -82,16 +82,20 @@
         placement: &Placement,
     ) -> Result<bool, Next> {
         let may_have_crashed_engines = machine.crashes().total() > 0;
-        if self.is_admitted() || !(may_have_crashed_engines || self.edge.may_have_suspects()) {
+        let is_view_old = self.edge.is_crash_view_old();
+        if self.is_admitted() || !(may_have_crashed_engines || is_view_old || self.edge.may_have_suspects()) {
             return Ok(false);
         }
         let (request, now) = (self.fingerprint(), self.edge.clock.now());
         let is_suspected = may_have_crashed_engines || self.edge.is_suspect(request);
         let call = self.sent_call(placement, now, Ending::Silent, machine.crashes());
-        if !is_suspected || !self.edge.counts_crashes(&call) {
+        if !(is_suspected || is_view_old) || !self.edge.counts_crashes(&call) {
             return Ok(false);
         }
         let elsewhere = self.edge.crashes_elsewhere(&call).await;
+        if !is_suspected && elsewhere.count.is_empty() {
+            return Ok(false);
+        }
         machine.record_known_crashes(elsewhere.count);
         self.report_suspect_checked(placement, elsewhere, now);
         if let Some(end) = machine.end_at_crash_limit() {
--- a/crates/storage/src/follower.rs
+++ b/crates/storage/src/follower.rs
@@ -39,6 +39,8 @@
     fn apply_newer(&self, changes: &Changes);
     /// Records that the configuration applied last was the newest in the store at this time.
     fn record_confirmation(&self, as_of: Instant);
+    /// Records that all requests in quarantine and suspects that a feed knows now are applied.
+    fn record_current_changes(&self);
     /// Whether any data was received, from a feed or the store.
     fn has_data(&self) -> bool;
     /// Starts to follow the store itself; dropping the set ends it.
@@ -140,6 +142,7 @@
         // current.
         if outcome == FeedOutcome::Stale && !is_same_feed && self.sink.has_data() {
             self.sink.apply_newer(&changes);
+            self.sink.record_current_changes();
             self.report_confirmation(configuration_confirmed);
             return outcome;
         }
@@ -151,6 +154,7 @@
             self.adopt_groups(&changes);
             self.sink.apply(changes);
         }
+        self.sink.record_current_changes();
         self.report_confirmation(configuration_confirmed);
         outcome
     }
--- a/crates/storage/tests/fleet/follower.rs
+++ b/crates/storage/tests/fleet/follower.rs
@@ -60,6 +60,8 @@
         *confirmed = (*confirmed).max(Some(as_of));
     }
 
+    fn record_current_changes(&self) {}
+
     fn has_data(&self) -> bool {
         !self.contents.lock().expect("contents").is_empty()
     }
