--- a/crates/edge/src/engine_pool.rs
+++ b/crates/edge/src/engine_pool.rs
@@ -62,6 +62,13 @@
     Http(#[from] hyper::Error),
 }
 
+impl ConnectError {
+    /// Whether nothing listens at the address.
+    pub(crate) fn is_refused(&self) -> bool {
+        matches!(self, Self::Socket(error) if error.kind() == ErrorKind::ConnectionRefused)
+    }
+}
+
 /// Outcome of a probe.
 pub(crate) enum Probe {
     /// The engine accepts no connections, or closes them at once, as a load balancer in front of it does.
@@ -212,9 +219,7 @@
         let probing = async {
             let sender = match self.connect(engine, address).await {
                 Ok(sender) => sender,
-                Err(ConnectError::Socket(error)) if error.kind() == ErrorKind::ConnectionRefused => {
-                    return Probe::Refused;
-                }
+                Err(error) if error.is_refused() => return Probe::Refused,
                 Err(ConnectError::Socket(_)) => return Probe::Silent,
                 Err(ConnectError::Http(_)) => return Probe::Refused,
             };
@@ -232,9 +237,7 @@
         let checking = async {
             let mut sender = match connect(address, async {}).await {
                 Ok(sender) => sender,
-                Err(ConnectError::Socket(error)) if error.kind() == ErrorKind::ConnectionRefused => {
-                    return Health::Refused;
-                }
+                Err(error) if error.is_refused() => return Health::Refused,
                 Err(_) => return Health::Silent,
             };
             let request = Request::get(path).header(HOST, address.to_string()).body(Full::default());
