An engine's end counts no longer than its time under requests that it had

Attempts were dropped once a second, so an end was attributed up to a second late. Nothing is logged for an engine that ends as planned and had no request.

--- a/crates/edge/src/engine_observation.rs
+++ b/crates/edge/src/engine_observation.rs
@@ -119,7 +119,7 @@
 
     /// Counts the unplanned end of an engine under each request that it had last, apart from the calls.
     pub(crate) fn attribute_end(self: &Arc<Self>, engine: &EngineId) {
-        let calls = self.crashes.observations.attempts().take(engine);
+        let calls = self.crashes.observations.attempts().take(engine, self.clock.now());
         let counted: Vec<SentCall> = calls.into_iter().filter(|call| self.counts_crashes(call)).collect();
         if counted.is_empty() {
             return;
@@ -139,7 +139,10 @@
 
     /// Forgets the attempts at an engine that ends as planned.
     pub(crate) fn forget_attempts(&self, engine: &EngineId) {
-        let calls = self.crashes.observations.attempts().take(engine);
+        let calls = self.crashes.observations.attempts().take(engine, self.clock.now());
+        if calls.is_empty() {
+            return;
+        }
         info!(self.logger, "observed engine ends as planned"; "event" => "observation_ended", "engine" => %engine,
             "requests" => calls.len());
     }
--- a/crates/edge/src/recent_attempts.rs
+++ b/crates/edge/src/recent_attempts.rs
@@ -36,12 +36,12 @@
         push(&mut self.answered, call)
     }
 
-    /// Removes and returns the attempts at an engine that has ended, one for each request.
-    pub(crate) fn take(&mut self, engine: &EngineId) -> Vec<SentCall> {
+    /// Removes and returns the attempts at an engine that has ended, one for each request, without those that it has outlived.
+    pub(crate) fn take(&mut self, engine: &EngineId, now: Timestamp) -> Vec<SentCall> {
         let mut taken: Vec<SentCall> = Vec::new();
-        for attempts in [&mut self.lost, &mut self.answered] {
+        for (attempts, time) in [(&mut self.lost, OBSERVATION_TIME), (&mut self.answered, ANSWERED_TIME)] {
             attempts.retain(|call| {
-                let is_taken = call.engine == *engine;
+                let is_taken = call.engine == *engine && !is_outlived(call, time, now);
                 if is_taken && taken.iter().all(|known| known.request != call.request) {
                     taken.push(call.clone());
                 }
@@ -53,10 +53,9 @@
 
     /// Removes the attempts that their engines have outlived; returns those with a complete answer.
     pub(crate) fn expire(&mut self, now: Timestamp) -> Vec<SentCall> {
-        let is_over = |call: &SentCall, time: Duration| now.since(call.ended) >= time;
-        let lost = self.lost.partition_point(|call| is_over(call, OBSERVATION_TIME));
+        let lost = self.lost.partition_point(|call| is_outlived(call, OBSERVATION_TIME, now));
         self.lost.drain(..lost);
-        let answered = self.answered.partition_point(|call| is_over(call, ANSWERED_TIME));
+        let answered = self.answered.partition_point(|call| is_outlived(call, ANSWERED_TIME, now));
         self.answered.drain(..answered).collect()
     }
 
@@ -76,6 +75,10 @@
     }
 }
 
+fn is_outlived(call: &SentCall, time: Duration, now: Timestamp) -> bool {
+    now.since(call.ended) >= time
+}
+
 fn push(attempts: &mut VecDeque<SentCall>, call: SentCall) -> Option<SentCall> {
     let evicted = if attempts.len() >= MAX_ATTEMPTS { attempts.pop_front() } else { None };
     attempts.push_back(call);
