--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -22,7 +22,7 @@
 use crate::engine_pool::SendError;
 use crate::engine_run::EngineRun;
 use crate::headers::without_hop_by_hop;
-use crate::lost_call::CurrentAttempt;
+use crate::open_attempt::CurrentAttempt;
 use crate::service_queues::QueueSlot;
 use crate::turn::OpenTurn;
 use crate::wire_format::{EngineAttempt, KeyHandling, ResponseKind, WireFormat};
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -19,7 +19,7 @@
 use crate::attempt::{CallContext, ForwardedRequest};
 use crate::buffered::run_buffered;
 use crate::edge::Edge;
-use crate::lost_call::CurrentAttempt;
+use crate::open_attempt::CurrentAttempt;
 use crate::responses::{EdgeBody, problem_response};
 use crate::service_queues::{EnqueueRequest, QueueSlot};
 use crate::state_exchange::prompt_parts;
--- a/crates/edge/src/engine_examination.rs
+++ b/crates/edge/src/engine_examination.rs
@@ -60,6 +60,7 @@
         });
         if self.has_crashed(&call, &probe) {
             self.metrics.engine_crashes.inc();
+            self.forget_lost(&call);
             self.attribute_end_unless_planned(&call.engine);
             return self.confirm_crash(&call).await;
         }
@@ -150,6 +151,7 @@
         match verdict {
             Verdict::Crashed => {
                 self.metrics.engine_crashes.inc();
+                self.forget_lost(&call);
                 self.attribute_end(&call.engine);
                 self.confirm_crash(&call).await
             }
--- a/crates/edge/src/engine_observation.rs
+++ b/crates/edge/src/engine_observation.rs
@@ -64,6 +64,11 @@
         self.watch_engine(call);
     }
 
+    /// Forgets an attempt without a complete answer, whose engine's end is reported otherwise.
+    pub(crate) fn forget_lost(&self, call: &SentCall) {
+        self.crashes.observations.attempts().remove_lost(call);
+    }
+
     /// Remembers an attempt with a complete answer.
     pub(crate) fn observe_answered(&self, call: SentCall) {
         let evicted = self.crashes.observations.attempts().add_answered(call);
--- a/crates/edge/src/recent_attempts.rs
+++ b/crates/edge/src/recent_attempts.rs
@@ -27,10 +27,15 @@
     /// Adds an attempt without a complete answer, in place of an earlier one of the same request at the same engine; returns
     /// the attempt that gives way, if there are too many.
     pub(crate) fn add_lost(&mut self, call: SentCall) -> Option<SentCall> {
-        self.lost.retain(|lost| lost.request != call.request || lost.engine != call.engine);
+        self.remove_lost(&call);
         push(&mut self.lost, call)
     }
 
+    /// Removes the attempt of a request at an engine that got no complete answer.
+    pub(crate) fn remove_lost(&mut self, call: &SentCall) {
+        self.lost.retain(|lost| lost.request != call.request || lost.engine != call.engine);
+    }
+
     /// Adds an attempt with a complete answer; returns the one that gives way, if there are too many.
     pub(crate) fn add_answered(&mut self, call: SentCall) -> Option<SentCall> {
         push(&mut self.answered, call)
