A plain request that has crashed an engine is reported before it is sent on

Requests were announced to all edges, which report them before they send them, only once they were one crash below the limit. Now the first crash that is known suffices. A turn needs none of it: the ledger knows its open attempts.

--- a/crates/calls/src/machine.rs
+++ b/crates/calls/src/machine.rs
@@ -79,9 +79,11 @@
         self.limited() >= MAX_CRASHES
     }
 
-    /// Whether one more crash reaches the limit.
-    pub fn is_one_below_limit(self) -> bool {
-        self.limited() + 1 == MAX_CRASHES
+    /// Whether the next engine has to be reported before it gets the request: the request has crashed one, or one more crash
+    /// reaches the limit.
+    pub fn is_close_to_limit(self) -> bool {
+        let is_close = self.confirmed > 0 || self.limited() + 1 == MAX_CRASHES;
+        is_close && !self.has_reached_limit()
     }
 
     fn limited(self) -> usize {
--- a/crates/edge/src/engine_crash.rs
+++ b/crates/edge/src/engine_crash.rs
@@ -228,7 +228,7 @@
         self.observe_engines_of_others(call, &known);
         let seen = self.crashes.record_seen(self.crash_report(call, certainty), self.clock.now());
         let reported = known.count().with_open_attempts(call.known.open_attempts);
-        if reported.is_one_below_limit() && certainty != Certainty::Observed && !call.is_admitted {
+        if reported.is_close_to_limit() && certainty != Certainty::Observed && !call.is_admitted {
             self.announce_suspect(SuspectRequest::new(call.request)).await;
         }
         if known.is_complete {
@@ -336,7 +336,7 @@
         self.quarantine(quarantined, "own crash");
     }
 
-    /// Announces a request for which one more crash reaches the limit to all edges, which report it before they send it;
+    /// Announces a request that is close to the crash limit to all edges, which report it before they send it;
     /// returns once this edge has learned of it, or after a timeout.
     async fn announce_suspect(&self, suspect: SuspectRequest) {
         let request = suspect.request;
@@ -378,16 +378,16 @@
         is_enabled && self.crashes.view_age.must_ask(self.clock.now())
     }
 
-    /// Adds a request for which one more crash reaches the limit.
+    /// Adds a request that is close to the crash limit.
     pub fn add_suspect(&self, suspect: SuspectRequest) {
         if self.crashes.suspects().add(suspect, self.clock.now()) {
-            info!(self.logger, "one more crash under the request reaches the limit"; "event" => "request_suspected",
+            info!(self.logger, "request is close to the crash limit"; "event" => "request_suspected",
                 "request" => %suspect.request, "remaining_ms" => suspect.remaining.as_millis() as u64);
             self.crashes.quarantine_changed.send_replace(());
         }
     }
 
-    /// Whether one more crash under a request reaches the limit.
+    /// Whether a request is close to the crash limit.
     pub(crate) fn is_suspect(&self, request: RequestFingerprint) -> bool {
         self.crashes.suspects().contains(request, self.clock.now())
     }
@@ -429,7 +429,7 @@
         self.crashes.quarantine().len()
     }
 
-    /// Number of requests for which one more crash reaches the limit.
+    /// Number of requests that are close to the crash limit.
     pub fn suspect_requests(&self) -> usize {
         self.crashes.suspects().len()
     }
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -1,4 +1,4 @@
-//! Requests for which one more crash reaches the limit, as known to one edge.
+//! Requests that are close to the crash limit, as known to one edge.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -9,7 +9,7 @@
 use crate::bounded::make_room;
 use crate::crash_history::CRASH_RETENTION;
 
-/// A request for which one more crash reaches the limit.
+/// A request that has crashed an engine, or for which one more crash reaches the limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[allow(missing_docs)]
 pub struct SuspectRequest {
@@ -49,7 +49,7 @@
         is_new
     }
 
-    /// Whether one more crash under a request reaches the limit.
+    /// Whether a request is close to the limit.
     pub fn contains(&self, request: RequestFingerprint, now: Timestamp) -> bool {
         self.until.get(&request).is_some_and(|until| *until > now)
     }
