--- a/crates/edge/src/engine_examination.rs
+++ b/crates/edge/src/engine_examination.rs
@@ -114,7 +114,7 @@
     }
 
     fn has_crashed(&self, call: &SentCall, probe: &Probe) -> bool {
-        matches!(probe, Probe::Refused) || self.is_replaced(call)
+        matches!(probe, Probe::Refused) || self.is_replaced(&call.engine)
     }
 
     pub(crate) async fn probe(&self, call: &SentCall) -> Probe {
@@ -122,11 +122,7 @@
         self.pool.probe(engine, address, self.settings.crash_timeouts.probe).await
     }
 
-    fn is_replaced(&self, call: &SentCall) -> bool {
-        self.is_engine_replaced(&call.engine)
-    }
-
-    pub(crate) fn is_engine_replaced(&self, engine: &EngineId) -> bool {
+    pub(crate) fn is_replaced(&self, engine: &EngineId) -> bool {
         self.engines().presence(engine, self.clock.now()) == EnginePresence::Replaced
     }
 
@@ -174,7 +170,7 @@
         match (call.ending, probe) {
             (Ending::Broken, Probe::Accepted(connection)) => {
                 tokio::time::sleep(self.settings.crash_timeouts.settle).await;
-                if self.is_replaced(call) {
+                if self.is_replaced(&call.engine) {
                     Verdict::Crashed
                 } else if !connection.is_closed() {
                     connection.release();
@@ -199,7 +195,7 @@
         loop {
             let started = self.clock.now();
             match self.pool.check_health(call.address, path, HEALTH_INTERVAL).await {
-                Health::Responds if !self.is_replaced(call) => return Verdict::Alive,
+                Health::Responds if !self.is_replaced(&call.engine) => return Verdict::Alive,
                 Health::Responds | Health::Refused => return Verdict::Crashed,
                 Health::Silent if self.presence(call) != EnginePresence::Listed => return Verdict::Crashed,
                 Health::Silent => {}
--- a/crates/edge/src/engine_observation.rs
+++ b/crates/edge/src/engine_observation.rs
@@ -184,7 +184,7 @@
         }
         let Some(address) = self.engines().spec(&engine).map(|spec| spec.address) else { return };
         match self.pool.probe(&engine, address, self.settings.crash_timeouts.probe).await {
-            Probe::Accepted(connection) if !self.is_engine_replaced(&engine) => connection.release(),
+            Probe::Accepted(connection) if !self.is_replaced(&engine) => connection.release(),
             Probe::Silent => {}
             Probe::Accepted(_) | Probe::Refused => self.attribute_end_unless_planned(&engine),
         }
--- a/crates/edge/src/open_attempt.rs
+++ b/crates/edge/src/open_attempt.rs
@@ -88,8 +88,11 @@
         }
         let (request, now) = (self.fingerprint(), self.edge.clock.now());
         let is_suspected = may_have_crashed_engines || self.edge.is_suspect(request);
+        if !(is_suspected || is_view_old) {
+            return Ok(false);
+        }
         let call = self.sent_call(placement, now, Ending::Silent, machine.crashes());
-        if !(is_suspected || is_view_old) || !self.edge.counts_crashes(&call) {
+        if !self.edge.counts_crashes(&call) {
             return Ok(false);
         }
         let elsewhere = self.edge.crashes_elsewhere(&call).await;
