--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -236,6 +236,11 @@
         }
     }
 
+    /// Number of a service's engines that accept new calls, as far as this edge knows.
+    pub fn usable_engines(&self, service: &str) -> usize {
+        self.engines().usable(service, self.clock.now())
+    }
+
     /// Removes an engine that has left the directory.
     pub fn remove_engine(&self, id: &EngineId) {
         if self.engines().remove(id, self.clock.now()) {
--- a/crates/edge/src/engine_observation.rs
+++ b/crates/edge/src/engine_observation.rs
@@ -148,8 +148,12 @@
         if calls.is_empty() {
             return;
         }
-        info!(self.logger, "observed engine ends as planned"; "event" => "observation_ended", "engine" => %engine,
-            "requests" => calls.len());
+        let now = self.clock.now();
+        for call in calls {
+            info!(self.logger, "observed engine ends as planned"; "event" => "observation_ended", "engine" => %engine,
+                "call" => &call.id, "request" => %call.request, "ending" => ?call.ending,
+                "ended_ms" => now.since(call.ended).as_millis() as u64);
+        }
     }
 
     /// Holds a request back for as long as its engines may have crashed, apart from the call. `known` are the crashes under it.
