An engine's end is planned only if it has served on after it announced it

Cause: an announcement was taken for the reason of the end. The edge forgot everything that the engine had lost at the first sight of it, while the engine still ran.

Now nothing is forgotten for an announcement. An engine that drains or has no entry is watched on, and EngineEnd, which does no I/O, tells by time whether the end was planned: it has to have served on for drainMs. The registry keeps when an engine began to leave; an unreadable entry and a successor are no announcements.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -287,7 +287,7 @@
         Ok(Err(SendError::NotSent(error))) => {
             call.report_connect_failure(placement, error.as_ref());
             if error.is_some_and(|error| error.is_refused()) {
-                edge.attribute_end_unless_planned(&placement.engine);
+                edge.attribute_end(&placement.engine, edge.clock.now());
             }
             run.fail(Outcome::Unreachable);
             return Err(Failure::NotSent);
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -31,7 +31,7 @@
 use crate::wire_format::WireFormat;
 
 /// How long an engine is remembered after it left the directory.
-const ENGINE_RETENTION: Duration = Duration::from_secs(30);
+pub(crate) const ENGINE_RETENTION: Duration = Duration::from_secs(30);
 /// Consecutive failures that open an engine's circuit breaker.
 const FAILURE_THRESHOLD: u32 = 2;
 /// How long the circuit breaker stays open at first.
@@ -63,6 +63,8 @@
     pub cold: ColdTolerance,
     /// Timeouts after a crash of an engine.
     pub crash_timeouts: CrashTimeouts,
+    /// How long an engine serves on at least after it has announced its end.
+    pub engine_drain_time: Duration,
     /// Mechanisms that are switched off.
     pub disabled: DisabledMechanisms,
 }
--- a/crates/edge/src/engine_examination.rs
+++ b/crates/edge/src/engine_examination.rs
@@ -61,7 +61,7 @@
         if self.has_crashed(&call, &probe) {
             self.metrics.engine_crashes.inc();
             self.forget_lost(&call);
-            self.attribute_end_unless_planned(&call.engine);
+            self.attribute_end(&call.engine, self.clock.now());
             return self.confirm_crash(&call).await;
         }
         let Some(permit) = permit else {
@@ -103,7 +103,7 @@
             info!(self.logger, "engine crashed under a request that was served recently";
                 "event" => "engine_crashed", "call" => &call.id, "request" => %call.request,
                 "engine" => %call.engine, "counted" => false);
-            self.attribute_end_unless_planned(&call.engine);
+            self.attribute_end(&call.engine, self.clock.now());
         }
         Examination { has_crashed, known: call.known }
     }
@@ -148,7 +148,8 @@
             Verdict::Crashed => {
                 self.metrics.engine_crashes.inc();
                 self.forget_lost(&call);
-                self.attribute_end(&call.engine);
+                let is_silent = call.ending == Ending::Silent;
+                self.attribute_end(&call.engine, if is_silent { call.ended } else { self.clock.now() });
                 self.confirm_crash(&call).await
             }
             Verdict::Alive => {
--- a/crates/edge/src/engine_observation.rs
+++ b/crates/edge/src/engine_observation.rs
@@ -1,7 +1,8 @@
-//! Attributes the unplanned end of an engine to the requests that it had last.
+//! Attributes the end of an engine to the requests that it had last.
 //!
 //! Each attempt that may have run is remembered for a while after it has ended, however it did: an engine may end some time
-//! after it lost a request, or answered it. When an engine ends unplanned, each request that it had counts a crash. Engines
+//! after it lost a request, or answered it. When an engine ends, each request that it had counts a crash, unless the engine
+//! served on for as long as it has to after it had announced its end. Nothing is forgotten for an announcement. Engines
 //! that lost a request are watched; the end of others shows by their connections. Each edge observes the engines of its own
 //! attempts, and those at which other edges lost the same requests, since these edges may be gone by then.
 
@@ -12,12 +13,13 @@
 use futures::StreamExt;
 use slog::info;
 use sumacdrift_calls::{CrashCount, EngineId, MAX_CRASHES, RequestFingerprint};
-use sumacdrift_quarantine::{Callers, OBSERVATION_TIME};
+use sumacdrift_quarantine::{Callers, EngineEnd, OBSERVATION_TIME};
 use sumacdrift_routing::EnginePresence;
 use sumacdrift_storage::KnownCrashes;
+use sumacdrift_types::Timestamp;
 use tokio::sync::mpsc;
 
-use crate::edge::Edge;
+use crate::edge::{ENGINE_RETENTION, Edge};
 use crate::engine_crash::{Ending, SentCall};
 use crate::engine_pool::Probe;
 use crate::recent_attempts::RecentAttempts;
@@ -122,13 +124,17 @@
         }
     }
 
-    /// Counts the unplanned end of an engine under each request that it had last, apart from the calls.
-    pub(crate) fn attribute_end(self: &Arc<Self>, engine: &EngineId) {
+    /// Counts the end of an engine under each request that it had last, apart from the calls, unless it was planned. `ended`
+    /// is the latest time at which it may have ended.
+    pub(crate) fn attribute_end(self: &Arc<Self>, engine: &EngineId, ended: Timestamp) {
         let calls = self.crashes.observations.attempts().take(engine, self.clock.now());
-        let counted: Vec<SentCall> = calls.into_iter().filter(|call| self.counts_crashes(call)).collect();
-        if counted.is_empty() {
+        if calls.is_empty() {
             return;
         }
+        if self.is_planned(engine, ended, calls.len()) {
+            return self.log_planned_end(engine, &calls);
+        }
+        let counted: Vec<SentCall> = calls.into_iter().filter(|call| self.counts_crashes(call)).collect();
         let edge = Arc::clone(self);
         self.crashes.reports.spawn(async move {
             let reports = futures::stream::iter(counted);
@@ -142,16 +148,32 @@
         self.hold_request(call, known);
     }
 
-    /// Forgets the attempts at an engine that ends as planned.
-    pub(crate) fn forget_attempts(&self, engine: &EngineId) {
-        let calls = self.crashes.observations.attempts().take(engine, self.clock.now());
-        if calls.is_empty() {
-            return;
-        }
+    /// When an engine that has ended announced that it would.
+    fn announced_end(&self, engine: &EngineId, ended: Timestamp) -> Option<Timestamp> {
+        let engines = self.engines();
+        // An unknown one left the directory long enough ago to be forgotten.
+        let is_known = engines.spec(engine).is_some();
+        if is_known { engines.leaving_since(engine) } else { Some(ended - ENGINE_RETENTION) }
+    }
+
+    /// Whether an engine that had these many requests last ended as planned.
+    fn is_planned(&self, engine: &EngineId, ended: Timestamp, requests: usize) -> bool {
+        let announced = self.announced_end(engine, ended);
+        let drain_time = self.settings.engine_drain_time;
+        let is_planned = EngineEnd { announced, ended }.is_planned(drain_time);
+        info!(self.logger, "engine ended that had lost or answered requests"; "event" => "engine_ended",
+            "engine" => %engine, "planned" => is_planned, "requests" => requests,
+            "announced_ms" => announced.map(|announced| ended.since(announced).as_millis() as u64),
+            "drain_ms" => drain_time.as_millis() as u64,
+            "found_ms" => self.clock.now().since(ended).as_millis() as u64);
+        is_planned
+    }
+
+    fn log_planned_end(&self, engine: &EngineId, calls: &[SentCall]) {
         let now = self.clock.now();
         for call in calls {
-            info!(self.logger, "observed engine ends as planned"; "event" => "observation_ended", "engine" => %engine,
-                "call" => &call.id, "request" => %call.request, "ending" => ?call.ending,
+            info!(self.logger, "observed engine ended as planned"; "event" => "observation_ended",
+                "engine" => %engine, "call" => &call.id, "request" => %call.request, "ending" => ?call.ending,
                 "ended_ms" => now.since(call.ended).as_millis() as u64);
         }
     }
@@ -190,18 +212,7 @@
         match self.pool.probe(&engine, address, self.settings.crash_timeouts.probe).await {
             Probe::Accepted(connection) if !self.is_replaced(&engine) => connection.release(),
             Probe::Silent => {}
-            Probe::Accepted(_) | Probe::Refused => self.attribute_end_unless_planned(&engine),
-        }
-    }
-
-    /// Does the same as [`Edge::attribute_end`] for an engine that refuses connections. One that drains or has left the
-    /// directory ends as planned.
-    pub(crate) fn attribute_end_unless_planned(self: &Arc<Self>, engine: &EngineId) {
-        let presence = self.engines().presence(engine, self.clock.now());
-        if self.is_draining(engine) || presence == EnginePresence::Missing {
-            self.forget_attempts(engine);
-        } else {
-            self.attribute_end(engine);
+            Probe::Accepted(_) | Probe::Refused => self.attribute_end(&engine, self.clock.now()),
         }
     }
 }
--- a/crates/edge/src/engine_watch.rs
+++ b/crates/edge/src/engine_watch.rs
@@ -1,7 +1,7 @@
 //! Watches engine processes, to learn of their end.
 //!
-//! A process that ends closes its connections, and accepts no others. An engine that drains, or that has left the directory
-//! while it runs, ends as planned.
+//! A process that ends closes its connections, and accepts no others. One that has announced its end is watched on: how long
+//! it serves tells whether the end was planned.
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -10,6 +10,7 @@
 
 use sumacdrift_calls::EngineId;
 use sumacdrift_routing::EnginePresence;
+use sumacdrift_types::Timestamp;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
@@ -22,7 +23,7 @@
 
 /// Interval between two looks at the directory.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
-/// Timeout of a health check of an engine that has left the directory.
+/// Timeout of a health check of an engine that drains or has left the directory.
 const HEALTH_TIMEOUT: Duration = Duration::from_secs(1);
 /// Connections that are held to watched engines. Further engines are watched by the directory alone.
 const MAX_CONNECTIONS: usize = 64;
@@ -36,10 +37,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum EngineFate {
     Running,
-    /// It ended without having left.
-    Crashed,
-    /// It ends as planned, or has.
-    Leaving,
+    /// It ended, at this time at the latest.
+    Ended(Timestamp),
 }
 
 /// Processes that are watched, each by one task.
@@ -61,6 +60,35 @@
     }
 }
 
+/// What a watch has seen of a process.
+struct WatchedProcess {
+    connection: Option<TcpStream>,
+    /// Whether it has shown a sign of life since it has been draining, or missing from the directory.
+    has_responded: bool,
+    /// When it was last known to run.
+    last_alive: Timestamp,
+}
+
+impl WatchedProcess {
+    fn new(now: Timestamp) -> Self {
+        Self { connection: None, has_responded: false, last_alive: now }
+    }
+
+    /// The latest time at which the process may have ended, if it is found to have now.
+    fn ended_by(&self, now: Timestamp) -> Timestamp {
+        now.min(self.last_alive + CHECK_INTERVAL)
+    }
+}
+
+/// What a look at a watched process shows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Sign {
+    Alive,
+    Ended,
+    /// Nothing that tells.
+    None,
+}
+
 /// Whether a watched engine accepts connections.
 enum Contact {
     Connected(TcpStream),
@@ -86,10 +114,8 @@
                 }
                 watched.remove(&call.engine);
             }
-            match fate {
-                EngineFate::Crashed => self.attribute_end(&call.engine),
-                EngineFate::Leaving => self.forget_attempts(&call.engine),
-                EngineFate::Running => {}
+            if let EngineFate::Ended(ended) = fate {
+                self.attribute_end(&call.engine, ended);
             }
             return;
         }
@@ -98,48 +124,71 @@
     /// Waits until the engine has ended, or until no request that it lost is remembered any more.
     async fn await_end(&self, call: &SentCall) -> EngineFate {
         let permit = self.crashes.watches.connections.try_acquire();
-        let mut connection: Option<TcpStream> = None;
-        let mut connects_left = 0;
-        let mut next_check = Instant::now();
+        let mut watched = WatchedProcess::new(self.clock.now());
         loop {
-            if Instant::now() >= next_check {
-                next_check = Instant::now() + CHECK_INTERVAL;
-                connects_left = if permit.is_ok() { CONNECTS_PER_INTERVAL } else { 0 };
-                if let Some(fate) = self.fate_in_directory(call).await {
-                    return fate;
-                }
-                if !self.is_observed(&call.engine) {
-                    return EngineFate::Running;
-                }
+            let next_check = Instant::now() + CHECK_INTERVAL;
+            if self.check_process(call, &mut watched).await == Sign::Ended {
+                return EngineFate::Ended(watched.ended_by(self.clock.now()));
             }
-            if connection.is_none() && connects_left > 0 {
-                connects_left -= 1;
-                match connect(call.address, self.settings.crash_timeouts.probe).await {
-                    Contact::Connected(stream) => connection = Some(stream),
-                    Contact::Refused if self.is_draining(&call.engine) => return EngineFate::Leaving,
-                    Contact::Refused => return EngineFate::Crashed,
-                    Contact::Silent => connects_left = 0,
-                }
+            if !self.is_observed(&call.engine) {
+                return EngineFate::Running;
             }
-            if let Some(open) = &mut connection {
-                if is_closed_before(open, next_check).await {
-                    connection = None;
-                }
-            } else if connects_left == 0 {
-                tokio::time::sleep_until(next_check).await;
+            let connects = if permit.is_ok() { CONNECTS_PER_INTERVAL } else { 0 };
+            if self.hold_connection(call, &mut watched, connects, next_check).await == Sign::Ended {
+                return EngineFate::Ended(watched.ended_by(self.clock.now()));
+            }
+        }
+    }
+
+    /// Looks the process up in the directory. One that drains or has left is asked for a sign of life, unless a connection to
+    /// it has been open since the last one.
+    async fn check_process(&self, call: &SentCall, watched: &mut WatchedProcess) -> Sign {
+        let presence = self.presence(call);
+        if presence == EnginePresence::Replaced {
+            return Sign::Ended;
+        }
+        if presence == EnginePresence::Listed && !self.is_draining(&call.engine) {
+            watched.has_responded = false;
+            return Sign::None;
+        }
+        if watched.connection.is_none() || !watched.has_responded {
+            let path = call.health_check_path();
+            match self.pool.check_health(call.address, path, HEALTH_TIMEOUT).await {
+                Health::Responds => watched.has_responded = true,
+                Health::Refused => return Sign::Ended,
+                Health::Silent if presence == EnginePresence::Missing => return Sign::Ended,
+                Health::Silent => return Sign::None,
             }
         }
+        watched.last_alive = self.clock.now();
+        Sign::Alive
     }
 
-    /// What the directory says of a watched process; `None` if it runs.
-    async fn fate_in_directory(&self, call: &SentCall) -> Option<EngineFate> {
-        match self.presence(call) {
-            EnginePresence::Replaced => Some(EngineFate::Crashed),
-            EnginePresence::Listed => self.is_draining(&call.engine).then_some(EngineFate::Leaving),
-            EnginePresence::Missing => {
-                let path = call.health_check_path();
-                let health = self.pool.check_health(call.address, path, HEALTH_TIMEOUT).await;
-                Some(if health == Health::Responds { EngineFate::Leaving } else { EngineFate::Crashed })
+    /// Holds a connection to the process until a time, and opens another one this often if it closes.
+    async fn hold_connection(
+        &self,
+        call: &SentCall,
+        watched: &mut WatchedProcess,
+        mut connects: usize,
+        until: Instant,
+    ) -> Sign {
+        loop {
+            if let Some(open) = &mut watched.connection {
+                if !is_closed_before(open, until).await {
+                    return Sign::Alive;
+                }
+                watched.connection = None;
+                watched.last_alive = self.clock.now();
+            }
+            if connects == 0 {
+                tokio::time::sleep_until(until).await;
+                return Sign::None;
+            }
+            connects -= 1;
+            match connect(call.address, self.settings.crash_timeouts.probe).await {
+                Contact::Connected(stream) => watched.connection = Some(stream),
+                Contact::Refused => return Sign::Ended,
+                Contact::Silent => connects = 0,
             }
         }
     }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod bounded;
 mod crash_history;
+mod engine_end;
 mod quarantine;
 mod recently_served;
 mod suspects;
@@ -16,6 +17,7 @@
     CRASH_RETENTION, Callers, Certainty, CrashChain, CrashHistory, CrashReport, CrashedEngine,
     OBSERVATION_TIME,
 };
+pub use engine_end::EngineEnd;
 pub use quarantine::{QUARANTINE_TIME, Quarantine, QuarantinedRequest, SUSPICION_TIME};
 pub use recently_served::RecentlyServed;
 pub use suspects::{SuspectRequest, SuspectRequests};
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -59,6 +59,8 @@
     pub(crate) unread_tokens: u64,
     pub(crate) circuit_breaker: CircuitBreaker,
     pub(crate) unusable_since: Option<Timestamp>,
+    /// When it was learned that the engine will end: its entry said that it drains, or was removed.
+    pub(crate) leaving_since: Option<Timestamp>,
     /// Whether the engine may not even be used as a last resort until its entry reappears.
     is_withdrawn: bool,
     pub(crate) cold_state: ColdState,
@@ -101,6 +103,7 @@
             unread_tokens: 0,
             circuit_breaker: CircuitBreaker::new(circuit_breaker),
             unusable_since: spec.is_draining.then_some(now),
+            leaving_since: spec.is_draining.then_some(now),
             is_withdrawn: false,
             slowness: Slowness::nominal(now),
             last_outcome: None,
@@ -169,17 +172,23 @@
         self.slowness.observe(seen, noise, now);
     }
 
-    /// Stops new work from `at` on, until a newer directory entry allows it; returns whether the engine was usable.
+    /// Stops new work from `at` on, as the engine will end, until a newer directory entry allows it; returns whether the
+    /// engine was usable.
     pub(crate) fn retire(&mut self, at: Timestamp) -> bool {
+        self.leaving_since = Some(self.leaving_since.map_or(at, |since| since.min(at)));
+        self.stop_new_work(at)
+    }
+
+    fn stop_new_work(&mut self, at: Timestamp) -> bool {
         let was_usable = self.is_usable(at);
         self.unusable_since = Some(self.unusable_since.map_or(at, |since| since.min(at)));
         was_usable
     }
 
-    /// Like [`Self::retire`], but from now on, and the engine isn't used as a last resort either.
+    /// Stops new work, also as a last resort, until a newer directory entry allows it; returns whether the engine was usable.
     pub(crate) fn withdraw(&mut self, now: Timestamp) -> bool {
         self.is_withdrawn = true;
-        self.retire(now)
+        self.stop_new_work(now)
     }
 
     /// Whether the engine may be used if there is no other: it accepts new work, or left only recently.
@@ -210,6 +219,7 @@
             (Some(since), Some(_)) => Some(since),
             (_, draining_since) => draining_since,
         };
+        self.leaving_since = draining_since.map(|since| self.leaving_since.unwrap_or(since));
         if spec.report > self.spec.report {
             self.cold_state.record_report(spec.warmup_left, now);
         }
--- a/crates/routing/src/registry/incarnations.rs
+++ b/crates/routing/src/registry/incarnations.rs
@@ -63,6 +63,12 @@
         }
     }
 
+    /// When it was learned that an engine will end, as its entry said that it drains or was removed; `None` if it is not
+    /// known to, or is unknown.
+    pub fn leaving_since(&self, id: &EngineId) -> Option<Timestamp> {
+        self.engines.get(id)?.leaving_since
+    }
+
     /// The engine with this name among all incarnations, see [`EngineId::incarnation_text`], and its address.
     pub fn find_incarnation(&self, name: &str) -> Option<(EngineId, SocketAddr)> {
         let id = self.engines.id_of(engine_key(name))?;
--- a/crates/routing/tests/engine_incarnations.rs
+++ b/crates/routing/tests/engine_incarnations.rs
@@ -168,3 +168,25 @@
     registry.evict_gone(later, Duration::from_secs(10));
     assert_eq!(registry.len(), 1);
 }
+
+/// Guards against taking an engine for one that leaves after its entry was only away, or can't be read, or is a successor's.
+#[test]
+fn an_engine_is_leaving_from_its_announcement_until_its_entry_returns() {
+    let mut registry = registry_with_engine();
+    let id = incarnation("a", 1_000);
+    let (removed, drained) = (NOW + Duration::from_secs(1), NOW + Duration::from_secs(2));
+    assert_eq!(registry.leaving_since(&id), None);
+    registry.remove(&id, removed);
+    assert_eq!(registry.leaving_since(&id), Some(removed));
+    registry.upsert(entry("a", 1_000, 902), NOW);
+    assert_eq!(registry.leaving_since(&id), None);
+    registry.withdraw(&id, removed);
+    assert_eq!(registry.leaving_since(&id), None);
+    let draining = EngineSpec { is_draining: true, ..entry("a", 1_000, 903) };
+    registry.upsert(draining, drained);
+    registry.remove(&id, drained + Duration::from_secs(1));
+    assert_eq!(registry.leaving_since(&id), Some(drained));
+    registry.upsert(entry("a", 2_000, 1), drained + Duration::from_secs(2));
+    assert_eq!(registry.leaving_since(&id), Some(drained));
+    assert_eq!(registry.leaving_since(&incarnation("a", 2_000)), None);
+}
