Attempts that did not overlap count in whichever order their engines are found to have crashed

Crashes of requests that several callers may send counted only if the attempt was sent after the last crash that was recorded.

Cause: the order of reports was taken for the order of attempts. Each engine of a chain now has both ends of its attempt; another one extends the chain unless the two overlapped. Attempts that overlap count once, as before, in any order.

--- a/crates/quarantine/src/crash_history.rs
+++ b/crates/quarantine/src/crash_history.rs
@@ -66,11 +66,18 @@
     /// Name that differs between incarnations of an engine.
     pub name: String,
     pub certainty: Certainty,
+    /// When the request was sent to the engine; the earliest time if that is unknown.
+    pub sent: Timestamp,
     /// When the engine lost the request.
     pub lost: Timestamp,
 }
 
 impl CrashedEngine {
+    /// Whether an attempt from `sent` to `lost` was over before this one, or began after it.
+    fn is_apart_from(&self, sent: Timestamp, lost: Timestamp) -> bool {
+        sent + REPORT_JITTER >= self.lost || lost <= self.sent + REPORT_JITTER
+    }
+
     fn counts(&self) -> bool {
         self.certainty != Certainty::Observed
     }
@@ -92,8 +99,8 @@
 
 /// Consecutive crashes by request; at most 4,096, about 1 MB. The request whose last crash is the oldest gives way.
 ///
-/// If several callers may send a request, only one that was sent after the previous crash extends the chain: engines that
-/// crash at the same time under equal requests count as one.
+/// If several callers may send a request, only attempts that did not overlap extend the chain, in whichever order their engines
+/// are found to have crashed: engines that crash at the same time under equal requests count as one.
 #[derive(Debug, Default)]
 pub struct CrashHistory {
     chains: HashMap<RequestFingerprint, CrashChain>,
@@ -110,7 +117,8 @@
         if !self.chains.contains_key(&report.request) {
             make_room(&mut self.chains, |chain| chain.is_expired(now), |chain| chain.last_crash);
         }
-        let empty = CrashChain { request: report.request, engines: Vec::new(), last_crash: now };
+        let last_crash = now - report.lost_ago;
+        let empty = CrashChain { request: report.request, engines: Vec::new(), last_crash };
         let chain = self.chains.entry(report.request).or_insert(empty);
         if chain.is_expired(now) {
             chain.engines.clear();
@@ -198,7 +206,7 @@
     }
 
     fn record(&mut self, report: &CrashReport<'_>, now: Timestamp) -> bool {
-        let lost = now - report.lost_ago;
+        let (sent, lost) = (now - report.sent_ago, now - report.lost_ago);
         if let Some(known) = self.engines.iter_mut().find(|known| known.name == report.engine) {
             let is_surer = known.certainty < report.certainty;
             if is_surer {
@@ -207,11 +215,11 @@
             }
             return is_surer;
         }
-        let may_extend = self.has_room() && self.is_extended_by(report, now);
+        let may_extend = self.has_room() && self.is_extended_by(report.callers, sent, lost);
         if may_extend {
             let name = report.engine.to_owned();
-            self.engines.push(CrashedEngine { name, certainty: report.certainty, lost });
-            self.last_crash = lost;
+            self.engines.push(CrashedEngine { name, certainty: report.certainty, sent, lost });
+            self.last_crash = self.last_crash.max(lost);
         }
         may_extend
     }
@@ -225,11 +233,9 @@
         observed.map(|observed| self.engines.remove(observed)).is_some()
     }
 
-    fn is_extended_by(&self, report: &CrashReport<'_>, now: Timestamp) -> bool {
-        let sent_at = now - report.sent_ago;
-        self.engines.is_empty()
-            || report.callers == Callers::One
-            || sent_at + REPORT_JITTER >= self.last_crash
+    fn is_extended_by(&self, callers: Callers, sent: Timestamp, lost: Timestamp) -> bool {
+        callers == Callers::One
+            || self.engines.iter().all(|engine| engine.is_apart_from(sent, lost))
             || is_broken(Rule::CrashesCountInSequence)
     }
 }
--- a/crates/quarantine/tests/crash_history.rs
+++ b/crates/quarantine/tests/crash_history.rs
@@ -54,6 +54,32 @@
     }
 }
 
+/// A crash of an attempt from `sent` to `lost`, found at `found`; all in milliseconds.
+fn late_crash(engine: &str, sent: u64, lost: u64, found: u64) -> CrashReport<'_> {
+    let ago = |millis| Duration::from_millis(found - millis);
+    CrashReport { sent_ago: ago(sent), lost_ago: ago(lost), ..crash(engine, SENT_AGO) }
+}
+
+/// Guards against an engine that doesn't count as it ended some time after it had answered, when the next attempt had already
+/// crashed another one.
+#[test]
+fn an_engine_that_is_found_to_have_crashed_later_than_its_successor_counts() {
+    let mut history = CrashHistory::default();
+    assert_eq!(record(&mut history, late_crash("b", 150, 200, 200), at(200)), 1);
+    assert_eq!(record(&mut history, late_crash("a", 0, 100, 400), at(400)), 2);
+    assert_eq!(record(&mut history, late_crash("c", 250, 300, 500), at(500)), 3);
+}
+
+/// Guards against counting attempts of several callers that overlapped, in whichever order their engines are found.
+#[test]
+fn attempts_that_overlapped_count_as_one_in_any_order() {
+    let mut history = CrashHistory::default();
+    assert_eq!(record(&mut history, late_crash("b", 150, 400, 400), at(400)), 1);
+    assert_eq!(record(&mut history, late_crash("a", 0, 200, 500), at(500)), 1);
+    assert_eq!(record(&mut history, late_crash("c", 300, 600, 700), at(700)), 1);
+    assert_eq!(record(&mut history, late_crash("d", 420, 430, 800), at(800)), 2);
+}
+
 /// The check above can fail.
 #[cfg(feature = "mutants")]
 #[test]
--- a/crates/storage/src/crash_host.rs
+++ b/crates/storage/src/crash_host.rs
@@ -122,11 +122,13 @@
     let engines = kept.engines.into_iter().map(|engine| CrashedEngine {
         name: engine.name,
         certainty: if engine.is_confirmed { Certainty::Confirmed } else { Certainty::Suspected },
+        sent: Timestamp::default(),
         lost: last_crash,
     });
     let observed = kept.observed.into_iter().map(|engine| CrashedEngine {
         name: engine.name,
         certainty: Certainty::Observed,
+        sent: Timestamp::default(),
         lost: at(engine.lost_millis),
     });
     CrashChain {
