Engines that drained and left the directory are evicted

Draining engines are kept as they may report again; that holds only while the directory lists them.

engines_that_drained_and_left_are_evicted: 50 of 50 engines left before, 0 now.

--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -61,6 +61,8 @@
     pub(crate) unusable_since: Option<Timestamp>,
     /// When it was learned that the engine will end: its entry said that it drains, or was removed.
     pub(crate) leaving_since: Option<Timestamp>,
+    /// Whether the directory has an entry of the engine.
+    pub(crate) is_listed: bool,
     /// Whether the engine may not even be used as a last resort until its entry reappears.
     is_withdrawn: bool,
     pub(crate) cold_state: ColdState,
@@ -104,6 +106,7 @@
             circuit_breaker: CircuitBreaker::new(circuit_breaker),
             unusable_since: spec.is_draining.then_some(now),
             leaving_since: spec.is_draining.then_some(now),
+            is_listed: true,
             is_withdrawn: false,
             slowness: Slowness::nominal(now),
             last_outcome: None,
@@ -179,6 +182,12 @@
         self.stop_new_work(at)
     }
 
+    /// Does the same as the engine's entry is removed.
+    pub(crate) fn unlist(&mut self, at: Timestamp) -> bool {
+        self.is_listed = false;
+        self.retire(at)
+    }
+
     fn stop_new_work(&mut self, at: Timestamp) -> bool {
         let was_usable = self.is_usable(at);
         self.unusable_since = Some(self.unusable_since.map_or(at, |since| since.min(at)));
@@ -212,6 +221,7 @@
             return false;
         }
         self.is_withdrawn = false;
+        self.is_listed = true;
         let draining_since = spec.is_draining.then_some(now);
         let has_changed = self.spec.is_draining != spec.is_draining
             || (self.unusable_since.is_some() && draining_since.is_none());
--- a/crates/routing/src/registry.rs
+++ b/crates/routing/src/registry.rs
@@ -94,7 +94,8 @@
     pub fn evict_gone(&mut self, now: Timestamp, after: Duration) {
         self.engines.remove_where(|engine| {
             let is_expired = engine.unusable_since.is_some_and(|since| now.since(since) >= after);
-            engine.running == 0 && !engine.spec.is_draining && is_expired
+            let is_listed_draining = engine.is_listed && engine.spec.is_draining;
+            engine.running == 0 && !is_listed_draining && is_expired
         });
         self.names.remove_unused();
     }
--- a/crates/routing/src/registry/incarnations.rs
+++ b/crates/routing/src/registry/incarnations.rs
@@ -130,7 +130,7 @@
     /// was affected.
     pub fn remove(&mut self, id: &EngineId, now: Timestamp) -> bool {
         let mut has_changed = false;
-        self.for_each_incarnation(id, |engine| has_changed |= engine.retire(now));
+        self.for_each_incarnation(id, |engine| has_changed |= engine.unlist(now));
         has_changed
     }
 
@@ -151,7 +151,7 @@
         let missing = self.engines.ids().filter(|id| !listed.contains(id.as_str()));
         for id in missing.cloned().collect::<Vec<_>>() {
             if let Some(engine) = self.engines.get_mut(&id) {
-                engine.retire(now + grace);
+                engine.unlist(now + grace);
             }
         }
         for spec in specs {
--- a/crates/routing/tests/engine_incarnations.rs
+++ b/crates/routing/tests/engine_incarnations.rs
@@ -190,3 +190,16 @@
     assert_eq!(registry.leaving_since(&id), Some(drained));
     assert_eq!(registry.leaving_since(&incarnation("a", 2_000)), None);
 }
+
+#[test]
+fn engines_that_drained_and_left_are_evicted() {
+    let mut registry = registry(&[]);
+    for number in 0..50 {
+        let name = format!("e{number}");
+        registry.upsert(entry(&name, 1_000, 1), NOW);
+        registry.upsert(EngineSpec { is_draining: true, ..entry(&name, 1_000, 2) }, NOW);
+        registry.remove(&incarnation(&name, 1_000), NOW + Duration::from_secs(3));
+    }
+    registry.evict_gone(NOW + Duration::from_secs(60), Duration::from_secs(30));
+    assert_eq!(registry.len(), 0);
+}
