An attempt that may have been lost with its edge counts once its request crashes an engine

Turns have their open attempt in the ledger; plain requests are reported before they are sent from the first known crash on.

Cause: knowledge that must outlast a process was kept in it alone. A report of each plain send would be a third more messages. Instead, the loss of the edge is the evidence: the member whose feed it follows sees the connection close with a request open, and announces that to all edges; an edge that starts assumes it, as all may have been killed at once. For 60 s a plain request that has crashed an engine counts one more, unless it was announced before the loss.

- FollowRequest has is_edge (form 3); earlier builds skip it, and the items that tell of a lost edge.

--- a/crates/calls/src/machine.rs
+++ b/crates/calls/src/machine.rs
@@ -58,7 +58,8 @@
     pub suspected: usize,
     /// Engines that lost the request and have shown a sign of life since. They may still crash because of it.
     pub observed: usize,
-    /// Attempts of the same turn that have not ended. The engine of each may have crashed.
+    /// Attempts of the same turn that have not ended, or of another request that may have been lost together with their edge.
+    /// The engine of each may have crashed.
     pub open_attempts: usize,
 }
 
@@ -97,6 +98,13 @@
         Self { open_attempts, ..self }
     }
 
+    /// The same if an attempt may have been lost together with its edge. It counts only for a request that has crashed an
+    /// engine.
+    #[must_use]
+    pub fn with_lost_attempt(self) -> Self {
+        self.with_open_attempts(usize::from(self.confirmed > 0))
+    }
+
     /// Why the request is sent to no other engine.
     fn result_code(self) -> ResultCode {
         if self.confirmed >= MAX_CRASHES {
--- a/crates/dissemination/src/message.rs
+++ b/crates/dissemination/src/message.rs
@@ -82,6 +82,9 @@
     /// Last item of the previous part; the next one starts after it.
     #[prost(message, optional, tag = "5")]
     pub part_behind: Option<ItemKey>,
+    /// Whether the follower is an edge, whose attempts at engines are lost if its process is.
+    #[prost(bool, tag = "6")]
+    pub is_edge: bool,
 }
 
 /// Key by which items are ordered.
--- a/crates/dissemination/tests/recorded_forms/main.rs
+++ b/crates/dissemination/tests/recorded_forms/main.rs
@@ -45,14 +45,18 @@
 }
 
 fn first_request() -> FollowRequest {
-    FollowRequest { incarnation: 77, after: 12, wait_millis: 2000, takes_parts: false, part_behind: None }
+    FollowRequest { incarnation: 77, after: 12, wait_millis: 2000, ..FollowRequest::default() }
 }
 
-fn newest_request() -> FollowRequest {
+fn request_for_part() -> FollowRequest {
     let part_behind = Some(ItemKey { kind: ItemKind::Engine as i32, name: "e1".to_owned() });
     FollowRequest { takes_parts: true, part_behind, ..first_request() }
 }
 
+fn newest_request() -> FollowRequest {
+    FollowRequest { is_edge: true, ..request_for_part() }
+}
+
 fn first_changes() -> Changes {
     let removed = Item { content: Bytes::new(), ..item_of(ItemKind::Engine) };
     Changes {
@@ -121,7 +125,8 @@
 #[test]
 fn recorded_forms_are_read_and_the_newest_is_written() {
     let mut forms = recorded();
-    forms.writes(&Codec::message(), FOLLOW, "2", &newest_request());
+    forms.reads(&Codec::message(), FOLLOW, "2", &request_for_part());
+    forms.writes(&Codec::message(), FOLLOW, "3", &newest_request());
     forms.writes_bare(&Codec::message(), FOLLOW, &FollowRequest::default());
     forms.reads(&Codec::message(), FOLLOW, "1", &first_request());
     for (form, changes) in responses().iter().take(responses().len() - 1) {
--- a/crates/edge/src/engine_crash.rs
+++ b/crates/edge/src/engine_crash.rs
@@ -11,8 +11,8 @@
 use slog::info;
 use sumacdrift_calls::{CrashCount, EngineId, MAX_CRASHES, RequestFingerprint};
 use sumacdrift_quarantine::{
-    Callers, Certainty, CrashHistory, CrashReport, Quarantine, QuarantinedRequest, RecentlyServed,
-    SuspectRequest, SuspectRequests,
+    CRASH_RETENTION, Callers, Certainty, CrashHistory, CrashReport, LostAttempts, Quarantine,
+    QuarantinedRequest, RecentlyServed, SuspectRequest, SuspectRequests,
 };
 use sumacdrift_storage::{CrashClient, KnownCrashes, LedgerClient};
 use sumacdrift_types::{Mechanism, Timestamp};
@@ -67,6 +67,7 @@
     client: CrashClient,
     quarantine: Mutex<Quarantine>,
     suspects: Mutex<SuspectRequests>,
+    lost_attempts: Mutex<LostAttempts>,
     /// Changes with the quarantine and the suspects.
     quarantine_changed: watch::Sender<()>,
     served: Mutex<RecentlyServed>,
@@ -87,6 +88,7 @@
             client: CrashClient::new(ledger, timeouts.report),
             quarantine: Mutex::default(),
             suspects: Mutex::default(),
+            lost_attempts: Mutex::default(),
             quarantine_changed: watch::Sender::new(()),
             served: Mutex::default(),
             seen: Mutex::default(),
@@ -106,6 +108,10 @@
         self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn lost_attempts(&self) -> MutexGuard<'_, LostAttempts> {
+        self.lost_attempts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn served(&self) -> MutexGuard<'_, RecentlyServed> {
         self.served.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -227,7 +233,7 @@
         self.log_crash(call, event, message, &known, started);
         self.observe_engines_of_others(call, &known);
         let seen = self.crashes.record_seen(self.crash_report(call, certainty), self.clock.now());
-        let reported = known.count().with_open_attempts(call.known.open_attempts);
+        let reported = self.count_crashes(call, &known);
         if reported.is_close_to_limit() && certainty != Certainty::Observed && !call.is_admitted {
             self.announce_suspect(SuspectRequest::new(call.request)).await;
         }
@@ -257,7 +263,7 @@
             self.crashes.view_age.record_failure(self.clock.now());
         }
         let is_known_here = known.remove(&call.incarnation);
-        CrashesElsewhere { count: known.count(), is_known_here }
+        CrashesElsewhere { count: self.count_crashes(call, &known), is_known_here }
     }
 
     /// Reports an engine as suspected before it gets a request, since this process may be lost with the call.
@@ -275,7 +281,45 @@
     /// The crashes that are known under the request of a lost call.
     pub(crate) async fn crashes_under(&self, call: &SentCall) -> CrashCount {
         let known = self.crashes.client.known(call.request, &call.key).await;
-        known.count().with_open_attempts(call.known.open_attempts)
+        self.count_crashes(call, &known)
+    }
+
+    /// Number of crashes under a call's request. The ledger knows the open attempts of a turn; those of other requests may have
+    /// been lost together with their edge.
+    fn count_crashes(&self, call: &SentCall, known: &KnownCrashes) -> CrashCount {
+        let count = known.count();
+        if call.is_admitted {
+            count.with_open_attempts(call.known.open_attempts)
+        } else if self.may_have_lost_attempt(call.request) {
+            count.with_lost_attempt()
+        } else {
+            count
+        }
+    }
+
+    /// Records that attempts may have been lost together with an edge. `remaining` is the time for which that counts.
+    pub fn record_lost_edge(&self, remaining: Duration) {
+        let now = self.clock.now();
+        let Some(lost_at) = self.crashes.lost_attempts().record(remaining, now) else { return };
+        info!(self.logger, "attempts may have been lost together with an edge"; "event" => "edge_lost",
+            "lost_ms_ago" => now.since(lost_at).as_millis() as u64);
+    }
+
+    /// Records that this process may take the place of an edge that was lost, together with all that could tell of it.
+    pub fn assume_lost_edge(&self) {
+        self.record_lost_edge(CRASH_RETENTION);
+    }
+
+    /// Whether attempts may have been lost together with another edge.
+    pub fn may_have_lost_attempts(&self) -> bool {
+        self.crashes.lost_attempts().may_precede(self.clock.now())
+    }
+
+    /// Whether an attempt of a request may have been lost together with an edge before the first crash under it was announced.
+    fn may_have_lost_attempt(&self, request: RequestFingerprint) -> bool {
+        let now = self.clock.now();
+        let announced = self.crashes.suspects().known_since(request, now).unwrap_or(now);
+        self.crashes.lost_attempts().may_precede(announced)
     }
 
     /// Reports that an engine served a request under which others had crashed.
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -9,6 +9,7 @@
 mod bounded;
 mod crash_history;
 mod engine_end;
+mod lost_attempts;
 mod quarantine;
 mod recently_served;
 mod suspects;
@@ -18,6 +19,7 @@
     OBSERVATION_TIME,
 };
 pub use engine_end::EngineEnd;
+pub use lost_attempts::LostAttempts;
 pub use quarantine::{QUARANTINE_TIME, Quarantine, QuarantinedRequest, SUSPICION_TIME};
 pub use recently_served::RecentlyServed;
 pub use suspects::{SuspectRequest, SuspectRequests};
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -29,7 +29,13 @@
 /// 4,096. The one that expires first gives way.
 #[derive(Debug, Default)]
 pub struct SuspectRequests {
-    until: HashMap<RequestFingerprint, Timestamp>,
+    entries: HashMap<RequestFingerprint, Entry>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    since: Timestamp,
+    until: Timestamp,
 }
 
 impl SuspectRequests {
@@ -41,31 +47,37 @@
         }
         let is_new = !self.contains(request, now);
         if is_new {
-            make_room(&mut self.until, |until| *until <= now, |until| *until);
+            self.entries.remove(&request);
+            make_room(&mut self.entries, |entry| entry.until <= now, |entry| entry.until);
         }
         let until = now + remaining.min(CRASH_RETENTION);
-        let known = self.until.entry(request).or_insert(until);
-        *known = until.max(*known);
+        let known = self.entries.entry(request).or_insert(Entry { since: now, until });
+        known.until = until.max(known.until);
         is_new
     }
 
     /// Whether a request is close to the limit.
     pub fn contains(&self, request: RequestFingerprint, now: Timestamp) -> bool {
-        self.until.get(&request).is_some_and(|until| *until > now)
+        self.known_since(request, now).is_some()
+    }
+
+    /// Since when a request has been close to the limit; `None` if it is not.
+    pub fn known_since(&self, request: RequestFingerprint, now: Timestamp) -> Option<Timestamp> {
+        self.entries.get(&request).filter(|entry| entry.until > now).map(|entry| entry.since)
     }
 
     /// Number of requests.
     pub fn len(&self) -> usize {
-        self.until.len()
+        self.entries.len()
     }
 
     /// Whether there is none.
     pub fn is_empty(&self) -> bool {
-        self.until.is_empty()
+        self.entries.is_empty()
     }
 
     /// Drops the requests whose time is over.
     pub fn expire(&mut self, now: Timestamp) {
-        self.until.retain(|_, until| *until > now);
+        self.entries.retain(|_, entry| entry.until > now);
     }
 }
--- a/crates/storage/src/feed_host.rs
+++ b/crates/storage/src/feed_host.rs
@@ -14,7 +14,7 @@
 
 use crate::clock::unix_millis;
 use crate::follower::FeedReply;
-use crate::quarantine_feed::RecentQuarantine;
+use crate::quarantine_feed::{PendingFollow, RecentQuarantine};
 
 /// Maximum time that a follow request is held.
 const MAX_WAIT: Duration = Duration::from_secs(5);
@@ -155,9 +155,11 @@
         let asked = Instant::now();
         let mut change_count = self.change_count.subscribe();
         if !self.feed().has_changes_for(&request) {
+            let pending = PendingFollow::new(self, request.is_edge);
             let wait = Duration::from_millis(request.wait_millis).min(MAX_WAIT);
             // A reply without changes is sent at the timeout.
             let _ = tokio::time::timeout(wait, change_count.changed()).await;
+            pending.finish();
         }
         let held = asked.elapsed();
         let mut changes = self.feed().changes(&request, self.now());
--- a/crates/storage/src/feed_peers.rs
+++ b/crates/storage/src/feed_peers.rs
@@ -18,7 +18,7 @@
 use tokio::time::Instant;
 
 use crate::feed_host::FeedHost;
-use crate::follower::{FEED_WAIT, follow_feed};
+use crate::follower::{FEED_WAIT, follow_feed, follow_request};
 use crate::member_order::by_key;
 
 /// Number of feeds merged by a node that does not follow the store itself. More than one, as an unresponsive
@@ -98,8 +98,8 @@
         tokio::spawn(async move {
             let mut lost = RemovePeerOnDrop { feed: Arc::clone(&feed), incarnation: 0 };
             let mut after = 0;
-            while let Some(reply) = follow_feed(&transport, source, lost.incarnation, after, FEED_WAIT).await
-            {
+            let request = |incarnation, after| follow_request(incarnation, after, FEED_WAIT);
+            while let Some(reply) = follow_feed(&transport, source, request(lost.incarnation, after)).await {
                 let changes = &reply.changes;
                 if lost.incarnation == 0 {
                     info!(logger, "merging the feed of a peer"; "event" => "peer_feed", "feed" => %source,
--- a/crates/storage/src/follower.rs
+++ b/crates/storage/src/follower.rs
@@ -165,7 +165,7 @@
     async fn request_with_fallback(&mut self, feed: SocketAddr, wait: Duration) -> Option<FeedReply> {
         let uses_relay = self.relay_until.is_some_and(|until| until > Instant::now());
         if !uses_relay {
-            let reply = follow_feed(&self.transport, feed, self.incarnation, self.after, wait).await;
+            let reply = follow_feed(&self.transport, feed, self.follow_request(wait)).await;
             if reply.is_some() {
                 return reply;
             }
@@ -175,7 +175,7 @@
         if !self.sink.has_data() {
             return None;
         }
-        let request = Bytes::from(follow_request(self.incarnation, self.after, wait).encode_to_vec());
+        let request = Bytes::from(self.follow_request(wait).encode_to_vec());
         let sent_at = Instant::now();
         let answer =
             self.ledger.member_client().follow_via_relay(feed, request, wait + FEED_TIMEOUT_MARGIN).await;
@@ -187,6 +187,10 @@
         reply
     }
 
+    fn follow_request(&self, wait: Duration) -> FollowRequest {
+        FollowRequest { is_edge: true, ..follow_request(self.incarnation, self.after, wait) }
+    }
+
     fn report_confirmation(&self, as_of: Option<Instant>) {
         if let Some(as_of) = as_of {
             self.sink.record_confirmation(as_of);
@@ -239,16 +243,15 @@
     pub(crate) configuration_confirmed: Option<Instant>,
 }
 
-/// Asks a feed for its changes after a position, in as many parts as needed; `None` if there was no decodable
+/// Asks a feed for its changes, in as many parts as needed; `None` if there was no decodable
 /// reply in time.
 pub(crate) async fn follow_feed(
     transport: &Transport,
     feed: SocketAddr,
-    incarnation: u64,
-    after: u64,
-    wait: Duration,
+    request: FollowRequest,
 ) -> Option<FeedReply> {
-    let request = FollowRequest { takes_parts: true, ..follow_request(incarnation, after, wait) };
+    let request = FollowRequest { takes_parts: true, ..request };
+    let wait = Duration::from_millis(request.wait_millis);
     let mut reply = request_part(transport, feed, request, wait + FEED_TIMEOUT_MARGIN).await?;
     while let Some(last_item) = reply.changes.last_item_of_part.take() {
         let request = FollowRequest {
@@ -281,7 +284,8 @@
     }
 }
 
-fn follow_request(incarnation: u64, after: u64, wait: Duration) -> FollowRequest {
+/// Asks for the changes after a position.
+pub(crate) fn follow_request(incarnation: u64, after: u64, wait: Duration) -> FollowRequest {
     let wait_millis = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
     FollowRequest { incarnation, after, wait_millis, ..FollowRequest::default() }
 }
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -55,7 +55,7 @@
 pub use host::{HostSettings, OpenError, ReplicaHost};
 pub use host_metrics::HostMetrics;
 pub use offer_membership::offer_membership;
-pub use quarantine_feed::{quarantined_request, suspect_request};
+pub use quarantine_feed::{lost_edge, quarantined_request, suspect_request};
 pub use quota_client::{QuotaClient, QuotaOutcome};
 pub use quota_host::report_quotas;
 pub use relay_host::RelayHost;
--- a/crates/storage/src/quarantine_feed.rs
+++ b/crates/storage/src/quarantine_feed.rs
@@ -7,9 +7,12 @@
 use sumacdrift_calls::RequestFingerprint;
 use sumacdrift_dissemination::{Item, ItemKind};
 use sumacdrift_ledger::{QuarantineNotice, SuspectNotice};
-use sumacdrift_quarantine::{Certainty, QUARANTINE_TIME, QuarantinedRequest, SUSPICION_TIME, SuspectRequest};
+use sumacdrift_quarantine::{
+    CRASH_RETENTION, Certainty, QUARANTINE_TIME, QuarantinedRequest, SUSPICION_TIME, SuspectRequest,
+};
 use tokio::time::Instant;
 
+use crate::clock::unix_millis;
 use crate::feed_host::FeedHost;
 
 /// Items of this kind never change, so they need no revisions.
@@ -32,6 +35,41 @@
     }
 }
 
+impl FeedHost {
+    /// Announces that attempts may have been lost together with an edge. `unix_millis` is the current Unix time.
+    fn announce_lost_edge(&self, unix_millis: u64) {
+        let expires = unix_millis.saturating_add(to_millis(CRASH_RETENTION));
+        // Rounded up: edges that are lost together share an item.
+        let expires = expires.div_ceil(MILLIS_PER_SECOND).saturating_mul(MILLIS_PER_SECOND);
+        self.put(item(&format!("{LOST_EDGE_PREFIX}{expires:x}"), expires));
+    }
+}
+
+/// A follow request that has not been answered. If it is dropped before, the follower has closed its connection, as a process
+/// does that is killed.
+pub(crate) struct PendingFollow<'a> {
+    feed: &'a FeedHost,
+    is_edge: bool,
+}
+
+impl<'a> PendingFollow<'a> {
+    pub(crate) fn new(feed: &'a FeedHost, is_edge: bool) -> Self {
+        Self { feed, is_edge }
+    }
+
+    pub(crate) fn finish(mut self) {
+        self.is_edge = false;
+    }
+}
+
+impl Drop for PendingFollow<'_> {
+    fn drop(&mut self) {
+        if self.is_edge {
+            self.feed.announce_lost_edge(unix_millis());
+        }
+    }
+}
+
 /// An item that expires at this Unix time in milliseconds.
 fn item(name: &str, expires: u64) -> Item {
     Item::new(ItemKind::Quarantine, name, Bytes::copy_from_slice(&expires.to_be_bytes()), REVISION)
@@ -78,7 +116,7 @@
 
 /// Encodes a request in quarantine for a message.
 pub(crate) fn quarantine_notice(quarantined: QuarantinedRequest) -> QuarantineNotice {
-    let remaining_millis = u64::try_from(quarantined.remaining.as_millis()).unwrap_or(u64::MAX);
+    let remaining_millis = to_millis(quarantined.remaining);
     let is_suspicion = quarantined.certainty == Certainty::Suspected;
     QuarantineNotice { request: quarantined.request.0, remaining_millis, is_suspicion }
 }
@@ -90,6 +128,10 @@
     QuarantinedRequest { request: RequestFingerprint(notice.request), certainty, remaining }
 }
 
+fn to_millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn total_time(certainty: Certainty) -> Duration {
     match certainty {
         Certainty::Observed | Certainty::Suspected => SUSPICION_TIME,
@@ -103,6 +145,10 @@
 /// The same in the name of a request for which one more crash reaches the limit, which is not in quarantine.
 const SUSPECT_SEPARATOR: char = '+';
 
+/// Begins the name of an item which says that attempts may have been lost together with an edge.
+const LOST_EDGE_PREFIX: char = '*';
+const MILLIS_PER_SECOND: u64 = 1_000;
+
 /// An item never changes, so a suspicion that is renewed needs a new name. Earlier builds ignore names that are no
 /// fingerprint.
 fn item_name(quarantined: &QuarantinedRequest, expires: u64) -> String {
@@ -133,6 +179,13 @@
     Some(SuspectRequest { request: RequestFingerprint(request), remaining })
 }
 
+/// Decodes an item of the same kind which says that attempts may have been lost together with an edge; `None` for others.
+/// Returns for how long that counts.
+pub fn lost_edge(item: &Item, unix_millis: u64) -> Option<Duration> {
+    item.name.strip_prefix(LOST_EDGE_PREFIX)?;
+    remaining_time(item, unix_millis)
+}
+
 fn remaining_time(item: &Item, unix_millis: u64) -> Option<Duration> {
     let expires = u64::from_be_bytes(item.content.as_ref().try_into().ok()?);
     Some(Duration::from_millis(expires.saturating_sub(unix_millis)))
