--- a/crates/edge/src/engine_examination.rs
+++ b/crates/edge/src/engine_examination.rs
@@ -148,8 +148,8 @@
             Verdict::Crashed => {
                 self.metrics.engine_crashes.inc();
                 self.forget_lost(&call);
-                let is_silent = call.ending == Ending::Silent;
-                self.attribute_end(&call.engine, if is_silent { call.ended } else { self.clock.now() });
+                let ended = if call.ending == Ending::Silent { call.ended } else { self.clock.now() };
+                self.attribute_end(&call.engine, ended);
                 self.confirm_crash(&call).await
             }
             Verdict::Alive => {
--- a/crates/edge/src/engine_observation.rs
+++ b/crates/edge/src/engine_observation.rs
@@ -148,10 +148,10 @@
         self.hold_request(call, known);
     }
 
-    /// When an engine that has ended announced that it would.
+    /// When an engine that has ended announced its end; `None` if it did not.
     fn announced_end(&self, engine: &EngineId, ended: Timestamp) -> Option<Timestamp> {
         let engines = self.engines();
-        // An unknown one left the directory long enough ago to be forgotten.
+        // The registry has forgotten an engine that it doesn't know, as it left the directory that long ago.
         let is_known = engines.spec(engine).is_some();
         if is_known { engines.leaving_since(engine) } else { Some(ended - ENGINE_RETENTION) }
     }
--- a/crates/edge/src/engine_watch.rs
+++ b/crates/edge/src/engine_watch.rs
@@ -164,7 +164,7 @@
         Sign::Alive
     }
 
-    /// Holds a connection to the process until a time, and opens another one this often if it closes.
+    /// Holds a connection to the process until a time. Opens at most `connects` new ones, as the process may close idle ones.
     async fn hold_connection(
         &self,
         call: &SentCall,
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -182,7 +182,7 @@
         self.stop_new_work(at)
     }
 
-    /// Does the same as the engine's entry is removed.
+    /// Retires the engine because its directory entry was removed.
     pub(crate) fn unlist(&mut self, at: Timestamp) -> bool {
         self.is_listed = false;
         self.retire(at)
