A member that lost its disk knows the crashes of the others before it votes

Cause: the crashes that came with the records replaced the copy in the replica's state, numbered by another member, and the host never read it. They are now merged into the history by request, and stored, before the page is applied.

--- a/crates/quarantine/src/crash_history.rs
+++ b/crates/quarantine/src/crash_history.rs
@@ -112,6 +112,21 @@
         Self { chains: chains.into_iter().map(|chain| (chain.request, chain)).collect() }
     }
 
+    /// Adds what another history knows of a request; returns whether this one has changed.
+    pub fn merge(&mut self, other: CrashChain, now: Timestamp) -> bool {
+        if other.is_expired(now) {
+            return false;
+        }
+        match self.chains.get_mut(&other.request).filter(|chain| !chain.is_expired(now)) {
+            Some(chain) => chain.merge(other),
+            None => {
+                make_room(&mut self.chains, |chain| chain.is_expired(now), |chain| chain.last_crash);
+                self.chains.insert(other.request, other);
+                true
+            }
+        }
+    }
+
     /// Records a crash; returns whether the history has changed.
     pub fn record(&mut self, report: CrashReport<'_>, now: Timestamp) -> bool {
         if !self.chains.contains_key(&report.request) {
@@ -224,6 +239,21 @@
         may_extend
     }
 
+    fn merge(&mut self, other: CrashChain) -> bool {
+        let mut has_changed = false;
+        for engine in other.engines {
+            match self.engines.iter().position(|known| known.name == engine.name) {
+                Some(known) if self.engines[known].certainty >= engine.certainty => continue,
+                Some(known) => self.engines[known] = engine,
+                None if self.has_room() => self.engines.push(engine),
+                None => continue,
+            }
+            has_changed = true;
+        }
+        self.last_crash = self.last_crash.max(other.last_crash);
+        has_changed
+    }
+
     /// Whether another engine can be recorded. The first one under observation gives way.
     fn has_room(&mut self) -> bool {
         if self.engines.len() < MAX_ENGINES {
--- a/crates/storage/src/catch_up.rs
+++ b/crates/storage/src/catch_up.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use slog::{info, warn};
-use sumacdrift_ledger::{ContentsRequest, Group, Member, Page, PageRequest, ReplyKind, RequestKind};
+use sumacdrift_ledger::{
+    ContentsRequest, Group, Member, Page, PageRequest, Record, RecordKind, ReplyKind, RequestKind,
+};
 use sumacdrift_transport::Transport;
 
 use crate::clock::unix_millis;
@@ -139,7 +141,16 @@
 }
 
 /// Applies a page; returns whether its new records are durable.
+/// Whether a record holds crashes of engines, which are merged by request rather than replaced as a whole.
+fn is_crash_history(record: &Record) -> bool {
+    matches!(record.kind, Some(RecordKind::CrashHistory(_)))
+}
+
 async fn apply_page(host: &ReplicaHost, page: Page) -> bool {
-    let records = host.replica().merge_page(page, unix_millis());
+    let (crashes, records): (Vec<Record>, Vec<Record>) = page.records.into_iter().partition(is_crash_history);
+    if host.merge_crash_history(&crashes).await.is_err() {
+        return false;
+    }
+    let records = host.replica().merge_page(Page { records, ..page }, unix_millis());
     host.commit(records).await.is_ok()
 }
--- a/crates/storage/src/crash_host.rs
+++ b/crates/storage/src/crash_host.rs
@@ -9,7 +9,7 @@
 use sumacdrift_journal::JournalFailure;
 use sumacdrift_ledger::{
     CrashHistoryCopy, CrashedEngineCopy, CrashedEngines, CrashedRequest, EngineCrash, LedgerReply,
-    ObservedEngineCopy, QuarantineNotice, ReplyKind, StoredCopy, SuspectNotice,
+    ObservedEngineCopy, QuarantineNotice, Record, RecordKind, ReplyKind, StoredCopy, SuspectNotice,
 };
 use sumacdrift_quarantine::{Callers, Certainty, CrashChain, CrashHistory, CrashReport, CrashedEngine};
 use sumacdrift_types::Timestamp;
@@ -33,10 +33,8 @@
 impl CrashHost {
     /// The history that an earlier process has kept.
     pub(crate) fn restored(copy: &StoredCopy) -> Self {
-        let kept = CrashHistoryCopy::decode(copy.content.clone()).unwrap_or_default();
-        let chains = kept.requests.into_iter().map(to_chain);
         Self {
-            history: Mutex::new(CrashHistory::restored(chains)),
+            history: Mutex::new(CrashHistory::restored(chains_of(copy))),
             changes: Mutex::default(),
             durable: tokio::sync::Mutex::default(),
             started: Instant::now(),
@@ -71,6 +69,14 @@
         });
     }
 
+    /// Adds the history that another member has kept.
+    fn merge(&self, copy: &StoredCopy) {
+        let now = self.now();
+        for chain in chains_of(copy) {
+            self.change(|history| history.merge(chain, now));
+        }
+    }
+
     fn clear(&self, request: u64) {
         self.change(|history| history.clear(RequestFingerprint(request)));
     }
@@ -116,6 +122,12 @@
     }
 }
 
+fn chains_of(copy: &StoredCopy) -> impl Iterator<Item = CrashChain> {
+    // The journal and pages have checksums; a copy of a later build has the fields of this one.
+    let kept = CrashHistoryCopy::decode(copy.content.clone()).unwrap_or_default();
+    kept.requests.into_iter().map(to_chain)
+}
+
 fn to_chain(kept: CrashedRequest) -> CrashChain {
     let at = |unix_millis| Timestamp::default() + Duration::from_millis(unix_millis);
     let last_crash = at(kept.last_crash_millis);
@@ -211,6 +223,16 @@
     }
 
     /// Makes the crash history durable; one copy covers all changes that came while the one before was written.
+    /// Adds the crashes among the records that another member has sent, so that this one knows them before it votes.
+    pub(crate) async fn merge_crash_history(&self, records: &[Record]) -> Result<(), JournalFailure> {
+        for record in records {
+            if let Some(RecordKind::CrashHistory(copy)) = &record.kind {
+                self.crashes().merge(copy);
+            }
+        }
+        self.store_crash_history().await
+    }
+
     async fn store_crash_history(&self) -> Result<(), JournalFailure> {
         let needed = *self.crashes().changes();
         let mut durable = self.crashes().durable.lock().await;
