--- a/crates/edge/src/engine_watch.rs
+++ b/crates/edge/src/engine_watch.rs
@@ -80,15 +80,6 @@
     }
 }
 
-/// What a look at a watched process shows.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Sign {
-    Alive,
-    Ended,
-    /// Nothing that tells.
-    None,
-}
-
 /// Whether a watched engine accepts connections.
 enum Contact {
     Connected(TcpStream),
@@ -127,67 +118,68 @@
         let mut watched = WatchedProcess::new(self.clock.now());
         loop {
             let next_check = Instant::now() + CHECK_INTERVAL;
-            if self.check_process(call, &mut watched).await == Sign::Ended {
+            if self.has_ended(call, &mut watched).await {
                 return EngineFate::Ended(watched.ended_by(self.clock.now()));
             }
             if !self.is_observed(&call.engine) {
                 return EngineFate::Running;
             }
             let connects = if permit.is_ok() { CONNECTS_PER_INTERVAL } else { 0 };
-            if self.hold_connection(call, &mut watched, connects, next_check).await == Sign::Ended {
+            if self.ends_before(call, &mut watched, connects, next_check).await {
                 return EngineFate::Ended(watched.ended_by(self.clock.now()));
             }
         }
     }
 
-    /// Looks the process up in the directory. One that drains or has left is asked for a sign of life, unless a connection to
-    /// it has been open since the last one.
-    async fn check_process(&self, call: &SentCall, watched: &mut WatchedProcess) -> Sign {
+    /// Whether the process has ended, by the directory. One that drains or has left is asked for a sign of life, unless a
+    /// connection to it has been open since the last one.
+    async fn has_ended(&self, call: &SentCall, watched: &mut WatchedProcess) -> bool {
         let presence = self.presence(call);
         if presence == EnginePresence::Replaced {
-            return Sign::Ended;
+            return true;
         }
         if presence == EnginePresence::Listed && !self.is_draining(&call.engine) {
             watched.has_responded = false;
-            return Sign::None;
+            return false;
         }
         if watched.connection.is_none() || !watched.has_responded {
             let path = call.health_check_path();
             match self.pool.check_health(call.address, path, HEALTH_TIMEOUT).await {
                 Health::Responds => watched.has_responded = true,
-                Health::Refused => return Sign::Ended,
-                Health::Silent if presence == EnginePresence::Missing => return Sign::Ended,
-                Health::Silent => return Sign::None,
+                Health::Refused => return true,
+                Health::Silent if presence == EnginePresence::Missing => return true,
+                Health::Silent => return false,
             }
         }
         watched.last_alive = self.clock.now();
-        Sign::Alive
+        false
     }
 
-    /// Holds a connection to the process until a time. Opens at most `connects` new ones, as the process may close idle ones.
-    async fn hold_connection(
+    /// Holds a connection to the process until a time; returns whether the process ends before. Opens at most `connects` new
+    /// ones, as the process may close idle ones.
+    async fn ends_before(
         &self,
         call: &SentCall,
         watched: &mut WatchedProcess,
         mut connects: usize,
         until: Instant,
-    ) -> Sign {
+    ) -> bool {
         loop {
             if let Some(open) = &mut watched.connection {
                 if !is_closed_before(open, until).await {
-                    return Sign::Alive;
+                    return false;
                 }
                 watched.connection = None;
                 watched.last_alive = self.clock.now();
             }
             if connects == 0 {
                 tokio::time::sleep_until(until).await;
-                return Sign::None;
+                return false;
             }
             connects -= 1;
             match connect(call.address, self.settings.crash_timeouts.probe).await {
                 Contact::Connected(stream) => watched.connection = Some(stream),
-                Contact::Refused => return Sign::Ended,
+                Contact::Refused => return true,
                 Contact::Silent => connects = 0,
             }
         }
--- a/crates/quarantine/src/engine_end.rs
+++ b/crates/quarantine/src/engine_end.rs
@@ -18,7 +18,7 @@
 
 impl EngineEnd {
     /// Whether the engine served on for `drain_time` after it had announced its end. An engine that ends sooner has crashed,
-    /// whatever it announced: it may have been found failing, or an unrelated release may have chosen it.
+    /// whatever it announced: it may have been found failing, or an unrelated release may have taken it.
     pub fn is_planned(&self, drain_time: Duration) -> bool {
         let planned_from = drain_time.saturating_sub(ANNOUNCEMENT_DELAY);
         self.announced.is_some_and(|announced| self.ended >= announced + planned_from)
--- a/crates/storage/src/crash_client.rs
+++ b/crates/storage/src/crash_client.rs
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 
 use crate::client::LedgerClient;
+use crate::clock::to_millis;
 use crate::member_client::MIN_RELAY_DELAY;
 use crate::quarantine_feed::quarantine_notice;
 use crate::rpc::encode_to_node;
@@ -175,10 +176,6 @@
     }
 }
 
-fn to_millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
 #[derive(Default)]
 struct Replies {
     kinds: Vec<ReplyKind>,
--- a/crates/storage/src/crash_host.rs
+++ b/crates/storage/src/crash_host.rs
@@ -15,7 +15,7 @@
 use sumacdrift_types::Timestamp;
 use tokio::time::Instant;
 
-use crate::clock::unix_millis;
+use crate::clock::{to_millis, unix_millis};
 use crate::host::ReplicaHost;
 
 /// Crash history of a replica host.
@@ -170,7 +170,7 @@
 }
 
 fn unix_millis_of(at: Timestamp) -> u64 {
-    u64::try_from(at.since(Timestamp::default()).as_millis()).unwrap_or(u64::MAX)
+    to_millis(at.since(Timestamp::default()))
 }
 
 impl ReplicaHost {
--- a/crates/storage/src/feed_host.rs
+++ b/crates/storage/src/feed_host.rs
@@ -12,7 +12,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::clock::unix_millis;
+use crate::clock::{to_millis, unix_millis};
 use crate::follower::FeedReply;
 use crate::quarantine_feed::{PendingFollow, RecentQuarantine};
 
@@ -163,7 +163,7 @@
         }
         let held = asked.elapsed();
         let mut changes = self.feed().changes(&request, self.now());
-        changes.held_millis = u64::try_from(held.as_millis()).unwrap_or(u64::MAX);
+        changes.held_millis = to_millis(held);
         Bytes::from(changes.encode_to_vec())
     }
 
--- a/crates/storage/src/follower.rs
+++ b/crates/storage/src/follower.rs
@@ -15,6 +15,7 @@
 use tokio::time::Instant;
 
 use crate::client::LedgerClient;
+use crate::clock::to_millis;
 use crate::directory_feed::decode_groups;
 use crate::member_order::nearest_first;
 
@@ -286,7 +287,7 @@
 
 /// Asks for the changes after a position.
 pub(crate) fn follow_request(incarnation: u64, after: u64, wait: Duration) -> FollowRequest {
-    let wait_millis = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+    let wait_millis = to_millis(wait);
     FollowRequest { incarnation, after, wait_millis, ..FollowRequest::default() }
 }
 
--- a/crates/storage/src/host.rs
+++ b/crates/storage/src/host.rs
@@ -28,7 +28,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::clock::unix_millis;
+use crate::clock::{to_millis, unix_millis};
 use crate::crash_host::CrashHost;
 use crate::directory::DirectoryView;
 use crate::feed_host::FeedHost;
@@ -344,7 +344,7 @@
         status.silent = unresponsive_since
             .iter()
             .map(|(node, since)| {
-                let millis = u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX);
+                let millis = to_millis(since.elapsed());
                 SilentMember { node: node.clone(), millis }
             })
             .collect();
--- a/crates/storage/src/quarantine_feed.rs
+++ b/crates/storage/src/quarantine_feed.rs
@@ -12,7 +12,7 @@
 };
 use tokio::time::Instant;
 
-use crate::clock::unix_millis;
+use crate::clock::{to_millis, unix_millis};
 use crate::feed_host::FeedHost;
 
 /// Items of this kind never change, so they need no revisions.
@@ -128,10 +128,6 @@
     QuarantinedRequest { request: RequestFingerprint(notice.request), certainty, remaining }
 }
 
-fn to_millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn total_time(certainty: Certainty) -> Duration {
     match certainty {
         Certainty::Observed | Certainty::Suspected => SUSPICION_TIME,
--- a/crates/storage/src/quota_client.rs
+++ b/crates/storage/src/quota_client.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use crate::client::LedgerClient;
+use crate::clock::to_millis;
 use crate::member_order::by_key;
 use crate::rpc::encode_to_node;
 
@@ -64,7 +65,7 @@
             tenant: call.tenant.to_owned(),
             per_second: limit.per_second,
             burst: limit.burst,
-            window_millis: u64::try_from(limit.window.as_millis()).unwrap_or(u64::MAX),
+            window_millis: to_millis(limit.window),
             version: call.version,
             program: call.program,
         };
