Logs tell how an engine's answer was framed, how its body ended and which events it brought

No further line, and no copy an event: the first id is kept once for each attempt, the last one is that of the call machine.

--- a/crates/edge/src/buffered.rs
+++ b/crates/edge/src/buffered.rs
@@ -11,6 +11,7 @@
 use crate::attempt::{CallContext, EngineResponse, attempt_until_response};
 use crate::headers::without_hop_by_hop;
 use crate::metrics::GaugeGuard;
+use crate::received_body::{BodyEnd, BodyFraming, ReceivedBody};
 use crate::responses::{EdgeBody, full_body};
 use crate::wire_format::WireFormat;
 
@@ -68,8 +69,8 @@
         };
         let (placement, sent) = (received.run.placement().clone(), received.run.sent());
         let failure = match buffer_response(call, machine, received).await {
-            Ok((head, bytes)) => {
-                let response = BufferedResponse { head, bytes, placement: placement.clone() };
+            Ok((head, bytes, received)) => {
+                let response = BufferedResponse { head, bytes, placement: placement.clone(), received };
                 let status = response.head.status;
                 if !status.is_server_error() || !machine.may_run_elsewhere(&placement.engine) {
                     call.record_final_answer(machine, &placement, sent, status).await;
@@ -88,6 +89,7 @@
     head: response::Parts,
     bytes: Bytes,
     placement: Placement,
+    received: ReceivedBody,
 }
 
 impl BufferedResponse {
@@ -101,7 +103,7 @@
                 slot.mark_served();
             }
         }
-        call.report_served(machine, status.as_u16(), &self.placement);
+        call.report_served(machine, status.as_u16(), &self.placement, &self.received);
         forwarded_response(&self.head, full_body(self.bytes))
     }
 }
@@ -114,12 +116,14 @@
     response
 }
 
-/// Reads an engine's response to its end, within the call's deadline.
+/// Reads an engine's response to its end, within the call's deadline. Also returns how its body was framed.
 pub(crate) async fn buffer_response<D: WireFormat>(
     call: &CallContext<D>,
     machine: &CallMachine,
     received: EngineResponse<D>,
-) -> Result<(response::Parts, Bytes), Failure> {
+) -> Result<(response::Parts, Bytes, ReceivedBody), Failure> {
+    let framing = BodyFraming::of(&received.head, &received.body);
+    let mut body = ReceivedBody::new(framing, None);
     let deadline = call.edge.clock.instant(machine.deadline());
     let reading = call.edge.response_memory.read(received.body);
     match tokio::time::timeout_at(deadline, reading).await {
@@ -129,7 +133,8 @@
             } else {
                 received.run.finish_failed(received.head.status);
             }
-            Ok((received.head, bytes))
+            body.record_end(BodyEnd::Regular);
+            Ok((received.head, bytes, body))
         }
         Ok(Ok(None)) => {
             received.run.fail(Outcome::Faulty);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -25,6 +25,7 @@
 mod metrics;
 mod open_attempt;
 mod outliers;
+mod received_body;
 mod recent_attempts;
 mod regions;
 mod report;
--- a/crates/edge/src/report.rs
+++ b/crates/edge/src/report.rs
@@ -8,6 +8,7 @@
 use crate::attempt::CallContext;
 use crate::engine_crash::CrashesElsewhere;
 use crate::engine_pool::ConnectError;
+use crate::received_body::ReceivedBody;
 use crate::wire_format::WireFormat;
 
 impl<D: WireFormat> CallContext<D> {
@@ -42,16 +43,22 @@
     }
 
     /// Logs a call whose response an engine completed.
-    pub(crate) fn report_served(&self, machine: &CallMachine, status: u16, placement: &Placement) {
+    pub(crate) fn report_served(
+        &self,
+        machine: &CallMachine,
+        status: u16,
+        placement: &Placement,
+        received: &ReceivedBody,
+    ) {
         self.edge.metrics.served.inc();
         let program = self.head.program.as_ref().map_or("", |program| &program.program);
         info!(self.edge.logger, "call served"; "event" => "served", "call" => &self.head.id, "engine" => %placement.engine,
-            "engine_version" => %placement.version, "status" => status, "events" => machine.events(), "misses" => machine.attempts_not_run(),
+            "engine_version" => %placement.version, "status" => status, "events" => machine.events(), "last_event" => machine.resume_after(), "misses" => machine.attempts_not_run(),
             "age_ms" => self.age_millis(), "version" => self.selected.version, "program" => program,
             "route" => &*self.selected.route.name, "expected_ms" => placement.estimate.own_millis as u64,
             "zone_ms" => placement.estimate.zone_millis as u64, "unread_tokens" => placement.unread_tokens, "tokens_ahead" => placement.tokens_ahead as u64,
             "running" => placement.running as u64, "next_best_ms" => placement.next_best.map(|cost| cost as u64),
-            "others_age_ms" => placement.peer_report_age.map(|age| age.as_millis() as u64));
+            "others_age_ms" => placement.peer_report_age.map(|age| age.as_millis() as u64), received);
     }
 
     /// Logs a call that was rejected, failed or aborted, as `outcome` says.
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -17,6 +17,7 @@
 use crate::buffered::{buffer_response, forwarded_response};
 use crate::engine_run::EngineRun;
 use crate::metrics::GaugeGuard;
+use crate::received_body::{BodyEnd, BodyFraming, ReceivedBody};
 use crate::responses::{EdgeBody, RelayError, full_body};
 use crate::state_exchange::cached_parts;
 use crate::turn::{OpenTurn, result_code};
@@ -65,9 +66,9 @@
 ) -> Result<Response<EdgeBody>, (CallContext<D>, CallMachine, Next)> {
     let (placement, sent) = (response.run.placement().clone(), response.run.sent());
     match buffer_response(&call, &machine, response).await {
-        Ok((head, bytes)) => {
+        Ok((head, bytes, received)) => {
             call.record_final_answer(&machine, &placement, sent, head.status).await;
-            call.report_served(&machine, head.status.as_u16(), &placement);
+            call.report_served(&machine, head.status.as_u16(), &placement, &received);
             Ok(forwarded_response(&head, full_body(bytes)))
         }
         Err(failure) => {
@@ -89,6 +90,8 @@
     machine: CallMachine,
     turn: Option<OpenTurn>,
     source: Option<(Incoming, EngineRun<D>)>,
+    /// The current attempt's body.
+    received: ReceivedBody,
     splitter: EventSplitter,
     pending: VecDeque<StreamEvent>,
     has_ended: bool,
@@ -103,12 +106,15 @@
         response: EngineResponse<D>,
     ) -> Self {
         let in_flight = GaugeGuard::increment(&call.edge.metrics.in_flight);
+        let framing = BodyFraming::of(&response.head, &response.body);
+        let received = ReceivedBody::new(framing, call.head.resume_after.as_deref());
         Self {
             _in_flight: in_flight,
             call,
             machine,
             turn,
             source: Some((response.body, response.run)),
+            received,
             splitter: EventSplitter::default(),
             pending: VecDeque::new(),
             has_ended: false,
@@ -167,6 +173,7 @@
             turn.record_event(event);
         }
         self.call.edge.metrics.events.inc();
+        self.received.record_event(event.id.as_deref());
         self.machine.record_event_sent(event.id.clone());
     }
 
@@ -174,8 +181,18 @@
         let Some((body, _)) = &mut self.source else { return ReadOutcome::Broken };
         let deadline = self.call.edge.clock.instant(self.machine.deadline());
         match tokio::time::timeout_at(deadline, body.frame()).await {
-            Err(_) | Ok(Some(Err(_))) => ReadOutcome::Broken,
-            Ok(None) => ReadOutcome::End,
+            Err(_) => {
+                self.received.record_end(BodyEnd::TimedOut);
+                ReadOutcome::Broken
+            }
+            Ok(Some(Err(error))) => {
+                self.received.record_end(BodyEnd::of_error(&error));
+                ReadOutcome::Broken
+            }
+            Ok(None) => {
+                self.received.record_end(BodyEnd::Regular);
+                ReadOutcome::End
+            }
             Ok(Some(Ok(frame))) => {
                 if let Ok(data) = frame.into_data() {
                     self.splitter.push(&data);
@@ -216,7 +233,7 @@
         let service_time = elapsed.saturating_sub(waited);
         self.call.edge.route_durations().observe(&self.call.selected.route.name, service_time);
         self.call.edge.metrics.stream_seconds.observe(elapsed.as_secs_f64());
-        self.call.report_served(&self.machine, StatusCode::OK.as_u16(), &placement);
+        self.call.report_served(&self.machine, StatusCode::OK.as_u16(), &placement, &self.received);
         None
     }
 
@@ -240,11 +257,13 @@
         slog::info!(self.call.edge.logger, "engine aborted the stream"; "event" => "stream_broke_off",
             "call" => &self.call.head.id, "request" => %self.call.fingerprint(), "engine" => %engine, "engine_version" => %version,
             "reason" => ?failure,
-            "events" => self.machine.events(), "next" => ?next, "age_ms" => self.call.age_millis());
+            "events" => self.machine.events(), "last_event" => self.machine.resume_after(), "next" => ?next, "age_ms" => self.call.age_millis());
         // The stream is bound to its origin, so there is none to record.
         match attempt_until_response(&self.call, &mut self.machine, None, next).await {
             Ok(response) if response.head.status == StatusCode::OK => {
                 self.call.edge.metrics.resumptions.inc();
+                let framing = BodyFraming::of(&response.head, &response.body);
+                self.received = ReceivedBody::new(framing, self.machine.resume_after());
                 self.source = Some((response.body, response.run));
                 None
             }
