--- a/crates/storage/tests/cluster/mod.rs
+++ b/crates/storage/tests/cluster/mod.rs
@@ -6,6 +6,7 @@
 
 mod directory;
 mod disk;
+pub mod outages;
 
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -226,6 +227,15 @@
         self.cluster.remove(name);
     }
 
+    /// Drains a machine and removes it once it is empty.
+    pub async fn retire_and_remove(&mut self, name: &str) {
+        self.retire(name);
+        while !self.is_retired(name) {
+            self.run_turns(Duration::from_millis(50)).await;
+        }
+        self.remove(name).await;
+    }
+
     /// All machines lose power at the same moment, and those in `wiped` also their disks; all start again
     /// after `down`.
     pub async fn lose_everything(&mut self, wiped: &[&str], down: Duration) {
--- a/crates/storage/tests/planned_replacement.rs
+++ b/crates/storage/tests/planned_replacement.rs
@@ -8,6 +8,7 @@
 
 use std::time::Duration;
 
+use cluster::outages::{OutageMoments, assert_recovery_at_all};
 use cluster::{ClusterSettings, StorageCluster, name};
 
 const COMPLETE_WITHIN: Duration = Duration::from_secs(4);
@@ -34,23 +35,10 @@
 }
 
 fn assert_recovery_from_every_moment(size: usize, tolerated_losses: usize) {
-    let mut outage_delay = Duration::ZERO;
-    let mut failed_delays = Vec::new();
-    while outage_delay <= MAX_OUTAGE_DELAY {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
-        if !runtime.expect("a runtime").block_on(recovers_after_outage(size, tolerated_losses, outage_delay))
-        {
-            failed_delays.push(outage_delay);
-        }
-        outage_delay += OUTAGE_DELAY_STEP;
-    }
-    assert!(
-        failed_delays.is_empty(),
-        "no recovery from {} outages, {:?} to {:?}",
-        failed_delays.len(),
-        failed_delays.first(),
-        failed_delays.last()
-    );
+    let moments = OutageMoments { first: Duration::ZERO, last: MAX_OUTAGE_DELAY, step: OUTAGE_DELAY_STEP };
+    assert_recovery_at_all(moments, |outage_delay| {
+        recovers_after_outage(size, tolerated_losses, outage_delay)
+    });
 }
 
 #[test]
--- a/crates/storage/tests/removed_member.rs
+++ b/crates/storage/tests/removed_member.rs
@@ -19,11 +19,7 @@
 /// replacement.
 async fn cluster_with_replaced_member() -> StorageCluster {
     let mut cluster = StorageCluster::found(SETTINGS, 3).await;
-    cluster.retire("m2");
-    while !cluster.is_retired("m2") {
-        cluster.run_turns(Duration::from_millis(50)).await;
-    }
-    cluster.remove("m2").await;
+    cluster.retire_and_remove("m2").await;
     cluster.add("new", 0);
     cluster.start("new").await;
     cluster.run_turns(SETTINGS.catch_up_time).await;
--- a/crates/storage/tests/replaced_in_small_group.rs
+++ b/crates/storage/tests/replaced_in_small_group.rs
@@ -8,6 +8,7 @@
 
 use std::time::Duration;
 
+use cluster::outages::{OutageMoments, assert_recovery_at_all};
 use cluster::{ClusterSettings, StorageCluster, name};
 
 const SETTINGS: ClusterSettings = ClusterSettings {
@@ -22,11 +23,7 @@
 async fn recovers_after_outage(replacement_delay: Duration, outage_delay: Duration, wiped: &str) -> bool {
     let mut cluster = StorageCluster::found(SETTINGS, 3).await;
     cluster.run_turns(Duration::from_millis(500)).await;
-    cluster.retire("m2");
-    while !cluster.is_retired("m2") {
-        cluster.run_turns(Duration::from_millis(50)).await;
-    }
-    cluster.remove("m2").await;
+    cluster.retire_and_remove("m2").await;
     cluster.run_turns(Duration::from_secs(1)).await;
     cluster.remove(&name(0)).await;
     cluster.run_turns(replacement_delay).await;
@@ -38,26 +35,11 @@
 }
 
 fn assert_recovery_from_every_moment(replacement_delay: Duration, wiped: &str) {
-    let mut outage_delay = SETTINGS.catch_up_time;
-    let mut failed_delays = Vec::new();
-    while outage_delay <= MAX_OUTAGE_DELAY {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
-        if !runtime.expect("a runtime").block_on(recovers_after_outage(
-            replacement_delay,
-            outage_delay,
-            wiped,
-        )) {
-            failed_delays.push(outage_delay);
-        }
-        outage_delay += OUTAGE_DELAY_STEP;
-    }
-    assert!(
-        failed_delays.is_empty(),
-        "no recovery from {} outages, {:?} to {:?}",
-        failed_delays.len(),
-        failed_delays.first(),
-        failed_delays.last()
-    );
+    let moments =
+        OutageMoments { first: SETTINGS.catch_up_time, last: MAX_OUTAGE_DELAY, step: OUTAGE_DELAY_STEP };
+    assert_recovery_at_all(moments, |outage_delay| {
+        recovers_after_outage(replacement_delay, outage_delay, wiped)
+    });
 }
 
 #[test]
--- a/crates/storage/tests/stopped_in_small_group.rs
+++ b/crates/storage/tests/stopped_in_small_group.rs
@@ -20,11 +20,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_small_group_recovers_after_a_member_stopped_without_a_replacement() {
     let mut cluster = StorageCluster::found(SETTINGS, 3).await;
-    cluster.retire("m2");
-    while !cluster.is_retired("m2") {
-        cluster.run_turns(Duration::from_millis(50)).await;
-    }
-    cluster.remove("m2").await;
+    cluster.retire_and_remove("m2").await;
     cluster.add("new", 0);
     cluster.start("new").await;
     cluster.run_turns(SETTINGS.catch_up_time).await;
