An event out of order goes no further, and its engine has failed the call

What callers saw: an engine that was asked to resume after event 3 began with 3 again, anew at 1, or at 6, and the caller got 1 2 3 3 4 5 6, 1 2 3 1 2 3 4 5 6 or 1 2 3 6 as a complete stream. Ids that fell or repeated within an answer were forwarded too, and repeats entered kept history and the token count.

Cause: no place compared an event's id with the one before, with the caller's Last-Event-Id, or with the event after which the edge had asked to resume.

EventSequence, a state without I/O, judges each event where the stream is split. Turns record what is forwarded, so that tokens and history see no such event, and the turn isn't committed. Metric events_out_of_order, log line event_out_of_order.

--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -4,12 +4,14 @@
 //! whether a call may be retried, how many engines may run it and which response its caller gets. It does no I/O and
 //! reads no clock: the driver reports events and carries out the returned [`Next`] step.
 
+mod event_sequence;
 mod events;
 mod fingerprint;
 mod head;
 mod machine;
 mod rules;
 
+pub use event_sequence::{EventDisorder, EventId, EventSequence};
 pub use events::{EventSplitter, StreamEvent};
 pub use fingerprint::{RequestContent, RequestFingerprint};
 pub use head::{CallMetadata, EngineId, EngineStart, EngineVersion, ProgramMetadata, PromptPart, TokenUsage};
--- a/crates/calls/src/machine.rs
+++ b/crates/calls/src/machine.rs
@@ -278,6 +278,11 @@
         self.crashes.has_reached_limit() && !is_broken(Rule::CrashLimitEndsCall)
     }
 
+    /// Excludes an engine from all further attempts.
+    pub fn exclude_engine(&mut self, engine: &EngineId) {
+        self.excluded_engines.push(engine.clone());
+    }
+
     /// Forbids retries, because another engine's answer can't continue what was sent to the caller.
     pub fn forbid_resumption(&mut self) {
         self.may_resume = false;
--- a/crates/calls/tests/machine.rs
+++ b/crates/calls/tests/machine.rs
@@ -105,6 +105,16 @@
     assert_eq!(machine.resume_after(), Some("4"));
 }
 
+#[test]
+fn stream_does_not_return_to_an_excluded_engine() {
+    let mut machine = machine(CallKind::Stream { resumable: true }, 1);
+    machine.record_head_sent(&EngineVersion::default());
+    machine.record_event_sent(Some("4".to_owned()));
+    machine.exclude_engine(&engine("a"));
+    let next = machine.record_failure(&engine("a"), Failure::Spoiled, START);
+    assert!(matches!(next, Next::BreakOff { .. }), "{next:?}");
+}
+
 #[test]
 fn stream_is_bound_to_the_version_that_began_it() {
     let mut machine = machine(CallKind::Stream { resumable: true }, 9);
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -25,6 +25,7 @@
     pub(crate) calls: Counter,
     pub(crate) served: Counter,
     pub(crate) events: Counter,
+    pub(crate) events_out_of_order: Counter,
     pub(crate) failed_attempts: Counter,
     pub(crate) server_errors: Counter,
     pub(crate) engine_crashes: Counter,
@@ -62,6 +63,7 @@
             calls: Counter::default(),
             served: Counter::default(),
             events: Counter::default(),
+            events_out_of_order: Counter::default(),
             failed_attempts: Counter::default(),
             server_errors: Counter::default(),
             engine_crashes: Counter::default(),
@@ -116,12 +118,22 @@
         self.suspicions_withdrawn.get()
     }
 
+    /// Number of attempts that ended because an engine sent an event out of order.
+    pub fn events_out_of_order(&self) -> u64 {
+        self.events_out_of_order.get()
+    }
+
     /// Registers the metrics under their public names.
     pub fn register(&self, registry: &mut Registry) {
         let registry = registry.sub_registry_with_prefix("sumacdrift_edge");
         registry.register("calls", "Calls taken from callers", self.calls.clone());
         registry.register("served", "Calls answered by an engine to the end", self.served.clone());
         registry.register("events", "Events of streams given to callers", self.events.clone());
+        registry.register(
+            "events_out_of_order",
+            "Attempts that ended because an engine sent an event out of order",
+            self.events_out_of_order.clone(),
+        );
         registry.register("failed_attempts", "Attempts that an engine failed", self.failed_attempts.clone());
         registry.register(
             "server_errors",
--- a/crates/edge/src/report.rs
+++ b/crates/edge/src/report.rs
@@ -1,7 +1,7 @@
 //! One log line for each decision about a call.
 
 use slog::info;
-use sumacdrift_calls::{CallMachine, Failure, Next};
+use sumacdrift_calls::{CallMachine, EventDisorder, EventId, Failure, Next};
 use sumacdrift_routing::Placement;
 use sumacdrift_types::{ResultCode, Timestamp};
 
@@ -20,6 +20,22 @@
             "age_ms" => self.age_millis());
     }
 
+    /// Logs that an engine sent an event `id` that doesn't follow the event `last`.
+    pub(crate) fn report_disorder(
+        &self,
+        placement: &Placement,
+        received: &ReceivedBody,
+        last: Option<&EventId>,
+        id: Option<&str>,
+        disorder: EventDisorder,
+    ) {
+        self.edge.metrics.events_out_of_order.inc();
+        info!(self.edge.logger, "engine sent an event out of order"; "event" => "event_out_of_order", "call" => &self.head.id,
+            "request" => %self.fingerprint(), "engine" => %placement.engine, "engine_version" => %placement.version,
+            "last_event" => last.map(EventId::to_string), "id" => id, "reason" => ?disorder,
+            "age_ms" => self.age_millis(), received);
+    }
+
     /// Logs what is known of a request that one more crash brings to the limit, before it is sent.
     pub(crate) fn report_suspect_checked(
         &self,
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -8,7 +8,9 @@
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
-use sumacdrift_calls::{CallMachine, EngineId, EventSplitter, Failure, Next, StreamEvent};
+use sumacdrift_calls::{
+    CallMachine, EngineId, EventDisorder, EventSequence, EventSplitter, Failure, Next, StreamEvent,
+};
 use sumacdrift_routing::{Outcome, Placement};
 use sumacdrift_storage::LedgerError;
 use sumacdrift_types::ResultCode;
@@ -93,7 +95,10 @@
     /// The current attempt's body.
     received: ReceivedBody,
     splitter: EventSplitter,
+    sequence: EventSequence,
     pending: VecDeque<StreamEvent>,
+    /// Whether the current attempt sent an event out of order, behind those that are pending.
+    is_out_of_order: bool,
     has_ended: bool,
     _in_flight: GaugeGuard,
 }
@@ -108,6 +113,8 @@
         let in_flight = GaugeGuard::increment(&call.edge.metrics.in_flight);
         let framing = BodyFraming::of(&response.head, &response.body);
         let received = ReceivedBody::new(framing, call.head.resume_after.as_deref());
+        let resume_after = call.head.resume_after.as_deref().filter(|_| call.resumes_stream());
+        let sequence = EventSequence::new(resume_after);
         Self {
             _in_flight: in_flight,
             call,
@@ -116,7 +123,9 @@
             source: Some((response.body, response.run)),
             received,
             splitter: EventSplitter::default(),
+            sequence,
             pending: VecDeque::new(),
+            is_out_of_order: false,
             has_ended: false,
         }
     }
@@ -128,10 +137,14 @@
                 return Some(Ok(self.combine(event)));
             }
             let mut failure = None;
-            match self.read().await {
-                ReadOutcome::Data => self.split_events(),
-                ReadOutcome::End => return self.finish().await,
-                ReadOutcome::Broken => failure = Some(Failure::Lost),
+            if std::mem::take(&mut self.is_out_of_order) {
+                failure = Some(Failure::Spoiled);
+            } else {
+                match self.read().await {
+                    ReadOutcome::Data => self.split_events(),
+                    ReadOutcome::End => return self.finish().await,
+                    ReadOutcome::Broken => failure = Some(Failure::Lost),
+                }
             }
             if self.splitter.is_event_too_long() {
                 failure = Some(Failure::Spoiled);
@@ -147,6 +160,10 @@
 
     fn split_events(&mut self) {
         while let Some(event) = self.splitter.next_event() {
+            if let Err(disorder) = self.sequence.advance(event.id.as_deref()) {
+                self.reject_rest(&event, disorder);
+                break;
+            }
             self.pending.push_back(event);
         }
         if let Some((_, run)) = self.source.as_mut().filter(|_| !self.pending.is_empty()) {
@@ -154,27 +171,39 @@
         }
     }
 
+    /// Ends the attempt behind the pending events, as the engine sent an event that doesn't follow them. The engine would
+    /// probably resume the stream as wrongly, so it doesn't get the call again.
+    fn reject_rest(&mut self, event: &StreamEvent, disorder: EventDisorder) {
+        self.is_out_of_order = true;
+        self.splitter.clear();
+        if let Some((_, run)) = &self.source {
+            self.machine.exclude_engine(&run.engine);
+            let last = self.sequence.last();
+            self.call.report_disorder(run.placement(), &self.received, last, event.id.as_deref(), disorder);
+        }
+    }
+
     /// Combines an event with those already parsed behind it into one chunk.
-    fn combine(&mut self, first: StreamEvent) -> Bytes {
-        self.record_event(&first);
+    fn combine(&mut self, mut first: StreamEvent) -> Bytes {
+        self.record_event(&mut first);
         if self.pending.is_empty() {
             return first.bytes;
         }
         let mut bytes = Vec::from(first.bytes);
-        while let Some(event) = self.pending.pop_front() {
-            self.record_event(&event);
+        while let Some(mut event) = self.pending.pop_front() {
+            self.record_event(&mut event);
             bytes.extend_from_slice(&event.bytes);
         }
         Bytes::from(bytes)
     }
 
-    fn record_event(&mut self, event: &StreamEvent) {
+    fn record_event(&mut self, event: &mut StreamEvent) {
         if let Some(turn) = &mut self.turn {
             turn.record_event(event);
         }
         self.call.edge.metrics.events.inc();
         self.received.record_event(event.id.as_deref());
-        self.machine.record_event_sent(event.id.clone());
+        self.machine.record_event_sent(event.id.take());
     }
 
     async fn read(&mut self) -> ReadOutcome {
@@ -264,6 +293,7 @@
                 self.call.edge.metrics.resumptions.inc();
                 let framing = BodyFraming::of(&response.head, &response.body);
                 self.received = ReceivedBody::new(framing, self.machine.resume_after());
+                self.sequence.begin_resumption();
                 self.source = Some((response.body, response.run));
                 None
             }
