An edge infers the version of a stream only from engines that it has known without an interruption

Callers whose stream has no record (4014 otherwise) got its remaining events from an engine of the version that the edge remembered, however old that knowledge was: being up for 10 s was all that an inference took. While an edge is suspended or cut off, engines of another version may begin streams and go.

Cause: the age of the edge stood for the age of its view. Now each reply of a feed in contact with the store, and each list or watch of the engines at the store, confirms the view as of the time before which it was not made (ViewContinuity). More than 1.5 s between two confirmations, or since the last, begins the 10 s anew. The process clock goes on while a process is suspended, so a suspension is such a gap. stream_resumed_by_caller logs the age of the view.

No change on the wire, and no message more. The soak was not run with it.

Edges that follow the store themselves, as no storage node answers, infer nothing any more: their watches take 5 s.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -28,6 +28,7 @@
 use crate::route_durations::RouteDurations;
 use crate::service_queues::ServiceQueues;
 use crate::state_exchange::{ExchangeSchedule, subscribe_to_views};
+use crate::view_continuity::ViewContinuity;
 use crate::wire_format::WireFormat;
 
 /// How long an engine is remembered after it left the directory.
@@ -93,6 +94,7 @@
     engines: Mutex<EngineRegistry>,
     route_durations: Mutex<RouteDurations>,
     freshness: Mutex<ConfigurationAge>,
+    engine_view: Mutex<ViewContinuity>,
     pub(crate) quotas: QuotaClient,
     pub(crate) crashes: RequestCrashes,
     pub(crate) response_memory: ResponseMemory,
@@ -122,6 +124,7 @@
             response_memory: ResponseMemory::default(),
             settings: parts.settings,
             freshness: Mutex::default(),
+            engine_view: Mutex::default(),
             wire_format: parts.wire_format,
             ledger: parts.ledger,
             region_bound_ledger,
@@ -172,6 +175,18 @@
         }
     }
 
+    /// Records that the engines known here were those of the directory at `as_of`.
+    pub fn confirm_engine_view(&self, as_of: Instant) {
+        // Confirmations from before the process started don't count.
+        let Some(as_of) = self.clock.timestamp(as_of) else { return };
+        self.lock_engine_view().confirm(as_of);
+    }
+
+    /// How long the engines have been known without an interruption.
+    pub(crate) fn engine_view(&self) -> ViewContinuity {
+        *self.lock_engine_view()
+    }
+
     /// Changes each time the configuration is confirmed.
     pub(crate) fn watch_confirmations(&self) -> watch::Receiver<bool> {
         self.configured.subscribe()
@@ -368,6 +383,10 @@
         self.freshness.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn lock_engine_view(&self) -> MutexGuard<'_, ViewContinuity> {
+        self.engine_view.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn route_durations(&self) -> MutexGuard<'_, RouteDurations> {
         self.route_durations.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -36,6 +36,7 @@
 mod stream;
 mod stream_origin;
 mod turn;
+mod view_continuity;
 mod wire_format;
 
 pub use clock::Clock;
@@ -47,4 +48,5 @@
 pub use listener::{Listeners, ShutdownTimeouts, serve_listeners};
 pub use metrics::EdgeMetrics;
 pub use responses::{EdgeBody, RelayError, problem_response};
+pub use view_continuity::ViewContinuity;
 pub use wire_format::{CallError, EngineAttempt, KeyHandling, ResponseKind, WireFormat};
--- a/crates/edge/src/stream_origin.rs
+++ b/crates/edge/src/stream_origin.rs
@@ -9,14 +9,14 @@
 use sumacdrift_calls::{CallMachine, EngineVersion};
 use sumacdrift_ledger::StreamOrigin;
 use sumacdrift_routing::Placement;
-use sumacdrift_types::{ResultCode, Timestamp};
+use sumacdrift_types::ResultCode;
 
 use crate::attempt::{CallContext, Restrictions, choose_eligible};
 use crate::turn::{OpenTurn, result_code};
 use crate::wire_format::WireFormat;
 
-/// Time after its start from which an edge trusts that the engines it knows are all that ran while a stream began. Longer
-/// than callers keep trying to resume one.
+/// Time for which an edge must have known the engines without an interruption, to trust that they are all that ran while a
+/// stream began. Longer than callers keep trying to resume one.
 const ENGINE_OBSERVATION_TIME: Duration = Duration::from_secs(10);
 /// Revision of the origin that is recorded when a turn begins.
 const FIRST_REVISION: u32 = 1;
@@ -77,10 +77,11 @@
     }
 
     fn infer_origin(&self) -> Option<StreamOrigin> {
-        let uptime = self.edge.clock.now().since(Timestamp::default());
+        let view = self.edge.engine_view();
+        let knows_engines = view.is_continuous_since(self.edge.clock.now(), ENGINE_OBSERVATION_TIME);
         let has_one_service = self.selected.route.services.len() == 1;
-        let may_infer = has_one_service && uptime >= ENGINE_OBSERVATION_TIME;
-        self.sole_version().filter(|_| may_infer).map(|version| self.origin_at(&version))
+        let version = self.sole_version().filter(|_| has_one_service && knows_engines)?;
+        Some(self.origin_at(&version))
     }
 
     fn report_resumption(&self, origin: Option<&StreamOrigin>, is_recorded: bool) {
@@ -89,11 +90,12 @@
         if origin.is_none() {
             metrics.unknown_origins.inc();
         }
+        let view_age = self.edge.engine_view().age(self.edge.clock.now());
         info!(self.edge.logger, "caller resumes a stream"; "event" => "stream_resumed_by_caller",
             "call" => &self.head.id, "resumed_call" => &self.head.resumed_call,
             "after" => &self.head.resume_after, "service" => origin.map(|origin| origin.service.as_str()),
             "engine_version" => origin.map(|origin| origin.version.as_str()), "recorded" => is_recorded,
-            "age_ms" => self.age_millis());
+            "engine_view_age_ms" => view_age.map(|age| age.as_millis() as u64), "age_ms" => self.age_millis());
     }
 
     /// Records the version of the selected engine as the origin of the stream that it may begin, unless it is recorded
--- a/crates/storage/src/follower.rs
+++ b/crates/storage/src/follower.rs
@@ -42,6 +42,9 @@
     fn record_confirmation(&self, as_of: Instant);
     /// Records that all requests in quarantine and suspects that a feed knows now are applied.
     fn record_current_changes(&self);
+    /// Records that the applied engines were all those of the store at this time, as far as a feed in contact with the store
+    /// knew.
+    fn record_current_engines(&self, as_of: Instant);
     /// Whether any data was received, from a feed or the store.
     fn has_data(&self) -> bool;
     /// Starts to follow the store itself; dropping the set ends it.
@@ -134,7 +137,9 @@
     async fn ask_feed_and_apply(&mut self, feed: SocketAddr, may_wait: bool) -> FeedOutcome {
         let wait = if may_wait { FEED_WAIT } else { Duration::ZERO };
         let reply = self.request_with_fallback(feed, wait).await;
-        let Some(FeedReply { changes, configuration_confirmed }) = reply else { return self.mark_lost(feed) };
+        let Some(FeedReply { changes, made_at, configuration_confirmed }) = reply else {
+            return self.mark_lost(feed);
+        };
         self.ledger.record_any_reply();
         let outcome = if changes.is_current { FeedOutcome::Current } else { FeedOutcome::Stale };
         let is_same_feed = changes.incarnation == self.incarnation;
@@ -156,6 +161,9 @@
             self.sink.apply(changes);
         }
         self.sink.record_current_changes();
+        if outcome == FeedOutcome::Current {
+            self.sink.record_current_engines(made_at);
+        }
         self.report_confirmation(configuration_confirmed);
         outcome
     }
@@ -240,6 +248,8 @@
 /// Decoded reply of a feed.
 pub(crate) struct FeedReply {
     pub(crate) changes: Changes,
+    /// Time before which the reply was not made, by the clock of this node.
+    pub(crate) made_at: Instant,
     /// A time at which the configuration of the feed was known to be the newest in the store.
     pub(crate) configuration_confirmed: Option<Instant>,
 }
@@ -293,13 +303,14 @@
 
 fn decode_reply(answer: Bytes, sent_at: Instant) -> Option<FeedReply> {
     let changes = Changes::decode(answer).ok()?;
-    Some(FeedReply { configuration_confirmed: confirmed_at(&changes, sent_at), changes })
+    // Network delays and process pauses are unbounded: the reply was made no earlier than the request was sent plus the
+    // time that the feed held it.
+    let made_at = sent_at + Duration::from_millis(changes.held_millis);
+    Some(FeedReply { configuration_confirmed: confirmed_at(&changes, made_at), made_at, changes })
 }
 
-/// When the configuration was known to be the newest, by the clock of this node. Network delays and process
-/// pauses are unbounded: the reply was made no earlier than the request was sent plus the time that the feed
-/// held it.
-fn confirmed_at(changes: &Changes, sent_at: Instant) -> Option<Instant> {
+/// When the configuration was known to be the newest, by the clock of this node.
+fn confirmed_at(changes: &Changes, made_at: Instant) -> Option<Instant> {
     let age = Duration::from_millis(changes.configuration_age_millis?);
-    (sent_at + Duration::from_millis(changes.held_millis)).checked_sub(age)
+    made_at.checked_sub(age)
 }
--- a/crates/storage/tests/fleet/follower.rs
+++ b/crates/storage/tests/fleet/follower.rs
@@ -62,6 +62,8 @@
 
     fn record_current_changes(&self) {}
 
+    fn record_current_engines(&self, _as_of: Instant) {}
+
     fn has_data(&self) -> bool {
         !self.contents.lock().expect("contents").is_empty()
     }
