An answer that ends with its connection is complete only once its engine has shown that it lives on

Callers saw streams that end as complete after three of six events, and half of a plain answer as 200, where an engine answers without length or chunks and ends meanwhile; a retained turn was committed so.

Cause: such an answer ends with its connection, and the kernel closes the connections of a killed process in order. The edge took that for the end of the answer. It also took an encoding that isn't chunks for chunks when it named the framing.

The edge now sends a health check that names the engine, on a new connection, once it has seen the close. A killed process can't answer a request that came after its end. Each check is a log line and counts in unconfirmed_ends.

--- a/crates/edge/src/buffered.rs
+++ b/crates/edge/src/buffered.rs
@@ -128,10 +128,15 @@
     let reading = call.edge.response_memory.read(received.body);
     match tokio::time::timeout_at(deadline, reading).await {
         Ok(Ok(Some(bytes))) => {
+            let mut run = received.run;
+            if call.confirm_end(framing, &mut run, machine.deadline()).await.is_err() {
+                run.fail(Outcome::Faulty);
+                return Err(Failure::Lost);
+            }
             if received.head.status.is_success() {
-                received.run.finish_buffered(call.typical_time());
+                run.finish_buffered(call.typical_time());
             } else {
-                received.run.finish_failed(received.head.status);
+                run.finish_failed(received.head.status);
             }
             body.record_end(BodyEnd::Regular);
             Ok((received.head, bytes, body))
--- a/crates/edge/src/engine_crash.rs
+++ b/crates/edge/src/engine_crash.rs
@@ -193,10 +193,15 @@
     pub(crate) is_known_here: bool,
 }
 
+/// Path for a health check of an engine whose service has this one configured, if any.
+pub(crate) fn health_check_path(configured: Option<&str>) -> &str {
+    configured.unwrap_or(DEFAULT_HEALTH_PATH)
+}
+
 impl SentCall {
     /// Path for a health check of the engine. Any response is a sign of life.
     pub(crate) fn health_check_path(&self) -> &str {
-        self.health_path.as_deref().unwrap_or(DEFAULT_HEALTH_PATH)
+        health_check_path(self.health_path.as_deref())
     }
 }
 
--- a/crates/edge/src/engine_pool.rs
+++ b/crates/edge/src/engine_pool.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use http::header::HOST;
-use http::{Request, response};
+use http::{HeaderMap, Request, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -105,6 +105,13 @@
     Silent,
 }
 
+/// A health check got no response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum NoResponse {
+    Refused,
+    Silent,
+}
+
 struct IdleConnection {
     sender: Sender,
     since: Instant,
@@ -234,20 +241,34 @@
 
     /// Asks the engine at this address for any response, on a connection of its own.
     pub(crate) async fn check_health(&self, address: SocketAddr, path: &str, within: Duration) -> Health {
-        let checking = async {
+        match self.request_health(address, path, HeaderMap::new(), within).await {
+            Ok(_) => Health::Responds,
+            Err(NoResponse::Refused) => Health::Refused,
+            Err(NoResponse::Silent) => Health::Silent,
+        }
+    }
+
+    /// Sends a health check on a connection of its own; returns the head of the response.
+    pub(crate) async fn request_health(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        headers: HeaderMap,
+        within: Duration,
+    ) -> Result<response::Parts, NoResponse> {
+        let exchange = async {
             let mut sender = match connect(address, async {}).await {
                 Ok(sender) => sender,
-                Err(error) if error.is_refused() => return Health::Refused,
-                Err(_) => return Health::Silent,
+                Err(error) if error.is_refused() => return Err(NoResponse::Refused),
+                Err(_) => return Err(NoResponse::Silent),
             };
             let request = Request::get(path).header(HOST, address.to_string()).body(Full::default());
-            let Ok(request) = request else { return Health::Silent };
-            match sender.send_request(request).await {
-                Ok(_) => Health::Responds,
-                Err(_) => Health::Silent,
-            }
+            let Ok(mut request) = request else { return Err(NoResponse::Silent) };
+            request.headers_mut().extend(headers);
+            let response = sender.send_request(request).await.map_err(|_| NoResponse::Silent)?;
+            Ok(response.into_parts().0)
         };
-        tokio::time::timeout(within, checking).await.unwrap_or(Health::Silent)
+        tokio::time::timeout(within, exchange).await.unwrap_or(Err(NoResponse::Silent))
     }
 
     /// Opens a connection whose end is told.
--- a/crates/edge/src/engine_run.rs
+++ b/crates/edge/src/engine_run.rs
@@ -83,6 +83,11 @@
         event_times.events += events as u64;
     }
 
+    /// Excludes the time of a liveness check from the engine's own time.
+    pub(crate) fn exclude_liveness_check(&mut self, took: Duration) {
+        self.network_time += took;
+    }
+
     /// Ends the run after a complete stream, and records the engine's speed.
     pub(crate) fn finish_stream(self) {
         if let Some(event_times) = self.event_times {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -36,6 +36,7 @@
 mod stream;
 mod stream_origin;
 mod turn;
+mod unconfirmed_end;
 mod view_continuity;
 mod wire_format;
 
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -20,6 +20,11 @@
     reason: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OutcomeLabel {
+    outcome: &'static str,
+}
+
 /// Metrics of an edge.
 pub struct EdgeMetrics {
     pub(crate) calls: Counter,
@@ -41,6 +46,7 @@
     pub(crate) outliers: Gauge,
     pub(crate) outlier_ejections: Counter,
     pub(crate) resumptions: Counter,
+    unconfirmed_ends: Family<OutcomeLabel, Counter>,
     pub(crate) caller_resumptions: Counter,
     pub(crate) unknown_origins: Counter,
     pub(crate) origin_changes: Counter,
@@ -79,6 +85,7 @@
             outliers: Gauge::default(),
             outlier_ejections: Counter::default(),
             resumptions: Counter::default(),
+            unconfirmed_ends: Family::default(),
             caller_resumptions: Counter::default(),
             unknown_origins: Counter::default(),
             origin_changes: Counter::default(),
@@ -189,6 +196,11 @@
         registry.register("permits_refused", "Permits that were not given", self.permits_refused.clone());
         registry.register("cold_engines", "Engines that are cold", self.cold_engines.clone());
         registry.register("resumptions", "Streams taken up again", self.resumptions.clone());
+        registry.register(
+            "unconfirmed_ends",
+            "Answers that ended with their connection, by outcome of the liveness check",
+            self.unconfirmed_ends.clone(),
+        );
         registry.register(
             "caller_resumptions",
             "Calls that resume a stream of an earlier call",
@@ -244,6 +256,10 @@
         self.queue_rejections.get_or_create(&ReasonLabel { reason: reason.as_str() }).inc();
     }
 
+    pub(crate) fn record_unconfirmed_end(&self, outcome: &'static str) {
+        self.unconfirmed_ends.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
     pub(crate) fn record_unsuccessful_call(&self, code: ResultCode) {
         self.unsuccessful_calls.get_or_create(&CodeLabel { code: code.number() }).inc();
     }
--- a/crates/edge/src/received_body.rs
+++ b/crates/edge/src/received_body.rs
@@ -4,7 +4,7 @@
 use std::io::ErrorKind;
 
 use http::header::TRANSFER_ENCODING;
-use http::response;
+use http::{HeaderMap, response};
 use hyper::body::{Body, Incoming};
 use slog::{KV, Record, Serializer};
 
@@ -23,7 +23,7 @@
     pub(crate) fn of(head: &response::Parts, body: &Incoming) -> Self {
         if body.size_hint().exact().is_some() {
             Self::Length
-        } else if head.headers.contains_key(TRANSFER_ENCODING) {
+        } else if is_chunked(&head.headers) {
             Self::Chunked
         } else {
             Self::UntilClose
@@ -31,6 +31,13 @@
     }
 }
 
+/// Whether the last transfer encoding is chunks. Another one ends with the connection.
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let last = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    let last = last.and_then(|value| value.to_str().ok()?.rsplit(',').next());
+    last.is_some_and(|encoding| encoding.trim().eq_ignore_ascii_case("chunked"))
+}
+
 /// How a body ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum BodyEnd {
@@ -38,6 +45,8 @@
     Regular,
     /// The connection was closed before the end that the framing announced.
     ClosedEarly,
+    /// The connection, whose end is the end of the body, was closed, but the engine may have ended.
+    Unconfirmed,
     Reset,
     /// The connection failed in another way, or the bytes violate the protocol.
     Failed,
@@ -80,6 +89,10 @@
         }
     }
 
+    pub(crate) fn framing(&self) -> BodyFraming {
+        self.framing
+    }
+
     pub(crate) fn record_end(&mut self, end: BodyEnd) {
         self.end = Some(end);
     }
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -23,6 +23,7 @@
 use crate::responses::{EdgeBody, RelayError, full_body};
 use crate::state_exchange::cached_parts;
 use crate::turn::{OpenTurn, result_code};
+use crate::unconfirmed_end::UnconfirmedEnd;
 use crate::wire_format::WireFormat;
 
 /// Runs a stream up to its first event, so that the response head and that event are sent together.
@@ -218,10 +219,7 @@
                 self.received.record_end(BodyEnd::of_error(&error));
                 ReadOutcome::Broken
             }
-            Ok(None) => {
-                self.received.record_end(BodyEnd::Regular);
-                ReadOutcome::End
-            }
+            Ok(None) => self.confirm_end().await,
             Ok(Some(Ok(frame))) => {
                 if let Ok(data) = frame.into_data() {
                     self.splitter.push(&data);
@@ -231,6 +229,21 @@
         }
     }
 
+    async fn confirm_end(&mut self) -> ReadOutcome {
+        let Some((_, run)) = &mut self.source else { return ReadOutcome::Broken };
+        let deadline = self.machine.deadline();
+        match self.call.confirm_end(self.received.framing(), run, deadline).await {
+            Ok(()) => {
+                self.received.record_end(BodyEnd::Regular);
+                ReadOutcome::End
+            }
+            Err(UnconfirmedEnd) => {
+                self.received.record_end(BodyEnd::Unconfirmed);
+                ReadOutcome::Broken
+            }
+        }
+    }
+
     /// Finishes the stream after the engine's last event. The turn is committed before the caller sees the end.
     async fn finish(&mut self) -> Chunk {
         if !self.splitter.rest().is_empty() {
@@ -286,7 +299,7 @@
         slog::info!(self.call.edge.logger, "engine aborted the stream"; "event" => "stream_broke_off",
             "call" => &self.call.head.id, "request" => %self.call.fingerprint(), "engine" => %engine, "engine_version" => %version,
             "reason" => ?failure,
-            "events" => self.machine.events(), "last_event" => self.machine.resume_after(), "next" => ?next, "age_ms" => self.call.age_millis());
+            "events" => self.machine.events(), "last_event" => self.machine.resume_after(), "next" => ?next, "age_ms" => self.call.age_millis(), &self.received);
         // The stream is bound to its origin, so there is none to record.
         match attempt_until_response(&self.call, &mut self.machine, None, next).await {
             Ok(response) if response.head.status == StatusCode::OK => {
--- a/crates/edge/src/wire_format.rs
+++ b/crates/edge/src/wire_format.rs
@@ -71,6 +71,10 @@
     fn remove_reserved_headers(&self, headers: &mut HeaderMap, keys: KeyHandling);
     /// Headers of the request to an engine, built from the caller's headers that may be forwarded.
     fn engine_headers(&self, forwarded: HeaderMap, attempt: &EngineAttempt<'_>) -> HeaderMap;
+    /// Headers of a liveness check, which another engine at the same address rejects.
+    fn liveness_check_headers(&self, engine: &EngineId) -> HeaderMap;
+    /// Whether the response to a liveness check shows that another engine has the address.
+    fn is_from_another_engine(&self, head: &response::Parts, engine: &EngineId) -> bool;
     /// Classifies an engine's response.
     fn classify_response(&self, head: &response::Parts, call: &CallMetadata) -> ResponseKind;
     /// The HTTP status for a result code.
