A stream that is cut resets the connection of a caller of HTTP/1.0

Callers of HTTP/1.0 saw an orderly end after three events where the edge broke a stream off or was killed, and could not tell it from the end of the stream.

Cause: without chunks only the connection's end tells, and a socket that is dropped, also by the kernel, is closed in order.

The caller's socket is set to be reset on close (SO_LINGER 0) before the first byte of an answer without a length to such a caller. hyper shuts a connection down only at the regular end of a response and drops it otherwise; before the shutdown the setting is undone, so that what was sent still arrives. Other callers cost one comparison per write.

--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -1,5 +1,6 @@
 //! Caller connections.
 
+use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::call::serve_call;
+use crate::caller_socket::{CallerSocket, EndsWithConnection};
 use crate::edge::Edge;
 use crate::wire_format::WireFormat;
 
@@ -34,13 +36,22 @@
     let header_bytes = limits.map_or(DEFAULT_HEADER_BYTES, |limits| limits.header_bytes);
     let edge = Arc::clone(edge);
     // Boxed, so that an idle connection does not hold memory for a call.
-    let service =
-        service_fn(move |request: Request<Incoming>| Box::pin(serve_call(Arc::clone(&edge), request)));
+    let ends_with_connection = EndsWithConnection::default();
+    let socket = CallerSocket::new(stream, ends_with_connection.clone());
+    let service = service_fn(move |request: Request<Incoming>| {
+        let (edge, ends_with_connection) = (Arc::clone(&edge), ends_with_connection.clone());
+        Box::pin(async move {
+            let version = request.version();
+            let answer = serve_call(edge, request).await?;
+            ends_with_connection.record_answer(version, answer.body());
+            Ok::<_, Infallible>(answer)
+        })
+    });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
         .max_buf_size(header_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(socket), service);
     tasks.spawn(async move {
         tokio::pin!(connection);
         tokio::select! {
