Known red: a node that counts quotas drops the calls in a peer's first report

Cause: nodes report only while quotas are in use. A node that is suspended when the first calls come gets its first report of a peer once that has admitted a window's worth, and takes these for calls from before the window. Having been up for some seconds itself, it gives the tenant the tokens of all that time.

--- a/crates/access/tests/quota_counters.rs
+++ b/crates/access/tests/quota_counters.rs
@@ -186,6 +186,24 @@
     assert!((9..=10).contains(&first), "{first} until {now}");
 }
 
+/// Guards against a node that has been up as long as the others, but was suspended when they began to count, and admits a
+/// second quota.
+#[test]
+fn calls_of_a_peer_that_is_heard_for_the_first_time_count() {
+    let mut nodes = MEMBERS.map(|name| QuotaCounters::new(name, 1, at(0)));
+    let mut admitted = 0;
+    for now in (3_000..6_500).step_by(100) {
+        let [a, b, _] = &mut nodes;
+        exchange_reports(&mut [a, b], at(now));
+        admitted += count_granted(&mut nodes[0], 2, now);
+    }
+    let [a, b, c] = &mut nodes;
+    exchange_reports(&mut [a, b, c], at(6_500));
+    let (by_third, until) = ask_over_time(&mut nodes, 2, 100, 6_500);
+    assert!(until - 3_000 <= 5_000 && admitted >= 30 && by_third > 0, "{admitted}, then {by_third}");
+    assert!(admitted + by_third <= LIMIT.max_calls(), "{admitted}, then {by_third}");
+}
+
 #[test]
 fn limit_of_the_newest_configuration_applies_to_all_callers() {
     let mut nodes = warm_nodes();
