Quotas: the calls in a peer's first report count

Cause: members report to each other only while quotas are in use. One that was suspended when the first calls came took the calls in a peer's first report for older than the window, though a report says how many of them are of the last one. Now a first report counts like all others, by its calls of the last window; one of a peer that has restarted did already. They count as made now, so a member that has just started may refuse calls up to a window longer, and only if no warm member is left to decide.

Test, before: 51 calls, then 39 by the third member, 60 allowed. After: 51, then 0.

--- a/crates/access/src/quota_counters.rs
+++ b/crates/access/src/quota_counters.rs
@@ -203,7 +203,6 @@
 
     /// Adds the calls of another node's report that are not yet counted here.
     pub fn apply_report(&mut self, report: CallReport, now: Timestamp) {
-        let is_first = !self.peers.contains_key(&report.node);
         let peer = self.peers.entry(report.node).or_insert_with(|| Peer {
             incarnation: report.incarnation,
             last_report_at: now,
@@ -219,10 +218,8 @@
         for (tenant, total) in report.totals {
             let TenantTotal { calls: total, recent } = total;
             let known = peer.totals.insert(Arc::clone(&tenant), total);
-            // Calls in a peer's first report may be older than the window and are not added; this node is not
-            // warm yet.
-            let known = known.unwrap_or(if is_first { total } else { 0 });
-            let missing = total.saturating_sub(known).min(recent);
+            // A node may have been suspended while its peers admitted the calls in their first reports.
+            let missing = total.saturating_sub(known.unwrap_or(0)).min(recent);
             if is_broken(Rule::QuotaTotalsCount) {
                 continue;
             }
