A liveness check counts only if the engine itself has answered it

Found by review, before any caller saw it: an answer that ends with its connection was confirmed by any response but 421 or one with another id. A parent, a relay or a quickly restarted engine at the address that answers 503, 502 or 404 without an id confirmed half an answer of a killed engine, which was then forwarded as complete.

Now the response has to name the engine, or to be a rejection that engines mark as their own (any other engine rejects the named one with 421). The test of the wire format failed before: 200, 404, 429, 502 and 503 without a name confirmed. It is stricter than the one that it replaces, which asserted that 503 and 429 without a mark confirm. The fake engines name themselves.

--- a/crates/edge/src/unconfirmed_end.rs
+++ b/crates/edge/src/unconfirmed_end.rs
@@ -28,8 +28,8 @@
     Alive,
     Refused,
     Silent,
-    /// Another engine has the address.
-    OtherEngine,
+    /// The response isn't the engine's own.
+    Unidentified,
     /// The directory names a later process of the engine.
     Replaced,
 }
@@ -40,7 +40,7 @@
             Self::Alive => "alive",
             Self::Refused => "refused",
             Self::Silent => "silent",
-            Self::OtherEngine => "other_engine",
+            Self::Unidentified => "unidentified",
             Self::Replaced => "replaced",
         }
     }
@@ -72,7 +72,7 @@
         }
     }
 
-    /// Asks an engine for any response on a new connection.
+    /// Asks an engine for a response of its own on a new connection.
     async fn check_liveness(&self, placement: &Placement, within: Duration) -> Liveness {
         let edge = &self.edge;
         let path = health_check_path(self.selected.service.health_path.as_deref());
@@ -80,9 +80,7 @@
         match edge.pool.request_health(placement.address, path, headers, within).await {
             Err(NoResponse::Refused) => Liveness::Refused,
             Err(NoResponse::Silent) => Liveness::Silent,
-            Ok(head) if edge.wire_format.is_from_another_engine(&head, &placement.engine) => {
-                Liveness::OtherEngine
-            }
+            Ok(head) if !edge.wire_format.is_from_engine(&head, &placement.engine) => Liveness::Unidentified,
             Ok(_) if edge.is_replaced(&placement.engine) => Liveness::Replaced,
             Ok(_) => Liveness::Alive,
         }
--- a/crates/edge/src/wire_format.rs
+++ b/crates/edge/src/wire_format.rs
@@ -73,8 +73,8 @@
     fn engine_headers(&self, forwarded: HeaderMap, attempt: &EngineAttempt<'_>) -> HeaderMap;
     /// Headers of a liveness check, which another engine at the same address rejects.
     fn liveness_check_headers(&self, engine: &EngineId) -> HeaderMap;
-    /// Whether the response to a liveness check shows that another engine has the address.
-    fn is_from_another_engine(&self, head: &response::Parts, engine: &EngineId) -> bool;
+    /// Whether the response to a liveness check comes from this engine, and not from another one or a server in front of it.
+    fn is_from_engine(&self, head: &response::Parts, engine: &EngineId) -> bool;
     /// Classifies an engine's response.
     fn classify_response(&self, head: &response::Parts, call: &CallMetadata) -> ResponseKind;
     /// The HTTP status for a result code.
