--- a/test.sh
+++ b/test.sh
@@ -28,4 +28,4 @@
 cargo test --release --jobs "$jobs" -p sumacdrift-quarantine --features mutants
 # Soak test of the release binaries under fault injection with a fixed seed; takes about a minute.
 cargo build --release --jobs "$jobs" -p sumacdrift-platform-adapter -p sumacdrift-platform-soak
-target/release/soak --edges 2 --storages 3 --faults-for 12 --first-seed 1 --seeds 1
+target/release/soak --edges 2 --storages 3 --engine-processes --faults-for 12 --first-seed 1 --seeds 1
