Logs and a metric tell which response doesn't name the call

A response without the attempt's id, or with another one, left no trace of its own: the first was served like any other, the second was a lost attempt. Neither said whether the connection had been used before, so that the first hypothesis of the incident couldn't be told from the others. `foreign_response` has the identity, the status and whether the connection was reused.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -25,7 +25,7 @@
 use crate::open_attempt::CurrentAttempt;
 use crate::service_queues::QueueSlot;
 use crate::turn::OpenTurn;
-use crate::wire_format::{EngineAttempt, KeyHandling, ResponseKind, WireFormat};
+use crate::wire_format::{EngineAttempt, KeyHandling, ResponseIdentity, ResponseKind, WireFormat};
 
 /// Assumed duration of a buffered call on a route without observations.
 const DEFAULT_CALL_TIME: Duration = Duration::from_millis(50);
@@ -303,7 +303,12 @@
         }
         Ok(Ok(response)) => response,
     };
+    let is_reused = response.connect_time.is_none();
     run.record_connection(response.connection, response.connect_time);
+    let identity = edge.wire_format.identify_response(&response.head, &call.head);
+    if identity != ResponseIdentity::Own {
+        call.report_foreign_response(placement, response.head.status, identity, is_reused);
+    }
     let failure = match edge.wire_format.classify_response(&response.head, &call.head) {
         ResponseKind::Valid => {
             return Ok(EngineResponse { head: response.head, body: response.body, run });
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -32,6 +32,7 @@
     pub(crate) events: Counter,
     pub(crate) events_out_of_order: Counter,
     pub(crate) failed_attempts: Counter,
+    pub(crate) foreign_responses: Counter,
     pub(crate) server_errors: Counter,
     pub(crate) engine_crashes: Counter,
     pub(crate) engines_suspected: Counter,
@@ -71,6 +72,7 @@
             events: Counter::default(),
             events_out_of_order: Counter::default(),
             failed_attempts: Counter::default(),
+            foreign_responses: Counter::default(),
             server_errors: Counter::default(),
             engine_crashes: Counter::default(),
             engines_suspected: Counter::default(),
@@ -142,6 +144,11 @@
             self.events_out_of_order.clone(),
         );
         registry.register("failed_attempts", "Attempts that an engine failed", self.failed_attempts.clone());
+        registry.register(
+            "foreign_responses",
+            "Responses of engines that don't name the call",
+            self.foreign_responses.clone(),
+        );
         registry.register(
             "server_errors",
             "Answers of engines with a status of 500 and above",
--- a/crates/edge/src/report.rs
+++ b/crates/edge/src/report.rs
@@ -1,5 +1,6 @@
 //! One log line for each decision about a call.
 
+use http::StatusCode;
 use slog::info;
 use sumacdrift_calls::{CallMachine, EventDisorder, EventId, Failure, Next};
 use sumacdrift_routing::Placement;
@@ -9,7 +10,7 @@
 use crate::engine_crash::CrashesElsewhere;
 use crate::engine_pool::ConnectError;
 use crate::received_body::ReceivedBody;
-use crate::wire_format::WireFormat;
+use crate::wire_format::{ResponseIdentity, WireFormat};
 
 impl<D: WireFormat> CallContext<D> {
     pub(crate) fn report_failure(&self, placement: &Placement, failure: Failure, next: &Next) {
@@ -20,6 +21,21 @@
             "age_ms" => self.age_millis());
     }
 
+    /// Logs that an engine sent a response which doesn't name the call, on a new or a reused connection.
+    pub(crate) fn report_foreign_response(
+        &self,
+        placement: &Placement,
+        status: StatusCode,
+        identity: ResponseIdentity,
+        is_reused: bool,
+    ) {
+        self.edge.metrics.foreign_responses.inc();
+        info!(self.edge.logger, "response doesn't name the call"; "event" => "foreign_response", "call" => &self.head.id,
+            "engine" => %placement.engine, "engine_version" => %placement.version, "status" => status.as_u16(),
+            "identity" => identity.as_str(), "reused_connection" => is_reused,
+            "resume_after" => &self.head.resume_after, "age_ms" => self.age_millis());
+    }
+
     /// Logs that an engine sent an event `id` that doesn't follow the event `last`.
     pub(crate) fn report_disorder(
         &self,
--- a/crates/edge/src/wire_format.rs
+++ b/crates/edge/src/wire_format.rs
@@ -42,6 +42,27 @@
     ForwardedToEngines,
 }
 
+/// Which request a response answers, by the id that it repeats.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ResponseIdentity {
+    /// The request of this attempt.
+    Own,
+    /// The request of another call.
+    OtherCall,
+    /// No request: it repeats no id.
+    Unidentified,
+}
+
+impl ResponseIdentity {
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Own => "own",
+            Self::OtherCall => "other_call",
+            Self::Unidentified => "unidentified",
+        }
+    }
+}
+
 /// Classification of an engine's response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ResponseKind {
@@ -75,6 +96,8 @@
     fn liveness_check_headers(&self, engine: &EngineId) -> HeaderMap;
     /// Whether the response to a liveness check comes from this engine, and not from another one or a server in front of it.
     fn is_from_engine(&self, head: &response::Parts, engine: &EngineId) -> bool;
+    /// Which request a response answers.
+    fn identify_response(&self, head: &response::Parts, call: &CallMetadata) -> ResponseIdentity;
     /// Classifies an engine's response.
     fn classify_response(&self, head: &response::Parts, call: &CallMetadata) -> ResponseKind;
     /// The HTTP status for a result code.
