A response that doesn't name the call is nobody's

Callers got answers that weren't theirs: after a surplus answer without the attempt's id, a resumed stream had 4 5 6 of another run and ended as complete, plain calls had another request's body, and a surplus 503, 429, 421 or 408 became "has not run" for a call that ran and was sent to a second engine.

Cause: the absence of the id was taken for agreement. Every engine answer repeats the id, so one without it answers no request. Now one function tells which request a response answers before anything of it is used, rejections and errors too; any but the call's own is a lost attempt. A call that returns to an engine uses a connection that hasn't carried its id, as the id couldn't tell the two answers apart.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -19,7 +19,7 @@
 
 use crate::access::Caller;
 use crate::edge::Edge;
-use crate::engine_pool::SendError;
+use crate::engine_pool::{ConnectionReuse, SendError};
 use crate::engine_run::EngineRun;
 use crate::headers::without_hop_by_hop;
 use crate::open_attempt::CurrentAttempt;
@@ -278,7 +278,12 @@
     let request = engine_request(call, machine, placement);
     let deadline = edge.clock.instant(machine.deadline());
     let may_send = || edge.engines().may_send(&placement.engine, permit, edge.clock.now());
-    let sending = edge.pool.send(&placement.engine, placement.address, request, &may_send);
+    // Two requests of one call have the same id, which tells their answers apart only on connections of their own.
+    let reuse = match machine.may_have_run_at(&placement.engine) {
+        true => ConnectionReuse::Forbidden,
+        false => ConnectionReuse::Allowed,
+    };
+    let sending = edge.pool.send(&placement.engine, placement.address, request, reuse, &may_send);
     let response = match tokio::time::timeout_at(deadline, sending).await {
         Err(_) => {
             run.fail(Outcome::Faulty);
@@ -308,14 +313,15 @@
     let identity = edge.wire_format.identify_response(&response.head, &call.head);
     if identity != ResponseIdentity::Own {
         call.report_foreign_response(placement, response.head.status, identity, is_reused);
+        run.fail(Outcome::Faulty);
+        return Err(Failure::Lost);
     }
-    let failure = match edge.wire_format.classify_response(&response.head, &call.head) {
+    let failure = match edge.wire_format.classify_response(&response.head) {
         ResponseKind::Valid => {
             return Ok(EngineResponse { head: response.head, body: response.body, run });
         }
         ResponseKind::Rejected { retry_after } => Failure::Rejected { retry_after },
         ResponseKind::WrongEngine => Failure::WrongEngine,
-        ResponseKind::Mismatched => Failure::Lost,
         ResponseKind::Invalid => Failure::Spoiled,
     };
     run.fail(match failure {
--- a/crates/edge/src/engine_pool.rs
+++ b/crates/edge/src/engine_pool.rs
@@ -42,6 +42,13 @@
 
 type Sender = SendRequest<Full<Bytes>>;
 
+/// Whether a request may be sent on a connection that has carried others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ConnectionReuse {
+    Allowed,
+    Forbidden,
+}
+
 /// A request could not be sent, or no response arrived.
 #[derive(Debug)]
 pub(crate) enum SendError {
@@ -174,10 +181,11 @@
         engine: &EngineId,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
+        reuse: ConnectionReuse,
         may_send: &(dyn Fn() -> bool + Sync),
     ) -> Result<PoolResponse, SendError> {
         let mut request = request;
-        while let Some(ReusableConnection { mut sender, idle_for }) = self.take(engine) {
+        while let Some(ReusableConnection { mut sender, idle_for }) = self.take_for(engine, reuse) {
             if !matches!(tokio::time::timeout(READY_TIMEOUT, sender.ready()).await, Ok(Ok(()))) {
                 continue;
             }
@@ -329,6 +337,13 @@
         self.idle_limit.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn take_for(&self, engine: &EngineId, reuse: ConnectionReuse) -> Option<ReusableConnection> {
+        match reuse {
+            ConnectionReuse::Allowed => self.take(engine),
+            ConnectionReuse::Forbidden => None,
+        }
+    }
+
     fn take(&self, engine: &EngineId) -> Option<ReusableConnection> {
         let now = Instant::now();
         let limit = *self.idle_limit();
--- a/crates/edge/src/wire_format.rs
+++ b/crates/edge/src/wire_format.rs
@@ -63,10 +63,10 @@
     }
 }
 
-/// Classification of an engine's response.
+/// Classification of an engine's response to its own request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ResponseKind {
-    /// The engine's own response to this call, to be forwarded unchanged.
+    /// To be forwarded unchanged.
     Valid,
     /// The engine rejected the call without running it.
     Rejected {
@@ -75,8 +75,6 @@
     },
     /// A different engine has the address; the call has not run.
     WrongEngine,
-    /// The response belongs to another call.
-    Mismatched,
     /// Not a valid engine response, though it may come from an engine.
     Invalid,
 }
@@ -96,10 +94,11 @@
     fn liveness_check_headers(&self, engine: &EngineId) -> HeaderMap;
     /// Whether the response to a liveness check comes from this engine, and not from another one or a server in front of it.
     fn is_from_engine(&self, head: &response::Parts, engine: &EngineId) -> bool;
-    /// Which request a response answers.
+    /// Which request a response answers. One that isn't the call's own belongs to nobody: engines may send more answers than
+    /// they got requests, so nothing of it may be used.
     fn identify_response(&self, head: &response::Parts, call: &CallMetadata) -> ResponseIdentity;
-    /// Classifies an engine's response.
-    fn classify_response(&self, head: &response::Parts, call: &CallMetadata) -> ResponseKind;
+    /// Classifies a response that is the call's own.
+    fn classify_response(&self, head: &response::Parts) -> ResponseKind;
     /// The HTTP status for a result code.
     fn status(&self, code: ResultCode) -> StatusCode;
 }
