--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -19,7 +19,7 @@
 
 use crate::access::Caller;
 use crate::edge::Edge;
-use crate::engine_pool::{ConnectionReuse, SendError};
+use crate::engine_pool::{ConnectionReuse, PoolResponse, SendError};
 use crate::engine_run::EngineRun;
 use crate::headers::without_hop_by_hop;
 use crate::open_attempt::CurrentAttempt;
@@ -267,14 +267,51 @@
     })
 }
 
+/// Why an attempt failed, and what that says about its engine.
+struct FailedAttempt {
+    failure: Failure,
+    outcome: Outcome,
+}
+
+impl FailedAttempt {
+    fn new(failure: Failure, outcome: Outcome) -> Self {
+        Self { failure, outcome }
+    }
+}
+
 async fn try_engine<D: WireFormat>(
     call: &CallContext<D>,
     machine: &CallMachine,
     placement: &Placement,
     permit: Option<Permit>,
 ) -> Result<EngineResponse<D>, Failure> {
+    let mut run = EngineRun::begin(&call.edge, placement);
+    let response = match send_to_engine(call, machine, placement, permit).await {
+        Ok(response) => response,
+        Err(FailedAttempt { failure, outcome }) => {
+            run.fail(outcome);
+            return Err(failure);
+        }
+    };
+    let is_reused = response.connect_time.is_none();
+    run.record_connection(response.connection, response.connect_time);
+    match check_response(call, placement, &response.head, is_reused) {
+        Ok(()) => Ok(EngineResponse { head: response.head, body: response.body, run }),
+        Err(FailedAttempt { failure, outcome }) => {
+            run.fail(outcome);
+            Err(failure)
+        }
+    }
+}
+
+/// Sends the call to the engine and waits for a response head, within the call's deadline.
+async fn send_to_engine<D: WireFormat>(
+    call: &CallContext<D>,
+    machine: &CallMachine,
+    placement: &Placement,
+    permit: Option<Permit>,
+) -> Result<PoolResponse, FailedAttempt> {
     let edge = &call.edge;
-    let mut run = EngineRun::begin(edge, placement);
     let request = engine_request(call, machine, placement);
     let deadline = edge.clock.instant(machine.deadline());
     let may_send = || edge.engines().may_send(&placement.engine, permit, edge.clock.now());
@@ -284,52 +321,44 @@
         false => ConnectionReuse::Allowed,
     };
     let sending = edge.pool.send(&placement.engine, placement.address, request, reuse, &may_send);
-    let response = match tokio::time::timeout_at(deadline, sending).await {
-        Err(_) => {
-            run.fail(Outcome::Faulty);
-            return Err(Failure::Lost);
-        }
+    match tokio::time::timeout_at(deadline, sending).await {
+        Ok(Ok(response)) => Ok(response),
+        Err(_) | Ok(Err(SendError::Lost)) => Err(FailedAttempt::new(Failure::Lost, Outcome::Faulty)),
         Ok(Err(SendError::NotSent(error))) => {
             call.report_connect_failure(placement, error.as_ref());
             if error.is_some_and(|error| error.is_refused()) {
                 edge.attribute_end(&placement.engine, edge.clock.now());
             }
-            run.fail(Outcome::Unreachable);
-            return Err(Failure::NotSent);
+            Err(FailedAttempt::new(Failure::NotSent, Outcome::Unreachable))
         }
         Ok(Err(SendError::Withheld)) => {
             edge.metrics.withheld.inc();
-            run.fail(Outcome::Busy);
-            return Err(Failure::Withheld);
-        }
-        Ok(Err(SendError::Lost)) => {
-            run.fail(Outcome::Faulty);
-            return Err(Failure::Lost);
+            Err(FailedAttempt::new(Failure::Withheld, Outcome::Busy))
         }
-        Ok(Ok(response)) => response,
-    };
-    let is_reused = response.connect_time.is_none();
-    run.record_connection(response.connection, response.connect_time);
-    let identity = edge.wire_format.identify_response(&response.head, &call.head);
+    }
+}
+
+/// Whether a response may be forwarded: it answers this call, and is valid.
+fn check_response<D: WireFormat>(
+    call: &CallContext<D>,
+    placement: &Placement,
+    head: &response::Parts,
+    is_reused: bool,
+) -> Result<(), FailedAttempt> {
+    let wire_format = &call.edge.wire_format;
+    let identity = wire_format.identify_response(head, &call.head);
     if identity != ResponseIdentity::Own {
-        call.report_foreign_response(placement, response.head.status, identity, is_reused);
-        run.fail(Outcome::Faulty);
-        return Err(Failure::Lost);
+        call.report_foreign_response(placement, head.status, identity, is_reused);
+        return Err(FailedAttempt::new(Failure::Lost, Outcome::Faulty));
     }
-    let failure = match edge.wire_format.classify_response(&response.head) {
-        ResponseKind::Valid => {
-            return Ok(EngineResponse { head: response.head, body: response.body, run });
+    match wire_format.classify_response(head) {
+        ResponseKind::Valid => Ok(()),
+        ResponseKind::Rejected { retry_after } => {
+            Err(FailedAttempt::new(Failure::Rejected { retry_after }, Outcome::Busy))
         }
-        ResponseKind::Rejected { retry_after } => Failure::Rejected { retry_after },
-        ResponseKind::WrongEngine => Failure::WrongEngine,
-        ResponseKind::Invalid => Failure::Spoiled,
-    };
-    run.fail(match failure {
-        Failure::Rejected { .. } => Outcome::Busy,
-        Failure::WrongEngine => Outcome::Unreachable,
-        _ => Outcome::Faulty,
-    });
-    Err(failure)
+        ResponseKind::WrongEngine => Err(FailedAttempt::new(Failure::WrongEngine, Outcome::Unreachable)),
+        ResponseKind::Invalid => Err(FailedAttempt::new(Failure::Spoiled, Outcome::Faulty)),
+    }
 }
 
 /// Urgency of a program's turn; `None` for other calls, which get the engine's default.
