Another engine's answer is no sign of life of one that lost a call

Cause: an examination after a lost call, and the watch of an engine that drains or has left the directory, took any response at the address for the engine's sign of life. Addresses are reused by engines of other services.

What callers saw: the crash was withdrawn and never counted under the request, so that a request that ends engines may reach more of them than allowed.

Health checks carry the header that names the engine, as liveness checks of unconfirmed ends do. A response that names another engine, or rejects the request as meant for another one, shows that the process has ended. Any other response still is a sign of life, also one that names no engine.

Conclusion: mended for engines that fell silent and for those that left the directory. After a broken connection, a new connection that stays open for 250 ms still is a sign of life, whoever accepts it.

--- a/crates/edge/src/engine_examination.rs
+++ b/crates/edge/src/engine_examination.rs
@@ -15,7 +15,7 @@
 
 use crate::edge::Edge;
 use crate::engine_crash::{Ending, SentCall};
-use crate::engine_pool::{Health, Probe};
+use crate::engine_pool::{Health, NoResponse, Probe};
 use crate::wire_format::WireFormat;
 
 /// Timeout of a health check, and the interval between two of them. Engines that are full answer late.
@@ -191,13 +191,12 @@
 
     /// Checks the health of a silent engine until it responds, or until it is known to have crashed.
     async fn await_response(&self, call: &SentCall, known: CrashCount) -> Verdict {
-        let path = call.health_check_path();
         let until = self.clock.now() + EXAMINATION_TIME;
         loop {
             let started = self.clock.now();
-            match self.pool.check_health(call.address, path, HEALTH_INTERVAL).await {
+            match self.check_health(call, HEALTH_INTERVAL).await {
                 Health::Responds if !self.is_replaced(&call.engine) => return Verdict::Alive,
-                Health::Responds | Health::Refused => return Verdict::Crashed,
+                Health::Responds | Health::Another | Health::Refused => return Verdict::Crashed,
                 Health::Silent if self.presence(call) != EnginePresence::Listed => return Verdict::Crashed,
                 Health::Silent => {}
             }
@@ -210,6 +209,23 @@
         }
     }
 
+    /// Asks the engine of a call for a sign of life, on a connection of its own. A response of another engine at its address is
+    /// none, and shows that the process has ended.
+    pub(crate) async fn check_health(&self, call: &SentCall, within: Duration) -> Health {
+        let headers = self.wire_format.liveness_check_headers(&call.engine);
+        match self.pool.request_health(call.address, call.health_check_path(), headers, within).await {
+            Ok(head) if self.wire_format.is_from_another_engine(&head, &call.engine) => {
+                info!(self.logger, "another engine answers at the address of one that lost a call";
+                    "event" => "engine_replaced", "call" => &call.id, "request" => %call.request,
+                    "engine" => %call.engine, "status" => head.status.as_u16());
+                Health::Another
+            }
+            Ok(_) => Health::Responds,
+            Err(NoResponse::Refused) => Health::Refused,
+            Err(NoResponse::Silent) => Health::Silent,
+        }
+    }
+
     pub(crate) async fn sleep_until(&self, at: Timestamp) {
         tokio::time::sleep_until(self.clock.instant(at)).await;
     }
--- a/crates/edge/src/engine_pool.rs
+++ b/crates/edge/src/engine_pool.rs
@@ -106,8 +106,10 @@
 /// Outcome of a health check.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Health {
-    /// The engine has given a response, whichever.
+    /// There was a response, whichever.
     Responds,
+    /// Another engine answers at the address.
+    Another,
     Refused,
     Silent,
 }
@@ -247,15 +249,6 @@
         tokio::time::timeout(within, probing).await.unwrap_or(Probe::Silent)
     }
 
-    /// Asks the engine at this address for any response, on a connection of its own.
-    pub(crate) async fn check_health(&self, address: SocketAddr, path: &str, within: Duration) -> Health {
-        match self.request_health(address, path, HeaderMap::new(), within).await {
-            Ok(_) => Health::Responds,
-            Err(NoResponse::Refused) => Health::Refused,
-            Err(NoResponse::Silent) => Health::Silent,
-        }
-    }
-
     /// Sends a health check on a connection of its own; returns the head of the response.
     pub(crate) async fn request_health(
         &self,
--- a/crates/edge/src/engine_watch.rs
+++ b/crates/edge/src/engine_watch.rs
@@ -143,10 +143,9 @@
             return false;
         }
         if watched.connection.is_none() || !watched.has_responded {
-            let path = call.health_check_path();
-            match self.pool.check_health(call.address, path, HEALTH_TIMEOUT).await {
+            match self.check_health(call, HEALTH_TIMEOUT).await {
                 Health::Responds => watched.has_responded = true,
-                Health::Refused => return true,
+                Health::Refused | Health::Another => return true,
                 Health::Silent if presence == EnginePresence::Missing => return true,
                 Health::Silent => return false,
             }
--- a/crates/edge/src/wire_format.rs
+++ b/crates/edge/src/wire_format.rs
@@ -94,6 +94,8 @@
     fn liveness_check_headers(&self, engine: &EngineId) -> HeaderMap;
     /// Whether the response to a liveness check comes from this engine, and not from another one or a server in front of it.
     fn is_from_engine(&self, head: &response::Parts, engine: &EngineId) -> bool;
+    /// Whether the response to a liveness check comes from an engine that isn't this one.
+    fn is_from_another_engine(&self, head: &response::Parts, engine: &EngineId) -> bool;
     /// Which request a response answers. One that isn't the call's own belongs to nobody: engines may send more answers than
     /// they got requests, so nothing of it may be used.
     fn identify_response(&self, head: &response::Parts, call: &CallMetadata) -> ResponseIdentity;
