A caller can't resume a turn that has to be kept whole

Cause: a caller's resumption on a route that is both retained and resumable was kept as a turn of its own, with the events of the second call only. Nobody has the events of a call that was broken off.

What callers saw: the next turn's prompt lacked the first events: "<one>word3\nword4\n<next>" instead of "<one>word1\nword2\nword3\nword4\n<next>".

Such a call gets 4017 (503, not run), so that its program begins the turn anew. Resumptions by the edge itself are kept whole, as before. Streams without a program can still be resumed on such routes, as no later turn goes on from them.

Conclusion: refused, not mended: to keep them would take a write of all forwarded text for each broken turn.

--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -129,6 +129,11 @@
     mut call: CallContext<D>,
     mut machine: CallMachine,
 ) -> Response<EdgeBody> {
+    if call.resumes_kept_turn() {
+        call.report_kept_turn_not_resumed();
+        let next = machine.end_without_engine(ResultCode::KeptTurnNotResumable);
+        return give_up(&call, &machine, &next);
+    }
     let started = call.edge.clock.now();
     let begun = begin_turn(&call, &machine, started).await;
     call.edge.metrics.ledger_seconds.observe(call.edge.clock.now().since(started).as_secs_f64());
@@ -210,6 +215,18 @@
         has_budget || (self.selected.route.is_retained && program.is_some())
     }
 
+    /// Whether the call resumes a turn of a program that its route keeps. It would be kept without its first events, as the
+    /// ledger doesn't have those of a turn that was broken off.
+    fn resumes_kept_turn(&self) -> bool {
+        self.selected.route.is_retained && self.head.program.is_some() && self.resumes_stream()
+    }
+
+    fn report_kept_turn_not_resumed(&self) {
+        info!(self.edge.logger, "a turn that has to be kept whole is not resumed"; "event" => "kept_turn_not_resumed",
+            "call" => &self.head.id, "resumed_call" => &self.head.resumed_call,
+            "after" => &self.head.resume_after, "age_ms" => self.age_millis());
+    }
+
     /// Whether the ledger admits the call before it is sent.
     pub(crate) fn is_admitted(&self) -> bool {
         let is_stream = self.selected.route.rules.kind.is_stream();
--- a/crates/types/src/result_code.rs
+++ b/crates/types/src/result_code.rs
@@ -121,6 +121,8 @@
     RequestCrashesEngines = 4015, 502, "Engines crashed under the request";
     /// Several engines lost the request and have shown no sign of life since; it is sent to no other until that is known.
     RequestMayCrashEngines = 4016, 502, "Engines may have crashed under the request";
+    /// The call resumes a turn that has to be kept, whose first events only the broken call had.
+    KeptTurnNotResumable = 4017, 503, "A turn that is kept can't be resumed";
     /// The node is shutting down and accepts no new work.
     NodeStopping = 5001, 503, "Node is stopping";
     /// The program's shard has no leader.
