A gap behind a resumption is known by the usual step of the service's streams

Cause: an edge that a caller asks to go on after an event has seen nothing of the stream, so it took any higher id for the next one; so did a resumption by the edge after fewer than two steps.

What callers saw: asked after 1, "3 4 5 6" as the complete rest; asked after 3, "6"; of an edge's own resumption, "1 3 4".

The first event of a resumption that isn't this step behind the last one is out of order.

Conclusion: mended where ids rise alike.

--- a/crates/calls/src/event_sequence.rs
+++ b/crates/calls/src/event_sequence.rs
@@ -1,7 +1,6 @@
 //! The order of a stream's events, judged by their ids before they are forwarded.
 
-/// Equal steps between ids after which the next one is expected to be as large.
-const STEPS_FOR_EXPECTATION: u32 = 2;
+use crate::event_steps::EventSteps;
 
 /// Why an event is out of order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -10,34 +9,51 @@
     Repeated,
     /// Its id is lower than that of the event before.
     Fallen,
-    /// It is the first event of a resumption, and its id isn't one step above the last, although all steps were equal so far.
+    /// It is the first event of a resumption, and its id isn't one step above the last, although all steps were equal so far,
+    /// in this stream or in the service's earlier ones.
     OffStep,
 }
 
 /// Order of the events that one caller gets as the answer to one call, over all attempts.
 ///
 /// Ids rise, but not always by one, so within an answer only a repeated or fallen id is out of order. Where an engine
-/// resumes the stream, the next id is known if all steps before were equal.
+/// resumes the stream, the next id is known if all steps before were equal, or if there were fewer than two and the service's
+/// streams have a usual step.
 ///
-/// What can't be known: whether events are missing within an answer, where a caller resumes, or where fewer than two
-/// steps came before a resumption; and of ids that aren't numbers, whether they repeat an event before the last. Events
-/// without an id can't be judged.
+/// What can't be known: whether events are missing within an answer, or at a resumption without either; and of ids that aren't
+/// numbers, whether they repeat an event before the last. Events without an id can't be judged.
 #[derive(Debug, Clone, Default)]
 pub struct EventSequence {
     last: Option<EventId>,
-    steps: Steps,
+    steps: EventSteps,
+    /// Step that the service's streams usually have.
+    usual_step: Option<u128>,
     is_resumption: bool,
+    was_resumed: bool,
 }
 
 impl EventSequence {
     /// The sequence of a stream that continues after the event `resume_after`, or begins if there is none.
     pub fn new(resume_after: Option<&str>) -> Self {
-        Self { last: resume_after.and_then(EventId::parse), ..Self::default() }
+        let last = resume_after.and_then(EventId::parse);
+        let is_resumption = last.is_some();
+        Self { last, is_resumption, was_resumed: is_resumption, ..Self::default() }
+    }
+
+    /// Sets the step that the service's streams usually have, if one is known.
+    pub fn set_usual_step(&mut self, step: Option<u128>) {
+        self.usual_step = step;
     }
 
     /// Records that the next event comes from an engine that was asked to resume the stream.
     pub fn begin_resumption(&mut self) {
         self.is_resumption = true;
+        self.was_resumed = true;
+    }
+
+    /// Steps of a stream that one engine sent from its first event on; `None` if it was resumed.
+    pub fn steps_of_single_run(&self) -> Option<EventSteps> {
+        (!self.was_resumed).then_some(self.steps)
     }
 
     /// The id after which the stream has to go on.
@@ -50,7 +66,7 @@
         let Some(id) = id.and_then(EventId::parse) else { return Ok(()) };
         if let Some(last) = &self.last {
             let step = id.step_from(last)?;
-            if self.is_resumption && self.steps.expected().is_some_and(|expected| step != Some(expected)) {
+            if self.is_resumption && !self.is_expected(step) {
                 return Err(EventDisorder::OffStep);
             }
             self.steps.record(step);
@@ -59,6 +75,12 @@
         self.last = Some(id);
         Ok(())
     }
+
+    /// Whether a resumption may begin with this step. Nothing is expected after an id that isn't a number.
+    fn is_expected(&self, step: Option<u128>) -> bool {
+        let usual = self.usual_step.filter(|_| matches!(self.last, Some(EventId::Number(_))));
+        self.steps.expected(usual).is_none_or(|expected| step == Some(expected))
+    }
 }
 
 /// Id of an event.
@@ -98,36 +120,3 @@
         }
     }
 }
-
-/// Steps between successive ids.
-#[derive(Debug, Clone, Copy, Default)]
-enum Steps {
-    #[default]
-    None,
-    Equal {
-        step: u128,
-        count: u32,
-    },
-    /// They differ, or an id isn't a number.
-    Irregular,
-}
-
-impl Steps {
-    /// The next step, if it can be expected.
-    fn expected(self) -> Option<u128> {
-        match self {
-            Self::Equal { step, count } if count >= STEPS_FOR_EXPECTATION => Some(step),
-            _ => None,
-        }
-    }
-
-    fn record(&mut self, next: Option<u128>) {
-        *self = match (*self, next) {
-            (Self::None, Some(step)) => Self::Equal { step, count: 1 },
-            (Self::Equal { step, count }, Some(next)) if next == step => {
-                Self::Equal { step, count: count.saturating_add(1) }
-            }
-            _ => Self::Irregular,
-        };
-    }
-}
--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -5,6 +5,7 @@
 //! reads no clock: the driver reports events and carries out the returned [`Next`] step.
 
 mod event_sequence;
+mod event_steps;
 mod events;
 mod fingerprint;
 mod head;
@@ -12,6 +13,7 @@
 mod rules;
 
 pub use event_sequence::{EventDisorder, EventId, EventSequence};
+pub use event_steps::{EventSteps, StepHistory};
 pub use events::{EventSplitter, StreamEvent};
 pub use fingerprint::{RequestContent, RequestFingerprint};
 pub use head::{CallMetadata, EngineId, EngineStart, EngineVersion, ProgramMetadata, PromptPart, TokenUsage};
--- a/crates/calls/tests/event_sequence.rs
+++ b/crates/calls/tests/event_sequence.rs
@@ -11,7 +11,17 @@
 
 /// Plays the ids of a case, which are separated by blanks, and returns those in order and what ended them.
 fn play(resume_after: Option<&str>, case: &str) -> (String, Option<EventDisorder>) {
+    play_with_usual_step(None, resume_after, case)
+}
+
+/// The same for a service whose streams have a usual step.
+fn play_with_usual_step(
+    usual_step: Option<u128>,
+    resume_after: Option<&str>,
+    case: &str,
+) -> (String, Option<EventDisorder>) {
     let mut sequence = EventSequence::new(resume_after);
+    sequence.set_usual_step(usual_step);
     let mut in_order = Vec::new();
     for id in case.split(' ') {
         if id == RESUMPTION {
@@ -136,3 +146,38 @@
         assert_eq!(sequence.advance(id), Ok(()));
     }
 }
+
+#[test]
+fn a_resumption_after_too_few_steps_begins_one_usual_step_above() {
+    for (usual, resume_after, case, in_order, disorder) in [
+        (1, Some("1"), "3 4 5", "", Some(OffStep)),
+        (1, Some("3"), "6", "", Some(OffStep)),
+        (1, Some("3"), "4 5 6", "4 5 6", None),
+        (1, Some("3"), "- 6", "-", Some(OffStep)),
+        (1, Some("3"), "x", "", Some(OffStep)),
+        (10, Some("20"), "30 40", "30 40", None),
+        (10, Some("20"), "21", "", Some(OffStep)),
+        (1, Some("3"), "| 6", "", Some(OffStep)),
+        (1, Some("3"), "4 | 6", "4", Some(OffStep)),
+        (1, None, "1 | 3", "1", Some(OffStep)),
+        (1, None, "1 2 | 4", "1 2", Some(OffStep)),
+        (1, None, "1 | 2 3", "1 2 3", None),
+        // Only the first event of a resumption is judged by it.
+        (1, None, "1 3 5", "1 3 5", None),
+        (1, Some("3"), "4 8", "4 8", None),
+        // The steps of the stream itself count for more.
+        (1, None, "2 4 6 | 8", "2 4 6 8", None),
+        (1, None, "2 4 | 6", "2 4 6", None),
+        (1, None, "1 2 5 | 9", "1 2 5 9", None),
+        // Nothing is known after an id that isn't a number.
+        (1, Some("b"), "c", "c", None),
+        (1, Some(""), "7 8", "7 8", None),
+    ] {
+        let expected = (in_order.to_owned(), disorder);
+        assert_eq!(
+            play_with_usual_step(Some(usual), resume_after, case),
+            expected,
+            "{resume_after:?} {case}"
+        );
+    }
+}
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -24,6 +24,7 @@
 use crate::engine_crash::{CrashTimeouts, RequestCrashes};
 use crate::engine_observation::watch_closed_connections;
 use crate::engine_pool::EnginePool;
+use crate::event_steps::ServiceEventSteps;
 use crate::metrics::EdgeMetrics;
 use crate::route_durations::RouteDurations;
 use crate::service_queues::ServiceQueues;
@@ -93,6 +94,7 @@
     routes: Mutex<Routes>,
     engines: Mutex<EngineRegistry>,
     route_durations: Mutex<RouteDurations>,
+    event_steps: Mutex<ServiceEventSteps>,
     freshness: Mutex<ConfigurationAge>,
     engine_view: Mutex<ViewContinuity>,
     pub(crate) quotas: QuotaClient,
@@ -135,6 +137,7 @@
             routes: Mutex::default(),
             engines: Mutex::new(EngineRegistry::new(location, prices, disabled, circuit_breaker)),
             route_durations: Mutex::default(),
+            event_steps: Mutex::default(),
             exchange_schedule: ExchangeSchedule::default(),
             queues: ServiceQueues::default(),
             configured: watch::Sender::new(false),
@@ -391,6 +394,10 @@
         self.route_durations.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn event_steps(&self) -> MutexGuard<'_, ServiceEventSteps> {
+        self.event_steps.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn engines(&self) -> MutexGuard<'_, EngineRegistry> {
         self.engines.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -20,6 +20,7 @@
 mod engine_pool;
 mod engine_run;
 mod engine_watch;
+mod event_steps;
 mod headers;
 mod idle_limit;
 mod listener;
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -115,7 +115,10 @@
         let framing = BodyFraming::of(&response.head, &response.body);
         let received = ReceivedBody::new(framing, call.head.resume_after.as_deref());
         let resume_after = call.head.resume_after.as_deref().filter(|_| call.resumes_stream());
-        let sequence = EventSequence::new(resume_after);
+        let mut sequence = EventSequence::new(resume_after);
+        if resume_after.is_some() {
+            sequence.set_usual_step(call.usual_step());
+        }
         Self {
             _in_flight: in_flight,
             call,
@@ -274,6 +277,9 @@
         let elapsed = self.call.edge.clock.now().since(self.call.accepted);
         let service_time = elapsed.saturating_sub(waited);
         self.call.edge.route_durations().observe(&self.call.selected.route.name, service_time);
+        if let Some(steps) = self.sequence.steps_of_single_run() {
+            self.call.edge.event_steps().record(&self.call.selected.service.name, steps);
+        }
         self.call.edge.metrics.stream_seconds.observe(elapsed.as_secs_f64());
         self.call.report_served(&self.machine, StatusCode::OK.as_u16(), &placement, &self.received);
         None
@@ -307,6 +313,7 @@
                 let framing = BodyFraming::of(&response.head, &response.body);
                 self.received = ReceivedBody::new(framing, self.machine.resume_after());
                 self.sequence.begin_resumption();
+                self.sequence.set_usual_step(self.call.usual_step());
                 self.source = Some((response.body, response.run));
                 None
             }
@@ -337,6 +344,13 @@
     }
 }
 
+impl<D: WireFormat> CallContext<D> {
+    /// Step that the ids of the service's streams usually have, if it is known.
+    fn usual_step(&self) -> Option<u128> {
+        self.edge.event_steps().usual_step(&self.selected.service.name)
+    }
+}
+
 /// A stream that its engine broke off, and the next step.
 struct LostStream {
     placement: Placement,
