The last id line of an event counts, and an empty one names no event

Cause: of several `id` lines the splitter took the first one, while callers take the last; an empty id became the event to resume after.

What callers saw: a stream resumed at another event than the last one, or with an empty `Last-Event-Id`, which is its start.

Conclusion: mended. Behind an event with an empty id, or without one, a resumption still repeats it.

--- a/crates/calls/src/events.rs
+++ b/crates/calls/src/events.rs
@@ -7,7 +7,7 @@
 pub struct StreamEvent {
     /// The raw bytes, including the terminating blank line.
     pub bytes: Bytes,
-    /// Value of the `id` field.
+    /// Value of the last `id` field; `None` if that is empty, as it names no event.
     pub id: Option<String>,
     /// Whether the event has a `data` field; comments have none.
     pub has_data: bool,
@@ -53,7 +53,7 @@
         };
         self.search_start = 0;
         let bytes = self.pending.split_to(end).freeze();
-        let id = lines(&bytes).find_map(|line| field(line, ID));
+        let id = lines(&bytes).filter_map(|line| field(line, ID)).last().filter(|id| !id.is_empty());
         let id = id.and_then(|id| std::str::from_utf8(id).ok()).map(str::to_owned);
         let has_data = lines(&bytes).any(|line| field(line, DATA).is_some());
         Some(StreamEvent { bytes, id, has_data })
--- a/crates/calls/tests/events.rs
+++ b/crates/calls/tests/events.rs
@@ -55,3 +55,15 @@
         assert_eq!(split(&chunks), (whole.clone(), rest.clone()), "seed {seed}");
     }
 }
+
+#[test]
+fn the_last_id_of_an_event_counts() {
+    let (events, _) = split(&[b"id: 1\nid: 2\ndata: a\n\n"]);
+    assert_eq!(events[0].id.as_deref(), Some("2"));
+}
+
+#[test]
+fn an_empty_id_names_no_event() {
+    let (events, _) = split(&[b"id: \ndata: a\n\nid:\ndata: b\n\nid: 1\nid:\ndata: c\n\n"]);
+    assert_eq!(events.into_iter().map(|event| event.id).collect::<Vec<_>>(), [None, None, None]);
+}
