A resumed stream can't end before an event that was begun

Cause: a resumption that ends regularly without any event was taken for the end of the stream, even if the engine before had been cut within a further event.

What callers saw: "1 2 3" as the complete stream, where the first engine had sent "id: 4" and was cut.

The edge remembers that an event with an id or data had begun (`EventSplitter::has_begun_event`). Until an engine completes one, a regular end is that engine's failure: it is excluded from the call, and the stream is resumed or broken off.

Conclusion: mended where it can be known. Without a begun event an end can't be told from one that comes too early: kept, see docs/design/event-order.md.

--- a/crates/calls/src/events.rs
+++ b/crates/calls/src/events.rs
@@ -69,6 +69,11 @@
         &self.pending
     }
 
+    /// Whether the bytes after the last returned event show that another one, with an id or data, has begun.
+    pub fn has_begun_event(&self) -> bool {
+        lines(&self.pending).any(|line| field(line, ID).is_some() || field(line, DATA).is_some())
+    }
+
     /// Discards the buffered bytes.
     pub fn clear(&mut self) {
         self.pending.clear();
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -100,6 +100,8 @@
     pending: VecDeque<StreamEvent>,
     /// Whether the current attempt sent an event out of order, behind those that are pending.
     is_out_of_order: bool,
+    /// Whether an engine has begun an event that no engine has completed.
+    lacks_begun_event: bool,
     has_ended: bool,
     _in_flight: GaugeGuard,
 }
@@ -130,6 +132,7 @@
             sequence,
             pending: VecDeque::new(),
             is_out_of_order: false,
+            lacks_begun_event: false,
             has_ended: false,
         }
     }
@@ -146,6 +149,7 @@
             } else {
                 match self.read().await {
                     ReadOutcome::Data => self.split_events(),
+                    ReadOutcome::End if self.lacks_begun_event => failure = Some(self.reject_end()),
                     ReadOutcome::End => return self.finish().await,
                     ReadOutcome::Broken => failure = Some(Failure::Lost),
                 }
@@ -187,6 +191,17 @@
         }
     }
 
+    /// Rejects the regular end of a resumed stream that has to have another event.
+    fn reject_end(&mut self) -> Failure {
+        if let Some((_, run)) = &self.source {
+            self.machine.exclude_engine(&run.engine);
+            slog::info!(self.call.edge.logger, "engine ended a stream before an event that another one had begun";
+                "event" => "stream_ended_early", "call" => &self.call.head.id, "engine" => %run.engine,
+                "last_event" => self.machine.resume_after(), "age_ms" => self.call.age_millis(), &self.received);
+        }
+        Failure::Spoiled
+    }
+
     /// Combines an event with those already parsed behind it into one chunk.
     fn combine(&mut self, mut first: StreamEvent) -> Bytes {
         self.record_event(&mut first);
@@ -206,6 +221,7 @@
             turn.record_event(event);
         }
         self.call.edge.metrics.events.inc();
+        self.lacks_begun_event &= !event.has_data && event.id.is_none();
         self.received.record_event(event.id.as_deref());
         self.machine.record_event_sent(event.id.take());
     }
@@ -296,6 +312,7 @@
 
     /// Resumes the stream after the engine failed. Returns the result code if that is not possible.
     async fn resume(&mut self, failure: Failure) -> Option<ResultCode> {
+        self.lacks_begun_event |= self.splitter.has_begun_event();
         self.splitter.clear();
         let Some(LostStream { placement: Placement { engine, version, .. }, next }) =
             self.record_loss(failure).await
