A member that lost its disk is not drained before it votes

Cause: GroupMaintenance::leave_group didn't ask whether the replica is complete. An empty disk has nothing to hand over, so the drain completed within tens of milliseconds, and the others took the machine for one that had handed over. What callers saw: a record of this machine and one other had one holder left, and the next machine could read the other member: a turn answered whole got 404.

Change: such a drain waits (LeaveRefusal::Incomplete, event retirement_waits) until the member has read the others and votes.

--- a/crates/ledger/src/placement.rs
+++ b/crates/ledger/src/placement.rs
@@ -78,6 +78,9 @@
     /// A remaining member does not answer, or it or a client that it heard of lately waits for a majority only.
     #[error("not all members and clients are known to count enough copies")]
     MajorityCounted,
+    /// The member has not read all records yet, so it can't hand them over.
+    #[error("the member has not read all records yet")]
+    Incomplete,
 }
 
 /// Cause of a group change.
--- a/crates/storage/src/group_maintenance.rs
+++ b/crates/storage/src/group_maintenance.rs
@@ -312,6 +312,10 @@
             self.complete_retirement(&previous_group).await;
             return;
         };
+        // Until it votes, it lacks records that it acknowledged before it lost its disk.
+        if !self.host.is_voting() {
+            return self.report_waiting_retirement(&group, LeaveRefusal::Incomplete);
+        }
         let next = match self.group_after_leave(&group) {
             Ok(next) => next,
             Err(refusal) => return self.report_waiting_retirement(&group, refusal),
