Members read each other after a removal, however they learn of it

Cause: GroupMaintenance noted the departed member only if it installed the new version of the group itself. A member that got the version with a peer's request (page, push, install) never read the other one, and the note was lost with its process. What callers saw: a record of the other member and the departed one had one holder in a group of two that takes every record to be at both: 404 for turns answered whole, and budgets exceeded.

GroupMaintenance::removed is gone.

Before: both tests of removal_learned_from_peers.rs fail (a change seen late in the directory; an outage right after the change).

--- a/crates/ledger/src/replica.rs
+++ b/crates/ledger/src/replica.rs
@@ -49,6 +49,8 @@
     read_members: BTreeSet<String>,
     /// Members that reported at the current epoch that they have never voted.
     never_voted: BTreeSet<String>,
+    /// Members that departed without a replacement, until the remaining members have been read.
+    departed: BTreeSet<String>,
     /// Unix time in milliseconds of the last request from a build that always waits for a majority.
     majority_client_seen_at: Option<u64>,
 }
@@ -65,6 +67,7 @@
             is_leaving: false,
             read_members: BTreeSet::new(),
             never_voted: BTreeSet::new(),
+            departed: BTreeSet::new(),
             majority_client_seen_at: None,
         }
     }
@@ -83,6 +86,9 @@
             Some(RecordKind::Reading(reading)) => {
                 if reading.epoch == self.group.epoch {
                     self.read_members.extend(reading.sources.iter().cloned());
+                    if self.has_read_all_others() {
+                        self.departed.clear();
+                    }
                 }
             }
             Some(RecordKind::Standing(standing)) => {
@@ -145,6 +151,34 @@
         self.read_members.contains(node)
     }
 
+    /// Members that departed without a replacement and whose records the other members may not all hold yet. This does
+    /// not depend on how the replica learned of the change.
+    pub fn departed_members(&self) -> &BTreeSet<String> {
+        &self.departed
+    }
+
+    /// Removes the members that handed over their records before they left.
+    pub fn forget_departed(&mut self, has_handed_over: impl Fn(&str) -> bool) {
+        self.departed.retain(|node| !has_handed_over(node));
+    }
+
+    /// Marks all other members as read completely at an epoch after some departed; their records must be durable.
+    /// Returns the record to make durable; `None` if the group has changed since, so that they must be read again.
+    pub fn record_others_read(&mut self, epoch: u64) -> Option<Record> {
+        if epoch != self.group.epoch {
+            return None;
+        }
+        let others = self.group.members.iter().filter(|member| member.node != self.settings.node);
+        self.read_members = others.map(|member| member.node.clone()).collect();
+        self.departed.clear();
+        Some(self.reading_record())
+    }
+
+    fn has_read_all_others(&self) -> bool {
+        let mut others = self.group.members.iter().filter(|member| member.node != self.settings.node);
+        others.all(|member| self.read_members.contains(&member.node))
+    }
+
     /// Whether it is certain that the replica has never voted as its current member.
     fn has_never_voted(&self) -> bool {
         if is_broken(Rule::LedgerNeverVotedIsTrue) {
@@ -361,9 +395,11 @@
             self.complete_join_epoch = None;
             self.never_voted_join_epoch = None;
             self.is_leaving = false;
+            self.departed.clear();
             self.group = Group::default();
         }
         if group.supersedes(&self.group) {
+            self.departed.extend(group.removed_since(&self.group));
             self.group = group;
             // Members read under an earlier version may since have acknowledged more records.
             if !is_broken(Rule::LedgerReadsThisEpoch) {
--- a/crates/storage/src/catch_up.rs
+++ b/crates/storage/src/catch_up.rs
@@ -59,8 +59,8 @@
 }
 
 /// Reads all other members of the group as a voting replica: records that only this replica and a departed
-/// member acknowledged may be held by too few of the rest. Returns whether every member was read completely.
-pub(crate) async fn reread_others(host: &ReplicaHost, transport: &Transport, own_node: &str) -> bool {
+/// member acknowledged may be held by too few of the rest. Stops at the first member that can't be read.
+pub(crate) async fn reread_others(host: &ReplicaHost, transport: &Transport, own_node: &str) {
     let group = host.replica().group().clone();
     for member in group.members.iter().filter(|member| member.node != own_node) {
         match read_member(host, transport, &group, member, true).await {
@@ -72,11 +72,14 @@
             MemberRead::Failed(answer) => {
                 warn!(host.logger(), "member could not be read"; "event" => "member_reread_failed",
                     "member" => &member.node, "epoch" => group.epoch, "answer" => %answer);
-                return false;
+                return;
             }
         }
     }
-    true
+    let record = host.replica().record_others_read(group.epoch);
+    if let Err(failure) = host.commit(record.into_iter().collect()).await {
+        warn!(host.logger(), "reading of the members not durable"; "event" => "commit_failed", "error" => %failure);
+    }
 }
 
 /// Outcome of reading a member.
--- a/crates/storage/src/group_maintenance.rs
+++ b/crates/storage/src/group_maintenance.rs
@@ -71,8 +71,6 @@
     /// Why the retirement waits, as last logged.
     retirement_refusal: Option<LeaveRefusal>,
     has_handed_over: bool,
-    /// Departed members without a replacement, until the remaining members were read.
-    removed: Vec<String>,
     /// Number of machines that may bootstrap the groups, and since when it is unchanged.
     candidate_count: usize,
     candidate_count_since: Instant,
@@ -102,7 +100,6 @@
             is_retirement_reported: false,
             retirement_refusal: None,
             has_handed_over: false,
-            removed: Vec::new(),
             candidate_count: 0,
             candidate_count_since: started,
         }
@@ -156,14 +153,15 @@
     }
 
     /// Reads the remaining members after one departed without a handover; a drained machine does hand over.
-    async fn reread_after_departure(&mut self, view: &DirectoryView) {
-        let is_retired = |node: &String| view.retirements.iter().any(|retirement| retirement.node == *node);
-        self.removed.retain(|node| !is_retired(node));
-        if self.removed.is_empty() || !self.host.is_voting() {
-            return;
-        }
-        if reread_others(&self.host, &self.transport, &self.settings.own.node).await {
-            self.removed.clear();
+    async fn reread_after_departure(&self, view: &DirectoryView) {
+        let is_retired = |node: &str| view.retirements.iter().any(|retirement| retirement.node == node);
+        let needs_reading = {
+            let mut replica = self.host.replica();
+            replica.forget_departed(is_retired);
+            replica.is_voting() && !replica.departed_members().is_empty()
+        };
+        if needs_reading {
+            reread_others(&self.host, &self.transport, &self.settings.own.node).await;
         }
     }
 
@@ -174,13 +172,11 @@
 
     /// Adopts the newer version of the own group, or the group of which the node is now a member.
     async fn adopt_groups(&mut self, map: &GroupMap) {
-        let (before, record, group) = {
+        let (record, group) = {
             let mut replica = self.host.replica();
-            let before = replica.group().clone();
-            (before, replica.follow_map(map), replica.group().clone())
+            (replica.follow_map(map), replica.group().clone())
         };
         let Some(record) = record else { return };
-        self.removed.extend(group.removed_since(&before));
         info!(self.host.logger(), "group adopted"; "event" => "group_adopted", "group" => group.number,
             "epoch" => group.epoch, "members" => format_members(&group),
             "commit_quorum" => group.commit_quorum(), "voting" => self.host.is_voting());
--- a/crates/storage/tests/cluster/directory.rs
+++ b/crates/storage/tests/cluster/directory.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use sumacdrift_ledger::GroupMap;
 use sumacdrift_storage::{
@@ -84,3 +85,36 @@
         Box::pin(async { Ok(()) })
     }
 }
+
+/// The directory as seen by a machine that learns of each change late; its own changes are made at once.
+pub struct LaggingDirectory {
+    pub directory: SharedDirectory,
+    pub lag: Duration,
+}
+
+impl GroupDirectory for LaggingDirectory {
+    fn view(&self) -> watch::Receiver<DirectoryView> {
+        let mut source = self.directory.view();
+        let (sender, receiver) = watch::channel(source.borrow_and_update().clone());
+        let lag = self.lag;
+        tokio::spawn(async move {
+            while source.changed().await.is_ok() && !sender.is_closed() {
+                tokio::time::sleep(lag).await;
+                sender.send_replace(source.borrow_and_update().clone());
+            }
+        });
+        receiver
+    }
+
+    fn register(&self, registration: Registration) -> DirectoryFuture<'_, ()> {
+        self.directory.register(registration)
+    }
+
+    fn replace_map(&self, map: GroupMap, expected: Option<Revision>) -> DirectoryFuture<'_, ()> {
+        self.directory.replace_map(map, expected)
+    }
+
+    fn report_retirement(&self, node: String, is_completed: bool) -> DirectoryFuture<'_, ()> {
+        self.directory.report_retirement(node, is_completed)
+    }
+}
--- a/crates/storage/tests/cluster/mod.rs
+++ b/crates/storage/tests/cluster/mod.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use directory::SharedDirectory;
+use directory::{LaggingDirectory, SharedDirectory};
 pub use disk::MemoryDisk;
 use slog::{Discard, Logger, o};
 use sumacdrift_journal::JournalWriter;
@@ -46,6 +46,8 @@
     address: SocketAddr,
     disk: MemoryDisk,
     has_started: bool,
+    /// Time after which its process learns of changes in the directory.
+    directory_lag: Duration,
     process: Option<Process>,
 }
 
@@ -135,6 +137,7 @@
             address: ([10, 0, 0, position], 1).into(),
             disk: MemoryDisk::default(),
             has_started: false,
+            directory_lag: Duration::ZERO,
             process: None,
         };
         self.cluster.insert(name.to_owned(), machine);
@@ -176,7 +179,10 @@
             topology: Arc::new(Topology::default()),
             catch_up_time: cluster_settings.catch_up_time,
         };
-        let directory: Arc<dyn GroupDirectory> = Arc::new(directory);
+        let directory: Arc<dyn GroupDirectory> = match machine.directory_lag {
+            Duration::ZERO => Arc::new(directory),
+            lag => Arc::new(LaggingDirectory { directory, lag }),
+        };
         let own_transport = Arc::clone(&transport);
         let maintenance = GroupMaintenance::new(settings, Arc::clone(&host), transport, directory);
         let (stop, mut tasks) = (CancellationToken::new(), JoinSet::new());
@@ -250,6 +256,11 @@
         }
     }
 
+    /// From its next start on, a machine learns of changes in the directory this much later.
+    pub fn set_directory_lag(&mut self, name: &str, lag: Duration) {
+        self.cluster.get_mut(name).expect("a machine").directory_lag = lag;
+    }
+
     /// While set, changes of the groups are applied but reported as failed.
     pub fn set_replies_lost(&self, is_lossy: bool) {
         self.directory.set_replies_lost(is_lossy);
