--- a/crates/storage/tests/cluster/mod.rs
+++ b/crates/storage/tests/cluster/mod.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use directory::SharedDirectory;
+use directory::{LaggingDirectory, SharedDirectory};
 pub use disk::MemoryDisk;
 use slog::{Discard, Logger, o};
 use sumacdrift_journal::JournalWriter;
@@ -46,6 +46,8 @@
     address: SocketAddr,
     disk: MemoryDisk,
     has_started: bool,
+    /// Time after which its process learns of changes in the directory.
+    directory_lag: Duration,
     process: Option<Process>,
 }
 
@@ -135,6 +137,7 @@
             address: ([10, 0, 0, position], 1).into(),
             disk: MemoryDisk::default(),
             has_started: false,
+            directory_lag: Duration::ZERO,
             process: None,
         };
         self.cluster.insert(name.to_owned(), machine);
@@ -176,7 +179,10 @@
             topology: Arc::new(Topology::default()),
             catch_up_time: cluster_settings.catch_up_time,
         };
-        let directory: Arc<dyn GroupDirectory> = Arc::new(directory);
+        let directory: Arc<dyn GroupDirectory> = match machine.directory_lag {
+            Duration::ZERO => Arc::new(directory),
+            lag => Arc::new(LaggingDirectory { directory, lag }),
+        };
         let own_transport = Arc::clone(&transport);
         let maintenance = GroupMaintenance::new(settings, Arc::clone(&host), transport, directory);
         let (stop, mut tasks) = (CancellationToken::new(), JoinSet::new());
@@ -208,6 +214,16 @@
         self.lose_power(name).await;
     }
 
+    /// Requests the planned stop of a machine; the returned task ends when its process may exit.
+    pub fn begin_stop(&self, name: &str) -> JoinSet<()> {
+        let machine = self.cluster.get(name).expect("a machine");
+        let process = machine.process.as_ref().expect("a running process");
+        let (host, transport) = (Arc::clone(&process.host), Arc::clone(&process.transport));
+        let mut stop = JoinSet::new();
+        stop.spawn(async move { offer_membership(&host, &transport).await });
+        stop
+    }
+
     /// Stops a machine as planned and removes it with its disk.
     pub async fn stop_and_remove(&mut self, name: &str) {
         self.stop(name).await;
@@ -250,6 +266,11 @@
         }
     }
 
+    /// From its next start on, a machine learns of changes in the directory this much later.
+    pub fn set_directory_lag(&mut self, name: &str, lag: Duration) {
+        self.cluster.get_mut(name).expect("a machine").directory_lag = lag;
+    }
+
     /// While set, changes of the groups are applied but reported as failed.
     pub fn set_replies_lost(&self, is_lossy: bool) {
         self.directory.set_replies_lost(is_lossy);
