A chat answer ends with its finish reason

An engine that ended between its finish reason and [DONE] was continued by another one, whose text was joined to an answer that was finished: callers saw "own more". The finish reason ends the answer now, and another attempt isn't made. If the engine hasn't told its usage, each delta counts as a token, so that the budget holds.

--- a/crates/node/src/chat_runner/attempts.rs
+++ b/crates/node/src/chat_runner/attempts.rs
@@ -184,6 +184,10 @@
                 return Err(error);
             }
         };
+        if progress.usage.output_tokens == 0 {
+            // The engine hasn't told its usage. Each delta counts as a token.
+            progress.usage.output_tokens = progress.generated - generated_before;
+        }
         self.record_finished(&mut release, progress, prefixes, sent);
         progress.usage.output_tokens += generated_before;
         progress.usage.prompt_tokens = progress.usage.prompt_tokens.saturating_sub(generated_before);
@@ -220,7 +224,15 @@
         progress: &mut TurnProgress,
     ) -> Result<String, EngineError> {
         loop {
-            let items = stream.next_items().await?;
+            let items = match stream.next_items().await {
+                Err(error) if progress.answer.finish_reason().is_some() => {
+                    // The finish reason ends the answer. Another engine would add to it.
+                    info!(self.context.logger, "engine ended a stream behind the finish reason";
+                        "call" => %turn.call.call, "error" => error.to_string());
+                    Vec::new()
+                }
+                read => read?,
+            };
             if items.is_empty() {
                 let reason = progress.answer.finish_reason().map(str::to_owned);
                 return reason.ok_or(EngineError::InvalidResponse);
