--- a/crates/edge/src/buffered.rs
+++ b/crates/edge/src/buffered.rs
@@ -4,14 +4,14 @@
 use http::{Response, response};
 use hyper::body::Incoming;
 use sumacdrift_calls::{CallMachine, Failure, Next};
-use sumacdrift_http_client::{HttpError, read_body_while};
+use sumacdrift_http_client::{BodyFraming, HttpError, read_body_while};
 use sumacdrift_routing::{Outcome, Placement};
 use tokio::sync::{Semaphore, SemaphorePermit};
 
 use crate::attempt::{CallContext, EngineResponse, attempt_until_response};
 use crate::headers::without_hop_by_hop;
 use crate::metrics::GaugeGuard;
-use crate::received_body::{BodyEnd, BodyFraming, ReceivedBody};
+use crate::received_body::{BodyEnd, ReceivedBody};
 use crate::responses::{EdgeBody, full_body};
 use crate::wire_format::WireFormat;
 
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -11,6 +11,7 @@
 use sumacdrift_calls::{
     CallMachine, EngineId, EventDisorder, EventSequence, EventSplitter, Failure, Next, StreamEvent,
 };
+use sumacdrift_http_client::BodyFraming;
 use sumacdrift_routing::{Outcome, Placement};
 use sumacdrift_storage::LedgerError;
 use sumacdrift_types::ResultCode;
@@ -19,7 +20,7 @@
 use crate::buffered::{buffer_response, forwarded_response};
 use crate::engine_run::EngineRun;
 use crate::metrics::GaugeGuard;
-use crate::received_body::{BodyEnd, BodyFraming, ReceivedBody};
+use crate::received_body::{BodyEnd, ReceivedBody};
 use crate::responses::{EdgeBody, RelayError, full_body};
 use crate::state_exchange::cached_parts;
 use crate::turn::{OpenTurn, result_code};
--- a/crates/edge/src/unconfirmed_end.rs
+++ b/crates/edge/src/unconfirmed_end.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use slog::info;
+use sumacdrift_http_client::BodyFraming;
 use sumacdrift_routing::Placement;
 use sumacdrift_types::Timestamp;
 
@@ -11,7 +12,6 @@
 use crate::engine_crash::health_check_path;
 use crate::engine_pool::NoResponse;
 use crate::engine_run::EngineRun;
-use crate::received_body::BodyFraming;
 use crate::wire_format::WireFormat;
 
 /// Timeout of a liveness check. Engines that are full answer late.
--- a/crates/http-client/src/lib.rs
+++ b/crates/http-client/src/lib.rs
@@ -2,17 +2,21 @@
 //!
 //! The distinction matters because "not run" may be claimed only for a request of which no byte was sent.
 
+mod framing;
+
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::header::{CONNECTION, TRANSFER_ENCODING};
-use http::{HeaderMap, HeaderValue, Request, Response};
+use http::header::CONNECTION;
+use http::{HeaderValue, Request, Response};
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
+pub use framing::BodyFraming;
+
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -112,13 +116,20 @@
         }
         match tokio::time::timeout(timeout, self.client.request(request)).await {
             Err(_) => Err(HttpError::TimedOut),
-            Ok(Ok(response)) if self.requires_framing && is_unframed(&response) => Err(HttpError::Unframed),
-            Ok(Ok(response)) => Ok(response),
+            Ok(Ok(response)) => self.check_framing(response),
             Ok(Err(error)) if error.is_connect() => Err(HttpError::NotSent(describe(&error))),
             Ok(Err(error)) => Err(HttpError::ConnectionLost(describe(&error))),
         }
     }
 
+    fn check_framing(&self, response: Response<Incoming>) -> Result<Response<Incoming>, HttpError> {
+        let (head, body) = response.into_parts();
+        if self.requires_framing && BodyFraming::of(&head, &body) == BodyFraming::UntilClose {
+            return Err(HttpError::Unframed);
+        }
+        Ok(Response::from_parts(head, body))
+    }
+
     /// Sends a request and reads the whole response, within `timeout` in total.
     pub async fn fetch(
         &self,
@@ -180,17 +191,6 @@
     Ok(Some(if buffer.is_empty() { first_chunk } else { buffer.freeze() }))
 }
 
-/// Whether the body ends with its connection. That holds for all encodings whose last part isn't chunks.
-fn is_unframed(response: &Response<Incoming>) -> bool {
-    response.body().size_hint().exact().is_none() && !is_chunked(response.headers())
-}
-
-fn is_chunked(headers: &HeaderMap) -> bool {
-    let last = headers.get_all(TRANSFER_ENCODING).iter().next_back();
-    let last = last.and_then(|value| value.to_str().ok()?.rsplit(',').next());
-    last.is_some_and(|encoding| encoding.trim().eq_ignore_ascii_case("chunked"))
-}
-
 fn describe(error: &hyper_util::client::legacy::Error) -> String {
     let source = std::error::Error::source(error);
     source.map_or_else(|| error.to_string(), ToString::to_string)
