--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -267,15 +267,12 @@
     })
 }
 
-/// Why an attempt failed, and what that says about its engine.
-struct FailedAttempt {
-    failure: Failure,
-    outcome: Outcome,
-}
-
-impl FailedAttempt {
-    fn new(failure: Failure, outcome: Outcome) -> Self {
-        Self { failure, outcome }
+/// What a failed attempt says about its engine.
+fn outcome_of(failure: Failure) -> Outcome {
+    match failure {
+        Failure::Rejected { .. } | Failure::Withheld => Outcome::Busy,
+        Failure::NotSent | Failure::WrongEngine => Outcome::Unreachable,
+        Failure::Lost | Failure::Crashed | Failure::Spoiled | Failure::ServerError => Outcome::Faulty,
     }
 }
 
@@ -286,19 +283,17 @@
     permit: Option<Permit>,
 ) -> Result<EngineResponse<D>, Failure> {
     let mut run = EngineRun::begin(&call.edge, placement);
-    let response = match send_to_engine(call, machine, placement, permit).await {
-        Ok(response) => response,
-        Err(FailedAttempt { failure, outcome }) => {
-            run.fail(outcome);
-            return Err(failure);
+    let received = match send_to_engine(call, machine, placement, permit).await {
+        Ok(PoolResponse { head, body, connection, connect_time }) => {
+            run.record_connection(connection, connect_time);
+            check_response(call, placement, &head, connect_time.is_none()).map(|()| (head, body))
         }
+        Err(failure) => Err(failure),
     };
-    let is_reused = response.connect_time.is_none();
-    run.record_connection(response.connection, response.connect_time);
-    match check_response(call, placement, &response.head, is_reused) {
-        Ok(()) => Ok(EngineResponse { head: response.head, body: response.body, run }),
-        Err(FailedAttempt { failure, outcome }) => {
-            run.fail(outcome);
+    match received {
+        Ok((head, body)) => Ok(EngineResponse { head, body, run }),
+        Err(failure) => {
+            run.fail(outcome_of(failure));
             Err(failure)
         }
     }
@@ -310,7 +305,7 @@
     machine: &CallMachine,
     placement: &Placement,
     permit: Option<Permit>,
-) -> Result<PoolResponse, FailedAttempt> {
+) -> Result<PoolResponse, Failure> {
     let edge = &call.edge;
     let request = engine_request(call, machine, placement);
     let deadline = edge.clock.instant(machine.deadline());
@@ -323,17 +318,17 @@
     let sending = edge.pool.send(&placement.engine, placement.address, request, reuse, &may_send);
     match tokio::time::timeout_at(deadline, sending).await {
         Ok(Ok(response)) => Ok(response),
-        Err(_) | Ok(Err(SendError::Lost)) => Err(FailedAttempt::new(Failure::Lost, Outcome::Faulty)),
+        Err(_) | Ok(Err(SendError::Lost)) => Err(Failure::Lost),
         Ok(Err(SendError::NotSent(error))) => {
             call.report_connect_failure(placement, error.as_ref());
             if error.is_some_and(|error| error.is_refused()) {
                 edge.attribute_end(&placement.engine, edge.clock.now());
             }
-            Err(FailedAttempt::new(Failure::NotSent, Outcome::Unreachable))
+            Err(Failure::NotSent)
         }
         Ok(Err(SendError::Withheld)) => {
             edge.metrics.withheld.inc();
-            Err(FailedAttempt::new(Failure::Withheld, Outcome::Busy))
+            Err(Failure::Withheld)
         }
     }
 }
@@ -344,20 +339,18 @@
     placement: &Placement,
     head: &response::Parts,
     is_reused: bool,
-) -> Result<(), FailedAttempt> {
+) -> Result<(), Failure> {
     let wire_format = &call.edge.wire_format;
     let identity = wire_format.identify_response(head, &call.head);
     if identity != ResponseIdentity::Own {
         call.report_foreign_response(placement, head.status, identity, is_reused);
-        return Err(FailedAttempt::new(Failure::Lost, Outcome::Faulty));
+        return Err(Failure::Lost);
     }
     match wire_format.classify_response(head) {
         ResponseKind::Valid => Ok(()),
-        ResponseKind::Rejected { retry_after } => {
-            Err(FailedAttempt::new(Failure::Rejected { retry_after }, Outcome::Busy))
-        }
-        ResponseKind::WrongEngine => Err(FailedAttempt::new(Failure::WrongEngine, Outcome::Unreachable)),
-        ResponseKind::Invalid => Err(FailedAttempt::new(Failure::Spoiled, Outcome::Faulty)),
+        ResponseKind::Rejected { retry_after } => Err(Failure::Rejected { retry_after }),
+        ResponseKind::WrongEngine => Err(Failure::WrongEngine),
+        ResponseKind::Invalid => Err(Failure::Spoiled),
     }
 }
 
--- a/crates/edge/src/buffered.rs
+++ b/crates/edge/src/buffered.rs
@@ -4,7 +4,7 @@
 use http::{Response, response};
 use hyper::body::Incoming;
 use sumacdrift_calls::{CallMachine, Failure, Next};
-use sumacdrift_http_client::{BodyFraming, HttpError, read_body_while};
+use sumacdrift_http_client::{HttpError, read_body_while};
 use sumacdrift_routing::{Outcome, Placement};
 use tokio::sync::{Semaphore, SemaphorePermit};
 
@@ -122,14 +122,13 @@
     machine: &CallMachine,
     received: EngineResponse<D>,
 ) -> Result<(response::Parts, Bytes, ReceivedBody), Failure> {
-    let framing = BodyFraming::of(&received.head, &received.body);
-    let mut body = ReceivedBody::new(framing, None);
+    let mut body = ReceivedBody::of(&received.head, &received.body, None);
     let deadline = call.edge.clock.instant(machine.deadline());
     let reading = call.edge.response_memory.read(received.body);
     match tokio::time::timeout_at(deadline, reading).await {
         Ok(Ok(Some(bytes))) => {
             let mut run = received.run;
-            if call.confirm_end(framing, &mut run, machine.deadline()).await.is_err() {
+            if call.confirm_end(body.framing(), &mut run, machine.deadline()).await.is_err() {
                 run.fail(Outcome::Faulty);
                 return Err(Failure::Lost);
             }
--- a/crates/edge/src/engine_examination.rs
+++ b/crates/edge/src/engine_examination.rs
@@ -4,9 +4,11 @@
 //! it shows a sign of life: it keeps a new connection open, or, if it had fallen silent, responds to a health check. From
 //! then on it is observed. An examination goes on when the call is over and its caller has left.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::StatusCode;
 use slog::info;
 use sumacdrift_calls::{CrashCount, EngineId};
 use sumacdrift_quarantine::Certainty;
@@ -16,7 +18,7 @@
 use crate::edge::Edge;
 use crate::engine_crash::{Ending, SentCall};
 use crate::engine_pool::{Health, NoResponse, Probe};
-use crate::wire_format::WireFormat;
+use crate::wire_format::{Responder, WireFormat};
 
 /// Timeout of a health check, and the interval between two of them. Engines that are full answer late.
 const HEALTH_INTERVAL: Duration = Duration::from_secs(1);
@@ -39,6 +41,13 @@
     Unknown,
 }
 
+/// Response to a liveness check.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct LivenessResponse {
+    pub(crate) responder: Responder,
+    pub(crate) status: StatusCode,
+}
+
 impl<D: WireFormat> Edge<D> {
     /// Examines the engine of a lost call and reports what it finds. Returns when the call may go on: if as many engines as
     /// allowed may have crashed under its request, only once it is known what has become of this one, unless the call has no
@@ -212,12 +221,11 @@
     /// Asks the engine of a call for a sign of life, on a connection of its own. A response of another engine at its address is
     /// none, and shows that the process has ended.
     pub(crate) async fn check_health(&self, call: &SentCall, within: Duration) -> Health {
-        let headers = self.wire_format.liveness_check_headers(&call.engine);
-        match self.pool.request_health(call.address, call.health_check_path(), headers, within).await {
-            Ok(head) if self.wire_format.is_from_another_engine(&head, &call.engine) => {
+        match self.request_liveness(&call.engine, call.address, call.health_check_path(), within).await {
+            Ok(LivenessResponse { responder: Responder::AnotherEngine, status }) => {
                 info!(self.logger, "another engine answers at the address of one that lost a call";
                     "event" => "engine_replaced", "call" => &call.id, "request" => %call.request,
-                    "engine" => %call.engine, "status" => head.status.as_u16());
+                    "engine" => %call.engine, "status" => status.as_u16());
                 Health::Another
             }
             Ok(_) => Health::Responds,
@@ -226,6 +234,20 @@
         }
     }
 
+    /// Sends a health check that names the engine, on a connection of its own.
+    pub(crate) async fn request_liveness(
+        &self,
+        engine: &EngineId,
+        address: SocketAddr,
+        health_path: &str,
+        within: Duration,
+    ) -> Result<LivenessResponse, NoResponse> {
+        let headers = self.wire_format.liveness_check_headers(engine);
+        let head = self.pool.request_health(address, health_path, headers, within).await?;
+        let responder = self.wire_format.identify_responder(&head, engine);
+        Ok(LivenessResponse { responder, status: head.status })
+    }
+
     pub(crate) async fn sleep_until(&self, at: Timestamp) {
         tokio::time::sleep_until(self.clock.instant(at)).await;
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -52,4 +52,6 @@
 pub use metrics::EdgeMetrics;
 pub use responses::{EdgeBody, RelayError, problem_response};
 pub use view_continuity::ViewContinuity;
-pub use wire_format::{CallError, EngineAttempt, KeyHandling, ResponseIdentity, ResponseKind, WireFormat};
+pub use wire_format::{
+    CallError, EngineAttempt, KeyHandling, Responder, ResponseIdentity, ResponseKind, WireFormat,
+};
--- a/crates/edge/src/received_body.rs
+++ b/crates/edge/src/received_body.rs
@@ -3,6 +3,8 @@
 use std::error::Error;
 use std::io::ErrorKind;
 
+use http::response;
+use hyper::body::Incoming;
 use slog::{KV, Record, Serializer};
 use sumacdrift_http_client::BodyFraming;
 
@@ -46,7 +48,8 @@
 
 impl ReceivedBody {
     /// A body of which nothing has been read; `resume_after` is the event after which its stream was to be resumed.
-    pub(crate) fn new(framing: BodyFraming, resume_after: Option<&str>) -> Self {
+    pub(crate) fn of(head: &response::Parts, body: &Incoming, resume_after: Option<&str>) -> Self {
+        let framing = BodyFraming::of(head, body);
         Self { framing, end: None, resume_after: resume_after.map(str::to_owned), first_event: None }
     }
 
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -11,7 +11,6 @@
 use sumacdrift_calls::{
     CallMachine, EngineId, EventDisorder, EventSequence, EventSplitter, Failure, Next, StreamEvent,
 };
-use sumacdrift_http_client::BodyFraming;
 use sumacdrift_routing::{Outcome, Placement};
 use sumacdrift_storage::LedgerError;
 use sumacdrift_types::ResultCode;
@@ -115,8 +114,7 @@
         response: EngineResponse<D>,
     ) -> Self {
         let in_flight = GaugeGuard::increment(&call.edge.metrics.in_flight);
-        let framing = BodyFraming::of(&response.head, &response.body);
-        let received = ReceivedBody::new(framing, call.head.resume_after.as_deref());
+        let received = ReceivedBody::of(&response.head, &response.body, call.head.resume_after.as_deref());
         let resume_after = call.head.resume_after.as_deref().filter(|_| call.resumes_stream());
         let mut sequence = EventSequence::new(resume_after);
         if resume_after.is_some() {
@@ -328,8 +326,8 @@
         match attempt_until_response(&self.call, &mut self.machine, None, next).await {
             Ok(response) if response.head.status == StatusCode::OK => {
                 self.call.edge.metrics.resumptions.inc();
-                let framing = BodyFraming::of(&response.head, &response.body);
-                self.received = ReceivedBody::new(framing, self.machine.resume_after());
+                let resume_after = self.machine.resume_after();
+                self.received = ReceivedBody::of(&response.head, &response.body, resume_after);
                 self.sequence.begin_resumption();
                 self.sequence.set_usual_step(self.call.usual_step());
                 self.source = Some((response.body, response.run));
--- a/crates/edge/src/unconfirmed_end.rs
+++ b/crates/edge/src/unconfirmed_end.rs
@@ -12,7 +12,7 @@
 use crate::engine_crash::health_check_path;
 use crate::engine_pool::NoResponse;
 use crate::engine_run::EngineRun;
-use crate::wire_format::WireFormat;
+use crate::wire_format::{Responder, WireFormat};
 
 /// Timeout of a liveness check. Engines that are full answer late.
 const LIVENESS_CHECK_TIMEOUT: Duration = Duration::from_secs(1);
@@ -76,11 +76,10 @@
     async fn check_liveness(&self, placement: &Placement, within: Duration) -> Liveness {
         let edge = &self.edge;
         let path = health_check_path(self.selected.service.health_path.as_deref());
-        let headers = edge.wire_format.liveness_check_headers(&placement.engine);
-        match edge.pool.request_health(placement.address, path, headers, within).await {
+        match edge.request_liveness(&placement.engine, placement.address, path, within).await {
             Err(NoResponse::Refused) => Liveness::Refused,
             Err(NoResponse::Silent) => Liveness::Silent,
-            Ok(head) if !edge.wire_format.is_from_engine(&head, &placement.engine) => Liveness::Unidentified,
+            Ok(response) if response.responder != Responder::Engine => Liveness::Unidentified,
             Ok(_) if edge.is_replaced(&placement.engine) => Liveness::Replaced,
             Ok(_) => Liveness::Alive,
         }
--- a/crates/edge/src/wire_format.rs
+++ b/crates/edge/src/wire_format.rs
@@ -63,6 +63,17 @@
     }
 }
 
+/// Who gave the response to a liveness check.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Responder {
+    /// The engine that the check named.
+    Engine,
+    /// An engine that has its address.
+    AnotherEngine,
+    /// The response doesn't tell; it may come from a server in front of the address.
+    Unidentified,
+}
+
 /// Classification of an engine's response to its own request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ResponseKind {
@@ -92,10 +103,8 @@
     fn engine_headers(&self, forwarded: HeaderMap, attempt: &EngineAttempt<'_>) -> HeaderMap;
     /// Headers of a liveness check, which another engine at the same address rejects.
     fn liveness_check_headers(&self, engine: &EngineId) -> HeaderMap;
-    /// Whether the response to a liveness check comes from this engine, and not from another one or a server in front of it.
-    fn is_from_engine(&self, head: &response::Parts, engine: &EngineId) -> bool;
-    /// Whether the response to a liveness check comes from an engine that isn't this one.
-    fn is_from_another_engine(&self, head: &response::Parts, engine: &EngineId) -> bool;
+    /// Who gave the response to a liveness check of this engine.
+    fn identify_responder(&self, head: &response::Parts, engine: &EngineId) -> Responder;
     /// Which request a response answers. One that isn't the call's own belongs to nobody: engines may send more answers than
     /// they got requests, so nothing of it may be used.
     fn identify_response(&self, head: &response::Parts, call: &CallMetadata) -> ResponseIdentity;
