--- a/crates/engine-client/src/client.rs
+++ b/crates/engine-client/src/client.rs
@@ -80,17 +80,19 @@
 }
 
 /// A client for engines.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct EngineClient {
     http: HttpClient,
 }
 
-impl EngineClient {
-    /// Creates a client on top of an HTTP client.
-    pub fn new(http: HttpClient) -> Self {
-        Self { http }
+impl Default for EngineClient {
+    /// Opens a connection for each request, as engines' responses don't name their requests.
+    fn default() -> Self {
+        Self { http: HttpClient::without_reuse() }
     }
+}
 
+impl EngineClient {
     /// Starts a completion and waits for the response head. Each wait for the stream is limited to `stall_timeout`.
     pub async fn start(
         &self,
--- a/crates/node/src/components.rs
+++ b/crates/node/src/components.rs
@@ -71,7 +71,7 @@
         let (newer_sender, newer_generations) = mpsc::unbounded_channel();
         let fleet = Arc::new(Fleet::new(Arc::clone(&context), member, newer_sender));
         let configuration = Arc::new(ConfigurationStore::new(Arc::clone(&context)));
-        let engine_client = EngineClient::new(HttpClient::without_reuse());
+        let engine_client = EngineClient::default();
         let engine_owner =
             Arc::new(EngineOwner::new(Arc::clone(&context), Arc::clone(&configuration), engine_client));
         configuration.connect(&fleet, &engine_owner);
@@ -118,7 +118,7 @@
             Arc::clone(&self.configuration),
             Arc::clone(&self.shard_client),
             Arc::clone(&self.engine_router),
-            EngineClient::new(HttpClient::without_reuse()),
+            EngineClient::default(),
             Arc::clone(&self.running_calls),
         );
         let service_runner = ServiceRunner::new(
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -8,7 +8,6 @@
 use sumacdrift_config::{ConfigErrors, Settings};
 use sumacdrift_engine_client::EngineClient;
 use sumacdrift_gateway::{GatewaySettings, ListenerSettings, TenantLimits};
-use sumacdrift_http_client::HttpClient;
 use sumacdrift_platform::ObjectClient;
 use sumacdrift_transport::{Network, TcpNetwork, listen_tcp};
 use sumacdrift_types::Generation;
@@ -191,11 +190,7 @@
             stop_gateway.clone(),
         ));
         tokio::spawn(
-            MemoryCheck {
-                components: Arc::clone(&components),
-                engine_client: EngineClient::new(HttpClient::without_reuse()),
-            }
-            .run(),
+            MemoryCheck { components: Arc::clone(&components), engine_client: EngineClient::default() }.run(),
         );
         if let Some(address) = components.context.settings.configuration_sources.object_api {
             let object_client = ObjectClient::new(components.context.http.clone(), address);
