--- a/crates/ledger/src/replica.rs
+++ b/crates/ledger/src/replica.rs
@@ -168,15 +168,18 @@
         if epoch != self.group.epoch {
             return None;
         }
-        let others = self.group.members.iter().filter(|member| member.node != self.settings.node);
-        self.read_members = others.map(|member| member.node.clone()).collect();
+        self.read_members = self.others().cloned().collect();
         self.departed.clear();
         Some(self.reading_record())
     }
 
     fn has_read_all_others(&self) -> bool {
-        let mut others = self.group.members.iter().filter(|member| member.node != self.settings.node);
-        others.all(|member| self.read_members.contains(&member.node))
+        self.others().all(|node| self.read_members.contains(node))
+    }
+
+    /// Nodes of the other members of the group.
+    fn others(&self) -> impl Iterator<Item = &String> {
+        self.group.members.iter().map(|member| &member.node).filter(|node| **node != self.settings.node)
     }
 
     /// Whether it is certain that the replica has never voted as its current member.
