Routing: tables and versions that were left lately are remembered

Cause: whether a stream of unknown origin can have begun at one service and version only was judged by the table in force and by what the engines' entries say now. Callers saw two runs joined after a route had moved, a split had ended, or an engine of the same name had begun to run another version.

Routes keep the tables of the last 30 s (16 at most) and tell since when a host and path lead to one service alone; a table that is not kept counts as a change. The version that an entry said before counts for 30 s, like that of an engine that has gone; of each service the two latest former versions are kept, as two different ones leave no sole version anyway.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -154,7 +154,7 @@
         let (requires_keys, keys) = (table.access.requires_keys(), table.access.keys());
         let cold_limits = table.cold_limits();
         let has_ranks = table.has_ranks();
-        let is_newer = self.routes().apply(table);
+        let is_newer = self.routes().apply(table, self.clock.now());
         if is_newer {
             self.engines().set_cold_limits(cold_limits);
             self.queues.apply_configuration(has_ranks);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -17,6 +17,7 @@
 mod peer_load;
 mod recent_calls;
 mod registry;
+mod route_history;
 mod routes;
 mod slowness;
 mod speeds;
@@ -37,6 +38,7 @@
 };
 pub use recent_calls::CallCounts;
 pub use registry::{EngineCapacity, EnginePresence, EngineRegistry, EntryChange};
+pub use route_history::SoleService;
 pub use routes::{Routes, SelectedRoute};
 pub use speeds::{LearnedSpeeds, StreamObservation};
 pub use table::{CallerLimits, Route, RouteTable, ServiceSpec, WeightedService};
--- a/crates/routing/src/registry.rs
+++ b/crates/routing/src/registry.rs
@@ -17,6 +17,7 @@
 mod versions;
 
 use engine_table::EngineTable;
+use versions::FormerVersions;
 
 pub use capacity::EngineCapacity;
 pub use incarnations::{EnginePresence, EntryChange};
@@ -52,6 +53,7 @@
     cold_limits: HashMap<Arc<str>, ColdLimit>,
     distances: ZoneDistances,
     disabled: DisabledMechanisms,
+    former_versions: FormerVersions,
 }
 
 impl EngineRegistry {
@@ -73,6 +75,7 @@
             parts: PartIndex::new(MAX_PARTS, PART_RETENTION),
             evacuations: Evacuations::default(),
             cold_limits: HashMap::new(),
+            former_versions: FormerVersions::default(),
         }
     }
 
--- a/crates/routing/src/registry/incarnations.rs
+++ b/crates/routing/src/registry/incarnations.rs
@@ -96,6 +96,7 @@
             return self.apply_earlier_incarnation(&spec, &known, now);
         }
         if let Some(engine) = self.engines.get_mut(&spec.id) {
+            self.former_versions.record_change(&engine.spec, &spec, now);
             let has_changed = engine.update(spec, now);
             return if has_changed { EntryChange::Changed } else { EntryChange::Unchanged };
         }
--- a/crates/routing/src/routes.rs
+++ b/crates/routing/src/routes.rs
@@ -3,6 +3,9 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use sumacdrift_types::Timestamp;
+
+use crate::route_history::{RouteHistory, SoleService};
 use crate::table::{Route, RouteTable, ServiceSpec};
 
 /// The fractional part of the golden ratio: its multiples fill an interval more evenly than random numbers.
@@ -34,15 +37,18 @@
 #[derive(Debug, Default)]
 pub struct Routes {
     table: Option<Arc<RouteTable>>,
+    history: RouteHistory,
     turns: HashMap<Arc<str>, u32>,
 }
 
 impl Routes {
     /// Installs a table if it is newer; returns whether it was.
-    pub fn apply(&mut self, table: RouteTable) -> bool {
+    pub fn apply(&mut self, table: RouteTable, now: Timestamp) -> bool {
         let is_newer = self.table.as_ref().is_none_or(|current| table.version > current.version);
         if is_newer {
-            self.table = Some(Arc::new(table));
+            let table = Arc::new(table);
+            self.history.record(Arc::clone(&table), now);
+            self.table = Some(table);
         }
         is_newer
     }
@@ -52,6 +58,11 @@
         self.table.as_ref()
     }
 
+    /// The only service that calls of a host and path are sent to, and since when; `None` if there are several, or none.
+    pub fn sole_service(&self, host: &str, path: &str) -> Option<SoleService> {
+        self.history.sole_service(host, path)
+    }
+
     /// Selects the route and service of a call; `None` if no route matches or no table is in force.
     pub fn select(&mut self, host: &str, path: &str) -> Option<SelectedRoute> {
         let table = Arc::clone(self.table.as_ref()?);
--- a/crates/routing/tests/engines.rs
+++ b/crates/routing/tests/engines.rs
@@ -316,3 +316,26 @@
     assert_eq!(registry.sole_version("s", NOW + Duration::from_secs(30)), Some(second));
     assert_eq!(registry.sole_version("unknown", NOW), None);
 }
+
+/// Guards against a stream that goes on at an engine of the same name that has begun to run another version.
+#[test]
+fn the_version_that_an_entry_said_before_counts_until_its_last_streams_have_ended() {
+    let mut registry = registry(&[("a", "z1")]);
+    let versions = ["v2", "v3", "v4"].map(EngineVersion::new);
+    for (seconds, version) in (0..).zip(&versions) {
+        registry.upsert(
+            EngineSpec { version: version.clone(), ..spec("a", "z1") },
+            NOW + Duration::from_secs(seconds),
+        );
+        assert_eq!(registry.sole_version("s", NOW + Duration::from_secs(seconds)), None);
+    }
+    assert_eq!(registry.sole_version("s", NOW + Duration::from_secs(31)), None);
+    assert_eq!(registry.sole_version("s", NOW + Duration::from_secs(32)), Some(versions[2].clone()));
+}
+
+#[test]
+fn an_entry_that_is_repeated_leaves_its_version_the_only_one() {
+    let mut registry = registry(&[("a", "z1")]);
+    registry.upsert(EngineSpec { report: 2, ..spec("a", "z1") }, NOW);
+    assert_eq!(registry.sole_version("s", NOW), Some(EngineVersion::default()));
+}
