--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -11,7 +11,6 @@
 use slog::info;
 use sumacdrift_calls::{CallMachine, CallMetadata, CrashCount, Next};
 use sumacdrift_http_client::{HttpError, read_body};
-use sumacdrift_ledger::StreamOrigin;
 use sumacdrift_storage::LedgerError;
 use sumacdrift_types::{Ran, ResultCode, Timestamp};
 
@@ -24,6 +23,7 @@
 use crate::service_queues::{EnqueueRequest, QueueSlot};
 use crate::state_exchange::prompt_parts;
 use crate::stream::run_stream;
+use crate::stream_origin::RecordedOrigin;
 use crate::turn::{OpenTurn, TurnRequest, ledger_program, result_code};
 use crate::wire_format::WireFormat;
 
@@ -201,8 +201,8 @@
     body: Bytes,
     /// Whether earlier turns of the program have been served; also true if that is unknown.
     has_started: bool,
-    /// Origin of the stream that the call resumes, if the ledger knows it.
-    resumed_origin: Option<StreamOrigin>,
+    /// Origin of the stream that the call resumes, as the ledger knows it.
+    resumed_origin: RecordedOrigin,
     /// Crashes in succession under the request, as the ledger knows.
     crashes: CrashCount,
 }
@@ -247,7 +247,7 @@
         turn: None,
         body: body.clone(),
         has_started: true,
-        resumed_origin: None,
+        resumed_origin: RecordedOrigin::default(),
         crashes: CrashCount::default(),
     };
     let is_retained = selected.route.is_retained;
@@ -264,7 +264,7 @@
         selected,
         input: body,
         origin: call.expected_origin(),
-        resumed_call: head.resumed_call.as_deref().filter(|_| call.resumes_stream()),
+        resumed_call: call.resumed_call(),
         fingerprint: call.fingerprint(),
         update: edge.update_at_begin(&call.parts),
     };
@@ -280,7 +280,9 @@
     };
     let has_started = head.previous.is_some() || admission.counted_tokens > 0 || !must_track;
     let body = if is_retained { admission.chain.into_prompt(body) } else { body.clone() };
-    let (resumed_origin, crashes) = (admission.resumed_origin, admission.crashes);
+    let crashes = admission.crashes;
+    let resumed_origin =
+        RecordedOrigin { origin: admission.resumed_origin, matching_turns: admission.matching_turns };
     Ok(BegunTurn { turn: Some(turn), body, has_started, resumed_origin, crashes })
 }
 
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -50,6 +50,9 @@
     unconfirmed_ends: Family<OutcomeLabel, Counter>,
     pub(crate) caller_resumptions: Counter,
     pub(crate) unknown_origins: Counter,
+    pub(crate) ambiguous_origins: Counter,
+    pub(crate) inferred_origins: Counter,
+    pub(crate) origins_by_request: Counter,
     pub(crate) origin_changes: Counter,
     pub(crate) in_flight: Gauge,
     pub(crate) configuration: Gauge,
@@ -90,6 +93,9 @@
             unconfirmed_ends: Family::default(),
             caller_resumptions: Counter::default(),
             unknown_origins: Counter::default(),
+            ambiguous_origins: Counter::default(),
+            inferred_origins: Counter::default(),
+            origins_by_request: Counter::default(),
             origin_changes: Counter::default(),
             in_flight: Gauge::default(),
             configuration: Gauge::default(),
@@ -218,6 +224,21 @@
             "Calls that resume a stream of which it is not known where it began",
             self.unknown_origins.clone(),
         );
+        registry.register(
+            "ambiguous_origins",
+            "Those of them whose request began at several origins",
+            self.ambiguous_origins.clone(),
+        );
+        registry.register(
+            "inferred_origins",
+            "Calls that resume a stream whose origin was inferred",
+            self.inferred_origins.clone(),
+        );
+        registry.register(
+            "origins_by_request",
+            "Calls that resume a stream without a name, whose origin the ledger found by the request",
+            self.origins_by_request.clone(),
+        );
         registry.register(
             "origin_changes",
             "Calls sent to an engine of another version than the one recorded when their turn began",
--- a/crates/edge/src/stream_origin.rs
+++ b/crates/edge/src/stream_origin.rs
@@ -5,22 +5,51 @@
 
 use std::time::Duration;
 
+use http::header::HOST;
 use slog::info;
 use sumacdrift_calls::{CallMachine, EngineVersion};
-use sumacdrift_ledger::StreamOrigin;
-use sumacdrift_routing::Placement;
+use sumacdrift_ledger::{ResumedOrigin, StreamOrigin};
+use sumacdrift_routing::{Placement, SoleService};
 use sumacdrift_types::ResultCode;
 
-use crate::attempt::{CallContext, Restrictions, choose_eligible};
-use crate::turn::{OpenTurn, result_code};
+use crate::attempt::{CallContext, ForwardedRequest, Restrictions, choose_eligible};
+use crate::turn::{OpenTurn, ResumedCall, result_code};
 use crate::wire_format::WireFormat;
 
-/// Time for which an edge must have known the engines without an interruption, to trust that they are all that ran while a
-/// stream began. Longer than callers keep trying to resume one.
-const ENGINE_OBSERVATION_TIME: Duration = Duration::from_secs(10);
+/// Time for which an edge must have known the route and the engines without an interruption, to trust that they are all that
+/// served while a stream began. Longer than callers keep trying to resume one.
+const OBSERVATION_TIME: Duration = Duration::from_secs(10);
 /// Revision of the origin that is recorded when a turn begins.
 const FIRST_REVISION: u32 = 1;
 
+/// What the ledger knows of the origin of a resumed stream.
+#[derive(Debug, Default)]
+pub(crate) struct RecordedOrigin {
+    pub(crate) origin: ResumedOrigin,
+    /// Number of turns that may have begun a stream that is resumed without a name.
+    pub(crate) matching_turns: usize,
+}
+
+/// How the origin of a resumed stream was found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OriginSource {
+    /// Recorded with the turn of the call that the caller names.
+    Named,
+    /// Recorded with a turn of the same request.
+    Request,
+    /// By what this edge knows of the route and the engines.
+    Inferred,
+    /// Not found, as turns of the same request began at different origins.
+    Ambiguous,
+    /// Not found.
+    Unknown,
+}
+
+struct FoundOrigin {
+    origin: Option<StreamOrigin>,
+    source: OriginSource,
+}
+
 impl<D: WireFormat> CallContext<D> {
     /// Whether the call's answer is a stream that may be resumed.
     pub(crate) fn is_resumable(&self) -> bool {
@@ -56,18 +85,31 @@
         self.edge.engines().sole_version(&self.selected.service.name, self.edge.clock.now())
     }
 
-    /// Restricts a call that resumes a stream to the service and version of its origin, which the ledger returned. An
-    /// unknown origin is inferred if only one service and version can have begun the stream. On an error the call has
+    /// How the ledger can find the turn that began the stream which the call resumes. Streams without a program have a turn
+    /// under the name of the call that began them, so they are found by that name only.
+    pub(crate) fn resumed_call(&self) -> ResumedCall<'_> {
+        if !self.resumes_stream() {
+            return ResumedCall::None;
+        }
+        match &self.head.resumed_call {
+            Some(call) => ResumedCall::Named(call),
+            None if self.head.program.is_some() => ResumedCall::OfSameRequest,
+            None => ResumedCall::None,
+        }
+    }
+
+    /// Restricts a call that resumes a stream to the service and version of its origin, which the ledger returned. One that
+    /// nobody recorded is inferred if only one service and version can have begun the stream. On an error the call has
     /// not run.
     pub(crate) fn bind_resumed_stream(
         &mut self,
         machine: &mut CallMachine,
-        recorded: Option<StreamOrigin>,
+        recorded: RecordedOrigin,
     ) -> Result<(), ResultCode> {
-        let is_recorded = recorded.is_some();
-        let origin = recorded.or_else(|| self.infer_origin());
-        self.report_resumption(origin.as_ref(), is_recorded);
-        let origin = origin.ok_or(ResultCode::UnknownStreamVersion)?;
+        let matching_turns = recorded.matching_turns;
+        let found = self.find_origin(recorded.origin);
+        self.report_resumption(&found, matching_turns);
+        let origin = found.origin.ok_or(ResultCode::UnknownStreamVersion)?;
         if *origin.service != *self.selected.service.name {
             let moved = self.edge.routes().with_service(&self.selected, &origin.service);
             self.selected = moved.ok_or(ResultCode::NoEngineOfVersion)?;
@@ -76,28 +118,81 @@
         Ok(())
     }
 
+    fn find_origin(&self, recorded: ResumedOrigin) -> FoundOrigin {
+        match recorded {
+            ResumedOrigin::Recorded(origin) => {
+                FoundOrigin { origin: Some(origin), source: self.record_source() }
+            }
+            ResumedOrigin::Ambiguous => FoundOrigin { origin: None, source: OriginSource::Ambiguous },
+            ResumedOrigin::Unknown => FoundOrigin { origin: None, source: OriginSource::Unknown },
+            ResumedOrigin::NotAsked | ResumedOrigin::NotRecorded => {
+                let origin = self.infer_origin();
+                let source = if origin.is_some() { OriginSource::Inferred } else { OriginSource::Unknown };
+                FoundOrigin { origin, source }
+            }
+        }
+    }
+
+    /// How a recorded origin was found.
+    fn record_source(&self) -> OriginSource {
+        if self.head.resumed_call.is_some() { OriginSource::Named } else { OriginSource::Request }
+    }
+
+    /// The origin of a stream that nobody recorded, if this edge has known for long enough that the call's route leads to
+    /// one service alone, and that all engines of it run one version.
     fn infer_origin(&self) -> Option<StreamOrigin> {
-        let view = self.edge.engine_view();
-        let knows_engines = view.is_continuous_since(self.edge.clock.now(), ENGINE_OBSERVATION_TIME);
-        let has_one_service = self.selected.route.services.len() == 1;
-        let version = self.sole_version().filter(|_| has_one_service && knows_engines)?;
+        let now = self.edge.clock.now();
+        let route = self.sole_service().filter(|route| now.since(route.since) >= OBSERVATION_TIME)?;
+        let knows_engines = self.edge.engine_view().is_continuous_since(now, OBSERVATION_TIME);
+        let is_selected = route.service == self.selected.service.name;
+        let version = self.sole_version().filter(|_| is_selected && knows_engines)?;
         Some(self.origin_at(&version))
     }
 
-    fn report_resumption(&self, origin: Option<&StreamOrigin>, is_recorded: bool) {
-        let metrics = &self.edge.metrics;
-        metrics.caller_resumptions.inc();
-        if origin.is_none() {
-            metrics.unknown_origins.inc();
-        }
-        let view_age = self.edge.engine_view().age(self.edge.clock.now());
+    fn sole_service(&self) -> Option<SoleService> {
+        let ForwardedRequest { headers, uri, .. } = &self.forwarded;
+        let host = headers.get(HOST).and_then(|host| host.to_str().ok())?;
+        self.edge.routes().sole_service(host, uri.path())
+    }
+
+    fn report_resumption(&self, found: &FoundOrigin, matching_turns: usize) {
+        let FoundOrigin { origin, source } = found;
+        self.count_resumption(*source);
+        let now = self.edge.clock.now();
+        let origin = origin.as_ref();
+        let view_age = self.edge.engine_view().age(now);
+        let route_age = self.sole_service().map(|route| now.since(route.since));
         info!(self.edge.logger, "caller resumes a stream"; "event" => "stream_resumed_by_caller",
             "call" => &self.head.id, "resumed_call" => &self.head.resumed_call,
             "after" => &self.head.resume_after, "service" => origin.map(|origin| origin.service.as_str()),
-            "engine_version" => origin.map(|origin| origin.version.as_str()), "recorded" => is_recorded,
+            "engine_version" => origin.map(|origin| origin.version.as_str()),
+            "recorded" => matches!(source, OriginSource::Named | OriginSource::Request),
+            "origin_source" => ?source, "matching_turns" => matching_turns,
+            "route_age_ms" => route_age.map(|age| age.as_millis() as u64),
             "engine_view_age_ms" => view_age.map(|age| age.as_millis() as u64), "age_ms" => self.age_millis());
     }
 
+    fn count_resumption(&self, source: OriginSource) {
+        let metrics = &self.edge.metrics;
+        metrics.caller_resumptions.inc();
+        match source {
+            OriginSource::Named => {}
+            OriginSource::Request => {
+                metrics.origins_by_request.inc();
+            }
+            OriginSource::Inferred => {
+                metrics.inferred_origins.inc();
+            }
+            OriginSource::Ambiguous => {
+                metrics.ambiguous_origins.inc();
+                metrics.unknown_origins.inc();
+            }
+            OriginSource::Unknown => {
+                metrics.unknown_origins.inc();
+            }
+        }
+    }
+
     /// Records the version of the selected engine as the origin of the stream that it may begin, unless it is recorded
     /// already. Must succeed before the call is sent.
     pub(crate) async fn record_origin(
--- a/crates/edge/src/turn.rs
+++ b/crates/edge/src/turn.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use slog::{Logger, info};
 use sumacdrift_calls::{CallMetadata, EngineVersion, ProgramMetadata, RequestFingerprint};
-use sumacdrift_ledger::{RetainedTurn, StreamOrigin, TurnBegun, TurnEnded};
+use sumacdrift_ledger::{ResumedTurn, RetainedTurn, StreamOrigin, TurnBegun, TurnEnded};
 use sumacdrift_routing::{SelectedRoute, ServiceSpec};
 use sumacdrift_storage::{Admission, BeginTurn, LedgerClient, LedgerError};
 use sumacdrift_types::ResultCode;
@@ -37,6 +37,8 @@
     tokens: u64,
     input: Option<Bytes>,
     output: Vec<u8>,
+    /// Whether the caller may have got an event. Also true of a turn that was not admitted: its call goes on without it.
+    may_have_event: bool,
     has_ended: bool,
 }
 
@@ -49,13 +51,22 @@
     pub(crate) input: &'a Bytes,
     /// Expected origin of the turn's stream.
     pub(crate) origin: Option<StreamOrigin>,
-    /// Call whose stream this one resumes.
-    pub(crate) resumed_call: Option<&'a str>,
+    pub(crate) resumed_call: ResumedCall<'a>,
     pub(crate) fingerprint: RequestFingerprint,
     /// Encoded state for other edges, sent with the request.
     pub(crate) update: Bytes,
 }
 
+/// Call whose stream a call resumes.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum ResumedCall<'a> {
+    /// The call begins a stream, or its turn can't be found in the ledger.
+    None,
+    Named(&'a str),
+    /// A call of the same program with the same request.
+    OfSameRequest,
+}
+
 pub(crate) fn result_code(error: LedgerError) -> ResultCode {
     match error {
         LedgerError::BudgetSpent => ResultCode::BudgetExhausted,
@@ -106,7 +117,7 @@
         let retention = if route.retention.is_zero() { DEFAULT_RETENTION } else { route.retention };
         let retention_millis = u64::try_from(retention.as_millis()).unwrap_or(u64::MAX);
         let previous = head.previous.as_deref().filter(|_| route.is_retained).map(named).unwrap_or_default();
-        let open = Self {
+        let mut open = Self {
             ledger: Arc::clone(ledger),
             logger: logger.clone(),
             program: named(&program.program),
@@ -121,6 +132,7 @@
             tokens: 0,
             input: route.is_retained.then(|| input.clone()),
             output: Vec::new(),
+            may_have_event: true,
             has_ended: false,
         };
         let begin = BeginTurn {
@@ -128,12 +140,17 @@
             budget_tokens: program.token_budget.unwrap_or(0),
             needs_chain: route.is_retained && !previous.is_empty(),
             previous,
-            resumed_turn: resumed_call.map(named).unwrap_or_default(),
+            resumed_turn: match resumed_call {
+                ResumedCall::None => ResumedTurn::None,
+                ResumedCall::Named(call) => ResumedTurn::Named(named(call)),
+                ResumedCall::OfSameRequest => ResumedTurn::OfSameRequest,
+            },
             request: Some(fingerprint),
             report: update,
         };
         // If this future is dropped while waiting, dropping `open` ends the turn.
         let admission = ledger.begin(begin, until).await?;
+        open.may_have_event = false;
         Ok((open, admission))
     }
 
@@ -169,7 +186,7 @@
             budget_tokens: 0,
             previous: String::new(),
             needs_chain: false,
-            resumed_turn: String::new(),
+            resumed_turn: ResumedTurn::None,
             request: None,
             report: Bytes::new(),
         };
@@ -185,6 +202,7 @@
 
     /// Accounts for an event that is about to be forwarded to the caller.
     pub(crate) fn record_event(&mut self, event: &sumacdrift_calls::StreamEvent) {
+        self.may_have_event = true;
         if !event.has_data {
             return;
         }
@@ -226,7 +244,8 @@
             tokens: self.tokens,
             retention_millis: self.retention_millis,
             retained,
-            origin: None,
+            has_no_event: !self.may_have_event,
+            ..TurnEnded::default()
         }
     }
 
--- a/crates/ledger/src/account.rs
+++ b/crates/ledger/src/account.rs
@@ -5,7 +5,7 @@
 
 use sumacdrift_mutants::{Rule, is_broken};
 
-use crate::message::{KnownTurn, StreamOrigin};
+use crate::message::{Begin, KnownTurn, StreamOrigin, TurnBegun, TurnEnded};
 
 /// One turn: the tokens that count against its program's budget, and the origin of its stream.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
@@ -18,6 +18,8 @@
     pub(crate) request: Option<u64>,
     /// Shared with other turns, as there are few different ones.
     pub(crate) origin: Option<Arc<StreamOrigin>>,
+    /// Whether all known ends say that the caller got no event.
+    pub(crate) has_no_event: bool,
 }
 
 impl TurnAccount {
@@ -34,6 +36,12 @@
         self.origin.as_deref().cloned()
     }
 
+    /// Whether the turn may have begun the stream that a turn with this request resumes. Ended turns that a build without
+    /// fingerprints has transferred may have any request.
+    fn may_have_request(&self, request: Option<u64>) -> bool {
+        self.request.is_none() || self.request == request
+    }
+
     fn charged_tokens(&self) -> u64 {
         let reserved = if is_broken(Rule::LedgerOpenTurnsCount) { 0 } else { self.max_tokens };
         self.ended_tokens.unwrap_or(reserved)
@@ -65,13 +73,18 @@
         is_new || is_new_origin
     }
 
-    /// Records the end of a turn; returns whether this adds information. Of several ends, the largest counts.
-    pub(crate) fn record_end(&mut self, turn: &str, tokens: u64, origin: Option<Arc<StreamOrigin>>) -> bool {
-        let account = self.turns.entry(turn.to_owned()).or_default();
-        let is_new = account.ended_tokens.is_none_or(|known| tokens > known);
-        account.ended_tokens = Some(account.ended_tokens.unwrap_or(0).max(tokens));
+    /// Records the end of a turn; returns whether this adds information. Of several ends, the largest counts, and one
+    /// after an event was forwarded.
+    pub(crate) fn record_end(&mut self, ended: &TurnEnded, origin: Option<Arc<StreamOrigin>>) -> bool {
+        let account = self.turns.entry(ended.turn.clone()).or_default();
+        let is_new = account.ended_tokens.is_none_or(|known| ended.tokens > known);
+        let is_correction = account.has_no_event && !ended.has_no_event;
+        account.has_no_event = ended.has_no_event && (account.has_no_event || account.ended_tokens.is_none());
+        account.ended_tokens = Some(account.ended_tokens.unwrap_or(0).max(ended.tokens));
+        let is_new_request = account.request.is_none() && ended.request.is_some();
+        account.request = account.request.or(ended.request);
         let is_new_origin = account.record_origin(origin);
-        is_new || is_new_origin
+        is_new || is_correction || is_new_request || is_new_origin
     }
 
     /// Newest known origin of a turn's stream.
@@ -79,9 +92,10 @@
         self.turns.get(turn)?.origin_message()
     }
 
-    /// All turns but one, which has this request.
-    pub(crate) fn known_except(&self, turn: &str, request: Option<u64>) -> Vec<KnownTurn> {
-        let others = self.turns.iter().filter(|(other, _)| *other != turn);
+    /// All turns but the one that begins.
+    pub(crate) fn known_except(&self, turn: &TurnBegun, begin: &Begin) -> Vec<KnownTurn> {
+        let request = turn.request;
+        let others = self.turns.iter().filter(|(other, _)| **other != turn.turn);
         let known = others.map(|(other, account)| KnownTurn {
             turn: other.clone(),
             tokens: account.charged_tokens(),
@@ -89,6 +103,10 @@
             is_open_attempt: account.ended_tokens.is_none()
                 && request.is_some()
                 && account.request == request,
+            origin: account
+                .origin_message()
+                .filter(|_| begin.resumes_same_request && account.may_have_request(request)),
+            has_no_event: begin.resumes_same_request && account.has_no_event,
         });
         known.collect()
     }
--- a/crates/ledger/src/begin_quorum.rs
+++ b/crates/ledger/src/begin_quorum.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::message::{BeginVote, ChainReply, KnownTurn, StreamOrigin};
+use crate::resumption::{ResumedOrigin, ResumedTurn};
 
 /// Decision based on the votes received so far.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -34,7 +35,11 @@
     votes_with_previous: usize,
     known: BTreeMap<String, KnownTurn>,
     chain: Option<ChainReply>,
+    resumed_turn: ResumedTurn,
+    /// Newest origin of the named turn.
     resumed_origin: Option<StreamOrigin>,
+    /// Votes of replicas that compared requests.
+    comparing_votes: usize,
     crashed_engines: BTreeSet<String>,
     suspected_engines: BTreeSet<String>,
     observed_engines: BTreeSet<String>,
@@ -53,13 +58,20 @@
             votes_with_previous: 0,
             known: BTreeMap::new(),
             chain: None,
+            resumed_turn: ResumedTurn::None,
             resumed_origin: None,
+            comparing_votes: 0,
             crashed_engines: BTreeSet::new(),
             suspected_engines: BTreeSet::new(),
             observed_engines: BTreeSet::new(),
         }
     }
 
+    /// The same for a turn that resumes a stream.
+    pub fn resuming(self, resumed_turn: ResumedTurn) -> Self {
+        Self { resumed_turn, ..self }
+    }
+
     /// Adds the vote of one replica; each replica must vote only once.
     pub fn vote(&mut self, vote: BeginVote) -> BeginDecision {
         self.votes += 1;
@@ -71,6 +83,9 @@
         if vote.knows_previous {
             self.votes_with_previous += 1;
         }
+        if vote.has_compared_requests {
+            self.comparing_votes += 1;
+        }
         for turn in vote.known {
             self.merge_known_turn(turn);
         }
@@ -88,10 +103,27 @@
         self.chain.take()
     }
 
-    /// Newest origin of the resumed stream that a voter knows. With the votes of a quorum, an origin that a quorum has
-    /// recorded is never missed.
-    pub fn resumed_origin(&self) -> Option<&StreamOrigin> {
-        self.resumed_origin.as_ref()
+    /// What the voters know of the origin of the resumed stream; of each turn, its newest origin counts. With the votes of a
+    /// quorum, an origin that a quorum has recorded is never missed.
+    pub fn resumed_origin(&self) -> ResumedOrigin {
+        match &self.resumed_turn {
+            ResumedTurn::None => ResumedOrigin::NotAsked,
+            ResumedTurn::Named(_) => ResumedOrigin::common(&self.resumed_origin),
+            ResumedTurn::OfSameRequest if self.comparing_votes < self.votes => ResumedOrigin::Unknown,
+            ResumedTurn::OfSameRequest => ResumedOrigin::common(self.origins_of_same_request()),
+        }
+    }
+
+    /// Number of turns that may have begun the resumed stream, as they have the same request.
+    pub fn matching_turns(&self) -> usize {
+        self.origins_of_same_request().count()
+    }
+
+    /// Origins of the turns that may be resumed without a name. Turns that resumed a stream themselves have none: theirs is
+    /// that of the turn that they resumed.
+    fn origins_of_same_request(&self) -> impl Iterator<Item = &StreamOrigin> {
+        let may_be_resumed = self.known.values().filter(|turn| !turn.has_no_event);
+        may_be_resumed.filter_map(|turn| turn.origin.as_ref())
     }
 
     /// Number of engines that crashed in succession under the turn's request. With the votes of a quorum, a crash that was
@@ -128,18 +160,21 @@
         self.known.values().map(|turn| turn.tokens).sum()
     }
 
-    fn merge_known_turn(&mut self, turn: KnownTurn) {
-        match self.known.get_mut(&turn.turn) {
-            None => {
-                self.known.insert(turn.turn.clone(), turn);
-            }
-            Some(known) if turn.has_ended && !known.has_ended => *known = turn,
-            Some(known) if turn.has_ended == known.has_ended => {
-                known.tokens = known.tokens.max(turn.tokens);
-                known.is_open_attempt |= turn.is_open_attempt;
-            }
-            Some(_) => {}
+    fn merge_known_turn(&mut self, mut turn: KnownTurn) {
+        let Some(known) = self.known.get_mut(&turn.turn) else {
+            self.known.insert(turn.turn.clone(), turn);
+            return;
+        };
+        let newer = turn.origin.take().filter(|origin| origin.replaces(known.origin.as_ref()));
+        let origin = newer.or(known.origin.take());
+        if turn.has_ended && !known.has_ended {
+            *known = turn;
+        } else if turn.has_ended == known.has_ended {
+            known.tokens = known.tokens.max(turn.tokens);
+            known.is_open_attempt |= turn.is_open_attempt;
+            known.has_no_event &= turn.has_no_event;
         }
+        known.origin = origin;
     }
 
     fn decision(&self) -> BeginDecision {
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -22,6 +22,7 @@
 mod placement;
 mod quota_message;
 mod replica;
+mod resumption;
 mod state;
 
 pub use account::ProgramAccount;
@@ -47,4 +48,5 @@
 };
 pub use quota_message::{QuotaAnswer, QuotaDecision, QuotaQuestion, QuotaTotals, TenantTotalMessage};
 pub use replica::{Replica, ReplicaSettings, Step};
+pub use resumption::{ResumedOrigin, ResumedTurn};
 pub use state::{KEPT_TURNS_CURSOR, LedgerState, PageDetail};
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -26,6 +26,12 @@
     pub(crate) fn replaces(&self, known: Option<&StreamOrigin>) -> bool {
         known.is_none_or(|known| self.revision > known.revision && !is_broken(Rule::LedgerNewestOriginCounts))
     }
+
+    /// Whether one of the two can continue what the other began.
+    pub(crate) fn is_same_software(&self, other: &StreamOrigin) -> bool {
+        let is_same = self.service == other.service && self.version == other.version;
+        is_same || is_broken(Rule::LedgerDifferentOriginsAreAmbiguous)
+    }
 }
 
 /// Start of a turn. Until its end is recorded, the turn is charged with `max_tokens`.
@@ -70,6 +76,12 @@
     /// Origin of the turn's stream as recorded at its start; set where replicas transfer ended turns.
     #[prost(message, optional, tag = "6")]
     pub origin: Option<StreamOrigin>,
+    /// Fingerprint of the request as recorded at its start; set like `origin`.
+    #[prost(fixed64, optional, tag = "7")]
+    pub request: Option<u64>,
+    /// Whether it is certain that the caller got no event, so that it can't resume this turn.
+    #[prost(bool, tag = "8")]
+    pub has_no_event: bool,
 }
 
 /// Content of a turn that completed, kept as context for later turns.
@@ -309,6 +321,10 @@
     /// Fingerprint of the turn's request, for the crashes of engines under it; absent from a build without them.
     #[prost(fixed64, optional, tag = "7")]
     pub request: Option<u64>,
+    /// Whether the turn resumes a stream of the same program and request without a name, see
+    /// [`ResumedTurn::OfSameRequest`](crate::ResumedTurn).
+    #[prost(bool, tag = "8")]
+    pub resumes_same_request: bool,
 }
 
 /// Request to record the end of a turn.
@@ -445,6 +461,9 @@
     /// Engines that lost the request and have shown a sign of life since.
     #[prost(string, repeated, tag = "8")]
     pub observed_engines: Vec<String>,
+    /// Whether `known` has the origins of turns of the same request, as `resumes_same_request` asks for.
+    #[prost(bool, tag = "9")]
+    pub has_compared_requests: bool,
 }
 
 /// Tokens that a turn is charged with.
@@ -462,6 +481,12 @@
     /// may have been lost.
     #[prost(bool, tag = "4")]
     pub is_open_attempt: bool,
+    /// Newest origin of the turn's stream, if the turn that begins asks for it and may resume it.
+    #[prost(message, optional, tag = "5")]
+    pub origin: Option<StreamOrigin>,
+    /// Whether it is certain that the turn's caller got no event.
+    #[prost(bool, tag = "6")]
+    pub has_no_event: bool,
 }
 
 /// Turns of a chain, newest first.
--- a/crates/ledger/src/state.rs
+++ b/crates/ledger/src/state.rs
@@ -141,7 +141,7 @@
     fn merge_end(&mut self, turn: &TurnEnded, expires: u64) -> bool {
         let origin = self.share_origin(turn.origin.as_ref());
         let account = self.account(&turn.program, expires);
-        let is_new = account.record_end(&turn.turn, turn.tokens, origin);
+        let is_new = account.record_end(turn, origin);
         let Some(content) = &turn.retained else { return is_new };
         let stored = StoredTurn { program: turn.program.clone(), content: compact_copy(content), expires };
         self.turns.insert(turn.turn.clone(), stored).is_none() || is_new
@@ -172,7 +172,7 @@
         let charged = account.map_or(0, |account| account.charged_tokens_except(&turn.turn));
         let previous = &begin.previous;
         BeginVote {
-            known: account.map(|account| account.known_except(&turn.turn, turn.request)).unwrap_or_default(),
+            known: account.map(|account| account.known_except(turn, begin)).unwrap_or_default(),
             fits: begin.budget_tokens == 0 || charged + turn.max_tokens <= begin.budget_tokens,
             knows_previous: previous.is_empty() || self.turns.contains_key(previous),
             chain: (begin.wants_chain && !previous.is_empty()).then(|| self.chain(previous)),
@@ -180,6 +180,7 @@
             crashed_engines: Vec::new(),
             suspected_engines: Vec::new(),
             observed_engines: Vec::new(),
+            has_compared_requests: begin.resumes_same_request && turn.request.is_some(),
         }
     }
 
@@ -245,6 +246,8 @@
                         turn: turn.clone(),
                         tokens,
                         origin: origin_in_page(turn_account),
+                        request: request_in_page(turn_account),
+                        has_no_event: turn_account.has_no_event,
                         ..TurnEnded::default()
                     };
                     page.add(RecordKind::Ended(ended), remaining, 0);
@@ -281,6 +284,8 @@
             retention_millis: 0,
             retained: Some(stored.content.clone()),
             origin: account.and_then(origin_in_page),
+            request: account.and_then(request_in_page),
+            has_no_event: account.is_some_and(|account| account.has_no_event),
         };
         let bytes = stored.content.input.len() + stored.content.output.len();
         page.add(RecordKind::Ended(ended), stored.expires.saturating_sub(now), bytes);
@@ -325,6 +330,11 @@
     account.origin_message().filter(|_| !is_broken(Rule::LedgerPagesHoldOrigins))
 }
 
+/// Fingerprint of an ended turn's request, as it is transferred in a page.
+fn request_in_page(account: &TurnAccount) -> Option<u64> {
+    account.request.filter(|_| !is_broken(Rule::LedgerPagesHoldRequests))
+}
+
 fn keys_after(key: &str) -> (Bound<&str>, Bound<&str>) {
     let lower = if key.is_empty() { Bound::Unbounded } else { Bound::Excluded(key) };
     (lower, Bound::Unbounded)
--- a/crates/ledger/tests/cluster/mod.rs
+++ b/crates/ledger/tests/cluster/mod.rs
@@ -49,6 +49,10 @@
     origin: StreamOrigin,
     /// Turn whose stream this one resumes; empty if none.
     resumed_turn: String,
+    /// Whether the caller resumes it without its name, with the same request.
+    resumes_same_request: bool,
+    /// Fingerprint of its request.
+    request: u64,
     /// Budget that its request to begin is checked against; 0 if it was admitted before.
     budget: u64,
     /// Whether its client always waits for a majority.
@@ -183,14 +187,17 @@
         let previous = known.choose(&mut self.random).cloned().unwrap_or_default();
         let is_of_older_build = self.has_small_groups && self.random.random_bool(0.1);
         let group = self.known_group(is_of_older_build);
+        let resumption = self.draw_resumption(&program);
         let quorum = BeginQuorum::new(group.commit_quorum(), BUDGET, MAX_TURN_TOKENS);
-        let resumed_turn = self.draw_resumed_turn(&program);
+        let quorum = quorum.resuming(resumption.resumed_turn());
         let operation = Operation {
             program,
             turn,
             previous,
             origin: self.draw_origin(1),
-            resumed_turn,
+            resumed_turn: resumption.turn,
+            resumes_same_request: resumption.is_by_request,
+            request: resumption.request.unwrap_or(self.last_id),
             budget: BUDGET,
             is_of_older_build,
             group,
@@ -203,9 +210,10 @@
             budget_tokens: BUDGET,
             previous: operation.previous.clone(),
             wants_chain: false,
-            resumed_turn: operation.resumed_turn.clone(),
+            resumed_turn: operation.named_turn(),
             commit_quorum: wire_quorum(&operation),
             request: None,
+            resumes_same_request: operation.resumes_same_request,
         };
         self.operations.insert(self.last_id, operation);
         self.send_to_group(self.last_id, RequestKind::Begin(begin));
@@ -302,7 +310,7 @@
                 tokens: operation.tokens,
                 retention_millis: RETENTION,
                 retained: Some(retained_content(&operation)),
-                origin: None,
+                ..TurnEnded::default()
             }),
             commit_quorum: wire_quorum(&operation),
         };
--- a/crates/ledger/tests/cluster/origins.rs
+++ b/crates/ledger/tests/cluster/origins.rs
@@ -2,12 +2,16 @@
 
 use rand::Rng;
 use rand::seq::IndexedRandom;
-use sumacdrift_ledger::{Begin, BeginQuorum, RequestKind, StreamOrigin, TurnBegun};
+use sumacdrift_ledger::{
+    Begin, BeginQuorum, RequestKind, ResumedOrigin, ResumedTurn, StreamOrigin, TurnBegun,
+};
 
 use super::{Cluster, MAX_TURN_TOKENS, Operation, Phase, RETENTION, wire_quorum};
 
 /// Probability that a turn resumes an earlier stream of its program.
 const RESUME_PROBABILITY: f64 = 0.5;
+/// Probability that the caller of such a turn doesn't name the earlier one.
+const UNNAMED_PROBABILITY: f64 = 0.5;
 /// Probability that a turn runs at another version than the one recorded at its start.
 const CHANGE_PROBABILITY: f64 = 0.3;
 const VERSIONS: u32 = 4;
@@ -16,9 +20,36 @@
 pub(super) struct BegunStream {
     turn: String,
     program: String,
+    request: u64,
     origin: StreamOrigin,
 }
 
+/// How a new turn resumes a stream.
+#[derive(Default)]
+pub(super) struct Resumption {
+    /// Turn that began the stream; empty if none is resumed.
+    pub(super) turn: String,
+    pub(super) is_by_request: bool,
+    /// Request of the turn, if the caller doesn't name it.
+    pub(super) request: Option<u64>,
+}
+
+impl Resumption {
+    pub(super) fn resumed_turn(&self) -> ResumedTurn {
+        if self.is_by_request {
+            return ResumedTurn::OfSameRequest;
+        }
+        if self.turn.is_empty() { ResumedTurn::None } else { ResumedTurn::Named(self.turn.clone()) }
+    }
+}
+
+impl Operation {
+    /// The resumed turn as the caller names it.
+    pub(super) fn named_turn(&self) -> String {
+        if self.resumes_same_request { String::new() } else { self.resumed_turn.clone() }
+    }
+}
+
 impl Cluster {
     /// Like [`Cluster::new`], with streams that are resumed, of which some change their origin before they begin.
     pub fn with_resumptions(seed: u64, tolerated_losses: usize) -> Self {
@@ -31,14 +62,17 @@
         StreamOrigin { service: "s".to_owned(), version, revision }
     }
 
-    /// An earlier stream of the program to resume, empty if none.
-    pub(super) fn draw_resumed_turn(&mut self, program: &str) -> String {
+    /// An earlier stream of the program to resume, if any.
+    pub(super) fn draw_resumption(&mut self, program: &str) -> Resumption {
         if !self.has_resumptions || !self.random.random_bool(RESUME_PROBABILITY) {
-            return String::new();
+            return Resumption::default();
         }
+        let is_by_request = self.random.random_bool(UNNAMED_PROBABILITY);
         let of_program: Vec<&BegunStream> =
             self.streams.iter().filter(|stream| stream.program == program).collect();
-        of_program.choose(&mut self.random).map(|stream| stream.turn.clone()).unwrap_or_default()
+        let Some(stream) = of_program.choose(&mut self.random) else { return Resumption::default() };
+        let request = is_by_request.then_some(stream.request);
+        Resumption { turn: stream.turn.clone(), is_by_request, request }
     }
 
     /// A stream that an engine began is found with the version that began it, whatever was lost meanwhile.
@@ -47,12 +81,13 @@
             return;
         };
         self.resumptions += 1;
-        assert_eq!(quorum.resumed_origin(), Some(&resumed.origin), "origin of {}", resumed.turn);
+        let expected = ResumedOrigin::Recorded(resumed.origin.clone());
+        assert_eq!(quorum.resumed_origin(), expected, "origin of {}", resumed.turn);
     }
 
     /// Records another origin for some of the admitted turns before they run; returns the turns that run now.
     pub(super) fn change_origin(&mut self, mut operation: Operation) -> Option<Operation> {
-        let may_change = self.has_resumptions && operation.budget > 0;
+        let may_change = self.has_resumptions && operation.budget > 0 && !operation.resumes_same_request;
         if !may_change || !self.random.random_bool(CHANGE_PROBABILITY) {
             return Some(operation);
         }
@@ -75,9 +110,17 @@
         None
     }
 
+    /// Records a stream that began; one that was resumed without a name has the origin of the first one.
     pub(super) fn record_stream(&mut self, operation: &Operation) {
-        let (turn, program) = (operation.turn.clone(), operation.program.clone());
-        self.streams.push(BegunStream { turn, program, origin: operation.origin.clone() });
+        if operation.resumes_same_request {
+            return;
+        }
+        self.streams.push(BegunStream {
+            turn: operation.turn.clone(),
+            program: operation.program.clone(),
+            request: operation.request,
+            origin: operation.origin.clone(),
+        });
     }
 }
 
@@ -87,7 +130,7 @@
         turn: operation.turn.clone(),
         max_tokens: MAX_TURN_TOKENS,
         retention_millis: RETENTION,
-        origin: Some(operation.origin.clone()),
-        request: None,
+        origin: (!operation.resumes_same_request).then(|| operation.origin.clone()),
+        request: Some(operation.request),
     }
 }
--- a/crates/ledger/tests/mutants.rs
+++ b/crates/ledger/tests/mutants.rs
@@ -9,7 +9,8 @@
 
 use cluster::Cluster;
 use sumacdrift_ledger::{
-    Group, GroupMap, GroupPolicy, Member, MemberWatch, MembershipDecision, ReplacementPolicy,
+    BeginQuorum, BeginVote, Group, GroupMap, GroupPolicy, KnownTurn, Member, MemberWatch, MembershipDecision,
+    ReplacementPolicy, ResumedOrigin, ResumedTurn, StreamOrigin,
 };
 use sumacdrift_mutants::{Rule, with_broken};
 use sumacdrift_types::{RegionName, Timestamp, Topology};
@@ -24,9 +25,13 @@
         Rule::LedgerMemberLossNeedsWitnesses => {
             return partial_partition::replaces_member_reachable_by_others();
         }
+        Rule::LedgerDifferentOriginsAreAmbiguous => return resumes_one_of_two_origins(),
         _ => {}
     }
-    let is_about_origins = matches!(rule, Rule::LedgerNewestOriginCounts | Rule::LedgerPagesHoldOrigins);
+    let is_about_origins = matches!(
+        rule,
+        Rule::LedgerNewestOriginCounts | Rule::LedgerPagesHoldOrigins | Rule::LedgerPagesHoldRequests
+    );
     let is_about_small_groups =
         matches!(rule, Rule::LedgerSmallGroupsCommitMoreCopies | Rule::LedgerClientsAwaitQuorum);
     let run = std::panic::catch_unwind(|| {
@@ -64,6 +69,18 @@
     step != MembershipDecision::Keep
 }
 
+fn resumes_one_of_two_origins() -> bool {
+    let known = ["v1", "v2"].map(|version| KnownTurn {
+        turn: version.to_owned(),
+        origin: Some(StreamOrigin { service: "s".to_owned(), version: version.to_owned(), revision: 1 }),
+        ..KnownTurn::default()
+    });
+    let vote = BeginVote { known: known.to_vec(), has_compared_requests: true, ..BeginVote::default() };
+    let mut quorum = BeginQuorum::new(1, 0, 0).resuming(ResumedTurn::OfSameRequest);
+    quorum.vote(vote);
+    quorum.resumed_origin() != ResumedOrigin::Ambiguous
+}
+
 #[test]
 fn every_broken_rule_is_detected() {
     std::panic::set_hook(Box::new(|_| {}));
--- a/crates/ledger/tests/recorded_forms/samples.rs
+++ b/crates/ledger/tests/recorded_forms/samples.rs
@@ -56,7 +56,7 @@
         tokens: 300,
         retention_millis: 600_000,
         retained: Some(retained()),
-        origin: None,
+        ..TurnEnded::default()
     }
 }
 
@@ -64,6 +64,11 @@
     TurnEnded { origin: Some(origin()), ..turn_ended() }
 }
 
+/// End of a turn with all that replicas transfer.
+fn turn_ended_with_request() -> TurnEnded {
+    TurnEnded { request: Some(99), has_no_event: true, ..turn_ended_at_origin() }
+}
+
 fn chain() -> ChainReply {
     ChainReply { turns: vec![retained()], missing: text("turn-0") }
 }
@@ -94,7 +99,7 @@
         wants_chain: true,
         resumed_turn: String::new(),
         commit_quorum: 0,
-        request: None,
+        ..Begin::default()
     }
 }
 
@@ -133,8 +138,13 @@
     RequestKind::Begin(Begin { turn, request: Some(99), ..begin_with_quorum() })
 }
 
-fn end_with_quorum() -> RequestKind {
-    RequestKind::End(End { turn: Some(turn_ended_at_origin()), commit_quorum: 3 })
+fn begin_of_same_request() -> RequestKind {
+    let turn = Some(turn_begun_with_request());
+    RequestKind::Begin(Begin { turn, request: Some(99), resumes_same_request: true, ..begin_with_quorum() })
+}
+
+fn end_with_quorum(turn: TurnEnded) -> RequestKind {
+    RequestKind::End(End { turn: Some(turn), commit_quorum: 3 })
 }
 
 fn page_request(group: GroupMessage, keys_only: bool) -> RequestKind {
@@ -192,6 +202,14 @@
     })
 }
 
+/// Vote of the newest form.
+fn vote_on_same_request() -> ReplyKind {
+    let ReplyKind::Vote(vote) = vote_with_suspicions(vec![text("e4@8")]) else { unreachable!("a vote") };
+    let turn =
+        KnownTurn { is_open_attempt: true, origin: Some(origin()), has_no_event: true, ..known_turn() };
+    ReplyKind::Vote(BeginVote { known: vec![turn], has_compared_requests: true, ..vote })
+}
+
 fn vote(resumed_origin: Option<StreamOrigin>) -> ReplyKind {
     ReplyKind::Vote(begin_vote(resumed_origin))
 }
@@ -202,7 +220,7 @@
 }
 
 fn known_turn() -> KnownTurn {
-    KnownTurn { turn: text("turn-1"), tokens: 120, has_ended: true, is_open_attempt: false }
+    KnownTurn { turn: text("turn-1"), tokens: 120, has_ended: true, ..KnownTurn::default() }
 }
 
 fn begin_vote(resumed_origin: Option<StreamOrigin>) -> BeginVote {
@@ -212,9 +230,7 @@
         knows_previous: true,
         chain: Some(chain()),
         resumed_origin,
-        crashed_engines: Vec::new(),
-        suspected_engines: Vec::new(),
-        observed_engines: Vec::new(),
+        ..BeginVote::default()
     }
 }
 
@@ -252,7 +268,7 @@
         let reading = Reading { epoch: EPOCH, sources: vec![text("m2")] };
         vec![
             ("3", record(RecordKind::Begun(turn_begun_with_request()))),
-            ("2", record(RecordKind::Ended(turn_ended_at_origin()))),
+            ("3", record(RecordKind::Ended(turn_ended_with_request()))),
             ("3", record(RecordKind::Group(group_with_copies()))),
             ("2", record(RecordKind::Standing(standing))),
             ("1", record(RecordKind::Copy(copy.clone()))),
@@ -264,8 +280,8 @@
     pub fn requests() -> Vec<(&'static str, LedgerRequest)> {
         let contents = ContentsRequest { turns: vec![text("turn-1"), text("turn-2")] };
         let kinds = vec![
-            ("7", begin_with_request()),
-            ("5", end_with_quorum()),
+            ("8", begin_of_same_request()),
+            ("6", end_with_quorum(turn_ended_with_request())),
             ("2", RequestKind::Chain(chain_request())),
             ("4", page_request(group_with_copies(), true)),
             ("5", push(group_with_copies(), turn_begun_with_request())),
@@ -304,7 +320,7 @@
         let kinds = vec![
             ("2", ReplyKind::Done(true)),
             ("2", ReplyKind::Chain(chain())),
-            ("3", page(vec![text("turn-1")], turn_ended_at_origin())),
+            ("4", page(vec![text("turn-1")], turn_ended_with_request())),
             ("3", ReplyKind::WrongEpoch(group_with_copies())),
             ("2", ReplyKind::NotVoting(true)),
             ("5", ReplyKind::Status(status)),
@@ -318,7 +334,7 @@
         let view = Bytes::from_static(b"view");
         let reply = |kind| LedgerReply { kind: Some(kind), view: view.clone(), ..LedgerReply::default() };
         let quarantined = vec![quarantine(true)];
-        let vote = ("7", LedgerReply { quarantined, ..reply(vote_with_suspicions(vec![text("e4@8")])) });
+        let vote = ("8", LedgerReply { quarantined, ..reply(vote_on_same_request()) });
         let others = kinds.into_iter().map(|(form, kind)| (form, reply(kind)));
         std::iter::once(vote).chain(others).collect()
     }
@@ -400,6 +416,7 @@
             ("1", record(RecordKind::Ended(turn_ended()))),
             ("2", record(RecordKind::Group(group(GROUP)))),
             ("2", record(RecordKind::Begun(turn_begun_at_origin()))),
+            ("2", record(RecordKind::Ended(turn_ended_at_origin()))),
         ]
     }
 
@@ -431,6 +448,8 @@
             ("1", RequestKind::EngineCrash(first_engine_crash())),
             ("1", RequestKind::Quarantine(quarantine(false))),
         ];
+        let without_same_request =
+            [("7", begin_with_request()), ("5", end_with_quorum(turn_ended_at_origin()))];
         let report = Bytes::from_static(b"news");
         let plain = |kind| LedgerRequest { epoch: EPOCH, kind: Some(kind), ..LedgerRequest::default() };
         let first = first.map(|kind| ("1", plain(kind)));
@@ -442,7 +461,8 @@
             .into_iter()
             .chain(without_copies)
             .chain(without_fingerprint)
-            .chain(without_suspicions);
+            .chain(without_suspicions)
+            .chain(without_same_request);
         let later = later.map(|(form, kind)| {
             (form, LedgerRequest { report: report.clone(), group: GROUP, ..plain(kind) })
         });
@@ -474,6 +494,7 @@
         let without_crashes = [("3", vote(Some(origin()))), ("4", vote_with_crashes())];
         let without_suspicions = [("1", crashed_engines(Vec::new(), Vec::new()))];
         let without_observations = [("2", crashed_engines(vec![text("e3@7")], Vec::new()))];
+        let without_same_request = [("3", page(vec![text("turn-1")], turn_ended_at_origin()))];
         let vote_without_suspicions = LedgerReply {
             quarantined: vec![quarantine(false)],
             view: Bytes::from_static(b"view"),
@@ -485,6 +506,7 @@
             .chain(without_crashes)
             .chain(without_suspicions)
             .chain(without_observations)
+            .chain(without_same_request)
             .map(|(form, kind)| (form, LedgerReply { view: Bytes::from_static(b"view"), ..plain(kind) }));
         let first = first.map(|kind| ("1", plain(kind)));
         let vote_without_observations = LedgerReply {
@@ -492,7 +514,16 @@
             view: Bytes::from_static(b"view"),
             ..plain(vote_with_suspicions(Vec::new()))
         };
-        let vote = [("5", vote_without_suspicions), ("6", vote_without_observations)];
+        let vote_without_same_request = LedgerReply {
+            quarantined: vec![quarantine(true)],
+            view: Bytes::from_static(b"view"),
+            ..plain(vote_with_suspicions(vec![text("e4@8")]))
+        };
+        let vote = [
+            ("5", vote_without_suspicions),
+            ("6", vote_without_observations),
+            ("7", vote_without_same_request),
+        ];
         first.into_iter().chain(statuses).chain(later).chain(vote).collect()
     }
 }
--- a/crates/ledger/tests/replica.rs
+++ b/crates/ledger/tests/replica.rs
@@ -39,7 +39,7 @@
 
 fn ended(turn: &str, tokens: u64) -> TurnEnded {
     let (program, turn) = ("p".to_owned(), turn.to_owned());
-    TurnEnded { program, turn, tokens, retention_millis: 60_000, retained: None, origin: None }
+    TurnEnded { program, turn, tokens, retention_millis: 60_000, ..TurnEnded::default() }
 }
 
 fn begin(replica: &mut Replica, epoch: u64, turn: &str) -> Option<ReplyKind> {
@@ -58,7 +58,7 @@
         turn: (*turn).to_owned(),
         tokens: *tokens,
         has_ended: *has_ended,
-        is_open_attempt: false,
+        ..KnownTurn::default()
     });
     BeginVote { known: known.collect(), fits, knows_previous: true, ..BeginVote::default() }
 }
--- a/crates/mutants/src/lib.rs
+++ b/crates/mutants/src/lib.rs
@@ -90,13 +90,17 @@
     LedgerNewestOriginCounts,
     /// A replica that transfers ended turns transfers the origins of their streams too.
     LedgerPagesHoldOrigins,
+    /// A replica that transfers ended turns transfers the fingerprints of their requests too.
+    LedgerPagesHoldRequests,
+    /// Of turns with the same request and different origins, none is resumed without a name.
+    LedgerDifferentOriginsAreAmbiguous,
     /// A stream continues only at the software version that began it.
     StreamsStayAtTheirVersion,
 }
 
 impl Rule {
     /// Rules of the program ledger, checked by the ledger's own simulation.
-    pub const LEDGER: [Rule; 16] = [
+    pub const LEDGER: [Rule; 18] = [
         Rule::LedgerVoteNeedsRecords,
         Rule::LedgerReadsEnough,
         Rule::LedgerSmallGroupsCommitMoreCopies,
@@ -113,6 +117,8 @@
         Rule::LedgerMemberLossNeedsWitnesses,
         Rule::LedgerNewestOriginCounts,
         Rule::LedgerPagesHoldOrigins,
+        Rule::LedgerPagesHoldRequests,
+        Rule::LedgerDifferentOriginsAreAmbiguous,
     ];
 
     /// Rules of API keys and quotas.
--- a/crates/storage/src/begin_turn.rs
+++ b/crates/storage/src/begin_turn.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use sumacdrift_calls::{CrashCount, RequestFingerprint};
-use sumacdrift_ledger::{ChainAssembly, StreamOrigin, TurnBegun};
+use sumacdrift_ledger::{ChainAssembly, ResumedOrigin, ResumedTurn, TurnBegun};
 
 /// Timeouts of ledger requests.
 #[derive(Debug, Clone, Copy)]
@@ -39,8 +39,8 @@
     pub previous: String,
     /// Whether the content of the chain must be returned.
     pub needs_chain: bool,
-    /// Turn whose stream this one resumes; empty if it begins a stream.
-    pub resumed_turn: String,
+    /// Turn whose stream this one resumes.
+    pub resumed_turn: ResumedTurn,
     /// Fingerprint of the request; `None` if its crashes don't matter.
     pub request: Option<RequestFingerprint>,
     /// Encoded [`sumacdrift_fleet_view::NodeReport`] sent along with the request.
@@ -56,8 +56,10 @@
     pub counted_tokens: u64,
     /// Epoch of the group that admitted the turn.
     pub epoch: u64,
-    /// Origin of the resumed stream; `None` if nothing is resumed, or if no replica of a majority knows it.
-    pub resumed_origin: Option<StreamOrigin>,
+    /// Origin of the resumed stream.
+    pub resumed_origin: ResumedOrigin,
+    /// Number of turns that may have begun a stream that is resumed without a name.
+    pub matching_turns: usize,
     /// Crashes in succession under the request.
     pub crashes: CrashCount,
 }
--- a/crates/storage/src/client.rs
+++ b/crates/storage/src/client.rs
@@ -11,7 +11,7 @@
 use sumacdrift_calls::CrashCount;
 use sumacdrift_ledger::{
     Begin, BeginDecision, BeginQuorum, ChainReply, End, Group, GroupMap, GroupMessage, GroupNumber, Member,
-    ReplyKind, RequestKind, TurnEnded,
+    ReplyKind, RequestKind, ResumedTurn, TurnEnded,
 };
 use sumacdrift_transport::Transport;
 use sumacdrift_types::{DisabledMechanisms, Location, Mechanism};
@@ -288,14 +288,16 @@
                 budget_tokens: begin.budget_tokens,
                 previous: begin.previous.clone(),
                 wants_chain,
-                resumed_turn: begin.resumed_turn.clone(),
+                resumed_turn: begin.resumed_turn.name().to_owned(),
                 commit_quorum: wire_count(group.commit_quorum()),
                 request: begin.request.map(|request| request.0),
+                resumes_same_request: begin.resumed_turn == ResumedTurn::OfSameRequest,
             };
             encode_with_report(group, RequestKind::Begin(request), begin.report.clone())
         };
         group_request.start(group.commit_quorum(), &request_for);
-        let mut quorum = BeginQuorum::new(group.commit_quorum(), begin.budget_tokens, begin.turn.max_tokens);
+        let quorum = BeginQuorum::new(group.commit_quorum(), begin.budget_tokens, begin.turn.max_tokens);
+        let mut quorum = quorum.resuming(begin.resumed_turn.clone());
         loop {
             let Some(answer) = group_request.next_reply(&request_for).await else {
                 group_request.report_undecided(&begin.turn.turn, &begin.turn.program);
@@ -342,15 +344,21 @@
         deadline: Instant,
     ) -> Result<Admission, LedgerError> {
         let counted_tokens = quorum.counted_tokens();
-        let resumed_origin = quorum.resumed_origin().cloned();
+        let (resumed_origin, matching_turns) = (quorum.resumed_origin(), quorum.matching_turns());
         let crashes = CrashCount {
             confirmed: quorum.crashed_engines(),
             suspected: quorum.suspected_engines(),
             observed: quorum.observed_engines(),
             open_attempts: quorum.open_attempts(),
         };
-        let mut admission =
-            Admission { counted_tokens, epoch: group.epoch, resumed_origin, crashes, ..Admission::default() };
+        let mut admission = Admission {
+            counted_tokens,
+            epoch: group.epoch,
+            resumed_origin,
+            matching_turns,
+            crashes,
+            ..Admission::default()
+        };
         if begin.needs_chain && !begin.previous.is_empty() {
             let first = quorum.take_chain();
             let nothing = ChainReply { turns: Vec::new(), missing: begin.previous.clone() };
--- a/crates/storage/tests/cluster/mod.rs
+++ b/crates/storage/tests/cluster/mod.rs
@@ -21,7 +21,7 @@
 use slog::{Discard, Logger, o};
 use sumacdrift_journal::JournalWriter;
 use sumacdrift_ledger::{
-    Capacity, GroupMap, GroupPolicy, Member, ReplicaSettings, RetainedTurn, TurnBegun, TurnEnded,
+    Capacity, GroupMap, GroupPolicy, Member, ReplicaSettings, ResumedTurn, RetainedTurn, TurnBegun, TurnEnded,
 };
 use sumacdrift_proto::{OneWay, Request, Response};
 use sumacdrift_storage::{
@@ -330,7 +330,7 @@
             needs_chain: !previous.is_empty(),
             previous: previous.clone(),
             report: Bytes::new(),
-            resumed_turn: String::new(),
+            resumed_turn: ResumedTurn::None,
             request: None,
         };
         let admission = client.begin(begin, Instant::now() + Duration::from_secs(1)).await?;
@@ -348,7 +348,7 @@
             tokens: 1,
             retention_millis: RETENTION_MILLIS,
             retained: Some(retained),
-            origin: None,
+            ..TurnEnded::default()
         };
         client.end(end, Bytes::new()).await?;
         self.retained_turns.push(turn);
@@ -402,12 +402,12 @@
 /// The end of a retained turn that expires at once.
 pub fn ended(turn: &str, input: Bytes) -> TurnEnded {
     TurnEnded {
-        origin: None,
         program: "program".to_owned(),
         turn: turn.to_owned(),
         tokens: 1,
         retention_millis: 0,
         retained: Some(RetainedTurn { input, ..RetainedTurn::default() }),
+        ..TurnEnded::default()
     }
 }
 
--- a/crates/storage/tests/fleet/mod.rs
+++ b/crates/storage/tests/fleet/mod.rs
@@ -17,7 +17,8 @@
 use prost::Message;
 use slog::{Discard, Logger, o};
 use sumacdrift_ledger::{
-    Group, GroupMap, LedgerRequest, Member, Replica, ReplicaSettings, RetainedTurn, TurnBegun, TurnEnded,
+    Group, GroupMap, LedgerRequest, Member, Replica, ReplicaSettings, ResumedTurn, RetainedTurn, TurnBegun,
+    TurnEnded,
 };
 use sumacdrift_proto::{OneWay, Request, Response};
 use sumacdrift_storage::{
@@ -276,7 +277,7 @@
         needs_chain: !previous.is_empty(),
         previous: previous.to_owned(),
         report: Bytes::new(),
-        resumed_turn: String::new(),
+        resumed_turn: ResumedTurn::None,
         request: None,
     }
 }
@@ -293,7 +294,7 @@
             input: Bytes::copy_from_slice(format!("in {turn}").as_bytes()),
             output: Bytes::copy_from_slice(format!("out {turn}").as_bytes()),
         }),
-        origin: None,
+        ..TurnEnded::default()
     }
 }
 
