Gateway: callers of HTTP/1.0 are reset where an answer is cut

What callers saw: a caller of HTTP/1.0 at the node's gateway got an orderly end where a service's answer was cut, and took half of it for the whole.

Cause: such a caller learns the end of an answer from that of its connection, and the gateway closed that in order. Only the edge's sockets were set to be reset. Its `CallerSocket` is now in `http-server`, which both use.

Before: a_caller_without_chunks_gets_a_reset_where_an_answer_is_cut failed (known red, 1 of 1). After: `answers_of_back_ends`, 8 of 8 pass, the one of a whole answer to such a caller among them.

--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -9,12 +9,12 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use sumacdrift_http_server::{CallerSocket, EndsWithConnection};
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::call::serve_call;
-use crate::caller_socket::{CallerSocket, EndsWithConnection};
 use crate::edge::Edge;
 use crate::wire_format::WireFormat;
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -8,7 +8,6 @@
 mod attempt;
 mod buffered;
 mod call;
-mod caller_socket;
 mod clock;
 mod cold_permit;
 mod connections;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -1,5 +1,6 @@
 //! HTTP listener with a connection limit, a header timeout and graceful shutdown.
 
+use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,6 +10,7 @@
 use hyper::body::Incoming;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
+use sumacdrift_http_server::{CallerSocket, EndsWithConnection};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio_util::sync::CancellationToken;
@@ -68,13 +70,21 @@
     settings: ListenerSettings,
     graceful: &GracefulShutdown,
 ) {
+    let ends_with_connection = EndsWithConnection::default();
+    let socket = CallerSocket::new(stream, ends_with_connection.clone());
     let service = hyper::service::service_fn(move |request: Request<Incoming>| {
-        router.clone().oneshot(request.map(Body::new))
+        let (router, ends_with_connection) = (router.clone(), ends_with_connection.clone());
+        async move {
+            let version = request.version();
+            let answer = router.oneshot(request.map(Body::new)).await?;
+            ends_with_connection.record_answer(version, answer.body());
+            Ok::<_, Infallible>(answer)
+        }
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(settings.header_timeout)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(socket), service);
     let connection = graceful.watch(connection);
     tokio::spawn(async move {
         // An error means that the client disconnected or violated the protocol; nothing is left to answer.
--- a/crates/edge/src/caller_socket.rs
+++ b/crates/http-server/src/caller_socket.rs
@@ -15,11 +15,11 @@
 
 /// Whether the answer on a connection ends with it. Shared by the socket and the service that answers.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct EndsWithConnection(Arc<AtomicBool>);
+pub struct EndsWithConnection(Arc<AtomicBool>);
 
 impl EndsWithConnection {
     /// Records an answer that is about to be sent. HTTP/1.0 has no chunks.
-    pub(crate) fn record_answer(&self, version: Version, body: &impl Body) {
+    pub fn record_answer(&self, version: Version, body: &impl Body) {
         if version < Version::HTTP_11 && body.size_hint().exact().is_none() {
             self.0.store(true, Ordering::Relaxed);
         }
@@ -32,14 +32,15 @@
 
 /// A caller's connection, which is reset unless it is shut down once an answer that ends with it has begun.
 #[derive(Debug)]
-pub(crate) struct CallerSocket {
+pub struct CallerSocket {
     stream: TcpStream,
     ends_with_connection: EndsWithConnection,
     resets_on_close: bool,
 }
 
 impl CallerSocket {
-    pub(crate) fn new(stream: TcpStream, ends_with_connection: EndsWithConnection) -> Self {
+    /// A caller's accepted connection. `ends_with_connection` is shared with the service that answers on it.
+    pub fn new(stream: TcpStream, ends_with_connection: EndsWithConnection) -> Self {
         Self { stream, ends_with_connection, resets_on_close: false }
     }
 
