--- a/crates/ledger/tests/resumptions.rs
+++ b/crates/ledger/tests/resumptions.rs
@@ -37,7 +37,9 @@
 
 fn replica(begun: &[TurnBegun]) -> LedgerState {
     let mut state = LedgerState::default();
-    begun.iter().for_each(|turn| drop(state.begin(turn, NOW)));
+    for turn in begun {
+        state.begin(turn, NOW);
+    }
     state
 }
 
@@ -50,7 +52,9 @@
 fn found(votes: impl IntoIterator<Item = BeginVote>) -> ResumedOrigin {
     let votes: Vec<BeginVote> = votes.into_iter().collect();
     let mut quorum = BeginQuorum::new(votes.len(), 0, 0).resuming(ResumedTurn::OfSameRequest);
-    votes.into_iter().for_each(|vote| drop(quorum.vote(vote)));
+    for vote in votes {
+        quorum.vote(vote);
+    }
     quorum.resumed_origin()
 }
 
@@ -103,7 +107,9 @@
 fn a_turn_that_may_have_forwarded_an_event_counts_whatever_the_order_of_its_ends() {
     for ends in [[true, false], [false, true]] {
         let mut state = replica(&[begun("first", REQUEST, Some(origin("v1", 1)))]);
-        ends.iter().for_each(|has_no_event| drop(state.end(&ended("first", *has_no_event), NOW)));
+        for has_no_event in ends {
+            state.end(&ended("first", has_no_event), NOW);
+        }
         assert_eq!(found([vote(&state)]), ResumedOrigin::Recorded(origin("v1", 1)), "{ends:?}");
         let [mut one, mut other] =
             [true, false].map(|_| replica(&[begun("first", REQUEST, Some(origin("v1", 1)))]));
