Edge: a response that names no engine is no sign of life

What callers saw: nothing at once. A server at the address of an engine that ended answered its health checks, and the edge counted no crash under the request, however long the test waited (20 s).

Cause: any response but that of another engine was taken for the engine's. Engines name themselves in answers to health checks, or mark their rejections; a response without either shows nothing now, as if none had come. Log event `health_unidentified`.

No soak was run. A connection that an unknown process keeps open still counts for as long as the engine is in the directory.

--- a/crates/edge/src/engine_crash.rs
+++ b/crates/edge/src/engine_crash.rs
@@ -199,7 +199,7 @@
 }
 
 impl SentCall {
-    /// Path for a health check of the engine. Any response is a sign of life, unless another engine gives it.
+    /// Path for a health check of the engine.
     pub(crate) fn health_check_path(&self) -> &str {
         health_check_path(self.health_path.as_deref())
     }
--- a/crates/edge/src/engine_examination.rs
+++ b/crates/edge/src/engine_examination.rs
@@ -197,8 +197,10 @@
             match self.check_health(call, HEALTH_INTERVAL).await {
                 Health::Responds if !self.is_replaced(&call.engine) => return Verdict::Alive,
                 Health::Responds | Health::Another | Health::Refused => return Verdict::Crashed,
-                Health::Silent if self.presence(call) != EnginePresence::Listed => return Verdict::Crashed,
-                Health::Silent => {}
+                Health::Silent | Health::Unidentified if self.presence(call) != EnginePresence::Listed => {
+                    return Verdict::Crashed;
+                }
+                Health::Silent | Health::Unidentified => {}
             }
             if self.clock.now() >= until {
                 return Verdict::Unknown;
@@ -209,8 +211,8 @@
         }
     }
 
-    /// Asks the engine of a call for a sign of life, on a connection of its own. A response of another engine at its address is
-    /// none, and shows that the process has ended.
+    /// Asks the engine of a call for a sign of life, on a connection of its own. A response that doesn't name it is none; that of
+    /// another engine at its address shows that the process has ended.
     pub(crate) async fn check_health(&self, call: &SentCall, within: Duration) -> Health {
         let headers = self.wire_format.liveness_check_headers(&call.engine);
         match self.pool.request_health(call.address, call.health_check_path(), headers, within).await {
@@ -220,6 +222,12 @@
                     "engine" => %call.engine, "status" => head.status.as_u16());
                 Health::Another
             }
+            Ok(head) if !self.wire_format.is_from_engine(&head, &call.engine) => {
+                info!(self.logger, "a health check after a lost call was answered without the engine's name";
+                    "event" => "health_unidentified", "call" => &call.id, "request" => %call.request,
+                    "engine" => %call.engine, "status" => head.status.as_u16());
+                Health::Unidentified
+            }
             Ok(_) => Health::Responds,
             Err(NoResponse::Refused) => Health::Refused,
             Err(NoResponse::Silent) => Health::Silent,
--- a/crates/edge/src/engine_pool.rs
+++ b/crates/edge/src/engine_pool.rs
@@ -106,8 +106,9 @@
 /// Outcome of a health check.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Health {
-    /// There was a response, whichever.
     Responds,
+    /// A response names no engine. Another process at the address may have sent it.
+    Unidentified,
     /// Another engine answers at the address.
     Another,
     Refused,
