--- a/crates/edge/src/engine_observation.rs
+++ b/crates/edge/src/engine_observation.rs
@@ -54,6 +54,11 @@
         self.crashes.observations.attempts().lost()
     }
 
+    /// Number of answered calls whose engines have not outlived them yet.
+    pub fn recent_answers(&self) -> usize {
+        self.crashes.observations.attempts().answered()
+    }
+
     /// Whether an engine has lost a request that is remembered.
     pub(crate) fn is_observed(&self, engine: &EngineId) -> bool {
         self.crashes.observations.attempts().has_lost_at(engine)
--- a/crates/edge/src/recent_attempts.rs
+++ b/crates/edge/src/recent_attempts.rs
@@ -74,6 +74,11 @@
         self.has_lost_at(engine) || self.answered.iter().any(|call| call.engine == *engine)
     }
 
+    /// Number of attempts with a complete answer.
+    pub(crate) fn answered(&self) -> usize {
+        self.answered.len()
+    }
+
     /// Number of attempts without a complete answer.
     pub(crate) fn lost(&self) -> usize {
         self.lost.len()
