--- a/crates/edge/src/engine_examination.rs
+++ b/crates/edge/src/engine_examination.rs
@@ -230,13 +230,13 @@
                     "engine" => %call.engine, "status" => status.as_u16());
                 Health::Another
             }
-            Ok(head) if !self.wire_format.is_from_engine(&head, &call.engine) => {
+            Ok(LivenessResponse { responder: Responder::Unidentified, status }) => {
                 info!(self.logger, "a health check after a lost call was answered without the engine's name";
                     "event" => "health_unidentified", "call" => &call.id, "request" => %call.request,
-                    "engine" => %call.engine, "status" => head.status.as_u16());
+                    "engine" => %call.engine, "status" => status.as_u16());
                 Health::Unidentified
             }
-            Ok(_) => Health::Responds,
+            Ok(LivenessResponse { responder: Responder::Engine, .. }) => Health::Responds,
             Err(NoResponse::Refused) => Health::Refused,
             Err(NoResponse::Silent) => Health::Silent,
         }
