A turn whose stream may be resumed doesn't run without a record

What callers saw (found by the review of the fix): an attempt of a turn is recorded at one version; the ledger doesn't answer, and the next attempt is served at another version without a record. A resumption of it that names no call finds the first attempt's record alone, and gets that version's events: two runs joined, 200, complete.

Cause: programs without a budget could run streams without a record, so that agreement of the recorded turns said nothing of the others. Now each stream of a program that may be resumed must be admitted by the ledger, as turns with a budget must. A stream without a program that goes on without a record runs only at the origin that was sent to the ledger, which a replica may have. A named call that the ledger doesn't answer is of unknown origin instead of an inferred one.

--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -9,8 +9,9 @@
 use http::{Request, Response, request};
 use hyper::body::Incoming;
 use slog::info;
-use sumacdrift_calls::{CallMachine, CallMetadata, CrashCount, Next};
+use sumacdrift_calls::{CallMachine, CallMetadata, CrashCount, EngineVersion, Next};
 use sumacdrift_http_client::{HttpError, read_body};
+use sumacdrift_ledger::StreamOrigin;
 use sumacdrift_storage::LedgerError;
 use sumacdrift_types::{Ran, ResultCode, Timestamp};
 
@@ -137,12 +138,15 @@
     let started = call.edge.clock.now();
     let begun = begin_turn(&call, &machine, started).await;
     call.edge.metrics.ledger_seconds.observe(call.edge.clock.now().since(started).as_secs_f64());
-    let BegunTurn { mut turn, body, has_started, resumed_origin, crashes } = match begun {
+    let BegunTurn { mut turn, body, has_started, resumed_origin, unrecorded_origin, crashes } = match begun {
         Ok(begun) => begun,
         Err(error) => return reject_turn(&call.edge, &call.head, error),
     };
     call.forwarded.body = body;
     call.record_known_crashes(&mut machine, crashes);
+    if let Some(origin) = unrecorded_origin {
+        machine.bind_stream(&EngineVersion::new(&origin.version));
+    }
     if let Some(next) = machine.end_at_crash_limit() {
         return give_up(&call, &machine, &next);
     }
@@ -203,16 +207,18 @@
     has_started: bool,
     /// Origin of the stream that the call resumes, as the ledger knows it.
     resumed_origin: RecordedOrigin,
+    /// Origin that was sent to the ledger without success: a replica may have recorded it, so the stream begins there only.
+    unrecorded_origin: Option<StreamOrigin>,
     /// Crashes in succession under the request, as the ledger knows.
     crashes: CrashCount,
 }
 
 impl<D: WireFormat> CallContext<D> {
-    /// Whether the call is a turn that the ledger has to admit.
+    /// Whether the call is a turn that the ledger has to admit. Streams that may be resumed are looked for among the recorded
+    /// turns of their program, so none of those may run without a record.
     fn must_track(&self) -> bool {
-        let program = self.head.program.as_ref();
-        let has_budget = program.is_some_and(|program| program.token_budget.is_some());
-        has_budget || (self.selected.route.is_retained && program.is_some())
+        let Some(program) = &self.head.program else { return false };
+        program.token_budget.is_some() || self.selected.route.is_retained || self.is_resumable()
     }
 
     /// Whether the call resumes a turn of a program that its route keeps. It would be kept without its first events, as the
@@ -248,6 +254,7 @@
         body: body.clone(),
         has_started: true,
         resumed_origin: RecordedOrigin::default(),
+        unrecorded_origin: None,
         crashes: CrashCount::default(),
     };
     let is_retained = selected.route.is_retained;
@@ -257,13 +264,14 @@
     }
     let program = ledger_program(head);
     let until = edge.clock.instant(machine.admission_deadline(now));
+    let origin = call.expected_origin();
     let request = TurnRequest {
         head,
         program: &program,
         caller,
         selected,
         input: body,
-        origin: call.expected_origin(),
+        origin: origin.clone(),
         resumed_call: call.resumed_call(),
         fingerprint: call.fingerprint(),
         update: edge.update_at_begin(&call.parts),
@@ -275,7 +283,8 @@
         Err(error) => {
             info!(edge.logger, "stream begins without a record"; "event" => "stream_not_recorded",
                 "call" => &head.id, "reason" => %error);
-            return Ok(untracked());
+            let resumed_origin = RecordedOrigin::unanswered(call.resumed_call());
+            return Ok(BegunTurn { resumed_origin, unrecorded_origin: origin, ..untracked() });
         }
     };
     let has_started = head.previous.is_some() || admission.counted_tokens > 0 || !must_track;
@@ -283,7 +292,7 @@
     let crashes = admission.crashes;
     let resumed_origin =
         RecordedOrigin { origin: admission.resumed_origin, matching_turns: admission.matching_turns };
-    Ok(BegunTurn { turn: Some(turn), body, has_started, resumed_origin, crashes })
+    Ok(BegunTurn { turn: Some(turn), body, has_started, resumed_origin, unrecorded_origin: None, crashes })
 }
 
 fn give_up<D: WireFormat>(call: &CallContext<D>, machine: &CallMachine, next: &Next) -> Response<EdgeBody> {
--- a/crates/edge/src/stream_origin.rs
+++ b/crates/edge/src/stream_origin.rs
@@ -30,6 +30,17 @@
     pub(crate) matching_turns: usize,
 }
 
+impl RecordedOrigin {
+    /// What is known if the ledger did not answer: a turn that could be found there may be recorded.
+    pub(crate) fn unanswered(resumed_call: ResumedCall<'_>) -> Self {
+        let origin = match resumed_call {
+            ResumedCall::None => ResumedOrigin::NotAsked,
+            ResumedCall::Named(_) | ResumedCall::OfSameRequest => ResumedOrigin::Unknown,
+        };
+        Self { origin, matching_turns: 0 }
+    }
+}
+
 /// How the origin of a resumed stream was found.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum OriginSource {
