A vote copies only the origins that are asked for, and the edge uses the ledger's type for a resumed turn

Each vote built the origin of every other turn of its program, two strings a turn, and dropped it unless the turn that begins resumes a stream without a name; now nothing is built then. ResumedCall repeated ResumedTurn and was translated into it; Health::Unidentified was treated like Silent everywhere; the host of a forwarded request was read from its headers in two places. ResumedOrigin::Unknown says that it also stands for a ledger that didn't answer. No behaviour changes. The cost of a vote was not measured.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -54,6 +54,10 @@
         let uri = path.map_or_else(|| head.uri.clone(), Uri::from);
         Self { method: head.method.clone(), uri, headers, body }
     }
+
+    pub(crate) fn host(&self) -> Option<&str> {
+        self.headers.get(HOST)?.to_str().ok()
+    }
 }
 
 /// State of a call that its attempts share.
@@ -78,11 +82,10 @@
     /// Fingerprint of the call's request.
     pub(crate) fn fingerprint(&self) -> RequestFingerprint {
         *self.fingerprint.get_or_init(|| {
-            let ForwardedRequest { method, uri, headers, body } = &self.forwarded;
-            let host = headers.get(HOST).and_then(|host| host.to_str().ok());
+            let ForwardedRequest { method, uri, body, .. } = &self.forwarded;
             RequestFingerprint::of(&RequestContent {
                 tenant: self.caller.tenant.as_ref().map_or("", |tenant| &tenant.name),
-                host: host.unwrap_or_default(),
+                host: self.forwarded.host().unwrap_or_default(),
                 method: method.as_str(),
                 path_and_query: uri.path_and_query().map_or("", |path| path.as_str()),
                 body,
--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -264,7 +264,7 @@
     }
     let program = ledger_program(head);
     let until = edge.clock.instant(machine.admission_deadline(now));
-    let origin = call.expected_origin();
+    let (origin, resumed_turn) = (call.expected_origin(), call.resumed_turn());
     let request = TurnRequest {
         head,
         program: &program,
@@ -272,7 +272,7 @@
         selected,
         input: body,
         origin: origin.clone(),
-        resumed_call: call.resumed_call(),
+        resumed_turn: resumed_turn.clone(),
         fingerprint: call.fingerprint(),
         update: edge.update_at_begin(&call.parts),
     };
@@ -283,7 +283,7 @@
         Err(error) => {
             info!(edge.logger, "stream begins without a record"; "event" => "stream_not_recorded",
                 "call" => &head.id, "reason" => %error);
-            let resumed_origin = RecordedOrigin::unanswered(call.resumed_call());
+            let resumed_origin = RecordedOrigin::unanswered(&resumed_turn);
             return Ok(BegunTurn { resumed_origin, unrecorded_origin: origin, ..untracked() });
         }
     };
--- a/crates/edge/src/engine_examination.rs
+++ b/crates/edge/src/engine_examination.rs
@@ -206,10 +206,8 @@
             match self.check_health(call, HEALTH_INTERVAL).await {
                 Health::Responds if !self.is_replaced(&call.engine) => return Verdict::Alive,
                 Health::Responds | Health::Another | Health::Refused => return Verdict::Crashed,
-                Health::Silent | Health::Unidentified if self.presence(call) != EnginePresence::Listed => {
-                    return Verdict::Crashed;
-                }
-                Health::Silent | Health::Unidentified => {}
+                Health::Silent if self.presence(call) != EnginePresence::Listed => return Verdict::Crashed,
+                Health::Silent => {}
             }
             if self.clock.now() >= until {
                 return Verdict::Unknown;
@@ -234,7 +232,7 @@
                 info!(self.logger, "a health check after a lost call was answered without the engine's name";
                     "event" => "health_unidentified", "call" => &call.id, "request" => %call.request,
                     "engine" => %call.engine, "status" => status.as_u16());
-                Health::Unidentified
+                Health::Silent
             }
             Ok(LivenessResponse { responder: Responder::Engine, .. }) => Health::Responds,
             Err(NoResponse::Refused) => Health::Refused,
--- a/crates/edge/src/engine_pool.rs
+++ b/crates/edge/src/engine_pool.rs
@@ -107,11 +107,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Health {
     Responds,
-    /// A response names no engine. Another process at the address may have sent it.
-    Unidentified,
     /// Another engine answers at the address.
     Another,
     Refused,
+    /// No response, or one that names no engine and may be another process's.
     Silent,
 }
 
--- a/crates/edge/src/engine_watch.rs
+++ b/crates/edge/src/engine_watch.rs
@@ -146,8 +146,8 @@
             match self.check_health(call, HEALTH_TIMEOUT).await {
                 Health::Responds => watched.has_responded = true,
                 Health::Refused | Health::Another => return true,
-                Health::Silent | Health::Unidentified if presence == EnginePresence::Missing => return true,
-                Health::Silent | Health::Unidentified => return false,
+                Health::Silent if presence == EnginePresence::Missing => return true,
+                Health::Silent => return false,
             }
         }
         watched.last_alive = self.clock.now();
--- a/crates/edge/src/stream_origin.rs
+++ b/crates/edge/src/stream_origin.rs
@@ -5,15 +5,14 @@
 
 use std::time::Duration;
 
-use http::header::HOST;
 use slog::info;
 use sumacdrift_calls::{CallMachine, EngineVersion};
-use sumacdrift_ledger::{ResumedOrigin, StreamOrigin};
+use sumacdrift_ledger::{ResumedOrigin, ResumedTurn, StreamOrigin};
 use sumacdrift_routing::{Placement, SoleService};
 use sumacdrift_types::ResultCode;
 
-use crate::attempt::{CallContext, ForwardedRequest, Restrictions, choose_eligible};
-use crate::turn::{OpenTurn, ResumedCall, result_code};
+use crate::attempt::{CallContext, Restrictions, choose_eligible};
+use crate::turn::{OpenTurn, result_code};
 use crate::wire_format::WireFormat;
 
 /// Time for which an edge must have known the route and the engines without an interruption, to trust that they are all that
@@ -32,10 +31,10 @@
 
 impl RecordedOrigin {
     /// What is known if the ledger did not answer: a turn that could be found there may be recorded.
-    pub(crate) fn unanswered(resumed_call: ResumedCall<'_>) -> Self {
-        let origin = match resumed_call {
-            ResumedCall::None => ResumedOrigin::NotAsked,
-            ResumedCall::Named(_) | ResumedCall::OfSameRequest => ResumedOrigin::Unknown,
+    pub(crate) fn unanswered(resumed_turn: &ResumedTurn) -> Self {
+        let origin = match resumed_turn {
+            ResumedTurn::None => ResumedOrigin::NotAsked,
+            ResumedTurn::Named(_) | ResumedTurn::OfSameRequest => ResumedOrigin::Unknown,
         };
         Self { origin, matching_turns: 0 }
     }
@@ -98,14 +97,14 @@
 
     /// How the ledger can find the turn that began the stream which the call resumes. Streams without a program have a turn
     /// under the name of the call that began them, so they are found by that name only.
-    pub(crate) fn resumed_call(&self) -> ResumedCall<'_> {
+    pub(crate) fn resumed_turn(&self) -> ResumedTurn {
         if !self.resumes_stream() {
-            return ResumedCall::None;
+            return ResumedTurn::None;
         }
         match &self.head.resumed_call {
-            Some(call) => ResumedCall::Named(call),
-            None if self.head.program.is_some() => ResumedCall::OfSameRequest,
-            None => ResumedCall::None,
+            Some(call) => ResumedTurn::Named(self.caller.name_in_ledger(call)),
+            None if self.head.program.is_some() => ResumedTurn::OfSameRequest,
+            None => ResumedTurn::None,
         }
     }
 
@@ -161,9 +160,7 @@
     }
 
     fn sole_service(&self) -> Option<SoleService> {
-        let ForwardedRequest { headers, uri, .. } = &self.forwarded;
-        let host = headers.get(HOST).and_then(|host| host.to_str().ok())?;
-        self.edge.routes().sole_service(host, uri.path())
+        self.edge.routes().sole_service(self.forwarded.host()?, self.forwarded.uri.path())
     }
 
     fn report_resumption(&self, found: &FoundOrigin, matching_turns: usize) {
--- a/crates/edge/src/turn.rs
+++ b/crates/edge/src/turn.rs
@@ -51,22 +51,13 @@
     pub(crate) input: &'a Bytes,
     /// Expected origin of the turn's stream.
     pub(crate) origin: Option<StreamOrigin>,
-    pub(crate) resumed_call: ResumedCall<'a>,
+    /// Turn whose stream the call resumes.
+    pub(crate) resumed_turn: ResumedTurn,
     pub(crate) fingerprint: RequestFingerprint,
     /// Encoded state for other edges, sent with the request.
     pub(crate) update: Bytes,
 }
 
-/// Call whose stream a call resumes.
-#[derive(Debug, Clone, Copy)]
-pub(crate) enum ResumedCall<'a> {
-    /// The call begins a stream, or its turn can't be found in the ledger.
-    None,
-    Named(&'a str),
-    /// A call of the same program with the same request.
-    OfSameRequest,
-}
-
 pub(crate) fn result_code(error: LedgerError) -> ResultCode {
     match error {
         LedgerError::BudgetSpent => ResultCode::BudgetExhausted,
@@ -110,7 +101,7 @@
         request: TurnRequest<'_>,
         until: Instant,
     ) -> Result<(Self, Admission), LedgerError> {
-        let TurnRequest { head, program, caller, selected, input, origin, resumed_call, fingerprint, update } =
+        let TurnRequest { head, program, caller, selected, input, origin, resumed_turn, fingerprint, update } =
             request;
         let named = |name: &str| caller.name_in_ledger(name);
         let route = &selected.route;
@@ -140,11 +131,7 @@
             budget_tokens: program.token_budget.unwrap_or(0),
             needs_chain: route.is_retained && !previous.is_empty(),
             previous,
-            resumed_turn: match resumed_call {
-                ResumedCall::None => ResumedTurn::None,
-                ResumedCall::Named(call) => ResumedTurn::Named(named(call)),
-                ResumedCall::OfSameRequest => ResumedTurn::OfSameRequest,
-            },
+            resumed_turn,
             request: Some(fingerprint),
             report: update,
         };
--- a/crates/ledger/src/account.rs
+++ b/crates/ledger/src/account.rs
@@ -103,9 +103,9 @@
             is_open_attempt: account.ended_tokens.is_none()
                 && request.is_some()
                 && account.request == request,
-            origin: account
-                .origin_message()
-                .filter(|_| begin.resumes_same_request && account.may_have_request(request)),
+            origin: (begin.resumes_same_request && account.may_have_request(request))
+                .then(|| account.origin_message())
+                .flatten(),
             has_no_event: begin.resumes_same_request && account.has_no_event,
         });
         known.collect()
--- a/crates/ledger/src/resumption.rs
+++ b/crates/ledger/src/resumption.rs
@@ -27,10 +27,10 @@
 /// What a quorum knows of the origin of a resumed stream.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub enum ResumedOrigin {
-    /// No quorum was asked.
+    /// The ledger was not asked.
     #[default]
     NotAsked,
-    /// A voter is of a build that compares no requests.
+    /// It may be recorded: a voter is of a build that compares no requests, or no quorum answered.
     Unknown,
     /// The stream began there.
     Recorded(StreamOrigin),
