--- a/crates/routing/src/route_history.rs
+++ b/crates/routing/src/route_history.rs
@@ -50,6 +50,11 @@
         }
     }
 
+    /// The table in force; `None` until one was applied.
+    pub(crate) fn current(&self) -> Option<&Arc<RouteTable>> {
+        Some(&self.tables.back()?.table)
+    }
+
     fn is_first_expired(&self, now: Timestamp) -> bool {
         self.tables.get(1).is_some_and(|next| now.since(next.applied) >= TABLE_RETENTION)
     }
--- a/crates/routing/src/routes.rs
+++ b/crates/routing/src/routes.rs
@@ -36,7 +36,6 @@
 /// The routing table in force; never replaced by an older version.
 #[derive(Debug, Default)]
 pub struct Routes {
-    table: Option<Arc<RouteTable>>,
     history: RouteHistory,
     turns: HashMap<Arc<str>, u32>,
 }
@@ -44,18 +43,16 @@
 impl Routes {
     /// Installs a table if it is newer; returns whether it was.
     pub fn apply(&mut self, table: RouteTable, now: Timestamp) -> bool {
-        let is_newer = self.table.as_ref().is_none_or(|current| table.version > current.version);
+        let is_newer = self.table().is_none_or(|current| table.version > current.version);
         if is_newer {
-            let table = Arc::new(table);
-            self.history.record(Arc::clone(&table), now);
-            self.table = Some(table);
+            self.history.record(Arc::new(table), now);
         }
         is_newer
     }
 
     /// `None` until a table was applied.
     pub fn table(&self) -> Option<&Arc<RouteTable>> {
-        self.table.as_ref()
+        self.history.current()
     }
 
     /// The only service that calls of a host and path are sent to, and since when; `None` if there are several, or none.
@@ -65,7 +62,7 @@
 
     /// Selects the route and service of a call; `None` if no route matches or no table is in force.
     pub fn select(&mut self, host: &str, path: &str) -> Option<SelectedRoute> {
-        let table = Arc::clone(self.table.as_ref()?);
+        let table = Arc::clone(self.table()?);
         let route = table.find(host, path)?;
         let service = service_spec(&table, self.next_service(route)?);
         Some(SelectedRoute { route: Arc::clone(route), service, version: table.version })
@@ -73,7 +70,7 @@
 
     /// Replaces the service selected for a call by another one of its route; `None` if the route no longer has it.
     pub fn with_service(&self, selected: &SelectedRoute, service: &str) -> Option<SelectedRoute> {
-        let table = self.table.as_ref()?;
+        let table = self.table()?;
         let weighted = selected.route.services.iter().find(|weighted| &*weighted.service == service)?;
         Some(SelectedRoute {
             service: service_spec(table, Arc::clone(&weighted.service)),
