--- a/crates/ledger/tests/cluster/mod.rs
+++ b/crates/ledger/tests/cluster/mod.rs
@@ -47,10 +47,7 @@
     turn: String,
     previous: String,
     origin: StreamOrigin,
-    /// Turn whose stream this one resumes; empty if none.
-    resumed_turn: String,
-    /// Whether the caller resumes it without its name, with the same request.
-    resumes_same_request: bool,
+    resumption: origins::Resumption,
     /// Fingerprint of its request.
     request: u64,
     /// Budget that its request to begin is checked against; 0 if it was admitted before.
@@ -195,9 +192,8 @@
             turn,
             previous,
             origin: self.draw_origin(1),
-            resumed_turn: resumption.turn,
-            resumes_same_request: resumption.is_by_request,
             request: resumption.request.unwrap_or(self.last_id),
+            resumption,
             budget: BUDGET,
             is_of_older_build,
             group,
@@ -210,10 +206,10 @@
             budget_tokens: BUDGET,
             previous: operation.previous.clone(),
             wants_chain: false,
-            resumed_turn: operation.named_turn(),
+            resumed_turn: operation.resumption.resumed_turn().name().to_owned(),
             commit_quorum: wire_quorum(&operation),
             request: None,
-            resumes_same_request: operation.resumes_same_request,
+            resumes_same_request: operation.resumption.is_by_request(),
         };
         self.operations.insert(self.last_id, operation);
         self.send_to_group(self.last_id, RequestKind::Begin(begin));
--- a/crates/ledger/tests/cluster/origins.rs
+++ b/crates/ledger/tests/cluster/origins.rs
@@ -28,25 +28,21 @@
 #[derive(Default)]
 pub(super) struct Resumption {
     /// Turn that began the stream; empty if none is resumed.
-    pub(super) turn: String,
-    pub(super) is_by_request: bool,
-    /// Request of the turn, if the caller doesn't name it.
+    turn: String,
+    /// Request of that turn, if the caller doesn't name it.
     pub(super) request: Option<u64>,
 }
 
 impl Resumption {
     pub(super) fn resumed_turn(&self) -> ResumedTurn {
-        if self.is_by_request {
+        if self.is_by_request() {
             return ResumedTurn::OfSameRequest;
         }
         if self.turn.is_empty() { ResumedTurn::None } else { ResumedTurn::Named(self.turn.clone()) }
     }
-}
 
-impl Operation {
-    /// The resumed turn as the caller names it.
-    pub(super) fn named_turn(&self) -> String {
-        if self.resumes_same_request { String::new() } else { self.resumed_turn.clone() }
+    pub(super) fn is_by_request(&self) -> bool {
+        self.request.is_some()
     }
 }
 
@@ -72,12 +68,13 @@
             self.streams.iter().filter(|stream| stream.program == program).collect();
         let Some(stream) = of_program.choose(&mut self.random) else { return Resumption::default() };
         let request = is_by_request.then_some(stream.request);
-        Resumption { turn: stream.turn.clone(), is_by_request, request }
+        Resumption { turn: stream.turn.clone(), request }
     }
 
     /// A stream that an engine began is found with the version that began it, whatever was lost meanwhile.
     pub(super) fn check_resumed_origin(&mut self, operation: &Operation, quorum: &BeginQuorum) {
-        let Some(resumed) = self.streams.iter().find(|stream| stream.turn == operation.resumed_turn) else {
+        let Some(resumed) = self.streams.iter().find(|stream| stream.turn == operation.resumption.turn)
+        else {
             return;
         };
         self.resumptions += 1;
@@ -87,12 +84,13 @@
 
     /// Records another origin for some of the admitted turns before they run; returns the turns that run now.
     pub(super) fn change_origin(&mut self, mut operation: Operation) -> Option<Operation> {
-        let may_change = self.has_resumptions && operation.budget > 0 && !operation.resumes_same_request;
+        let may_change =
+            self.has_resumptions && operation.budget > 0 && !operation.resumption.is_by_request();
         if !may_change || !self.random.random_bool(CHANGE_PROBABILITY) {
             return Some(operation);
         }
         operation.origin = self.draw_origin(operation.origin.revision + 1);
-        operation.resumed_turn.clear();
+        operation.resumption = Resumption::default();
         operation.group = self.known_group(operation.is_of_older_build);
         operation.budget = 0;
         operation.phase =
@@ -112,7 +110,7 @@
 
     /// Records a stream that began; one that was resumed without a name has the origin of the first one.
     pub(super) fn record_stream(&mut self, operation: &Operation) {
-        if operation.resumes_same_request {
+        if operation.resumption.is_by_request() {
             return;
         }
         self.streams.push(BegunStream {
@@ -130,7 +128,7 @@
         turn: operation.turn.clone(),
         max_tokens: MAX_TURN_TOKENS,
         retention_millis: RETENTION,
-        origin: (!operation.resumes_same_request).then(|| operation.origin.clone()),
+        origin: (!operation.resumption.is_by_request()).then(|| operation.origin.clone()),
         request: Some(operation.request),
     }
 }
