--- a/review/lab-2/src/budget_pause.rs
+++ b/review/lab-2/src/budget_pause.rs
@@ -70,7 +70,9 @@
             let events = answer.body.windows(5).filter(|window| window == b"data:").count() as u64;
             handed += events * u64::from(TOKENS_PER_EVENT);
             if events > 0 {
-                record.line(format!("{attempt} handed {events} events; {handed} tokens of a budget of {BUDGET} so far"));
+                record.line(format!(
+                    "{attempt} handed {events} events; {handed} tokens of a budget of {BUDGET} so far"
+                ));
             }
         }
         tried
@@ -94,6 +96,8 @@
         }
         thread::sleep(Duration::from_millis(200));
     }
-    record.line(format!("the client was handed {handed} tokens; the budget is {BUDGET}, the most of one turn {MOST}"));
+    record.line(format!(
+        "the client was handed {handed} tokens; the budget is {BUDGET}, the most of one turn {MOST}"
+    ));
     Ok(if handed > BUDGET + MOST { Verdict::Broken } else { Verdict::Held })
 }
--- a/review/lab-2/src/budget_race.rs
+++ b/review/lab-2/src/budget_race.rs
@@ -133,7 +133,9 @@
     let ended: Vec<_> = threads.into_iter().filter_map(|thread| thread.join().ok()).collect();
     let handed: u64 = ended.iter().map(|(_, _, _, tokens)| tokens).sum();
     let served = ended.iter().filter(|(_, _, status, _)| *status == 200).count();
-    record.line(format!("program {program}: {AGENTS} sub-agents, {served} turns run, {handed} tokens of {BUDGET}"));
+    record.line(format!(
+        "program {program}: {AGENTS} sub-agents, {served} turns run, {handed} tokens of {BUDGET}"
+    ));
     if handed > BUDGET + MOST {
         for (attempt, to, status, tokens) in &ended {
             record.line(format!("turn {attempt} at {to}: {status}, {tokens} tokens"));
--- a/review/lab-2/src/chain_pause.rs
+++ b/review/lab-2/src/chain_pause.rs
@@ -54,7 +54,11 @@
     let mut prompt = Vec::new();
     for number in 0..TURNS {
         if number > 0 {
-            record.line(format!("the program's tools work for {} s (retentionS is {})", pause.as_secs(), RETENTION.as_secs()));
+            record.line(format!(
+                "the program's tools work for {} s (retentionS is {})",
+                pause.as_secs(),
+                RETENTION.as_secs()
+            ));
             thread::sleep(pause);
         }
         let input = format!("input {number} of {program}. ").into_bytes();
@@ -81,14 +85,21 @@
         let mut expected = prompt.clone();
         expected.extend_from_slice(&input);
         let runs = fleet.runs.all();
-        let ids: Vec<&String> = tries.iter().flat_map(|tried| tried.attempts.iter().map(|(id, _)| id)).collect();
+        let ids: Vec<&String> =
+            tries.iter().flat_map(|tried| tried.attempts.iter().map(|(id, _)| id)).collect();
         let reached: Vec<_> = runs.iter().filter(|run| ids.contains(&&run.attempt)).collect();
         if let Some(other) = reached.iter().find(|run| run.body != expected) {
-            record.line(format!("BROKEN: an engine ran {} with a body that is not the chain and the new input", other.attempt));
+            record.line(format!(
+                "BROKEN: an engine ran {} with a body that is not the chain and the new input",
+                other.attempt
+            ));
             return Ok(Verdict::Broken);
         }
         if !served.is_served() {
-            let denied = tries.iter().flat_map(|tried| &tried.attempts).any(|(_, answer)| matches!(answer.status, 404 | 410));
+            let denied = tries
+                .iter()
+                .flat_map(|tried| &tried.attempts)
+                .any(|(_, answer)| matches!(answer.status, 404 | 410));
             let first_turns = first_turns(&fleet, &edges, &record);
             record.line(format!(
                 "turn {number} was not served: {} client attempts, {} reached an engine, a 404 or 410 among the answers: {denied}; \
--- a/review/lab-2/src/client.rs
+++ b/review/lab-2/src/client.rs
@@ -75,7 +75,13 @@
 
 /// One try of a turn: a client attempt and, within the deadline, one more at another edge if the answer was a promise that
 /// it has not run.
-pub fn try_turn(edges: &[SocketAddr], first: usize, turn: &Turn<'_>, deadline: Duration, record: &Record) -> Try {
+pub fn try_turn(
+    edges: &[SocketAddr],
+    first: usize,
+    turn: &Turn<'_>,
+    deadline: Duration,
+    record: &Record,
+) -> Try {
     let until = Instant::now() + deadline;
     let mut attempts = Vec::new();
     for retry in 0..2 {
--- a/review/lab-2/src/engine.rs
+++ b/review/lab-2/src/engine.rs
@@ -1,8 +1,8 @@
 //! A stand-in for an engine: it keeps its entry in the store, runs one request a connection, and remembers what it ran.
 
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -28,9 +28,7 @@
 pub struct Run {
     pub attempt: String,
     pub engine: String,
-    pub path: String,
     pub body: Vec<u8>,
-    pub after: Option<String>,
 }
 
 #[derive(Default)]
@@ -53,6 +51,9 @@
 
 pub struct Engine {
     settings: EngineSettings,
+    /// Set once the engine has crashed.
+    has_ended: AtomicBool,
+    connections: Mutex<Vec<TcpStream>>,
     runs: Arc<Runs>,
     habits: Arc<Habits>,
     record: Arc<Record>,
@@ -64,22 +65,61 @@
 }
 
 impl Engine {
-    pub fn start(settings: EngineSettings, store: Arc<Store>, runs: Arc<Runs>, habits: Arc<Habits>, record: Arc<Record>) -> std::io::Result<()> {
+    pub fn start(
+        settings: EngineSettings,
+        store: Arc<Store>,
+        runs: Arc<Runs>,
+        habits: Arc<Habits>,
+        record: Arc<Record>,
+    ) -> std::io::Result<Arc<Engine>> {
         let listener = TcpListener::bind(settings.address)?;
-        let engine = Arc::new(Engine { settings: settings.clone(), runs, habits, record });
+        let (has_ended, connections) = (AtomicBool::new(false), Mutex::default());
+        let engine =
+            Arc::new(Engine { settings: settings.clone(), has_ended, connections, runs, habits, record });
+        let accepting = Arc::clone(&engine);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let engine = Arc::clone(&engine);
+                if accepting.has_ended.load(Ordering::Relaxed) {
+                    return;
+                }
+                if let Ok(copy) = stream.try_clone() {
+                    accepting.connections.lock().unwrap().push(copy);
+                }
+                let engine = Arc::clone(&accepting);
                 thread::spawn(move || engine.serve(stream));
             }
         });
+        let beating = Arc::clone(&engine);
         thread::spawn(move || {
             for seq in 1.. {
+                if beating.has_ended.load(Ordering::Relaxed) {
+                    // The platform removes the entry after three heartbeats of silence.
+                    thread::sleep(Duration::from_millis(2400));
+                    return store.erase("servers", &settings.id);
+                }
                 store.write("servers", &settings.id, entry(&settings, seq));
                 thread::sleep(Duration::from_millis(1200));
             }
         });
-        Ok(())
+        Ok(engine)
+    }
+
+    pub fn id(&self) -> &str {
+        &self.settings.id
+    }
+
+    pub fn settings(&self) -> &EngineSettings {
+        &self.settings
+    }
+
+    /// Crashes: nothing listens at its address any more, and all of its connections end at once.
+    pub fn crash(&self) {
+        self.has_ended.store(true, Ordering::Relaxed);
+        let _ = TcpStream::connect(self.settings.address);
+        for connection in self.connections.lock().unwrap().drain(..) {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+        self.record.line(format!("engine {} crashes", self.settings.id));
     }
 
     fn serve(&self, stream: TcpStream) {
@@ -94,7 +134,8 @@
                 Err(error) => {
                     let attempt = head.header("X-Sumacdrift-Attempt-Id").unwrap_or_default();
                     let id = &self.settings.id;
-                    self.record.line(format!("engine {id} could not read the whole of {attempt}: {}", error.kind()));
+                    self.record
+                        .line(format!("engine {id} could not read the whole of {attempt}: {}", error.kind()));
                     return;
                 }
             };
@@ -122,9 +163,12 @@
             return connection.write_answer("400 Bad Request", &[not_run], b"");
         }
         let after = head.header("Last-Event-Id").map(str::to_owned);
-        self.record.line(format!("engine {id} runs {attempt}: {} bytes in{}", body.len(),
-            after.as_ref().map_or(String::new(), |after| format!(", after event {after}"))));
-        let run = Run { attempt: attempt.clone(), engine: id, path: path.clone(), body, after: after.clone() };
+        self.record.line(format!(
+            "engine {id} runs {attempt}: {} bytes in{}",
+            body.len(),
+            after.as_ref().map_or(String::new(), |after| format!(", after event {after}"))
+        ));
+        let run = Run { attempt: attempt.clone(), engine: id, body };
         self.runs.0.lock().unwrap().push(run);
         let signature = ("X-Sumacdrift-Response-Signature", format!("sig.{attempt}"));
         if !path.starts_with("/llm") {
@@ -134,7 +178,8 @@
             self.record.line(format!("engine {} has sent its whole answer to {attempt}", self.settings.id));
             return Ok(());
         }
-        let mut out = format!("HTTP/1.1 200 OK\r\n{}: {}\r\n{}: {}\r\n", named.0, named.1, signature.0, signature.1);
+        let mut out =
+            format!("HTTP/1.1 200 OK\r\n{}: {}\r\n{}: {}\r\n", named.0, named.1, signature.0, signature.1);
         out += "X-Sumacdrift-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
         connection.stream.write_all(out.as_bytes())?;
         let first = after.and_then(|after| after.parse::<usize>().ok()).map_or(1, |after| after + 1);
--- a/review/lab-2/src/fleet.rs
+++ b/review/lab-2/src/fleet.rs
@@ -14,7 +14,7 @@
 use crate::http;
 use crate::json::{list, number, table, text, Json};
 use crate::record::Record;
-use crate::store::Store;
+use crate::store::{Front, Store};
 
 pub const ZONES: [&str; 3] = ["bkk-a", "bkk-b", "bkk-c"];
 pub const HOST: &str = "review.example";
@@ -29,14 +29,11 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
-#[allow(dead_code)]
+/// Numbers of signals on Linux, alike on x86-64 and arm64.
 #[derive(Clone, Copy)]
 pub enum Signal {
-    Kill = 9,
-    Term = 15,
-    #[cfg(target_os = "linux")]
+    Hangup = 1,
     Continue = 18,
-    #[cfg(target_os = "linux")]
     Stop = 19,
 }
 
@@ -62,10 +59,6 @@
         }
     }
 
-    pub fn is_running(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
-    }
-
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
@@ -73,14 +66,6 @@
         }
     }
 
-    #[allow(dead_code)]
-    pub fn wipe(&self) {
-        if let Some(data) = &self.data {
-            let _ = fs::remove_dir_all(data);
-            let _ = fs::create_dir_all(data);
-        }
-    }
-
     pub fn start(&mut self, root: &Path) -> io::Result<()> {
         let log = File::options().create(true).append(true).open(&self.log)?;
         // The commands of deploy/system.toml.
@@ -110,15 +95,15 @@
 }
 
 pub struct Fleet {
-    pub root: PathBuf,
     pub folder: PathBuf,
     pub store: Arc<Store>,
     pub runs: Arc<Runs>,
     pub habits: Arc<Habits>,
-    pub record: Arc<Record>,
+    pub engines: Vec<Arc<Engine>>,
     pub edges: Vec<Machine>,
     pub storages: Vec<Machine>,
     pub platform: SocketAddr,
+    pub front: Front,
     pub seeds: Vec<SocketAddr>,
     net: (u8, u8),
 }
@@ -140,7 +125,9 @@
     for attempt in 0..200 {
         let net = (60 + ((seed + attempt) % 150) as u8, 1 + ((seed / 150 + attempt * 7) % 250) as u8);
         let ip = Ipv4Addr::new(127, net.0, net.1, 1);
-        if TcpListener::bind((ip, STORE)).is_ok() && TcpListener::bind((Ipv4Addr::new(127, net.0, net.1, 10), FRONT)).is_ok() {
+        if TcpListener::bind((ip, STORE)).is_ok()
+            && TcpListener::bind((Ipv4Addr::new(127, net.0, net.1, 10), FRONT)).is_ok()
+        {
             return Ok(net);
         }
     }
@@ -155,10 +142,11 @@
         fs::create_dir_all(&folder)?;
         let store = Arc::new(Store::default());
         let platform = SocketAddr::from((ip(1), STORE));
-        store.serve(platform)?;
+        let front = store.serve(platform)?;
         store.write("config", "main", settings.config);
         let runs = Arc::new(Runs::default());
         let habits = Arc::new(Habits::default());
+        let mut engines = Vec::new();
         let mut at = 100;
         for (service, count) in settings.engines {
             for index in 0..count {
@@ -171,20 +159,27 @@
                     pause: settings.pause,
                 };
                 at += 1;
-                Engine::start(engine, Arc::clone(&store), Arc::clone(&runs), Arc::clone(&habits), Arc::clone(&record))?;
+                engines.push(Engine::start(
+                    engine,
+                    Arc::clone(&store),
+                    Arc::clone(&runs),
+                    Arc::clone(&habits),
+                    Arc::clone(&record),
+                )?);
             }
         }
-        let seeds = (0..settings.storages.min(3)).map(|index| SocketAddr::from((ip(40 + index), CONTROL))).collect();
+        let seeds =
+            (0..settings.storages.min(3)).map(|index| SocketAddr::from((ip(40 + index), CONTROL))).collect();
         let mut fleet = Self {
-            root: root.to_owned(),
             folder,
             store,
             runs,
             habits,
-            record,
+            engines,
             edges: Vec::new(),
             storages: Vec::new(),
             platform,
+            front,
             seeds,
             net,
         };
@@ -252,7 +247,8 @@
             ("finishS", 10.0),
             ("settleMs", 1000.0),
         ];
-        let contracts = ["base", "drain", "config", "cost", "recover", "agent", "stream", "engine", "platform"];
+        let contracts =
+            ["base", "drain", "config", "cost", "recover", "agent", "stream", "engine", "platform"];
         let limits = table([
             ("cpuShare", number(if is_edge { 0.25 } else { 0.5 })),
             ("cores", number(1)),
@@ -266,7 +262,10 @@
             ("node", text(&machine.name)),
             ("role", text(machine.role)),
             ("machineClass", text(machine.role)),
-            ("serves", list(if is_edge { vec![text("edge")] } else { vec![text("storage"), text("control")] })),
+            (
+                "serves",
+                list(if is_edge { vec![text("edge")] } else { vec![text("storage"), text("control")] }),
+            ),
             ("ip", text(machine.ip.to_string())),
             ("zone", text(zone)),
             ("region", text("bkk")),
@@ -282,8 +281,16 @@
             ("entry", text("vip")),
             ("heartbeatMs", number(1200)),
             ("contracts", list(contracts.map(text))),
-            ("faultTolerance", table([("machines", number(1)), ("zones", number(0)), ("regions", number(0))])),
-            ("bounds", Json::Table(bounds.iter().map(|(name, value)| ((*name).to_owned(), number(*value))).collect())),
+            (
+                "faultTolerance",
+                table([("machines", number(1)), ("zones", number(0)), ("regions", number(0))]),
+            ),
+            (
+                "bounds",
+                Json::Table(
+                    bounds.iter().map(|(name, value)| ((*name).to_owned(), number(*value))).collect(),
+                ),
+            ),
             (
                 "platform",
                 table([
@@ -318,10 +325,20 @@
         false
     }
 
-    /// Restarts a machine as the platform does: with its disk, and not as at the first start.
-    #[allow(dead_code)]
-    pub fn prepare_restart(&self, machine: &Machine, index: usize) -> io::Result<()> {
-        self.write_settings(machine, ZONES[index % ZONES.len()], false)
+    /// Moves the store to another address: the settings of all machines change, and each is told by SIGHUP.
+    pub fn move_store(&mut self) -> io::Result<()> {
+        self.platform = SocketAddr::from((Ipv4Addr::new(127, self.net.0, self.net.1, 2), STORE));
+        let before = std::mem::replace(&mut self.front, self.store.serve(self.platform)?);
+        for machines in [&self.storages, &self.edges] {
+            for (index, machine) in machines.iter().enumerate() {
+                self.write_settings(machine, ZONES[index % ZONES.len()], false)?;
+                machine.signal(Signal::Hangup);
+            }
+        }
+        // Both addresses serve for a while.
+        thread::sleep(Duration::from_secs(10));
+        before.close();
+        Ok(())
     }
 }
 
@@ -363,7 +380,8 @@
         ("models", list([table([("name", text("m"))])])),
     ]);
     let service = |name: &str, engine: Option<Json>| {
-        let mut service = table([("name", text(name)), ("healthPath", text("/healthz")), ("maxConns", number(160))]);
+        let mut service =
+            table([("name", text(name)), ("healthPath", text("/healthz")), ("maxConns", number(160))]);
         if let Some(engine) = engine {
             service.set("engine", engine);
         }
@@ -372,7 +390,7 @@
     table([
         ("version", number(version)),
         ("routes", list(routes.iter().map(route))),
-        ("services", list([service("llm", Some(engine)), service("api", None)])),
+        ("services", list([service("llm", Some(engine)), service("api", None), service("api-new", None)])),
         (
             "limits",
             table([
--- a/review/lab-2/src/http.rs
+++ b/review/lab-2/src/http.rs
@@ -51,7 +51,11 @@
                 break end + 4;
             }
             if self.fill()? == 0 {
-                return if self.ahead.is_empty() { Ok(None) } else { Err(io::ErrorKind::UnexpectedEof.into()) };
+                return if self.ahead.is_empty() {
+                    Ok(None)
+                } else {
+                    Err(io::ErrorKind::UnexpectedEof.into())
+                };
             }
         };
         let bytes = self.take(end);
@@ -59,7 +63,8 @@
         let mut lines = text.split("\r\n");
         let first = lines.next().unwrap_or_default().splitn(3, ' ').map(str::to_owned).collect();
         let headers = lines.filter_map(|line| line.split_once(':'));
-        let headers = headers.map(|(name, value)| (name.trim().to_owned(), value.trim().to_owned())).collect();
+        let headers =
+            headers.map(|(name, value)| (name.trim().to_owned(), value.trim().to_owned())).collect();
         Ok(Some(Head { first, headers }))
     }
 
@@ -88,7 +93,8 @@
     pub fn read_chunk(&mut self) -> io::Result<Option<Vec<u8>>> {
         let line = self.read_line()?;
         let size = line.split(';').next().unwrap_or_default().trim();
-        let size = usize::from_str_radix(size, 16).map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
+        let size =
+            usize::from_str_radix(size, 16).map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
         if size == 0 {
             while !self.read_line()?.is_empty() {}
             return Ok(None);
@@ -153,8 +159,14 @@
     within: Duration,
 ) -> Answer {
     let started = Instant::now();
-    let mut answer =
-        Answer { status: 0, headers: Vec::new(), body: Vec::new(), is_whole: false, note: String::new(), took: Duration::ZERO };
+    let mut answer = Answer {
+        status: 0,
+        headers: Vec::new(),
+        body: Vec::new(),
+        is_whole: false,
+        note: String::new(),
+        took: Duration::ZERO,
+    };
     if let Err(error) = exchange(to, method, path, headers, body, within, &mut answer) {
         answer.note = error.kind().to_string();
     }
--- a/review/lab-2/src/main.rs
+++ b/review/lab-2/src/main.rs
@@ -9,6 +9,7 @@
 mod budget_race;
 mod chain_pause;
 mod client;
+mod crashes;
 mod engine;
 mod fleet;
 mod http;
@@ -17,6 +18,7 @@
 mod slow_client;
 mod slow_engine;
 mod store;
+mod store_moves;
 
 /// How a case ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -35,13 +37,18 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |trouble| trouble != "0");
     let Ok(record) = record::Record::create(Path::new(path)) else { return ExitCode::from(2) };
     let record = Arc::new(record);
-    record.line(format!("case {case}, {}", if trouble { "with its disruption" } else { "without its disruption" }));
+    record.line(format!(
+        "case {case}, {}",
+        if trouble { "with its disruption" } else { "without its disruption" }
+    ));
     let outcome = match case.as_str() {
         "chain-pause" => chain_pause::run(Path::new(root), trouble, Arc::clone(&record)),
         "budget-pause" => budget_pause::run(Path::new(root), trouble, Arc::clone(&record)),
         "budget-race" => budget_race::run(Path::new(root), trouble, Arc::clone(&record)),
         "slow-client" => slow_client::run(Path::new(root), trouble, Arc::clone(&record)),
         "slow-engine" => slow_engine::run(Path::new(root), trouble, Arc::clone(&record)),
+        "crashes" => crashes::run(Path::new(root), trouble, Arc::clone(&record)),
+        "store-moves" => store_moves::run(Path::new(root), trouble, Arc::clone(&record)),
         _ => return ExitCode::from(2),
     };
     let verdict = outcome.unwrap_or_else(|error| {
--- a/review/lab-2/src/record.rs
+++ b/review/lab-2/src/record.rs
@@ -20,8 +20,4 @@
         let seconds = self.started.elapsed().as_secs_f64();
         let _ = writeln!(self.file.lock().unwrap(), "{seconds:8.3} s  {}", line.as_ref());
     }
-
-    pub fn seconds(&self) -> f64 {
-        self.started.elapsed().as_secs_f64()
-    }
 }
--- a/review/lab-2/src/slow_client.rs
+++ b/review/lab-2/src/slow_client.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use crate::client::new_id;
-use crate::fleet::{config, Fleet, FleetSettings, RouteSettings, HOST};
+use crate::fleet::{config, Fleet, FleetSettings, RouteSettings, Signal, HOST};
 use crate::http::Connection;
 use crate::record::Record;
 use crate::Verdict;
@@ -64,6 +64,12 @@
         })
         .collect::<io::Result<Vec<_>>>()?;
     fleet.habits.answer_bytes.store(ANSWER_BYTES, Ordering::Relaxed);
+    // Planned work, with and without the disruption: the rule asks for it.
+    for edge in &fleet.edges {
+        edge.signal(Signal::Hangup);
+        record.line(format!("{} gets SIGHUP", edge.name));
+    }
+    thread::sleep(Duration::from_millis(200));
     let threads: Vec<_> = clients
         .into_iter()
         .map(|(mut connection, to)| {
@@ -85,7 +91,12 @@
 }
 
 /// Sends a request on a kept connection, and reads its answer after a pause; returns the status and the length of the body.
-fn request(connection: &mut Connection, to: SocketAddr, pause: Duration, record: &Record) -> io::Result<Option<(u16, usize)>> {
+fn request(
+    connection: &mut Connection,
+    to: SocketAddr,
+    pause: Duration,
+    record: &Record,
+) -> io::Result<Option<(u16, usize)>> {
     use std::io::Write;
     let attempt = new_id();
     let started = Instant::now();
--- a/review/lab-2/src/slow_engine.rs
+++ b/review/lab-2/src/slow_engine.rs
@@ -61,7 +61,10 @@
         }
         if is_last && trouble {
             fleet.habits.read_pause.store(READ_PAUSE.as_millis() as u64, Ordering::Relaxed);
-            record.line(format!("from now on engines wait {} ms before they read a body", READ_PAUSE.as_millis()));
+            record.line(format!(
+                "from now on engines wait {} ms before they read a body",
+                READ_PAUSE.as_millis()
+            ));
         }
         let mut input = format!("input {number} of {program}. ").into_bytes();
         input.resize(if is_last { 1000 } else { INPUT_BYTES }, b'.');
@@ -91,7 +94,8 @@
         let mut expected = prompt.clone();
         expected.extend_from_slice(&input);
         let runs = fleet.runs.all();
-        let ids: Vec<&String> = tries.iter().flat_map(|tried| tried.attempts.iter().map(|(id, _)| id)).collect();
+        let ids: Vec<&String> =
+            tries.iter().flat_map(|tried| tried.attempts.iter().map(|(id, _)| id)).collect();
         let reached: Vec<_> = runs.iter().filter(|run| ids.contains(&&run.attempt)).collect();
         if reached.iter().any(|run| run.body != expected) {
             record.line("BROKEN: an engine ran a body that is not the chain and the new input");
--- a/review/lab-2/src/store.rs
+++ b/review/lab-2/src/store.rs
@@ -2,7 +2,8 @@
 //! conditional writes, as PROTOCOL.md describes them. It is always sound: it loses nothing and answers at once.
 
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -30,7 +31,9 @@
     fn put(&mut self, kind: &str, name: &str, spec: Json, status: Json) -> Json {
         self.revision += 1;
         let known = self.kinds.get(kind).and_then(|objects| objects.get(name));
-        let made = known.and_then(|object| object.get("metadata").get("made").number()).unwrap_or(self.revision as f64);
+        let made = known
+            .and_then(|object| object.get("metadata").get("made").number())
+            .unwrap_or(self.revision as f64);
         let object = table([
             (
                 "metadata",
@@ -51,7 +54,9 @@
     }
 
     fn remove(&mut self, kind: &str, name: &str) -> bool {
-        let Some(object) = self.kinds.get_mut(kind).and_then(|objects| objects.remove(name)) else { return false };
+        let Some(object) = self.kinds.get_mut(kind).and_then(|objects| objects.remove(name)) else {
+            return false;
+        };
         self.revision += 1;
         self.history.push((kind.to_owned(), self.revision, object, true));
         true
@@ -62,17 +67,43 @@
     }
 }
 
+/// An address at which the store is served.
+#[derive(Clone)]
+pub struct Front {
+    address: SocketAddr,
+    is_closed: Arc<AtomicBool>,
+    connections: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Front {
+    /// Ends the service at this address.
+    pub fn close(&self) {
+        self.is_closed.store(true, Ordering::Relaxed);
+        let _ = TcpStream::connect(self.address);
+        for connection in self.connections.lock().unwrap().drain(..) {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+    }
+}
+
 impl Store {
-    pub fn serve(self: &Arc<Self>, address: SocketAddr) -> std::io::Result<()> {
+    pub fn serve(self: &Arc<Self>, address: SocketAddr) -> std::io::Result<Front> {
         let listener = TcpListener::bind(address)?;
-        let store = Arc::clone(self);
+        let front = Front { address, is_closed: Arc::default(), connections: Arc::default() };
+        let (store, accepting) = (Arc::clone(self), front.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if accepting.is_closed.load(Ordering::Relaxed) {
+                    return;
+                }
+                if let Ok(copy) = stream.try_clone() {
+                    accepting.connections.lock().unwrap().push(copy);
+                }
                 let store = Arc::clone(&store);
                 thread::spawn(move || store.serve_connection(stream));
             }
         });
-        Ok(())
+        Ok(front)
     }
 
     /// A write of the operator or of an engine.
@@ -88,11 +119,6 @@
         self.changed.notify_all();
     }
 
-    pub fn status_of(&self, kind: &str, name: &str) -> Json {
-        let object = self.content.lock().unwrap().find(kind, name);
-        object.map_or(Json::Null, |object| object.get("status").clone())
-    }
-
     fn serve_connection(&self, stream: TcpStream) {
         let mut connection = Connection::new(stream);
         while let Ok(Some(head)) = connection.read_head() {
@@ -183,7 +209,8 @@
         let until = Instant::now() + Duration::from_millis(wait);
         let mut content = self.content.lock().unwrap();
         loop {
-            let newer = content.history.iter().filter(|(known, revision, _, _)| known == kind && *revision > since);
+            let newer =
+                content.history.iter().filter(|(known, revision, _, _)| known == kind && *revision > since);
             let events: Vec<Json> = newer
                 .map(|(_, _, object, gone)| table([("object", object.clone()), ("gone", Json::Bool(*gone))]))
                 .collect();
