--- a/review/lab-2/src/fleet.rs
+++ b/review/lab-2/src/fleet.rs
@@ -33,6 +33,7 @@
 #[derive(Clone, Copy)]
 pub enum Signal {
     Hangup = 1,
+    Kill = 9,
     Continue = 18,
     Stop = 19,
 }
@@ -59,6 +60,14 @@
         }
     }
 
+    /// The most memory that the process has used.
+    pub fn peak_kilobytes(&self) -> u64 {
+        let Some(child) = &self.child else { return 0 };
+        let status = fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+    }
+
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
@@ -307,6 +316,26 @@
         fs::write(&machine.settings, settings.to_string())
     }
 
+    /// Kills every process at the same moment.
+    pub fn kill_all(&mut self) {
+        for machine in self.edges.iter().chain(&self.storages) {
+            machine.signal(Signal::Kill);
+        }
+        for machine in self.edges.iter_mut().chain(&mut self.storages) {
+            machine.kill();
+        }
+    }
+
+    /// Starts all machines again, with their disks, and not as at the first start.
+    pub fn start_all(&mut self, root: &Path) -> io::Result<()> {
+        for machines in [&self.storages, &self.edges] {
+            for (index, machine) in machines.iter().enumerate() {
+                self.write_settings(machine, ZONES[index % ZONES.len()], false)?;
+            }
+        }
+        self.storages.iter_mut().chain(&mut self.edges).try_for_each(|machine| machine.start(root))
+    }
+
     pub fn is_ready(&self, edge: usize) -> bool {
         let address = SocketAddr::from((self.edges[edge].ip, READY));
         let headers = [("Host", HOST.to_owned())];
--- a/review/lab-2/src/main.rs
+++ b/review/lab-2/src/main.rs
@@ -14,6 +14,7 @@
 mod fleet;
 mod http;
 mod json;
+mod lost_snapshot;
 mod record;
 mod slow_client;
 mod slow_engine;
@@ -49,6 +50,7 @@
         "slow-engine" => slow_engine::run(Path::new(root), trouble, Arc::clone(&record)),
         "crashes" => crashes::run(Path::new(root), trouble, Arc::clone(&record)),
         "store-moves" => store_moves::run(Path::new(root), trouble, Arc::clone(&record)),
+        "lost-snapshot" => lost_snapshot::run(Path::new(root), trouble, Arc::clone(&record)),
         _ => return ExitCode::from(2),
     };
     let verdict = outcome.unwrap_or_else(|error| {
