--- a/review/lab-2/src/lost_snapshot.rs
+++ b/review/lab-2/src/lost_snapshot.rs
@@ -21,6 +21,8 @@
 const RATE: f64 = 66.0;
 const FAST_START: f64 = 12.0;
 const RETENTION: Duration = Duration::from_secs(20);
+/// How long turns are asked for, as a script may take 120 s.
+const ASK_FOR: Duration = Duration::from_secs(6);
 
 pub fn run(root: &Path, trouble: bool, record: Arc<Record>) -> io::Result<Verdict> {
     let kept = RouteSettings {
@@ -95,10 +97,11 @@
             return Ok(Verdict::CouldNotRun);
         }
     }
+    let asking_since = Instant::now();
     let (mut asked, mut unknown, mut served) = (0, 0, 0);
     for (number, kept) in kept_turns.iter().rev().step_by(4).enumerate() {
         // A margin, as the turn counts from the end of its answer on.
-        if kept.answered.elapsed() + Duration::from_secs(3) >= RETENTION {
+        if kept.answered.elapsed() + Duration::from_secs(3) >= RETENTION || asking_since.elapsed() > ASK_FOR {
             break;
         }
         let next =
