--- a/review/lab-2/src/budget_race.rs
+++ b/review/lab-2/src/budget_race.rs
@@ -22,7 +22,7 @@
 const HELD_TURNS: u64 = 4;
 const AGENTS: usize = 6;
 const BUDGET: u64 = HELD_TURNS * MOST;
-const PROGRAMS: usize = 100;
+const PROGRAMS: usize = 200;
 const GAP: Duration = Duration::from_millis(80);
 /// How long the storage machine stands still.
 const FREEZE: Duration = Duration::from_millis(120);
--- a/review/lab-2/src/main.rs
+++ b/review/lab-2/src/main.rs
@@ -12,6 +12,7 @@
 mod crashes;
 mod engine;
 mod fleet;
+mod full_journal;
 mod http;
 mod json;
 mod lost_snapshot;
@@ -51,6 +52,7 @@
         "crashes" => crashes::run(Path::new(root), trouble, Arc::clone(&record)),
         "store-moves" => store_moves::run(Path::new(root), trouble, Arc::clone(&record)),
         "lost-snapshot" => lost_snapshot::run(Path::new(root), trouble, Arc::clone(&record)),
+        "full-journal" => full_journal::run(Path::new(root), Arc::clone(&record)),
         _ => return ExitCode::from(2),
     };
     let verdict = outcome.unwrap_or_else(|error| {
