A member is not taken away before an empty one has read it

Cause: a member that lost its disk removed the one that it still had to read, as that one had announced a planned stop and was silent for 1.4 s. With one source less it voted, without the records that were at the removed member and on its own lost disk only. The stopping member knew of the empty one and ended 0.7 ms after its signal. The log of the empty member shows it: sources_left 1, then 'gave up a lost member', then its vote; the stopped machine came back with all records a second later.

--- a/crates/ledger/src/placement.rs
+++ b/crates/ledger/src/placement.rs
@@ -35,18 +35,27 @@
     pub(crate) lost_after: Duration,
     /// Whether the machine replaces a member that offers its membership before it shuts down.
     pub(crate) accepts_offered_membership: bool,
+    /// Whether the machine, as a member, removes a lost one that no machine replaced.
+    pub(crate) removes_lost_member: bool,
 }
 
 impl ReplacementPolicy {
     /// For a spare machine, which was complete before and is not a member: waits longer than most outages.
-    pub const FOR_EXISTING_MACHINE: Self = Self { lost_after: LOST_AFTER, accepts_offered_membership: false };
+    pub const FOR_EXISTING_MACHINE: Self =
+        Self { lost_after: LOST_AFTER, accepts_offered_membership: false, removes_lost_member: true };
 
     /// For a machine that started empty and has to catch up within this time, and for current members. A new machine
     /// usually replaces one that left, and until it votes the group tolerates one disk loss less.
     pub fn for_new_machine(catch_up_time: Duration) -> Self {
         let lost_after = catch_up_time.mul_f64(LOST_AFTER_FRACTION);
         let lost_after = lost_after.clamp(MIN_LOST_AFTER, MAX_LOST_AFTER);
-        Self { lost_after, accepts_offered_membership: true }
+        Self { lost_after, accepts_offered_membership: true, removes_lost_member: true }
+    }
+
+    /// For a member that does not vote: it removes no other one, which may hold records that it still has to read.
+    pub fn for_incomplete_member(catch_up_time: Duration) -> Self {
+        let removes_lost_member = is_broken(Rule::LedgerIncompleteMembersRemoveNobody);
+        Self { removes_lost_member, ..Self::for_new_machine(catch_up_time) }
     }
 
     /// Time without an answer after which a member is considered lost.
@@ -219,8 +228,9 @@
             // Only odd groups shrink: the majority keeps its size, and any one remaining member may still lose its
             // disk.
             let is_odd = group.members.len() % 2 == 1 && group.members.len() > 1;
+            let may_remove = is_odd && replacement.removes_lost_member;
             let lost =
-                watch.member_to_remove(group, &own.node, replacement.lost_after, now).filter(|_| is_odd);
+                watch.member_to_remove(group, &own.node, replacement.lost_after, now).filter(|_| may_remove);
             return match lost {
                 Some(lost) => change(group.without_member(&lost), ChangeReason::RemovedLost),
                 None => MembershipDecision::Keep,
--- a/crates/ledger/tests/mutants.rs
+++ b/crates/ledger/tests/mutants.rs
@@ -6,11 +6,12 @@
 mod zone_simulation;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use cluster::Cluster;
 use sumacdrift_ledger::{
-    BeginQuorum, BeginVote, Group, GroupMap, GroupPolicy, KnownTurn, Member, MemberWatch, MembershipDecision,
-    ReplacementPolicy, ResumedOrigin, ResumedTurn, StreamOrigin,
+    BeginQuorum, BeginVote, Group, GroupMap, GroupPolicy, KnownTurn, Member, MemberReport, MemberWatch,
+    MembershipDecision, ReplacementPolicy, ResumedOrigin, ResumedTurn, StreamOrigin,
 };
 use sumacdrift_mutants::{Rule, with_broken};
 use sumacdrift_types::{RegionName, Timestamp, Topology};
@@ -25,6 +26,7 @@
         Rule::LedgerMemberLossNeedsWitnesses => {
             return partial_partition::replaces_member_reachable_by_others();
         }
+        Rule::LedgerIncompleteMembersRemoveNobody => return incomplete_member_removes_a_lost_one(),
         Rule::LedgerDifferentOriginsAreAmbiguous => return resumes_one_of_two_origins(),
         _ => {}
     }
@@ -69,6 +71,30 @@
     step != MembershipDecision::Keep
 }
 
+fn incomplete_member_removes_a_lost_one() -> bool {
+    let member = |node: &str| Member {
+        node: node.to_owned(),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: "z".to_owned(),
+        joined: 0,
+    };
+    let map = GroupMap::new(vec![Group::initial(["a", "b", "lost"].map(member).to_vec())]);
+    let start = Timestamp::default();
+    let now = start + Duration::from_secs(20);
+    let report = MemberReport {
+        is_voting: true,
+        unresponsive: Some([("lost".to_owned(), Duration::from_secs(20))].into()),
+        ..MemberReport::default()
+    };
+    let mut watch = MemberWatch::default();
+    watch.record_timeout("lost", start);
+    watch.record_answer("b", report, now);
+    let (topology, own) = (Topology::default(), member("a"));
+    let replacement = ReplacementPolicy::for_incomplete_member(Duration::from_secs(4));
+    let policy = GroupPolicy::tolerating(1);
+    policy.decide_membership(&topology, &map, &own, &watch, replacement, now) != MembershipDecision::Keep
+}
+
 fn resumes_one_of_two_origins() -> bool {
     let known = ["v1", "v2"].map(|version| KnownTurn {
         turn: version.to_owned(),
--- a/crates/mutants/src/lib.rs
+++ b/crates/mutants/src/lib.rs
@@ -64,6 +64,8 @@
     LedgerGroupsStayInTheirRegions,
     /// A member that still answers other members of its group doesn't count as lost.
     LedgerMemberLossNeedsWitnesses,
+    /// A member without a vote removes no other member, which it may still have to read.
+    LedgerIncompleteMembersRemoveNobody,
     /// API keys are rejected while the node's key data is too old.
     AccessAgeIsBounded,
     /// The calls that a node admitted and a majority of the counting nodes has not acknowledged are bounded.
@@ -100,7 +102,7 @@
 
 impl Rule {
     /// Rules of the program ledger, checked by the ledger's own simulation.
-    pub const LEDGER: [Rule; 18] = [
+    pub const LEDGER: [Rule; 19] = [
         Rule::LedgerVoteNeedsRecords,
         Rule::LedgerReadsEnough,
         Rule::LedgerSmallGroupsCommitMoreCopies,
@@ -115,6 +117,7 @@
         Rule::LedgerZonesHoldFewMembers,
         Rule::LedgerGroupsStayInTheirRegions,
         Rule::LedgerMemberLossNeedsWitnesses,
+        Rule::LedgerIncompleteMembersRemoveNobody,
         Rule::LedgerNewestOriginCounts,
         Rule::LedgerPagesHoldOrigins,
         Rule::LedgerPagesHoldRequests,
--- a/crates/storage/src/group_maintenance.rs
+++ b/crates/storage/src/group_maintenance.rs
@@ -287,9 +287,13 @@
 
     /// Conditions under which this machine replaces a lost member or, if it is itself a member, removes one.
     fn replacement_policy(&self) -> ReplacementPolicy {
+        let catch_up_time = self.settings.catch_up_time;
         let replica = self.host.replica();
+        if replica.is_member() && !replica.is_voting() {
+            return ReplacementPolicy::for_incomplete_member(catch_up_time);
+        }
         match replica.is_new() || replica.is_member() {
-            true => ReplacementPolicy::for_new_machine(self.settings.catch_up_time),
+            true => ReplacementPolicy::for_new_machine(catch_up_time),
             false => ReplacementPolicy::FOR_EXISTING_MACHINE,
         }
     }
--- a/crates/storage/tests/cluster/mod.rs
+++ b/crates/storage/tests/cluster/mod.rs
@@ -26,7 +26,7 @@
 use sumacdrift_proto::{OneWay, Request, Response};
 use sumacdrift_storage::{
     BeginTurn, GroupDirectory, GroupMaintenance, GroupMaintenanceSettings, HostSettings, LedgerClient,
-    LedgerError, LedgerTimeouts, PeerFeeds, ReplicaHost, Retirement, StoreFollowers, offer_membership,
+    LedgerError, LedgerTimeouts, PeerFeeds, ReplicaHost, Retirement, StoreFollowers, prepare_planned_stop,
 };
 use sumacdrift_transport::{Handler, MemoryNetwork, Network, TrafficCounters, Transport, serve};
 use sumacdrift_types::{Location, Topology};
@@ -209,7 +209,7 @@
     /// Stops the process of a machine as planned.
     pub async fn stop(&mut self, name: &str) {
         if let Some(process) = self.cluster.get(name).and_then(|machine| machine.process.as_ref()) {
-            offer_membership(&process.host, &process.transport).await;
+            prepare_planned_stop(&process.host, &process.transport).await;
         }
         self.lose_power(name).await;
     }
@@ -220,7 +220,7 @@
         let process = machine.process.as_ref().expect("a running process");
         let (host, transport) = (Arc::clone(&process.host), Arc::clone(&process.transport));
         let mut stop = JoinSet::new();
-        stop.spawn(async move { offer_membership(&host, &transport).await });
+        stop.spawn(async move { prepare_planned_stop(&host, &transport).await });
         stop
     }
 
--- /dev/null
+++ b/crates/storage/tests/stopped_for_good.rs
@@ -0,0 +1,59 @@
+//! A member has lost its disk, and another one is stopped as planned before it has been read, and does not come back.
+//!
+//! Guards against a stopped member that takes the only other copy of a record with it: the empty member would either vote
+//! without that record, or never vote.
+
+mod cluster;
+
+use std::time::Duration;
+
+use cluster::{ClusterSettings, StorageCluster};
+
+const SETTINGS: ClusterSettings = ClusterSettings {
+    tolerated_losses: 1,
+    catch_up_time: Duration::from_secs(4),
+    reply_latency: Duration::from_millis(20),
+};
+const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
+/// Times between the return of the member that lost its disk and the planned stop.
+const STOP_DELAYS_MILLIS: [u64; 4] = [600, 900, 1_200, 1_500];
+
+/// Three members; some turns are retained only by `m1` and `m2`.
+async fn group_with_two_copies() -> StorageCluster {
+    let mut cluster = StorageCluster::found(SETTINGS, 3).await;
+    cluster.run_turns(Duration::from_millis(500)).await;
+    cluster.lose_power("m0").await;
+    cluster.run_turns(Duration::from_millis(900)).await;
+    cluster.start("m0").await;
+    cluster.run_turns(Duration::from_secs(1)).await;
+    cluster
+}
+
+#[tokio::test(start_paused = true)]
+async fn its_records_outlive_a_disk_that_was_lost_before_it() {
+    for delay in STOP_DELAYS_MILLIS {
+        let mut cluster = group_with_two_copies().await;
+        cluster.lose_power("m1").await;
+        cluster.wipe("m1");
+        cluster.start("m1").await;
+        tokio::time::sleep(Duration::from_millis(delay)).await;
+        cluster.stop_and_remove("m2").await;
+        let recovery = cluster.recovers_within(RECOVERY_TIMEOUT).await;
+        assert!(recovery.is_some(), "stopped {delay} ms after the return");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn two_that_stop_at_once_take_no_record_with_them() {
+    let mut cluster = group_with_two_copies().await;
+    let mut stops = [cluster.begin_stop("m1"), cluster.begin_stop("m2")];
+    for stop in &mut stops {
+        stop.join_next().await;
+    }
+    cluster.lose_power("m1").await;
+    cluster.lose_power("m2").await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    cluster.start("m1").await;
+    cluster.start("m2").await;
+    assert!(cluster.recovers_within(RECOVERY_TIMEOUT).await.is_some(), "both are back");
+}
