A member that stops as planned hands over its records before it exits

Cause: a stopping member may have one of the last two copies of a record. It ended at once or gave its place to a machine that had read nothing, and nothing said afterwards whether its records are elsewhere.

Fix: a stopping member waits until all others vote (6 s at most), hands its records over as a drained one does, and marks itself in the next version of the group by compare-and-set. It does not vote until it has cleared the mark in the same way after its return. An empty member needs it no more as a source, and a machine that replaces it counts as one that never voted. Its membership, with the epoch at which it joined, stays.

Still asked of the other side: a killed machine that never returns, beside a lost disk, is beyond the tolerance.

--- a/crates/ledger/src/group.rs
+++ b/crates/ledger/src/group.rs
@@ -33,6 +33,9 @@
     /// Least number of copies of each committed record, if more than a majority or the number of members is less; 0
     /// for groups of which a majority is enough.
     pub min_copies: u32,
+    /// Members that handed over their records before a planned stop and have not resumed since. They do not vote, and
+    /// a commit quorum of the others stores all that they acknowledged.
+    pub handed_over: BTreeSet<String>,
 }
 
 /// Epoch of the first version of a group.
@@ -47,7 +50,12 @@
     /// First version of a group.
     pub fn initial_numbered(number: GroupNumber, members: Vec<Member>) -> Group {
         let founders = members.into_iter().map(|member| Member { joined: FOUNDING_EPOCH, ..member });
-        Group { number, epoch: FOUNDING_EPOCH, members: sorted_by_node(founders.collect()), min_copies: 0 }
+        Group {
+            number,
+            epoch: FOUNDING_EPOCH,
+            members: sorted_by_node(founders.collect()),
+            ..Group::default()
+        }
     }
 
     /// Number of members that form a majority.
@@ -70,9 +78,10 @@
     }
 
     /// Whether this version applies instead of another one of the same group. A build that does not know `min_copies`
-    /// passes an epoch on without it.
+    /// or `handed_over` passes an epoch on without it.
     pub fn supersedes(&self, other: &Group) -> bool {
-        (self.epoch, self.min_copies) > (other.epoch, other.min_copies)
+        let rank = |group: &Group| (group.epoch, group.min_copies, group.handed_over.len());
+        rank(self) > rank(other)
     }
 
     /// Number of other members that a replica without records must read before it may vote, if every member may have
@@ -84,13 +93,14 @@
     /// Number of other members that a replica without records must read before it may vote: one more than the number of
     /// members that may lack a committed record.
     ///
-    /// Members that have never voted have acknowledged no records. So every committed record is stored by a commit quorum
-    /// of the other members, which form the smaller group that they joined.
+    /// Members that have never voted have acknowledged no records, and those that handed theirs over acknowledge none
+    /// before they resume. So every committed record is stored by a commit quorum of the other members.
     pub(crate) fn required_sources_except(&self, never_voted: &BTreeSet<String>, own: &str) -> usize {
         if is_broken(Rule::LedgerReadsEnough) {
             return 1;
         }
-        let may_have_voted = self.members.iter().filter(|member| !never_voted.contains(&member.node));
+        let is_source = |node| !never_voted.contains(node) && !self.handed_over.contains(node);
+        let may_have_voted = self.members.iter().filter(|member| is_source(&member.node));
         let (voters, others) = may_have_voted
             .fold((0, 0), |(voters, others), member| (voters + 1, others + usize::from(member.node != own)));
         let may_lack = voters - self.commit_quorum_of(voters).min(voters);
@@ -119,7 +129,24 @@
     /// Next version of the group without a member.
     pub fn without_member(&self, node: &str) -> Group {
         let members = self.members.iter().filter(|member| member.node != node).cloned().collect();
-        Group { epoch: self.epoch + 1, members, ..*self }
+        let handed_over =
+            self.handed_over.iter().filter(|handed_over| *handed_over != node).cloned().collect();
+        Group { epoch: self.epoch + 1, members, handed_over, ..*self }
+    }
+
+    /// Next version of the group after a member has handed over its records before a planned stop.
+    pub(crate) fn with_handed_over(&self, node: &str) -> Group {
+        let mut handed_over = self.handed_over.clone();
+        handed_over.insert(node.to_owned());
+        Group { epoch: self.epoch + 1, handed_over, ..self.clone() }
+    }
+
+    /// Next version of the group in which a member that handed over its records votes again. It holds all that it
+    /// acknowledged; what was committed meanwhile is stored by a commit quorum without it.
+    pub(crate) fn with_resumed(&self, node: &str) -> Group {
+        let mut handed_over = self.handed_over.clone();
+        handed_over.remove(node);
+        Group { epoch: self.epoch + 1, handed_over, ..self.clone() }
     }
 
     /// Nodes of members of an earlier version that were removed without a replacement; empty if the group did not
@@ -144,6 +171,7 @@
             members: members.collect(),
             number: self.number,
             min_copies: self.min_copies,
+            handed_over: self.handed_over.iter().cloned().collect(),
         }
     }
 
@@ -156,7 +184,8 @@
         });
         let members = members.collect::<Option<Vec<_>>>()?;
         let GroupMessage { number, epoch, min_copies, .. } = *message;
-        Some(Group { number, epoch, members, min_copies })
+        let handed_over = message.handed_over.iter().cloned().collect();
+        Some(Group { number, epoch, members, min_copies, handed_over })
     }
 }
 
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -203,6 +203,9 @@
     /// Least number of copies of a committed record; 0 if a majority is enough.
     #[prost(uint32, tag = "4")]
     pub min_copies: u32,
+    /// Nodes of the members that handed over their records before a planned stop.
+    #[prost(string, repeated, tag = "5")]
+    pub handed_over: Vec<String>,
 }
 
 /// Wire form of [`GroupMap`](crate::GroupMap).
--- a/crates/ledger/src/placement.rs
+++ b/crates/ledger/src/placement.rs
@@ -99,8 +99,12 @@
     Moved,
     /// The group is below its target size.
     Joined,
+    /// A member that handed over its records votes again.
+    Resumed,
     /// The machine replaces a lost member.
     ReplacedLost,
+    /// The machine replaces a member that handed over its records.
+    ReplacedHandedOver,
     /// A lost member is removed without a replacement.
     RemovedLost,
 }
@@ -111,10 +115,18 @@
         match self {
             ChangeReason::Moved => "moved",
             ChangeReason::Joined => "joined",
+            ChangeReason::Resumed => "resumed",
             ChangeReason::ReplacedLost => "replaced a lost member",
+            ChangeReason::ReplacedHandedOver => "replaced a member that handed over",
             ChangeReason::RemovedLost => "gave up a lost member",
         }
     }
+
+    /// Whether the other members store all committed records, so that the machine that joins by this change has missed
+    /// none as long as it has not voted.
+    pub fn joins_complete_group(self) -> bool {
+        matches!(self, ChangeReason::Joined | ChangeReason::ReplacedHandedOver)
+    }
 }
 
 impl GroupPolicy {
@@ -165,6 +177,14 @@
         Ok(Group { min_copies: u32::try_from(copies).unwrap_or(u32::MAX), ..next })
     }
 
+    /// Next version of the group after a member has handed over its records before a planned stop; `None` if the others
+    /// are too few to survive the tolerated losses without it.
+    pub fn group_after_handover(self, group: &Group, stopping: &str) -> Option<Group> {
+        let is_alone = group.handed_over.is_empty() && group.member(stopping).is_some();
+        let has_enough_copies = group.without_member(stopping).majority() > self.tolerated_losses;
+        (is_alone && has_enough_copies).then(|| group.with_handed_over(stopping))
+    }
+
     /// Number of groups for this many machines, reserving one spare machine per tolerated loss.
     fn group_count(self, machines: usize) -> usize {
         (machines.saturating_sub(self.tolerated_losses) / self.size()).max(1)
@@ -225,6 +245,9 @@
             if !has_current_address {
                 return change(group.with_member(own.clone()), ChangeReason::Moved);
             }
+            if group.handed_over.contains(&own.node) {
+                return change(group.with_resumed(&own.node), ChangeReason::Resumed);
+            }
             // Only odd groups shrink: the majority keeps its size, and any one remaining member may still lose its
             // disk.
             let is_odd = group.members.len() % 2 == 1 && group.members.len() > 1;
@@ -256,7 +279,11 @@
         });
         match lost.min_by_key(|(group, _)| members_in_zone(&group.members, own)) {
             Some((group, lost)) => {
-                change(group.with_replacement(&lost, own.clone()), ChangeReason::ReplacedLost)
+                let reason = match group.handed_over.contains(&lost) {
+                    true => ChangeReason::ReplacedHandedOver,
+                    false => ChangeReason::ReplacedLost,
+                };
+                change(group.with_replacement(&lost, own.clone()), reason)
             }
             None => MembershipDecision::Keep,
         }
--- a/crates/ledger/src/replica.rs
+++ b/crates/ledger/src/replica.rs
@@ -121,9 +121,12 @@
         &self.state
     }
 
-    /// Whether the replica votes: it is a member, its records are complete, and it is not leaving.
+    /// Whether the replica votes: it is a member, its records are complete, and it is neither leaving nor has it handed
+    /// over its records.
     pub fn is_voting(&self) -> bool {
-        self.is_complete() && !self.is_leaving
+        let has_handed_over = self.group.handed_over.contains(&self.settings.node)
+            && !is_broken(Rule::LedgerHandedOverMembersDoNotVote);
+        self.is_complete() && !self.is_leaving && !has_handed_over
     }
 
     fn is_complete(&self) -> bool {
--- a/crates/storage/src/group_maintenance.rs
+++ b/crates/storage/src/group_maintenance.rs
@@ -22,6 +22,7 @@
 use crate::handover::hand_over_records;
 use crate::host::ReplicaHost;
 use crate::member_watcher::MemberWatcher;
+use crate::planned_stop::all_vote;
 
 /// Interval of maintenance rounds.
 const ROUND_INTERVAL: Duration = Duration::from_millis(250);
@@ -122,7 +123,11 @@
                 self.expired_at = Instant::now();
                 self.host.expire_and_snapshot().await;
             }
-            let _ = tokio::time::timeout(ROUND_INTERVAL, view.changed()).await;
+            tokio::select! {
+                _ = view.changed() => {}
+                () = self.host.planned_stop().requested() => {}
+                () = tokio::time::sleep(ROUND_INTERVAL) => {}
+            }
         }
     }
 
@@ -146,6 +151,9 @@
                 Some(stored) => self.maintain_membership(view, stored).await,
             }
         }
+        if self.host.planned_stop().is_pending() {
+            self.hand_over_before_stop(view).await;
+        }
         if self.needs_catch_up() && self.started.elapsed() >= QUIET_BEFORE_CATCH_UP {
             let _ = catch_up(&self.host, &self.transport, &self.settings.own.node).await;
         }
@@ -246,7 +254,7 @@
         if is_leaving {
             self.leave_group(stored).await;
         }
-        if retirement.is_some() {
+        if retirement.is_some() || self.host.planned_stop().is_requested() {
             return;
         }
         if stored.map.group_of_member(&own.node).is_none() && !self.watcher.has_completed_round() {
@@ -274,7 +282,7 @@
 
     /// Requests the change that makes this machine a member, or updates its address.
     async fn request_membership(&mut self, stored: &StoredMap, group: Group, reason: ChangeReason) {
-        if reason == ChangeReason::Joined {
+        if reason.joins_complete_group() {
             let record = self.host.replica().prepare_join(group.epoch);
             if let Err(failure) = self.host.commit(vec![record]).await {
                 warn!(self.host.logger(), "not joining: the record could not be made durable"; "event" => "commit_failed",
@@ -320,20 +328,45 @@
             Ok(next) => next,
             Err(refusal) => return self.report_waiting_retirement(&group, refusal),
         };
+        self.has_handed_over = self.hand_over(stored, &group, next, "leaving").await;
+    }
+
+    /// Hands over all records, then requests the next version of the group, in which this machine does not vote. Returns
+    /// whether that certainly applies.
+    async fn hand_over(&mut self, stored: &StoredMap, group: &Group, next: Group, why: &'static str) -> bool {
+        let own = self.settings.own.node.clone();
         // Most records are sent while the member still votes; the ones acknowledged meanwhile follow once it
         // does not.
-        if !hand_over_records(&self.host, &self.transport, &group, &next, &own).await {
-            return;
+        if !hand_over_records(&self.host, &self.transport, group, &next, &own).await {
+            return false;
         }
         self.host.replica().set_leaving(true);
-        let is_handed_over = hand_over_records(&self.host, &self.transport, &group, &next, &own).await;
+        // A recipient that lost its disk meanwhile does not vote, and still has to read this member.
+        let is_handed_over = hand_over_records(&self.host, &self.transport, group, &next, &own).await
+            && all_vote(&self.transport, &group.without_member(&own)).await;
         let next = stored.map.with_group(next);
-        let has_left = is_handed_over && self.replace_map(next, Some(stored.revision), "leaving").await;
-        if !has_left {
+        let is_changed = is_handed_over && self.replace_map(next, Some(stored.revision), why).await;
+        if !is_changed {
             // The change may still be applied. Records acknowledged from now on must be handed over again.
             self.host.replica().set_leaving(false);
         }
-        self.has_handed_over = has_left;
+        is_changed
+    }
+
+    /// Hands over all records before this process exits, so that the others need none of this machine while it is away.
+    async fn hand_over_before_stop(&mut self, view: &DirectoryView) {
+        let group = self.host.replica().group().clone();
+        let next = self.settings.policy.group_after_handover(&group, &self.settings.own.node);
+        let is_handed_over = match (next, &view.map) {
+            (Some(next), Some(stored)) if is_stored(stored, &group) => {
+                self.hand_over(stored, &group, next, "planned stop").await
+            }
+            _ => false,
+        };
+        info!(self.host.logger(), "handover before a planned stop"; "event" => "stop_handover",
+            "is_handed_over" => is_handed_over, "group" => group.number, "epoch" => group.epoch,
+            "members" => format_members(&group), "is_directory_known" => view.is_known);
+        self.host.planned_stop().conclude();
     }
 
     fn group_after_leave(&self, group: &Group) -> Result<Group, LeaveRefusal> {
@@ -385,10 +418,15 @@
     }
 }
 
+/// Whether the directory holds this version of a group.
+fn is_stored(stored: &StoredMap, group: &Group) -> bool {
+    stored.map.group(group.number).is_some_and(|known| known.epoch == group.epoch)
+}
+
 /// Delay before a machine requests a change to `group`, so that machines that want the same change do not all
 /// request it, and those of zones with fewer members come first.
 fn change_delay(group: &Group, own: &Member, reason: ChangeReason) -> Duration {
-    if reason == ChangeReason::Moved {
+    if matches!(reason, ChangeReason::Moved | ChangeReason::Resumed) {
         return Duration::ZERO;
     }
     let others = group.members.iter().filter(|member| member.node != own.node);
--- a/crates/storage/src/handover.rs
+++ b/crates/storage/src/handover.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use futures::future::join_all;
 use sumacdrift_ledger::{
     Group, KEPT_TURNS_CURSOR, Member, PageDetail, PageRequest, Push, Record, ReplyKind, RequestKind,
     plan_copies,
@@ -31,18 +32,19 @@
     own_node: &str,
 ) -> bool {
     let sender = Sender { host, transport, group };
-    let mut recipients = Vec::new();
-    for member in group.members.iter().filter(|member| member.node != own_node) {
-        recipients.push(Recipient { member, holds: sender.held_by(member).await });
-    }
+    let others = group.members.iter().filter(|member| member.node != own_node);
+    let recipients = others.map(|member| {
+        let held = sender.held_by(member);
+        async move { Recipient { member, holds: held.await } }
+    });
+    let recipients = join_all(recipients).await;
     let copies_wanted = remaining.commit_quorum();
     let mut after = String::new();
     loop {
         let page = host.replica().state().page(&after, PageDetail::Keys, unix_millis());
-        for recipient in &recipients {
-            if !sender.push(recipient.member, page.records.clone()).await {
-                return false;
-            }
+        let pushes = recipients.iter().map(|recipient| sender.push(recipient.member, page.records.clone()));
+        if join_all(pushes).await.contains(&false) {
+            return false;
         }
         let holds: Vec<&BTreeSet<String>> = recipients.iter().map(|recipient| &recipient.holds).collect();
         let copies = plan_copies(&page.retained_keys, &holds, copies_wanted);
--- a/crates/storage/src/host.rs
+++ b/crates/storage/src/host.rs
@@ -34,6 +34,7 @@
 use crate::feed_host::FeedHost;
 use crate::host_metrics::HostMetrics;
 use crate::known_map::KnownMap;
+use crate::planned_stop::PlannedStop;
 use crate::quota_host::QuotaHost;
 use crate::report_board::HostReportBoard;
 
@@ -106,6 +107,7 @@
     /// Time of the last request of a machine that waits for membership of a group.
     membership_requested_at: Mutex<Option<Instant>>,
     offers_membership: AtomicBool,
+    planned_stop: PlannedStop,
     /// Since when each unresponsive member has not replied to this node; `None` until the first check.
     unresponsive_since: Mutex<Option<BTreeMap<String, Instant>>>,
     /// Members that announced a planned stop, until the watcher processes them.
@@ -176,6 +178,7 @@
             admission: Mutex::new(HostAdmission::new(settings.waiting_bytes)),
             membership_requested_at: Mutex::default(),
             offers_membership: AtomicBool::new(false),
+            planned_stop: PlannedStop::default(),
             unresponsive_since: Mutex::default(),
             planned_stops: Mutex::default(),
             journal_failed: CancellationToken::new(),
@@ -316,6 +319,17 @@
         self.offers_membership.store(true, Ordering::Relaxed);
     }
 
+    /// Whether this node, as a member of its group, has handed over its records and does not vote.
+    pub(crate) fn has_handed_over(&self) -> bool {
+        let replica = self.replica();
+        replica.group().handed_over.contains(replica.node())
+    }
+
+    /// Planned stop of this process.
+    pub(crate) fn planned_stop(&self) -> &PlannedStop {
+        &self.planned_stop
+    }
+
     /// Records the planned stop of a member of this group.
     fn record_planned_stop(&self, node: &str) {
         if self.replica().group().member(node).is_none() {
--- a/crates/storage/tests/stopped_for_good.rs
+++ b/crates/storage/tests/stopped_for_good.rs
@@ -1,4 +1,4 @@
-//! A member has lost its disk, and another one is stopped as planned before it has been read, and does not come back.
+//! A member is stopped as planned and does not come back, and another one loses its disk before or after.
 //!
 //! Guards against a stopped member that takes the only other copy of a record with it: the empty member would either vote
 //! without that record, or never vote.
@@ -15,6 +15,8 @@
     reply_latency: Duration::from_millis(20),
 };
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
+/// Times between the end of the stopped member and the loss of the disk.
+const LOSS_DELAYS_MILLIS: [u64; 5] = [0, 300, 900, 1_500, 2_800];
 /// Times between the return of the member that lost its disk and the planned stop.
 const STOP_DELAYS_MILLIS: [u64; 4] = [600, 900, 1_200, 1_500];
 
@@ -29,6 +31,53 @@
     cluster
 }
 
+#[tokio::test(start_paused = true)]
+async fn its_records_outlive_a_disk_that_is_lost_after_it() {
+    for delay in LOSS_DELAYS_MILLIS {
+        let mut cluster = group_with_two_copies().await;
+        cluster.stop_and_remove("m2").await;
+        tokio::time::sleep(Duration::from_millis(delay)).await;
+        cluster.lose_power("m1").await;
+        cluster.wipe("m1");
+        cluster.start("m1").await;
+        // A turn continues the newest acknowledged one, and its chain is checked.
+        let recovery = cluster.recovers_within(RECOVERY_TIMEOUT).await;
+        assert!(recovery.is_some(), "the disk was lost {delay} ms after the stop");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn its_records_outlive_a_disk_that_is_lost_with_all_processes_after_it() {
+    for delay in LOSS_DELAYS_MILLIS {
+        let mut cluster = group_with_two_copies().await;
+        cluster.stop_and_remove("m2").await;
+        tokio::time::sleep(Duration::from_millis(delay)).await;
+        cluster.lose_everything(&["m1"], Duration::from_millis(500)).await;
+        let recovery = cluster.recovers_within(RECOVERY_TIMEOUT).await;
+        assert!(recovery.is_some(), "the disk was lost {delay} ms after the stop");
+    }
+}
+
+/// The stopped member comes back and votes; what it acknowledges then must count again.
+#[tokio::test(start_paused = true)]
+async fn what_it_acknowledges_after_its_return_outlives_a_disk() {
+    for delay in LOSS_DELAYS_MILLIS {
+        let mut cluster = group_with_two_copies().await;
+        cluster.stop("m2").await;
+        tokio::time::sleep(Duration::from_millis(delay)).await;
+        cluster.start("m2").await;
+        cluster.run_turns(Duration::from_secs(4)).await;
+        cluster.lose_power("m0").await;
+        cluster.run_turns(Duration::from_millis(900)).await;
+        cluster.start("m0").await;
+        cluster.lose_power("m1").await;
+        cluster.wipe("m1");
+        cluster.start("m1").await;
+        let recovery = cluster.recovers_within(RECOVERY_TIMEOUT).await;
+        assert!(recovery.is_some(), "back after {delay} ms");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn its_records_outlive_a_disk_that_was_lost_before_it() {
     for delay in STOP_DELAYS_MILLIS {
