A turn is kept as long as a turn that continues it

Cause: each kept turn expired on its own, twice its retention after its end. The chain ended at the gap. A member that holds the older turn may also not know of the newer one, as they are stored by different members.

Fix: a turn is needed as long as one that continues it is kept or under way. The start of a turn names its predecessor. Before a member removes turns past their own retention it asks the members of all groups for their continuations, follows those that have expired themselves, and removes only what a read quorum of each group doesn't need. A repeated or transferred record no longer shortens a retention.

--- a/crates/edge/src/turn.rs
+++ b/crates/edge/src/turn.rs
@@ -149,6 +149,7 @@
             retention_millis: self.retention_millis,
             origin,
             request: Some(self.request.0),
+            previous: self.previous.clone(),
         }
     }
 
--- a/crates/ledger/src/account.rs
+++ b/crates/ledger/src/account.rs
@@ -52,30 +52,30 @@
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct ProgramAccount {
     pub(crate) turns: BTreeMap<String, TurnAccount>,
+    /// Turns that those under way continue, by the continuing turn.
+    pub(crate) continued: BTreeMap<String, String>,
     pub(crate) expires: u64,
 }
 
 impl ProgramAccount {
     /// Records the start of a turn; returns whether this adds information.
-    pub(crate) fn record_begin(
-        &mut self,
-        turn: &str,
-        max_tokens: u64,
-        request: Option<u64>,
-        origin: Option<Arc<StreamOrigin>>,
-    ) -> bool {
-        let is_known = self.turns.contains_key(turn);
-        let account = self.turns.entry(turn.to_owned()).or_default();
-        let is_new = !is_known || max_tokens > account.max_tokens;
-        account.max_tokens = account.max_tokens.max(max_tokens);
-        account.request = account.request.or(request);
+    pub(crate) fn record_begin(&mut self, begun: &TurnBegun, origin: Option<Arc<StreamOrigin>>) -> bool {
+        let is_known = self.turns.contains_key(&begun.turn);
+        let account = self.turns.entry(begun.turn.clone()).or_default();
+        let is_new = !is_known || begun.max_tokens > account.max_tokens;
+        account.max_tokens = account.max_tokens.max(begun.max_tokens);
+        account.request = account.request.or(begun.request);
         let is_new_origin = account.record_origin(origin);
-        is_new || is_new_origin
+        let continues = account.ended_tokens.is_none() && !begun.previous.is_empty();
+        let is_new_continuation =
+            continues && self.continued.insert(begun.turn.clone(), begun.previous.clone()).is_none();
+        is_new || is_new_origin || is_new_continuation
     }
 
     /// Records the end of a turn; returns whether this adds information. Of several ends, the largest counts, and one
     /// after an event was forwarded.
     pub(crate) fn record_end(&mut self, ended: &TurnEnded, origin: Option<Arc<StreamOrigin>>) -> bool {
+        self.continued.remove(&ended.turn);
         let account = self.turns.entry(ended.turn.clone()).or_default();
         let is_new = account.ended_tokens.is_none_or(|known| ended.tokens > known);
         let is_correction = account.has_no_event && !ended.has_no_event;
--- a/crates/ledger/src/group.rs
+++ b/crates/ledger/src/group.rs
@@ -72,6 +72,11 @@
         self.commit_quorum_of(self.members.len())
     }
 
+    /// Number of members of which at least one knows each committed record.
+    pub fn read_quorum(&self) -> usize {
+        self.members.len() - self.commit_quorum().min(self.members.len()) + 1
+    }
+
     fn commit_quorum_of(&self, members: usize) -> usize {
         let min_copies = usize::try_from(self.min_copies).unwrap_or(usize::MAX);
         majority_size(members).max(min_copies.min(members))
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -24,6 +24,7 @@
 mod replica;
 mod resumption;
 mod state;
+mod turn_references;
 
 pub use account::ProgramAccount;
 pub use admission::{HostAdmission, RequestClass};
@@ -38,10 +39,10 @@
 pub use group_map::GroupMap;
 pub use member_watch::{MemberReport, MemberWatch};
 pub use message::{
-    Begin, BeginVote, ChainReply, ChainRequest, ContentsRequest, End, GroupMapMessage, GroupMessage,
-    KnownTurn, LedgerReply, LedgerRequest, MemberMessage, Page, PageRequest, Push, Reading, Record,
-    RecordKind, ReplyKind, RequestKind, RetainedTurn, SilentMember, Standing, StatusReply, StoredCopy,
-    StreamOrigin, TurnBegun, TurnEnded,
+    Begin, BeginVote, ChainReply, ChainRequest, ContentsRequest, Continuations, ContinuationsRequest, End,
+    GroupMapMessage, GroupMessage, KnownTurn, LedgerReply, LedgerRequest, MemberMessage, Page, PageRequest,
+    Push, Reading, Record, RecordKind, ReplyKind, RequestKind, RetainedTurn, SilentMember, Standing,
+    StatusReply, StoredCopy, StreamOrigin, TurnBegun, TurnContinuation, TurnEnded,
 };
 pub use placement::{
     Candidate, Capacity, ChangeReason, GroupPolicy, LeaveRefusal, MembershipDecision, ReplacementPolicy,
@@ -50,3 +51,4 @@
 pub use replica::{Replica, ReplicaSettings, Step};
 pub use resumption::{ResumedOrigin, ResumedTurn};
 pub use state::{KEPT_TURNS_CURSOR, LedgerState, PageDetail};
+pub use turn_references::needed_turns;
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -54,6 +54,10 @@
     /// Fingerprint of the request; absent from a build without them.
     #[prost(fixed64, optional, tag = "6")]
     pub request: Option<u64>,
+    /// Turn that this one continues, which is kept with its chain while this one is under way; empty at the start of a
+    /// chain.
+    #[prost(string, tag = "7")]
+    pub previous: String,
 }
 
 /// End of a turn.
@@ -225,7 +229,7 @@
     pub epoch: u64,
     #[prost(
         oneof = "RequestKind",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 16, 17, 18, 19, 20, 21, 22, 23"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 16, 17, 18, 19, 20, 21, 22, 23, 24"
     )]
     pub kind: Option<RequestKind>,
     /// Number of the group addressed.
@@ -298,6 +302,39 @@
     /// Announces that one more crash under a request reaches the limit. Handled by the replica's host.
     #[prost(message, tag = "23")]
     Suspect(SuspectNotice),
+    /// Asks which turns continue others. Answered by a voting member at the current epoch.
+    #[prost(message, tag = "24")]
+    Continuations(ContinuationsRequest),
+}
+
+/// Question about turns whose own retention is over.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct ContinuationsRequest {
+    /// Names of the turns.
+    #[prost(string, repeated, tag = "1")]
+    pub turns: Vec<String>,
+}
+
+/// Turns that continue those of a [`ContinuationsRequest`], and in turn those that continue these, up to turns that are kept.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+#[allow(missing_docs)]
+pub struct Continuations {
+    #[prost(message, repeated, tag = "1")]
+    pub turns: Vec<TurnContinuation>,
+}
+
+/// A turn that continues another one. It is retained, or still under way.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+#[allow(missing_docs)]
+pub struct TurnContinuation {
+    #[prost(string, tag = "1")]
+    pub turn: String,
+    /// Turn that it continues.
+    #[prost(string, tag = "2")]
+    pub previous: String,
+    /// Time for which it is kept, in milliseconds; 0 if its own retention is over.
+    #[prost(uint64, tag = "3")]
+    pub remaining_millis: u64,
 }
 
 /// Request to admit a turn.
@@ -386,7 +423,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 #[allow(missing_docs)]
 pub struct LedgerReply {
-    #[prost(oneof = "ReplyKind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    #[prost(oneof = "ReplyKind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
     pub kind: Option<ReplyKind>,
     /// Opaque data from the host of the replica in reply to `LedgerRequest::report`.
     #[prost(bytes = "bytes", tag = "15")]
@@ -435,6 +472,9 @@
     /// Reply to `RequestKind::EngineCrash`.
     #[prost(message, tag = "13")]
     CrashedEngines(CrashedEngines),
+    /// Reply to `RequestKind::Continuations`.
+    #[prost(message, tag = "14")]
+    Continuations(Continuations),
 }
 
 /// Vote of one replica on whether a turn may begin.
--- a/crates/ledger/src/replica.rs
+++ b/crates/ledger/src/replica.rs
@@ -7,8 +7,8 @@
 use crate::group::{FOUNDING_EPOCH, Group};
 use crate::group_map::GroupMap;
 use crate::message::{
-    Begin, ChainRequest, End, LedgerReply, LedgerRequest, Page, PageRequest, Push, Reading, Record,
-    RecordKind, ReplyKind, RequestKind, Standing, StatusReply, StoredCopy,
+    Begin, ChainRequest, ContinuationsRequest, End, LedgerReply, LedgerRequest, Page, PageRequest, Push,
+    Reading, Record, RecordKind, ReplyKind, RequestKind, Standing, StatusReply, StoredCopy,
 };
 use crate::state::{LedgerState, PageDetail};
 
@@ -235,6 +235,7 @@
                 Step { commit: commit.into_iter().collect(), reply: reply(ReplyKind::Done(true)) }
             }
             Some(RequestKind::Status(_)) => reply_only(ReplyKind::Status(self.status(now))),
+            Some(RequestKind::Continuations(asked)) => self.handle_continuations(request.epoch, &asked, now),
             Some(RequestKind::Find(find)) => self.handle_find(request.epoch, &find),
             Some(RequestKind::News(_)) => reply_only(ReplyKind::Done(true)),
             Some(RequestKind::Map(_)) => {
@@ -359,9 +360,29 @@
         is_newer.then_some(Record { kind: Some(RecordKind::CrashHistory(history)), expiry_millis: 0 })
     }
 
-    /// Removes what has expired; `now` is the Unix time in milliseconds.
+    /// Removes what has expired; `now` is the Unix time in milliseconds. Turns stay if another member may need them, see
+    /// [`Replica::turns_past_expiry`].
     pub fn expire(&mut self, now: u64) {
-        self.state.expire(now);
+        self.state.expire_programs(now);
+        if !self.is_member() {
+            let turns = self.state.turns_past_expiry(now);
+            self.state.remove_turns(&turns, now);
+        }
+    }
+
+    /// Turns to remove once enough members of all groups have said that no turn continues them.
+    pub fn turns_past_expiry(&self, now: u64) -> Vec<String> {
+        if self.is_member() { self.state.turns_past_expiry(now) } else { Vec::new() }
+    }
+
+    /// Removes turns that no member needs.
+    pub fn remove_turns(&mut self, turns: &[String], now: u64) {
+        self.state.remove_turns(turns, now);
+    }
+
+    /// Keeps a turn that another member needs, until a Unix time in milliseconds.
+    pub fn keep_turn(&mut self, turn: &str, until: u64) {
+        self.state.keep_turn(turn, until);
     }
 
     /// Records to write before older journal segments may be deleted.
@@ -454,6 +475,17 @@
         reply_only(if self.is_voting() { ReplyKind::Chain(chain) } else { ReplyKind::NotVoting(true) })
     }
 
+    /// Only a voting member of the newest version knows of every turn that its commit quorum recorded.
+    fn handle_continuations(&self, epoch: u64, asked: &ContinuationsRequest, now: u64) -> Step {
+        if epoch != self.group.epoch {
+            return self.wrong_epoch();
+        }
+        reply_only(match self.is_voting() {
+            true => ReplyKind::Continuations(self.state.continuations(&asked.turns, now)),
+            false => ReplyKind::NotVoting(true),
+        })
+    }
+
     fn handle_page(&mut self, request: PageRequest, now: u64) -> Step {
         let newer = request.group.as_ref().and_then(Group::from_message);
         let commit = newer.and_then(|group| self.install(group));
--- a/crates/ledger/src/state.rs
+++ b/crates/ledger/src/state.rs
@@ -1,6 +1,6 @@
 //! State of a replica: accounts of programs and retained turns.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::ops::Bound;
 use std::sync::Arc;
 
@@ -9,9 +9,10 @@
 
 use crate::account::{ProgramAccount, TurnAccount};
 use crate::message::{
-    Begin, BeginVote, ChainReply, Page, Record, RecordKind, RetainedTurn, StoredCopy, StreamOrigin,
-    TurnBegun, TurnEnded,
+    Begin, BeginVote, ChainReply, Continuations, Page, Record, RecordKind, RetainedTurn, StoredCopy,
+    StreamOrigin, TurnBegun, TurnContinuation, TurnEnded,
 };
+use crate::turn_references::needed_turns;
 
 /// Size at which a page is full.
 const PAGE_BYTES: usize = 256 << 10;
@@ -33,7 +34,16 @@
 struct StoredTurn {
     program: String,
     content: RetainedTurn,
+    /// End of its own retention.
     expires: u64,
+    /// Time until which another replica needs it for the turns that continue it; 0 if unknown.
+    needed_until: u64,
+}
+
+impl StoredTurn {
+    fn kept_until(&self) -> u64 {
+        self.expires.max(self.needed_until)
+    }
 }
 
 /// Accounts of programs and content of turns. Times are Unix times in milliseconds.
@@ -41,6 +51,8 @@
 pub struct LedgerState {
     programs: BTreeMap<String, ProgramAccount>,
     turns: BTreeMap<String, StoredTurn>,
+    /// Stored turns that continue another one, by that one.
+    continuations: BTreeMap<String, BTreeSet<String>>,
     /// Origins of streams, shared by the accounts that refer to them.
     origins: BTreeSet<Arc<StreamOrigin>>,
     copy: StoredCopy,
@@ -68,6 +80,7 @@
     pub fn clear_programs(&mut self) {
         self.programs.clear();
         self.turns.clear();
+        self.continuations.clear();
         self.origins.clear();
     }
 
@@ -135,7 +148,7 @@
     fn merge_begin(&mut self, turn: &TurnBegun, expires: u64) -> bool {
         let origin = self.share_origin(turn.origin.as_ref());
         let account = self.account(&turn.program, expires);
-        account.record_begin(&turn.turn, turn.max_tokens, turn.request, origin)
+        account.record_begin(turn, origin)
     }
 
     fn merge_end(&mut self, turn: &TurnEnded, expires: u64) -> bool {
@@ -143,8 +156,17 @@
         let account = self.account(&turn.program, expires);
         let is_new = account.record_end(turn, origin);
         let Some(content) = &turn.retained else { return is_new };
-        let stored = StoredTurn { program: turn.program.clone(), content: compact_copy(content), expires };
-        self.turns.insert(turn.turn.clone(), stored).is_none() || is_new
+        // A repeated record, or one that another replica transfers, must not shorten the retention.
+        if let Some(stored) = self.turns.get_mut(&turn.turn) {
+            stored.expires = stored.expires.max(expires);
+            return is_new;
+        }
+        if !content.previous.is_empty() {
+            self.continuations.entry(content.previous.clone()).or_default().insert(turn.turn.clone());
+        }
+        let (program, content) = (turn.program.clone(), compact_copy(content));
+        self.turns.insert(turn.turn.clone(), StoredTurn { program, content, expires, needed_until: 0 });
+        true
     }
 
     fn share_origin(&mut self, origin: Option<&StreamOrigin>) -> Option<Arc<StreamOrigin>> {
@@ -196,13 +218,98 @@
         ChainReply { turns, missing: next }
     }
 
-    /// Removes expired programs and turns.
+    /// Removes expired programs, and expired turns that no turn stored here needs.
     pub fn expire(&mut self, now: u64) {
+        self.expire_programs(now);
+        let turns = self.turns_past_expiry(now);
+        self.remove_turns(&turns, now);
+    }
+
+    /// Removes expired programs.
+    pub fn expire_programs(&mut self, now: u64) {
         self.programs.retain(|_, account| account.expires > now);
-        self.turns.retain(|_, stored| stored.expires > now);
         self.origins.retain(|origin| Arc::strong_count(origin) > 1);
     }
 
+    /// Turns whose retention is over and that no turn known here needs. Another replica may know of one.
+    pub fn turns_past_expiry(&self, now: u64) -> Vec<String> {
+        let expired = self.turns.iter().filter(|(_, stored)| stored.kept_until() <= now);
+        let expired: Vec<String> = expired.map(|(turn, _)| turn.clone()).collect();
+        if expired.is_empty() {
+            return expired;
+        }
+        let later = self.continuations(&expired, now).turns;
+        let needed = needed_turns(&later);
+        expired.into_iter().filter(|turn| !needed.contains_key(turn.as_str())).collect()
+    }
+
+    /// Removes those of the turns that are still past their expiry.
+    pub fn remove_turns(&mut self, turns: &[String], now: u64) {
+        if turns.is_empty() {
+            return;
+        }
+        let past: BTreeSet<String> = self.turns_past_expiry(now).into_iter().collect();
+        for turn in turns.iter().filter(|turn| past.contains(*turn)) {
+            self.remove_turn(turn);
+        }
+    }
+
+    fn remove_turn(&mut self, turn: &str) {
+        let Some(removed) = self.turns.remove(turn) else { return };
+        let previous = removed.content.previous;
+        if let Some(later) = self.continuations.get_mut(&previous) {
+            later.remove(turn);
+            if later.is_empty() {
+                self.continuations.remove(&previous);
+            }
+        }
+    }
+
+    /// Keeps a turn at least until a Unix time in milliseconds, as another replica needs it.
+    pub fn keep_turn(&mut self, turn: &str, until: u64) {
+        if let Some(stored) = self.turns.get_mut(turn) {
+            stored.needed_until = stored.needed_until.max(until);
+        }
+    }
+
+    /// Turns known here that continue others, and in turn those that continue these, up to turns that are kept.
+    pub fn continuations(&self, turns: &[String], now: u64) -> Continuations {
+        let under_way = self.continuations_under_way(now);
+        let mut found = Vec::new();
+        let mut visited: BTreeSet<&str> = turns.iter().map(String::as_str).collect();
+        let mut open: Vec<&str> = turns.iter().map(String::as_str).collect();
+        while let Some(previous) = open.pop() {
+            found.extend(under_way.get(previous).into_iter().flatten().cloned());
+            for turn in self.continuations.get(previous).into_iter().flatten() {
+                let kept_until = self.turns.get(turn).map_or(0, StoredTurn::kept_until);
+                let remaining_millis = kept_until.saturating_sub(now);
+                found.push(TurnContinuation {
+                    turn: turn.clone(),
+                    previous: previous.to_owned(),
+                    remaining_millis,
+                });
+                if remaining_millis == 0 && visited.insert(turn) {
+                    open.push(turn);
+                }
+            }
+        }
+        Continuations { turns: found }
+    }
+
+    /// Turns under way that continue another one, by that one.
+    fn continuations_under_way(&self, now: u64) -> HashMap<&str, Vec<TurnContinuation>> {
+        let mut under_way: HashMap<&str, Vec<TurnContinuation>> = HashMap::new();
+        for account in self.programs.values() {
+            let remaining_millis = account.expires.saturating_sub(now);
+            for (turn, previous) in &account.continued {
+                let later =
+                    TurnContinuation { turn: turn.clone(), previous: previous.clone(), remaining_millis };
+                under_way.entry(previous).or_default().push(later);
+            }
+        }
+        under_way
+    }
+
     /// Page of records that follows a cursor; their expiry is relative to `now`.
     pub fn page(&self, after: &str, detail: PageDetail, now: u64) -> Page {
         let mut page = PageBuilder { detail, ..PageBuilder::default() };
@@ -235,6 +342,7 @@
                         retention_millis: 0,
                         origin: turn_account.origin_message(),
                         request: turn_account.request,
+                        previous: account.continued.get(turn).cloned().unwrap_or_default(),
                     };
                     page.add(RecordKind::Begun(begun), remaining, 0);
                     continue;
@@ -288,7 +396,7 @@
             has_no_event: account.is_some_and(|account| account.has_no_event),
         };
         let bytes = stored.content.input.len() + stored.content.output.len();
-        page.add(RecordKind::Ended(ended), stored.expires.saturating_sub(now), bytes);
+        page.add(RecordKind::Ended(ended), stored.kept_until().saturating_sub(now), bytes);
     }
 }
 
@@ -340,7 +448,6 @@
     (lower, Bound::Unbounded)
 }
 
-/// Copies the content to buffers of its own size. The received slices would keep the whole network buffer allocated.
 /// Replaces a copy by a newer one; returns whether it is newer.
 fn replace_if_newer(current: &mut StoredCopy, copy: &StoredCopy) -> bool {
     let is_newer = copy.number > current.number;
@@ -350,6 +457,7 @@
     is_newer
 }
 
+/// Copies the content to buffers of its own size. The received slices would keep the whole network buffer allocated.
 fn compact_copy(content: &RetainedTurn) -> RetainedTurn {
     RetainedTurn {
         previous: content.previous.clone(),
--- a/crates/ledger/tests/cluster/origins.rs
+++ b/crates/ledger/tests/cluster/origins.rs
@@ -130,5 +130,6 @@
         retention_millis: RETENTION,
         origin: (!operation.resumption.is_by_request()).then(|| operation.origin.clone()),
         request: Some(operation.request),
+        previous: String::new(),
     }
 }
--- a/crates/ledger/tests/group_map.rs
+++ b/crates/ledger/tests/group_map.rs
@@ -55,6 +55,7 @@
         retention_millis: 60_000,
         origin: None,
         request: None,
+        previous: String::new(),
     };
     let begin = Begin { turn: Some(turn), budget_tokens: 100, ..Begin::default() };
     LedgerRequest {
--- a/crates/ledger/tests/recorded_forms/main.rs
+++ b/crates/ledger/tests/recorded_forms/main.rs
@@ -42,6 +42,7 @@
         SuspectedCrash,
         EngineSurvived,
         Suspect,
+        Continuations,
     }
 );
 
@@ -62,6 +63,7 @@
         Busy,
         Quota,
         CrashedEngines,
+        Continuations,
     }
 );
 
--- a/crates/ledger/tests/recorded_forms/older.rs
+++ b/crates/ledger/tests/recorded_forms/older.rs
@@ -29,6 +29,7 @@
             | ReplyKind::Busy(_)
             | ReplyKind::Quota(_)
             | ReplyKind::CrashedEngines(_)
+            | ReplyKind::Continuations(_)
     )
 }
 
--- a/crates/ledger/tests/recorded_forms/samples.rs
+++ b/crates/ledger/tests/recorded_forms/samples.rs
@@ -2,11 +2,12 @@
 
 use bytes::Bytes;
 use sumacdrift_ledger::{
-    Begin, BeginVote, ChainReply, ChainRequest, ContentsRequest, CrashedEngines, End, EngineCrash,
-    GroupMapMessage, GroupMessage, KnownTurn, LedgerReply, LedgerRequest, MemberMessage, Page, PageRequest,
-    Push, QuarantineNotice, QuotaAnswer, QuotaDecision, QuotaQuestion, QuotaTotals, Reading, Record,
-    RecordKind, ReplyKind, RequestKind, RetainedTurn, SilentMember, Standing, StatusReply, StoredCopy,
-    StreamOrigin, SuspectNotice, TenantTotalMessage, TurnBegun, TurnEnded,
+    Begin, BeginVote, ChainReply, ChainRequest, ContentsRequest, Continuations, ContinuationsRequest,
+    CrashedEngines, End, EngineCrash, GroupMapMessage, GroupMessage, KnownTurn, LedgerReply, LedgerRequest,
+    MemberMessage, Page, PageRequest, Push, QuarantineNotice, QuotaAnswer, QuotaDecision, QuotaQuestion,
+    QuotaTotals, Reading, Record, RecordKind, ReplyKind, RequestKind, RetainedTurn, SilentMember, Standing,
+    StatusReply, StoredCopy, StreamOrigin, SuspectNotice, TenantTotalMessage, TurnBegun, TurnContinuation,
+    TurnEnded,
 };
 
 const EPOCH: u64 = 5;
@@ -29,6 +30,7 @@
         retention_millis: 600_000,
         origin: None,
         request: None,
+        previous: String::new(),
     }
 }
 
@@ -36,6 +38,11 @@
     TurnBegun { request: Some(99), ..turn_begun_at_origin() }
 }
 
+/// Start of a turn of the newest form.
+fn turn_begun_after_another() -> TurnBegun {
+    TurnBegun { previous: text("turn-1"), ..turn_begun_with_request() }
+}
+
 fn turn_begun_at_origin() -> TurnBegun {
     TurnBegun { origin: Some(origin()), ..turn_begun() }
 }
@@ -83,6 +90,10 @@
 }
 
 /// Group of the newest form.
+fn group_with_handover() -> GroupMessage {
+    GroupMessage { handed_over: vec![text("m2")], ..group_with_copies() }
+}
+
 fn group_with_copies() -> GroupMessage {
     GroupMessage { min_copies: 3, ..group(GROUP) }
 }
@@ -138,8 +149,8 @@
     RequestKind::Begin(Begin { turn, request: Some(99), ..begin_with_quorum() })
 }
 
-fn begin_of_same_request() -> RequestKind {
-    let turn = Some(turn_begun_with_request());
+fn begin_of_same_request(turn: TurnBegun) -> RequestKind {
+    let turn = Some(turn);
     RequestKind::Begin(Begin { turn, request: Some(99), resumes_same_request: true, ..begin_with_quorum() })
 }
 
@@ -267,9 +278,9 @@
         let copy = StoredCopy { number: 42, content: Bytes::from_static(b"copy") };
         let reading = Reading { epoch: EPOCH, sources: vec![text("m2")] };
         vec![
-            ("3", record(RecordKind::Begun(turn_begun_with_request()))),
+            ("4", record(RecordKind::Begun(turn_begun_after_another()))),
             ("3", record(RecordKind::Ended(turn_ended_with_request()))),
-            ("3", record(RecordKind::Group(group_with_copies()))),
+            ("4", record(RecordKind::Group(group_with_handover()))),
             ("2", record(RecordKind::Standing(standing))),
             ("1", record(RecordKind::Copy(copy.clone()))),
             ("1", record(RecordKind::Reading(reading))),
@@ -280,12 +291,12 @@
     pub fn requests() -> Vec<(&'static str, LedgerRequest)> {
         let contents = ContentsRequest { turns: vec![text("turn-1"), text("turn-2")] };
         let kinds = vec![
-            ("8", begin_of_same_request()),
+            ("9", begin_of_same_request(turn_begun_after_another())),
             ("6", end_with_quorum(turn_ended_with_request())),
             ("2", RequestKind::Chain(chain_request())),
-            ("4", page_request(group_with_copies(), true)),
-            ("5", push(group_with_copies(), turn_begun_with_request())),
-            ("3", RequestKind::Install(group_with_copies())),
+            ("5", page_request(group_with_handover(), true)),
+            ("6", push(group_with_handover(), turn_begun_after_another())),
+            ("4", RequestKind::Install(group_with_handover())),
             ("2", RequestKind::Status(true)),
             ("1", RequestKind::Contents(contents)),
             ("1", RequestKind::Find(chain_request())),
@@ -300,6 +311,7 @@
             ("1", RequestKind::SuspectedCrash(engine_crash())),
             ("2", RequestKind::EngineSurvived(EngineCrash { has_not_run: true, ..engine_crash() })),
             ("1", RequestKind::Suspect(SuspectNotice { request: 99, remaining_millis: 60_000 })),
+            ("1", RequestKind::Continuations(ContinuationsRequest { turns: vec![text("turn-1")] })),
         ];
         let report = Bytes::from_static(b"news");
         let request =
@@ -309,27 +321,31 @@
 
     pub fn replies() -> Vec<(&'static str, LedgerReply)> {
         let status = StatusReply {
-            group: Some(group_with_copies()),
+            group: Some(group_with_handover()),
             offers_membership: true,
             counts_copies: true,
             ..watching_status()
         };
         let quota =
             QuotaAnswer { decision: QuotaDecision::Exceeded as i32, retry_after_millis: 250, counted: 12 };
-        let map = GroupMapMessage { groups: vec![group(0), group_with_copies()] };
+        let map = GroupMapMessage { groups: vec![group(0), group_with_handover()] };
+        let turn =
+            TurnContinuation { turn: text("turn-2"), previous: text("turn-1"), remaining_millis: 60_000 };
+        let continuations = Continuations { turns: vec![turn] };
         let kinds = vec![
             ("2", ReplyKind::Done(true)),
             ("2", ReplyKind::Chain(chain())),
             ("4", page(vec![text("turn-1")], turn_ended_with_request())),
-            ("3", ReplyKind::WrongEpoch(group_with_copies())),
+            ("4", ReplyKind::WrongEpoch(group_with_handover())),
             ("2", ReplyKind::NotVoting(true)),
-            ("5", ReplyKind::Status(status)),
+            ("6", ReplyKind::Status(status)),
             ("2", ReplyKind::Failed(text("the disk failed"))),
             ("1", ReplyKind::NeverVoted(true)),
-            ("2", ReplyKind::Map(map)),
+            ("3", ReplyKind::Map(map)),
             ("1", ReplyKind::Busy(true)),
             ("1", ReplyKind::Quota(quota)),
             ("3", crashed_engines(vec![text("e3@7")], vec![text("e4@8")])),
+            ("1", ReplyKind::Continuations(continuations)),
         ];
         let view = Bytes::from_static(b"view");
         let reply = |kind| LedgerReply { kind: Some(kind), view: view.clone(), ..LedgerReply::default() };
@@ -379,6 +395,7 @@
             RequestKind::SuspectedCrash(EngineCrash::default()),
             RequestKind::EngineSurvived(EngineCrash::default()),
             RequestKind::Suspect(SuspectNotice::default()),
+            RequestKind::Continuations(ContinuationsRequest::default()),
         ];
         kinds.map(|kind| LedgerRequest { kind: Some(kind), ..LedgerRequest::default() }).to_vec()
     }
@@ -398,6 +415,7 @@
             ReplyKind::Busy(false),
             ReplyKind::Quota(QuotaAnswer::default()),
             ReplyKind::CrashedEngines(CrashedEngines::default()),
+            ReplyKind::Continuations(Continuations::default()),
         ];
         kinds.map(|kind| LedgerReply { kind: Some(kind), ..LedgerReply::default() }).to_vec()
     }
@@ -417,6 +435,8 @@
             ("2", record(RecordKind::Group(group(GROUP)))),
             ("2", record(RecordKind::Begun(turn_begun_at_origin()))),
             ("2", record(RecordKind::Ended(turn_ended_at_origin()))),
+            ("3", record(RecordKind::Group(group_with_copies()))),
+            ("3", record(RecordKind::Begun(turn_begun_with_request()))),
         ]
     }
 
@@ -450,6 +470,12 @@
         ];
         let without_same_request =
             [("7", begin_with_request()), ("5", end_with_quorum(turn_ended_at_origin()))];
+        let without_handover = [
+            ("8", begin_of_same_request(turn_begun_with_request())),
+            ("4", page_request(group_with_copies(), true)),
+            ("5", push(group_with_copies(), turn_begun_with_request())),
+            ("3", RequestKind::Install(group_with_copies())),
+        ];
         let report = Bytes::from_static(b"news");
         let plain = |kind| LedgerRequest { epoch: EPOCH, kind: Some(kind), ..LedgerRequest::default() };
         let first = first.map(|kind| ("1", plain(kind)));
@@ -462,7 +488,8 @@
             .chain(without_copies)
             .chain(without_fingerprint)
             .chain(without_suspicions)
-            .chain(without_same_request);
+            .chain(without_same_request)
+            .chain(without_handover);
         let later = later.map(|(form, kind)| {
             (form, LedgerRequest { report: report.clone(), group: GROUP, ..plain(kind) })
         });
@@ -495,6 +522,18 @@
         let without_suspicions = [("1", crashed_engines(Vec::new(), Vec::new()))];
         let without_observations = [("2", crashed_engines(vec![text("e3@7")], Vec::new()))];
         let without_same_request = [("3", page(vec![text("turn-1")], turn_ended_at_origin()))];
+        let status = StatusReply {
+            group: Some(group_with_copies()),
+            offers_membership: true,
+            counts_copies: true,
+            ..watching_status()
+        };
+        let map = GroupMapMessage { groups: vec![group(0), group_with_copies()] };
+        let without_handover = [
+            ("3", ReplyKind::WrongEpoch(group_with_copies())),
+            ("5", ReplyKind::Status(status)),
+            ("2", ReplyKind::Map(map)),
+        ];
         let vote_without_suspicions = LedgerReply {
             quarantined: vec![quarantine(false)],
             view: Bytes::from_static(b"view"),
@@ -507,6 +546,7 @@
             .chain(without_suspicions)
             .chain(without_observations)
             .chain(without_same_request)
+            .chain(without_handover)
             .map(|(form, kind)| (form, LedgerReply { view: Bytes::from_static(b"view"), ..plain(kind) }));
         let first = first.map(|kind| ("1", plain(kind)));
         let vote_without_observations = LedgerReply {
--- a/crates/ledger/tests/replica.rs
+++ b/crates/ledger/tests/replica.rs
@@ -34,6 +34,7 @@
         retention_millis: 60_000,
         origin: None,
         request: None,
+        previous: String::new(),
     }
 }
 
--- a/crates/storage/src/group_maintenance.rs
+++ b/crates/storage/src/group_maintenance.rs
@@ -23,6 +23,7 @@
 use crate::host::ReplicaHost;
 use crate::member_watcher::MemberWatcher;
 use crate::planned_stop::all_vote;
+use crate::turn_expiry::expire_turns;
 
 /// Interval of maintenance rounds.
 const ROUND_INTERVAL: Duration = Duration::from_millis(250);
@@ -112,8 +113,8 @@
             "complete_within_ms" => self.settings.catch_up_time.as_millis() as u64,
             "lost_after_ms" => self.replacement_policy().lost_after().as_millis() as u64);
         // Aborted when this task ends.
-        let mut watcher_task = JoinSet::new();
-        watcher_task.spawn(Arc::clone(&self.watcher).run());
+        let mut tasks = JoinSet::new();
+        tasks.spawn(Arc::clone(&self.watcher).run());
         let mut view = self.directory.view();
         loop {
             let current_view = self.current_view(view.borrow_and_update().clone());
@@ -122,6 +123,7 @@
             if self.expired_at.elapsed() >= EXPIRY_INTERVAL {
                 self.expired_at = Instant::now();
                 self.host.expire_and_snapshot().await;
+                self.start_turn_expiry(&mut tasks);
             }
             tokio::select! {
                 _ = view.changed() => {}
@@ -131,6 +133,16 @@
         }
     }
 
+    /// Starts the removal of expired turns unless the last one is still under way: other members may answer late.
+    fn start_turn_expiry(&self, tasks: &mut JoinSet<()>) {
+        while tasks.try_join_next().is_some() {}
+        if tasks.len() > 1 {
+            return;
+        }
+        let (host, transport) = (Arc::clone(&self.host), Arc::clone(&self.transport));
+        tasks.spawn(async move { expire_turns(&host, &transport).await });
+    }
+
     /// Directory content: read from it if this node follows it, otherwise from the feeds of other nodes.
     fn current_view(&self, directory_view: DirectoryView) -> DirectoryView {
         if self.host.follows_directory() && directory_view.is_known {
--- a/crates/storage/src/host_metrics.rs
+++ b/crates/storage/src/host_metrics.rs
@@ -40,6 +40,11 @@
 }
 
 impl HostMetrics {
+    /// Number of turns whose content is kept.
+    pub fn kept_turns(&self) -> i64 {
+        self.kept_turns.get()
+    }
+
     /// Registers the metrics under the prefix `sumacdrift_ledger`.
     pub fn register(&self, registry: &mut Registry) {
         let registry = registry.sub_registry_with_prefix("sumacdrift_ledger");
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -38,6 +38,7 @@
 mod retry_budget;
 mod routes;
 mod rpc;
+mod turn_expiry;
 mod zone_boards;
 
 pub use begin_turn::{Admission, BeginTurn, LedgerError, LedgerTimeouts};
--- a/crates/storage/tests/cluster/mod.rs
+++ b/crates/storage/tests/cluster/mod.rs
@@ -95,6 +95,8 @@
     /// Number of machines ever added; addresses are not reused.
     added: u8,
     logger: Logger,
+    /// Program of the next turns.
+    program: String,
     turns: usize,
     retained_turns: Vec<String>,
 }
@@ -109,6 +111,7 @@
             cluster: BTreeMap::new(),
             added: 0,
             logger: Logger::root(Discard, o!()),
+            program: "program".to_owned(),
             turns: 0,
             retained_turns: Vec::new(),
         };
@@ -301,6 +304,17 @@
         process.is_some_and(|process| process.host.is_voting())
     }
 
+    /// Number of turns that a running machine retains.
+    pub fn retained_turns_of(&self, name: &str) -> i64 {
+        let process = self.cluster.get(name).and_then(|machine| machine.process.as_ref());
+        process.map_or(0, |process| process.host.metrics().kept_turns())
+    }
+
+    /// Later turns belong to this program.
+    pub fn set_program(&mut self, program: &str) {
+        program.clone_into(&mut self.program);
+    }
+
     /// Creates a client that knows the groups in the directory.
     pub fn client(&self) -> LedgerClient {
         let network: Arc<dyn Network> = Arc::new(self.network.clone());
@@ -319,12 +333,13 @@
         let previous = self.retained_turns.last().cloned().unwrap_or_default();
         let begin = BeginTurn {
             turn: TurnBegun {
-                program: "program".to_owned(),
+                program: self.program.clone(),
                 turn: turn.clone(),
                 max_tokens: MOST_TOKENS,
                 retention_millis: RETENTION_MILLIS,
                 origin: None,
                 request: None,
+                previous: previous.clone(),
             },
             budget_tokens: BUDGET_TOKENS,
             needs_chain: !previous.is_empty(),
@@ -343,7 +358,7 @@
             output: Bytes::from_static(b"]"),
         };
         let end = TurnEnded {
-            program: "program".to_owned(),
+            program: self.program.clone(),
             turn: turn.clone(),
             tokens: 1,
             retention_millis: RETENTION_MILLIS,
--- a/crates/storage/tests/fleet/mod.rs
+++ b/crates/storage/tests/fleet/mod.rs
@@ -272,6 +272,7 @@
             retention_millis: 60_000,
             origin: None,
             request: None,
+            previous: String::new(),
         },
         budget_tokens: 10_000,
         needs_chain: !previous.is_empty(),
