--- a/crates/storage/src/group_maintenance.rs
+++ b/crates/storage/src/group_maintenance.rs
@@ -174,10 +174,12 @@
 
     /// Reads the remaining members after one departed without a handover; a drained machine does hand over.
     async fn reread_after_departure(&self, view: &DirectoryView) {
-        let is_retired = |node: &str| view.retirements.iter().any(|retirement| retirement.node == node);
+        let has_handed_over = |node: &str| {
+            view.retirements.iter().any(|retirement| retirement.node == node && retirement.is_completed)
+        };
         let needs_reading = {
             let mut replica = self.host.replica();
-            replica.forget_departed(is_retired);
+            replica.forget_departed(has_handed_over);
             replica.is_voting() && !replica.departed_members().is_empty()
         };
         if needs_reading {
