An answer with a status above 599 is not forwarded

What callers saw: an engine's signed answer with status 600 to 999 was forwarded with its body and signature, recorded as a kept turn, and with the not-executed header answered as 503 with 4002, as if the call had not run.

Cause: the parser accepts any three digits from 100 on; nothing asked whether HTTP has the status. 000, 001, 099 and texts without three digits never reached a caller: the parser rejects them (502 with 4004).

Fix: such an answer counts as garbage (4005), at the edge and at a node. A call that may be repeated goes on to another engine.

--- a/crates/engine-client/src/client.rs
+++ b/crates/engine-client/src/client.rs
@@ -170,7 +170,9 @@
         HttpError::NotSent(reason) => EngineError::Unreachable(reason),
         HttpError::TimedOut => EngineError::Stalled,
         HttpError::ConnectionLost(reason) => EngineError::ConnectionLost(reason),
-        HttpError::TooLarge(_) | HttpError::Unframed => EngineError::InvalidResponse,
+        HttpError::TooLarge(_) | HttpError::Unframed | HttpError::InvalidStatus(_) => {
+            EngineError::InvalidResponse
+        }
     }
 }
 
--- a/crates/http-client/src/lib.rs
+++ b/crates/http-client/src/lib.rs
@@ -25,6 +25,9 @@
 /// Unanswered probes after which a connection counts as broken.
 const KEEPALIVE_RETRIES: u32 = 3;
 
+/// Highest status that HTTP has. The parser rejects what has no three digits, or is below 100.
+const MAX_STATUS: u16 = 599;
+
 /// Why a request failed.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum HttpError {
@@ -43,6 +46,9 @@
     /// The end of the response would be that of its connection, which also comes if the back end is killed.
     #[error("response has neither a length nor chunks")]
     Unframed,
+    /// HTTP does not have the status of the response.
+    #[error("response has the invalid status {0}")]
+    InvalidStatus(u16),
 }
 
 /// Requests that a connection may carry.
@@ -116,6 +122,9 @@
         }
         match tokio::time::timeout(timeout, self.client.request(request)).await {
             Err(_) => Err(HttpError::TimedOut),
+            Ok(Ok(response)) if response.status().as_u16() > MAX_STATUS => {
+                Err(HttpError::InvalidStatus(response.status().as_u16()))
+            }
             Ok(Ok(response)) => self.check_framing(response),
             Ok(Err(error)) if error.is_connect() => Err(HttpError::NotSent(describe(&error))),
             Ok(Err(error)) => Err(HttpError::ConnectionLost(describe(&error))),
--- a/crates/node/src/service_runner.rs
+++ b/crates/node/src/service_runner.rs
@@ -121,7 +121,7 @@
         let failure = match error {
             HttpError::NotSent(_) => Failure::NotSent,
             HttpError::ConnectionLost(_) | HttpError::TimedOut => Failure::Lost,
-            HttpError::TooLarge(_) | HttpError::Unframed => Failure::Spoiled,
+            HttpError::TooLarge(_) | HttpError::Unframed | HttpError::InvalidStatus(_) => Failure::Spoiled,
         };
         let next = machine.record_failure(&back_end_id(back_end), failure, self.context.now());
         matches!(next, Next::Try { .. })
@@ -344,7 +344,7 @@
             .with_retry_after(Duration::from_secs(1)),
         HttpError::ConnectionLost(_) => Problem::unknown(ResultCode::BackEndCut, error.to_string()),
         HttpError::TimedOut => Problem::unknown(ResultCode::DeadlineExceeded, error.to_string()),
-        HttpError::TooLarge(_) | HttpError::Unframed => {
+        HttpError::TooLarge(_) | HttpError::Unframed | HttpError::InvalidStatus(_) => {
             Problem::unknown(ResultCode::BackEndGarbage, error.to_string())
         }
     }
--- a/crates/node/tests/answers_of_back_ends.rs
+++ b/crates/node/tests/answers_of_back_ends.rs
@@ -61,6 +61,25 @@
     assert!(reply.status() >= 500 && !reply.body().contains("half"), "{reply:?}");
 }
 
+/// Guards against forwarding, or recording, a status that HTTP does not have.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_with_an_invalid_status_is_not_recorded() {
+    for invalid in ["000", "099", "0", "20", "2000", "+20", "600", "999"] {
+        let text = whole(SURPLUS).replacen("200", invalid, 1);
+        let back_end = BackEnd::start(move |_| Response { text: text.clone(), closes: false }).await;
+        let node = TestNode::start(&back_end).await;
+        for status in [502, 409] {
+            let reply = sign(&node, "k1").await;
+            assert_eq!(reply.status(), status, "{invalid}: {reply:?}");
+            assert!(
+                reply.body().contains("\"ran\":\"unknown\"") && !reply.body().contains(SURPLUS),
+                "{invalid}: {reply:?}"
+            );
+        }
+        assert_eq!(back_end.requests(), 1, "{invalid}: the call ran once");
+    }
+}
+
 /// Each request but the first on a connection gets a surplus response in front of its own.
 fn with_surplus(earlier_on_connection: usize, surplus: String, own: String) -> Response {
     let text = if earlier_on_connection == 0 { own } else { format!("{surplus}{own}") };
