--- a/crates/storage/tests/stopped_for_good.rs
+++ b/crates/storage/tests/stopped_for_good.rs
@@ -106,3 +106,41 @@
     cluster.start("m2").await;
     assert!(cluster.recovers_within(RECOVERY_TIMEOUT).await.is_some(), "both are back");
 }
+
+/// The directory makes the change, but the stopping member is told that it failed.
+#[tokio::test(start_paused = true)]
+async fn its_records_outlive_a_disk_if_the_directory_loses_its_replies() {
+    for delay in LOSS_DELAYS_MILLIS {
+        let mut cluster = group_with_two_copies().await;
+        cluster.set_replies_lost(true);
+        cluster.stop_and_remove("m2").await;
+        cluster.set_replies_lost(false);
+        tokio::time::sleep(Duration::from_millis(delay)).await;
+        cluster.lose_power("m1").await;
+        cluster.wipe("m1");
+        cluster.start("m1").await;
+        let recovery = cluster.recovers_within(RECOVERY_TIMEOUT).await;
+        assert!(recovery.is_some(), "the disk was lost {delay} ms after the stop");
+    }
+}
+
+/// Its process is killed in the middle of the handover and returns, and another member loses its disk meanwhile.
+#[tokio::test(start_paused = true)]
+async fn a_kill_during_the_handover_loses_no_record() {
+    for killed_after in (0..=300).step_by(20) {
+        for wiped in ["m0", "m1"] {
+            let mut cluster = group_with_two_copies().await;
+            let stop = cluster.begin_stop("m2");
+            tokio::time::sleep(Duration::from_millis(killed_after)).await;
+            drop(stop);
+            cluster.lose_power("m2").await;
+            cluster.lose_power(wiped).await;
+            cluster.wipe(wiped);
+            tokio::time::sleep(Duration::from_millis(660)).await;
+            cluster.start(wiped).await;
+            cluster.start("m2").await;
+            let recovery = cluster.recovers_within(RECOVERY_TIMEOUT).await;
+            assert!(recovery.is_some(), "killed after {killed_after} ms, {wiped} lost its disk");
+        }
+    }
+}
