--- a/crates/ledger/tests/mutants.rs
+++ b/crates/ledger/tests/mutants.rs
@@ -11,7 +11,8 @@
 use cluster::Cluster;
 use sumacdrift_ledger::{
     BeginQuorum, BeginVote, Group, GroupMap, GroupPolicy, KnownTurn, Member, MemberReport, MemberWatch,
-    MembershipDecision, ReplacementPolicy, ResumedOrigin, ResumedTurn, StreamOrigin,
+    MembershipDecision, ReplacementPolicy, Replica, ReplicaSettings, ResumedOrigin, ResumedTurn,
+    StreamOrigin,
 };
 use sumacdrift_mutants::{Rule, with_broken};
 use sumacdrift_types::{RegionName, Timestamp, Topology};
