Reading the change again: one check of expiry, one limit of statuses, shared test steps

Behaviour is the same. - The removal of turns searched the continuations of all expired turns again for each thousand; it asks for the given ones now, and listing and removing share one function.

--- a/crates/http-client/src/lib.rs
+++ b/crates/http-client/src/lib.rs
@@ -8,7 +8,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http::header::CONNECTION;
-use http::{HeaderValue, Request, Response};
+use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
@@ -25,7 +25,7 @@
 /// Unanswered probes after which a connection counts as broken.
 const KEEPALIVE_RETRIES: u32 = 3;
 
-/// Highest status that HTTP has. The parser rejects what has no three digits, or is below 100.
+/// Highest status that HTTP has.
 const MAX_STATUS: u16 = 599;
 
 /// Why a request failed.
@@ -122,7 +122,7 @@
         }
         match tokio::time::timeout(timeout, self.client.request(request)).await {
             Err(_) => Err(HttpError::TimedOut),
-            Ok(Ok(response)) if response.status().as_u16() > MAX_STATUS => {
+            Ok(Ok(response)) if !is_http_status(response.status()) => {
                 Err(HttpError::InvalidStatus(response.status().as_u16()))
             }
             Ok(Ok(response)) => self.check_framing(response),
@@ -155,6 +155,11 @@
     }
 }
 
+/// Whether HTTP has a status. The parser rejects what has no three digits, or is below 100, but nothing above.
+pub fn is_http_status(status: StatusCode) -> bool {
+    status.as_u16() <= MAX_STATUS
+}
+
 /// The next chunk of a body; `None` at its regular end.
 pub async fn next_chunk(body: &mut Incoming) -> Result<Option<Bytes>, HttpError> {
     loop {
--- a/crates/ledger/src/group.rs
+++ b/crates/ledger/src/group.rs
@@ -134,24 +134,22 @@
     /// Next version of the group without a member.
     pub fn without_member(&self, node: &str) -> Group {
         let members = self.members.iter().filter(|member| member.node != node).cloned().collect();
-        let handed_over =
-            self.handed_over.iter().filter(|handed_over| *handed_over != node).cloned().collect();
-        Group { epoch: self.epoch + 1, members, handed_over, ..*self }
+        Group { members, ..self.with_resumed(node) }
     }
 
     /// Next version of the group after a member has handed over its records before a planned stop.
     pub(crate) fn with_handed_over(&self, node: &str) -> Group {
-        let mut handed_over = self.handed_over.clone();
-        handed_over.insert(node.to_owned());
-        Group { epoch: self.epoch + 1, handed_over, ..self.clone() }
+        let mut next = Group { epoch: self.epoch + 1, ..self.clone() };
+        next.handed_over.insert(node.to_owned());
+        next
     }
 
     /// Next version of the group in which a member that handed over its records votes again. It holds all that it
     /// acknowledged; what was committed meanwhile is stored by a commit quorum without it.
     pub(crate) fn with_resumed(&self, node: &str) -> Group {
-        let mut handed_over = self.handed_over.clone();
-        handed_over.remove(node);
-        Group { epoch: self.epoch + 1, handed_over, ..self.clone() }
+        let mut next = Group { epoch: self.epoch + 1, ..self.clone() };
+        next.handed_over.remove(node);
+        next
     }
 
     /// Nodes of members of an earlier version that were removed without a replacement; empty if the group did not
--- a/crates/ledger/src/replica.rs
+++ b/crates/ledger/src/replica.rs
@@ -363,10 +363,9 @@
     /// Removes what has expired; `now` is the Unix time in milliseconds. Turns stay if another member may need them, see
     /// [`Replica::turns_past_expiry`].
     pub fn expire(&mut self, now: u64) {
-        self.state.expire_programs(now);
-        if !self.is_member() {
-            let turns = self.state.turns_past_expiry(now);
-            self.state.remove_turns(&turns, now);
+        match self.is_member() {
+            true => self.state.expire_programs(now),
+            false => self.state.expire(now),
         }
     }
 
--- a/crates/ledger/src/state.rs
+++ b/crates/ledger/src/state.rs
@@ -221,8 +221,7 @@
     /// Removes expired programs, and expired turns that no turn stored here needs.
     pub fn expire(&mut self, now: u64) {
         self.expire_programs(now);
-        let turns = self.turns_past_expiry(now);
-        self.remove_turns(&turns, now);
+        self.turns_past_expiry(now).iter().for_each(|turn| self.remove_turn(turn));
     }
 
     /// Removes expired programs.
@@ -233,8 +232,18 @@
 
     /// Turns whose retention is over and that no turn known here needs. Another replica may know of one.
     pub fn turns_past_expiry(&self, now: u64) -> Vec<String> {
-        let expired = self.turns.iter().filter(|(_, stored)| stored.kept_until() <= now);
-        let expired: Vec<String> = expired.map(|(turn, _)| turn.clone()).collect();
+        self.past_expiry(self.turns.keys(), now)
+    }
+
+    /// Removes those of the turns that are still past their expiry.
+    pub fn remove_turns(&mut self, turns: &[String], now: u64) {
+        self.past_expiry(turns.iter(), now).iter().for_each(|turn| self.remove_turn(turn));
+    }
+
+    fn past_expiry<'a>(&self, turns: impl Iterator<Item = &'a String>, now: u64) -> Vec<String> {
+        let is_expired =
+            |turn: &&String| self.turns.get(*turn).is_some_and(|stored| stored.kept_until() <= now);
+        let expired: Vec<String> = turns.filter(is_expired).cloned().collect();
         if expired.is_empty() {
             return expired;
         }
@@ -243,17 +252,6 @@
         expired.into_iter().filter(|turn| !needed.contains_key(turn.as_str())).collect()
     }
 
-    /// Removes those of the turns that are still past their expiry.
-    pub fn remove_turns(&mut self, turns: &[String], now: u64) {
-        if turns.is_empty() {
-            return;
-        }
-        let past: BTreeSet<String> = self.turns_past_expiry(now).into_iter().collect();
-        for turn in turns.iter().filter(|turn| past.contains(*turn)) {
-            self.remove_turn(turn);
-        }
-    }
-
     fn remove_turn(&mut self, turn: &str) {
         let Some(removed) = self.turns.remove(turn) else { return };
         let previous = removed.content.previous;
--- a/crates/storage/tests/chain_retention.rs
+++ b/crates/storage/tests/chain_retention.rs
@@ -56,9 +56,7 @@
             take_turn_without(&mut cluster, &name(turn % 3)).await;
             tokio::time::sleep(PAUSE).await;
         }
-        cluster.lose_power(&name(wiped)).await;
-        cluster.wipe(&name(wiped));
-        cluster.start(&name(wiped)).await;
+        cluster.lose_disk(&name(wiped)).await;
         take_turn(&mut cluster).await;
     }
 }
--- a/crates/storage/tests/cluster/mod.rs
+++ b/crates/storage/tests/cluster/mod.rs
@@ -240,6 +240,20 @@
         machine.disk = MemoryDisk::default();
     }
 
+    /// Kills the process of a machine, replaces its disk by an empty one and starts it again.
+    pub async fn lose_disk(&mut self, name: &str) {
+        self.lose_power(name).await;
+        self.wipe(name);
+        self.start(name).await;
+    }
+
+    /// Runs turns that a machine does not store.
+    pub async fn run_turns_without(&mut self, name: &str, for_time: Duration) {
+        self.lose_power(name).await;
+        self.run_turns(for_time).await;
+        self.start(name).await;
+    }
+
     /// Removes a machine with its disk, unannounced.
     pub async fn remove(&mut self, name: &str) {
         self.lose_power(name).await;
--- a/crates/storage/tests/given_up_by_incomplete_member.rs
+++ b/crates/storage/tests/given_up_by_incomplete_member.rs
@@ -29,12 +29,8 @@
 async fn group_with_empty_member() -> StorageCluster {
     let mut cluster = StorageCluster::found(SETTINGS, 3).await;
     cluster.run_turns(Duration::from_millis(500)).await;
-    cluster.lose_power("m0").await;
-    cluster.run_turns(Duration::from_millis(900)).await;
-    cluster.start("m0").await;
-    cluster.lose_power("m1").await;
-    cluster.wipe("m1");
-    cluster.start("m1").await;
+    cluster.run_turns_without("m0", Duration::from_millis(900)).await;
+    cluster.lose_disk("m1").await;
     cluster
 }
 
--- a/crates/storage/tests/planned_stop_beside_disk_loss.rs
+++ b/crates/storage/tests/planned_stop_beside_disk_loss.rs
@@ -32,9 +32,7 @@
             assert!(tokio::time::Instant::now() < deadline, "the waiting machine takes the place");
             tokio::time::sleep(Duration::from_millis(1)).await;
         }
-        cluster.lose_power(wiped).await;
-        cluster.wipe(wiped);
-        cluster.start(wiped).await;
+        cluster.lose_disk(wiped).await;
         stop.join_next().await;
         cluster.lose_power("m2").await;
         tokio::time::sleep(ABSENCE).await;
--- a/crates/storage/tests/removed_before_handover.rs
+++ b/crates/storage/tests/removed_before_handover.rs
@@ -33,9 +33,7 @@
     cluster.start("m0").await;
     tokio::time::sleep(REMOVAL_TIME).await;
     assert_eq!(cluster.members(), ["m0", "m1"]);
-    cluster.lose_power("m1").await;
-    cluster.wipe("m1");
-    cluster.start("m1").await;
+    cluster.lose_disk("m1").await;
     // A turn continues the newest acknowledged one, and its chain is checked.
     assert!(cluster.recovers_within(RECOVERY_TIMEOUT).await.is_some(), "service is back");
 }
--- a/crates/storage/tests/stopped_for_good.rs
+++ b/crates/storage/tests/stopped_for_good.rs
@@ -24,9 +24,7 @@
 async fn group_with_two_copies() -> StorageCluster {
     let mut cluster = StorageCluster::found(SETTINGS, 3).await;
     cluster.run_turns(Duration::from_millis(500)).await;
-    cluster.lose_power("m0").await;
-    cluster.run_turns(Duration::from_millis(900)).await;
-    cluster.start("m0").await;
+    cluster.run_turns_without("m0", Duration::from_millis(900)).await;
     cluster.run_turns(Duration::from_secs(1)).await;
     cluster
 }
@@ -37,9 +35,7 @@
         let mut cluster = group_with_two_copies().await;
         cluster.stop_and_remove("m2").await;
         tokio::time::sleep(Duration::from_millis(delay)).await;
-        cluster.lose_power("m1").await;
-        cluster.wipe("m1");
-        cluster.start("m1").await;
+        cluster.lose_disk("m1").await;
         // A turn continues the newest acknowledged one, and its chain is checked.
         let recovery = cluster.recovers_within(RECOVERY_TIMEOUT).await;
         assert!(recovery.is_some(), "the disk was lost {delay} ms after the stop");
@@ -67,12 +63,8 @@
         tokio::time::sleep(Duration::from_millis(delay)).await;
         cluster.start("m2").await;
         cluster.run_turns(Duration::from_secs(4)).await;
-        cluster.lose_power("m0").await;
-        cluster.run_turns(Duration::from_millis(900)).await;
-        cluster.start("m0").await;
-        cluster.lose_power("m1").await;
-        cluster.wipe("m1");
-        cluster.start("m1").await;
+        cluster.run_turns_without("m0", Duration::from_millis(900)).await;
+        cluster.lose_disk("m1").await;
         let recovery = cluster.recovers_within(RECOVERY_TIMEOUT).await;
         assert!(recovery.is_some(), "back after {delay} ms");
     }
@@ -82,9 +74,7 @@
 async fn its_records_outlive_a_disk_that_was_lost_before_it() {
     for delay in STOP_DELAYS_MILLIS {
         let mut cluster = group_with_two_copies().await;
-        cluster.lose_power("m1").await;
-        cluster.wipe("m1");
-        cluster.start("m1").await;
+        cluster.lose_disk("m1").await;
         tokio::time::sleep(Duration::from_millis(delay)).await;
         cluster.stop_and_remove("m2").await;
         let recovery = cluster.recovers_within(RECOVERY_TIMEOUT).await;
@@ -116,9 +106,7 @@
         cluster.stop_and_remove("m2").await;
         cluster.set_replies_lost(false);
         tokio::time::sleep(Duration::from_millis(delay)).await;
-        cluster.lose_power("m1").await;
-        cluster.wipe("m1");
-        cluster.start("m1").await;
+        cluster.lose_disk("m1").await;
         let recovery = cluster.recovers_within(RECOVERY_TIMEOUT).await;
         assert!(recovery.is_some(), "the disk was lost {delay} ms after the stop");
     }
