Request bodies take from one budget of memory per process

Cause: a body was read whole before anything else was looked at, with the size of one request as the only limit; nothing counted what all requests hold together. A body that announced more than the limit was read up to the limit, and its rejection was lost with the reset of a connection that is closed with unread bytes.

When it is used up, the body that has held most for longest without growing gives way, or the newcomer is refused: 503 with 5009, not run, as nothing of the request was sent anywhere. Small bodies have a part of their own. The bytes own their reservation, so every way out returns it (shown by property). A caller that is answered early is read and discarded for 2 s or 16 MiB, so that it gets its answer.

--- a/crates/edge/src/call.rs
+++ b/crates/edge/src/call.rs
@@ -7,11 +7,11 @@
 use bytes::Bytes;
 use http::header::{CONNECTION, HOST, HeaderValue};
 use http::{Request, Response, request};
-use hyper::body::Incoming;
 use slog::info;
 use sumacdrift_calls::{CallMachine, CallMetadata, CrashCount, EngineVersion, Next};
-use sumacdrift_http_client::{HttpError, read_body};
+use sumacdrift_http_server::RequestBody;
 use sumacdrift_ledger::StreamOrigin;
+use sumacdrift_request_memory::RequestBodyError;
 use sumacdrift_storage::LedgerError;
 use sumacdrift_types::{Ran, ResultCode, Timestamp};
 
@@ -34,7 +34,7 @@
 /// Serves one request.
 pub(crate) async fn serve_call<D: WireFormat>(
     edge: Arc<Edge<D>>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Result<Response<EdgeBody>, Infallible> {
     edge.metrics.calls.inc();
     let mut response = handle_call(&edge, request).await;
@@ -44,7 +44,10 @@
     Ok(response)
 }
 
-async fn handle_call<D: WireFormat>(edge: &Arc<Edge<D>>, request: Request<Incoming>) -> Response<EdgeBody> {
+async fn handle_call<D: WireFormat>(
+    edge: &Arc<Edge<D>>,
+    request: Request<RequestBody>,
+) -> Response<EdgeBody> {
     let accepted = edge.clock.now();
     let (parts, body) = request.into_parts();
     let head = match edge.wire_format.parse_call(&parts) {
@@ -65,13 +68,12 @@
         return rejection(edge, ResultCode::NotFound);
     };
     let machine = CallMachine::new(selected.route.rules.clone(), head.time_left, accepted);
-    let reading = read_body(body, limits.body_bytes);
+    let reading = edge.body_memory.read_body(body, limits.body_bytes);
     let deadline = edge.clock.instant(machine.deadline());
     let body = match tokio::time::timeout_at(deadline, reading).await {
         Ok(Ok(body)) => body,
-        Ok(Err(HttpError::TooLarge(_))) => return reject(edge, &head, ResultCode::BodyTooLarge),
-        Ok(Err(_)) => return reject(edge, &head, ResultCode::MalformedBody),
-        Err(_) => return reject(edge, &head, ResultCode::RequestTooSlow),
+        Ok(Err(error)) => return reject_unread(edge, &head, body_error_code(&error)),
+        Err(_) => return reject_unread(edge, &head, ResultCode::RequestTooSlow),
     };
     let key = edge.wire_format.parse_key(&parts.headers);
     let is_public = selected.route.is_public;
@@ -326,6 +328,25 @@
     rejection(edge, code)
 }
 
+fn body_error_code(error: &RequestBodyError) -> ResultCode {
+    match error {
+        RequestBodyError::TooLarge(_) => ResultCode::BodyTooLarge,
+        RequestBodyError::OutOfMemory => ResultCode::NoBodyMemory,
+        RequestBodyError::Unreadable(_) => ResultCode::MalformedBody,
+    }
+}
+
+/// Rejects a call whose body was not read to its end, so that its connection can't carry another one.
+fn reject_unread<D: WireFormat>(edge: &Edge<D>, head: &CallMetadata, code: ResultCode) -> Response<EdgeBody> {
+    edge.metrics.record_unsuccessful_call(code);
+    info!(edge.logger, "call rejected before its body was received"; "event" => "body_refused", "call" => &head.id,
+        "code" => code.number(), "title" => code.title(), "held_bytes" => edge.body_memory.held_bytes(),
+        "capacity_bytes" => edge.body_memory.capacity_bytes());
+    let mut response = rejection(edge, code);
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
 fn rejection<D: WireFormat>(edge: &Edge<D>, code: ResultCode) -> Response<EdgeBody> {
     rejection_with_retry_after(edge, code, DEFAULT_RETRY_AFTER)
 }
--- a/crates/edge/src/connections.rs
+++ b/crates/edge/src/connections.rs
@@ -9,7 +9,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use sumacdrift_http_server::{CallerSocket, EndsWithConnection};
+use sumacdrift_http_server::{CallerSocket, ConnectionState};
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -35,16 +35,15 @@
     let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_time);
     let header_bytes = limits.map_or(DEFAULT_HEADER_BYTES, |limits| limits.header_bytes);
     let edge = Arc::clone(edge);
-    // Boxed, so that an idle connection does not hold memory for a call.
-    let ends_with_connection = EndsWithConnection::default();
-    let socket = CallerSocket::new(stream, ends_with_connection.clone());
+    let state = ConnectionState::default();
+    let socket = CallerSocket::new(stream, state.clone());
     let service = service_fn(move |request: Request<Incoming>| {
-        let (edge, ends_with_connection) = (Arc::clone(&edge), ends_with_connection.clone());
+        let (edge, state) = (Arc::clone(&edge), state.clone());
+        // Boxed, so that an idle connection does not hold memory for a call.
         Box::pin(async move {
             let version = request.version();
-            let answer = serve_call(edge, request).await?;
-            ends_with_connection.record_answer(version, answer.body());
-            Ok::<_, Infallible>(answer)
+            let answer = serve_call(edge, state.observe_request(request)).await?;
+            Ok::<_, Infallible>(state.observe_answer(version, answer))
         })
     });
     let connection = http1::Builder::new()
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -8,6 +8,7 @@
 use slog::{Logger, info};
 use sumacdrift_access::{ConfigurationAge, ConfigurationAgeLimits};
 use sumacdrift_calls::EngineId;
+use sumacdrift_request_memory::MemoryBudget;
 use sumacdrift_routing::{
     CallerLimits, EndedEvacuation, EngineRegistry, EngineSpec, EntryChange, Evacuation, EvacuationChange,
     Outcome, RouteTable, Routes, TrafficPrices,
@@ -69,6 +70,8 @@
     pub engine_drain_time: Duration,
     /// Mechanisms that are switched off.
     pub disabled: DisabledMechanisms,
+    /// Memory for the bodies of all requests, in bytes.
+    pub body_memory_bytes: usize,
 }
 
 /// Components of an edge.
@@ -99,6 +102,7 @@
     engine_view: Mutex<ViewContinuity>,
     pub(crate) quotas: QuotaClient,
     pub(crate) crashes: RequestCrashes,
+    pub(crate) body_memory: MemoryBudget,
     pub(crate) response_memory: ResponseMemory,
     pub(crate) exchange_schedule: ExchangeSchedule,
     pub(crate) queues: ServiceQueues,
@@ -123,6 +127,7 @@
         let edge = Arc::new(Self {
             quotas: QuotaClient::new(Arc::clone(&parts.ledger)),
             crashes: RequestCrashes::new(Arc::clone(&parts.ledger), parts.settings.crash_timeouts),
+            body_memory: MemoryBudget::new(parts.settings.body_memory_bytes),
             response_memory: ResponseMemory::default(),
             settings: parts.settings,
             freshness: Mutex::default(),
@@ -321,6 +326,8 @@
         self.metrics.cold_engines.set(i64::try_from(cold).unwrap_or(i64::MAX));
         let outliers = engines.ejected_engines(now);
         self.metrics.outliers.set(i64::try_from(outliers).unwrap_or(i64::MAX));
+        let body_bytes = self.body_memory.held_bytes();
+        self.metrics.body_memory.set(i64::try_from(body_bytes).unwrap_or(i64::MAX));
         self.pool.sweep(|engine| engines.spec(engine).is_some());
         engines.regroup_interchangeable(|engine| self.pool.is_connected(engine), now);
         drop(engines);
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -55,6 +55,7 @@
     pub(crate) origins_by_request: Counter,
     pub(crate) origin_changes: Counter,
     pub(crate) in_flight: Gauge,
+    pub(crate) body_memory: Gauge,
     pub(crate) configuration: Gauge,
     pub(crate) ledger_seconds: Histogram,
     pub(crate) quota_seconds: Histogram,
@@ -98,6 +99,7 @@
             origins_by_request: Counter::default(),
             origin_changes: Counter::default(),
             in_flight: Gauge::default(),
+            body_memory: Gauge::default(),
             configuration: Gauge::default(),
             ledger_seconds: time_histogram(),
             quota_seconds: time_histogram(),
@@ -245,6 +247,7 @@
             self.origin_changes.clone(),
         );
         registry.register("under_way", "Calls under way", self.in_flight.clone());
+        registry.register("body_memory_bytes", "Memory held for request bodies", self.body_memory.clone());
         registry.register("configuration", "Version of the configuration", self.configuration.clone());
         let times = [
             ("ledger_seconds", "From a turn's begin to the ledger's answer", &self.ledger_seconds),
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
-use sumacdrift_http_server::{CallerSocket, EndsWithConnection};
+use sumacdrift_http_server::{CallerSocket, ConnectionState};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio_util::sync::CancellationToken;
@@ -70,15 +70,14 @@
     settings: ListenerSettings,
     graceful: &GracefulShutdown,
 ) {
-    let ends_with_connection = EndsWithConnection::default();
-    let socket = CallerSocket::new(stream, ends_with_connection.clone());
+    let state = ConnectionState::default();
+    let socket = CallerSocket::new(stream, state.clone());
     let service = hyper::service::service_fn(move |request: Request<Incoming>| {
-        let (router, ends_with_connection) = (router.clone(), ends_with_connection.clone());
+        let (router, state) = (router.clone(), state.clone());
         async move {
             let version = request.version();
-            let answer = router.oneshot(request.map(Body::new)).await?;
-            ends_with_connection.record_answer(version, answer.body());
-            Ok::<_, Infallible>(answer)
+            let answer = router.oneshot(state.observe_request(request).map(Body::new)).await?;
+            Ok::<_, Infallible>(state.observe_answer(version, answer))
         }
     });
     let connection = hyper::server::conn::http1::Builder::new()
--- a/crates/http-client/src/lib.rs
+++ b/crates/http-client/src/lib.rs
@@ -10,7 +10,7 @@
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
@@ -161,7 +161,11 @@
 }
 
 /// The next chunk of a body; `None` at its regular end.
-pub async fn next_chunk(body: &mut Incoming) -> Result<Option<Bytes>, HttpError> {
+pub async fn next_chunk<B>(body: &mut B) -> Result<Option<Bytes>, HttpError>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: std::fmt::Display,
+{
     loop {
         match body.frame().await {
             None => return Ok(None),
@@ -183,10 +187,14 @@
 
 /// Reads a whole body; `None` as soon as `fits` rejects its size in bytes so far. A body that arrives in one chunk is not
 /// copied.
-pub async fn read_body_while(
-    mut body: Incoming,
+pub async fn read_body_while<B>(
+    mut body: B,
     mut fits: impl FnMut(usize) -> bool,
-) -> Result<Option<Bytes>, HttpError> {
+) -> Result<Option<Bytes>, HttpError>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: std::fmt::Display,
+{
     let mut first_chunk = Bytes::new();
     let mut buffer = BytesMut::new();
     while let Some(chunk) = next_chunk(&mut body).await? {
--- a/crates/http-server/src/caller_socket.rs
+++ b/crates/http-server/src/caller_socket.rs
@@ -3,50 +3,35 @@
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
-use http::Version;
-use hyper::body::Body;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// Whether the answer on a connection ends with it. Shared by the socket and the service that answers.
-#[derive(Debug, Clone, Default)]
-pub struct EndsWithConnection(Arc<AtomicBool>);
+use crate::connection_state::ConnectionState;
+use crate::discard::Discard;
 
-impl EndsWithConnection {
-    /// Records an answer that is about to be sent. HTTP/1.0 has no chunks.
-    pub fn record_answer(&self, version: Version, body: &impl Body) {
-        if version < Version::HTTP_11 && body.size_hint().exact().is_none() {
-            self.0.store(true, Ordering::Relaxed);
-        }
-    }
-
-    fn get(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
-    }
-}
-
-/// A caller's connection, which is reset unless it is shut down once an answer that ends with it has begun.
+/// A caller's connection, which is reset unless it is shut down once an answer that ends with it has begun. If the caller may
+/// still be sending, a shutdown reads on for a while, so that the answer arrives.
 #[derive(Debug)]
 pub struct CallerSocket {
     stream: TcpStream,
-    ends_with_connection: EndsWithConnection,
+    state: ConnectionState,
     resets_on_close: bool,
+    /// Set once the sending half is closed while the caller may still be sending.
+    discard: Option<Discard>,
 }
 
 impl CallerSocket {
-    /// A caller's accepted connection. `ends_with_connection` is shared with the service that answers on it.
-    pub fn new(stream: TcpStream, ends_with_connection: EndsWithConnection) -> Self {
-        Self { stream, ends_with_connection, resets_on_close: false }
+    /// A caller's accepted connection. `state` is shared with the service that answers on it.
+    pub fn new(stream: TcpStream, state: ConnectionState) -> Self {
+        Self { stream, state, resets_on_close: false, discard: None }
     }
 
     /// Makes sure that the connection is reset from the first byte of an answer that ends with it on.
     fn prepare_write(&mut self) -> io::Result<()> {
-        if !self.resets_on_close && self.ends_with_connection.get() {
+        if !self.resets_on_close && self.state.ends_with_connection() {
             self.stream.set_zero_linger()?;
             self.resets_on_close = true;
         }
@@ -69,7 +54,12 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let filled_before = buffer.filled().len();
+        let outcome = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if buffer.filled().len() > filled_before {
+            self.state.record_read();
+        }
+        outcome
     }
 }
 
@@ -80,7 +70,9 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.prepare_write()?;
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let outcome = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.state.record_write(outcome.is_pending());
+        outcome
     }
 
     fn poll_write_vectored(
@@ -89,7 +81,9 @@
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.prepare_write()?;
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let outcome = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.state.record_write(outcome.is_pending());
+        outcome
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -101,7 +95,15 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.prepare_shutdown()?;
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        let socket = &mut *self;
+        if socket.discard.is_none() {
+            socket.prepare_shutdown()?;
+            ready!(Pin::new(&mut socket.stream).poll_shutdown(context))?;
+            if !socket.state.has_unread_body() {
+                return Poll::Ready(Ok(()));
+            }
+        }
+        let discard = socket.discard.get_or_insert_default();
+        discard.poll(&mut socket.stream, context).map(Ok)
     }
 }
--- a/crates/types/src/result_code.rs
+++ b/crates/types/src/result_code.rs
@@ -139,6 +139,10 @@
     QuotaUnavailable = 5007, 503, "Quota can't be counted";
     /// A storage machine can't be drained yet: a record might not survive the tolerated losses on the remaining ones.
     TooFewReplicas = 5008, 503, "Too few replicas would remain";
+    /// All memory for request bodies is in use, or the body made way for others while it arrived.
+    NoBodyMemory = 5009, 503, "No memory for the request body";
+    /// The storage machines have no memory to keep the turn, or the node none to pass it on.
+    NoTurnMemory = 5010, 503, "No memory to keep the turn";
     /// No configuration is active on the node yet.
     NoConfiguration = 6001, 503, "No configuration in force";
     /// The node's copy of the API keys is so old that the caller's key may have been revoked or added since.
