Callers' connections are limited by descriptors and memory

Cause: every connection was accepted, and maxFds was not read, though engines, ledger, feeds and probes need descriptors from the same pool.

Evidence: idle_connections_leave_descriptors_for_others and unfinished_heads_leave_descriptors_for_others, 520 connections where maxFds leaves 300 to sockets: 492 sockets before, both failed; 159 after, and an ordinary call is answered.

Why it works: callers have half of the descriptors for sockets, and as many connections as a fifth of the memory holds at 32 KiB each. At the limit the connection that has been idle for longest makes room, then the oldest unfinished head, then the oldest unfinished body; one whose answer is under way or not yet written never is. The limiter of repeated log lines moves from storage to telemetry, where both use it.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -8,6 +8,7 @@
 use slog::{Logger, info};
 use sumacdrift_access::{ConfigurationAge, ConfigurationAgeLimits};
 use sumacdrift_calls::EngineId;
+use sumacdrift_http_server::ConnectionPhase;
 use sumacdrift_request_memory::MemoryBudget;
 use sumacdrift_routing::{
     CallerLimits, EndedEvacuation, EngineRegistry, EngineSpec, EntryChange, Evacuation, EvacuationChange,
@@ -15,11 +16,13 @@
 };
 use sumacdrift_scheduling::CircuitBreakerSettings;
 use sumacdrift_storage::{LedgerClient, QuotaClient};
+use sumacdrift_telemetry::RepeatedLineLimit;
 use sumacdrift_types::{AllowedRegions, DisabledMechanisms, Location, Mechanism, Timestamp};
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
 use crate::buffered::ResponseMemory;
+use crate::caller_connections::{AcceptedConnection, CallerConnections, Displaced, NoRoom};
 use crate::clock::Clock;
 use crate::cold_permit::ColdTolerance;
 use crate::engine_crash::{CrashTimeouts, RequestCrashes};
@@ -72,6 +75,8 @@
     pub disabled: DisabledMechanisms,
     /// Memory for the bodies of all requests, in bytes.
     pub body_memory_bytes: usize,
+    /// Maximum number of callers' connections.
+    pub caller_connections: usize,
 }
 
 /// Components of an edge.
@@ -103,6 +108,8 @@
     pub(crate) quotas: QuotaClient,
     pub(crate) crashes: RequestCrashes,
     pub(crate) body_memory: MemoryBudget,
+    caller_connections: Arc<CallerConnections>,
+    connection_log_limit: Mutex<RepeatedLineLimit>,
     pub(crate) response_memory: ResponseMemory,
     pub(crate) exchange_schedule: ExchangeSchedule,
     pub(crate) queues: ServiceQueues,
@@ -128,6 +135,8 @@
             quotas: QuotaClient::new(Arc::clone(&parts.ledger)),
             crashes: RequestCrashes::new(Arc::clone(&parts.ledger), parts.settings.crash_timeouts),
             body_memory: MemoryBudget::new(parts.settings.body_memory_bytes),
+            caller_connections: Arc::new(CallerConnections::new(parts.settings.caller_connections)),
+            connection_log_limit: Mutex::default(),
             response_memory: ResponseMemory::default(),
             settings: parts.settings,
             freshness: Mutex::default(),
@@ -328,6 +337,8 @@
         self.metrics.outliers.set(i64::try_from(outliers).unwrap_or(i64::MAX));
         let body_bytes = self.body_memory.held_bytes();
         self.metrics.body_memory.set(i64::try_from(body_bytes).unwrap_or(i64::MAX));
+        let connections = self.caller_connections.count();
+        self.metrics.caller_connections.set(i64::try_from(connections).unwrap_or(i64::MAX));
         self.pool.sweep(|engine| engines.spec(engine).is_some());
         engines.regroup_interchangeable(|engine| self.pool.is_connected(engine), now);
         drop(engines);
@@ -359,6 +370,32 @@
         self.limits()
     }
 
+    /// Accepts a caller's connection; `None` if it has to be closed, as all connections are in use.
+    pub(crate) fn accept_caller(&self) -> Option<AcceptedConnection> {
+        let accepted = self.caller_connections.accept();
+        match &accepted {
+            Ok((_, Displaced::Nothing)) => {}
+            Ok((_, Displaced::Connection(phase))) => {
+                self.metrics.displaced_connections.inc();
+                self.report_connection_limit("closed", Some(*phase));
+            }
+            Err(NoRoom) => {
+                self.metrics.refused_connections.inc();
+                self.report_connection_limit("refused", None);
+            }
+        }
+        accepted.ok().map(|(accepted, _)| accepted)
+    }
+
+    /// Logs that a connection was closed or refused, unless one was logged shortly before.
+    fn report_connection_limit(&self, outcome: &'static str, phase: Option<ConnectionPhase>) {
+        let mut limit = self.connection_log_limit.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(suppressed) = limit.try_log(Instant::now()) else { return };
+        info!(self.logger, "all connections are in use"; "event" => "connection_limit", "outcome" => outcome,
+            "phase" => ?phase, "connections" => self.caller_connections.count(),
+            "limit" => self.settings.caller_connections, "left_out" => suppressed);
+    }
+
     /// Whether the edge is ready for new callers. It is not while it is isolated from the ledger, as other edges
     /// can then serve programs.
     pub fn is_ready(&self) -> bool {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod buffered;
 mod call;
+mod caller_connections;
 mod clock;
 mod cold_permit;
 mod connections;
--- a/crates/edge/src/listener.rs
+++ b/crates/edge/src/listener.rs
@@ -88,7 +88,9 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) if configure_stream(&stream).is_ok() => {
-                serve_connection(edge, stream, close.clone(), tasks);
+                if let Some(accepted) = edge.accept_caller() {
+                    serve_connection(edge, stream, accepted, close.clone(), tasks);
+                }
             }
             Ok(_) => {}
             Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -56,6 +56,9 @@
     pub(crate) origin_changes: Counter,
     pub(crate) in_flight: Gauge,
     pub(crate) body_memory: Gauge,
+    pub(crate) caller_connections: Gauge,
+    pub(crate) displaced_connections: Counter,
+    pub(crate) refused_connections: Counter,
     pub(crate) configuration: Gauge,
     pub(crate) ledger_seconds: Histogram,
     pub(crate) quota_seconds: Histogram,
@@ -100,6 +103,9 @@
             origin_changes: Counter::default(),
             in_flight: Gauge::default(),
             body_memory: Gauge::default(),
+            caller_connections: Gauge::default(),
+            displaced_connections: Counter::default(),
+            refused_connections: Counter::default(),
             configuration: Gauge::default(),
             ledger_seconds: time_histogram(),
             quota_seconds: time_histogram(),
@@ -248,6 +254,12 @@
         );
         registry.register("under_way", "Calls under way", self.in_flight.clone());
         registry.register("body_memory_bytes", "Memory held for request bodies", self.body_memory.clone());
+        let connections = self.caller_connections.clone();
+        registry.register("caller_connections", "Open connections of callers", connections);
+        let displaced = self.displaced_connections.clone();
+        registry.register("displaced_connections", "Connections closed to make room for others", displaced);
+        let refused = self.refused_connections.clone();
+        registry.register("refused_connections", "Connections refused as all were in use", refused);
         registry.register("configuration", "Version of the configuration", self.configuration.clone());
         let times = [
             ("ledger_seconds", "From a turn's begin to the ledger's answer", &self.ledger_seconds),
--- a/crates/storage/src/client.rs
+++ b/crates/storage/src/client.rs
@@ -13,6 +13,7 @@
     Begin, BeginDecision, BeginQuorum, ChainReply, End, Group, GroupMap, GroupMessage, GroupNumber, Member,
     ReplyKind, RequestKind, ResumedTurn, TurnEnded,
 };
+use sumacdrift_telemetry::RepeatedLineLimit;
 use sumacdrift_transport::Transport;
 use sumacdrift_types::{DisabledMechanisms, Location, Mechanism};
 use tokio::time::Instant;
@@ -21,7 +22,6 @@
 use crate::circuit_breaker::{GroupBreakers, Permit};
 use crate::group_request::GroupRequest;
 use crate::known_map::KnownMap;
-use crate::member_answers::UndecidedLogLimiter;
 use crate::member_client::MemberClient;
 use crate::member_selection::MemberSelection;
 use crate::report_board::{ViewSink, forward_view};
@@ -63,7 +63,7 @@
     breakers: Mutex<GroupBreakers>,
     retry_budget: Arc<RetryBudget>,
     views: OnceLock<Arc<dyn ViewSink>>,
-    undecided_log_limiter: Mutex<UndecidedLogLimiter>,
+    undecided_log_limiter: Mutex<RepeatedLineLimit>,
     off: DisabledMechanisms,
     logger: Logger,
 }
@@ -437,7 +437,7 @@
         self.member_selection.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Permits a log line about an undecided request, see [`UndecidedLogLimiter::try_log`].
+    /// Permits a log line about an undecided request, see [`RepeatedLineLimit::try_log`].
     pub(crate) fn take_undecided_log_slot(&self) -> Option<u64> {
         let mut limiter = self.undecided_log_limiter.lock().unwrap_or_else(PoisonError::into_inner);
         limiter.try_log(Instant::now())
--- a/crates/storage/src/member_answers.rs
+++ b/crates/storage/src/member_answers.rs
@@ -1,13 +1,8 @@
 //! Outcome for each member of one request, for the log line about an undecided request.
 
 use std::fmt;
-use std::time::Duration;
 
 use sumacdrift_ledger::ReplyKind;
-use tokio::time::Instant;
-
-/// Minimum time between two log lines about undecided requests: while a group is down, every request is undecided.
-const MIN_LOG_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Last outcome of asking a member.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -52,22 +47,3 @@
         }
     }
 }
-
-/// Limits the rate of log lines about undecided requests.
-#[derive(Debug, Default)]
-pub(crate) struct UndecidedLogLimiter {
-    last: Option<Instant>,
-    suppressed: u64,
-}
-
-impl UndecidedLogLimiter {
-    /// `Some` if a line may be logged now, with the number of lines suppressed since the last one.
-    pub(crate) fn try_log(&mut self, now: Instant) -> Option<u64> {
-        if self.last.is_some_and(|last| now.duration_since(last) < MIN_LOG_INTERVAL) {
-            self.suppressed += 1;
-            return None;
-        }
-        self.last = Some(now);
-        Some(std::mem::take(&mut self.suppressed))
-    }
-}
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -6,7 +6,9 @@
 mod drain;
 mod metrics;
 mod rate_limit;
+mod repeated_line;
 
 pub use drain::{LogSettings, json_logger};
 pub use metrics::{serve_metrics, time_histogram};
 pub use rate_limit::LogRateLimit;
+pub use repeated_line::RepeatedLineLimit;
