--- a/crates/storage/src/host.rs
+++ b/crates/storage/src/host.rs
@@ -34,6 +34,7 @@
 use crate::feed_host::FeedHost;
 use crate::host_metrics::HostMetrics;
 use crate::known_map::KnownMap;
+use crate::pending_commit::PendingCommit;
 use crate::planned_stop::PlannedStop;
 use crate::quota_host::QuotaHost;
 use crate::report_board::HostReportBoard;
@@ -410,22 +411,17 @@
         Timestamp::default() + self.started.elapsed()
     }
 
-    /// Queues records; the receiver resolves when the last one is durable. `None` if there are no records.
+    /// Queues records; the receiver resolves when all are durable. `None` if there are no records.
     fn queue(&self, records: Vec<Record>) -> Option<oneshot::Receiver<Result<(), JournalFailure>>> {
-        let last = records.len().checked_sub(1)?;
-        let (sender, receiver) = oneshot::channel();
-        let mut sender = Some(sender);
-        for (position, record) in records.into_iter().enumerate() {
+        if records.is_empty() {
+            return None;
+        }
+        let (pending, receiver) = PendingCommit::new(records.len());
+        for record in records {
             let bytes = Bytes::from(record.encode_to_vec());
             self.snapshot_progress.since_snapshot.fetch_add(bytes.len() as u64, Ordering::Relaxed);
-            let sender = if position == last { sender.take() } else { None };
-            let committed = Box::new(move |outcome| {
-                if let Some(sender) = sender {
-                    let _ = sender.send(outcome);
-                }
-            });
-            // A stopped writer drops the sender, which the receiver reports.
-            let _ = self.writer.commit(bytes, committed);
+            // A stopped writer drops the callback, which the receiver reports.
+            let _ = self.writer.commit(bytes, pending.callback());
         }
         Some(receiver)
     }
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -29,6 +29,7 @@
 mod member_order;
 mod member_selection;
 mod member_watcher;
+mod pending_commit;
 mod planned_stop;
 mod quarantine_feed;
 mod quota_client;
