A node's request bodies take from one budget of memory

Cause: as at the edge, a limit on each body and none on all; and read buffers of up to 400 KB a connection, the HTTP library's default.

Why it works: bodies take from limits.body_memory_bytes (256 MiB if unset) as they arrive, and what is parsed of them is held until the call has ended; a refused one gets 503 with 5009. A head may have 64 KiB.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -121,6 +121,8 @@
 pub struct LimitSettings {
     /// Largest request body, in bytes.
     pub body_bytes: usize,
+    /// Memory for the bodies of all requests, in bytes.
+    pub body_memory_bytes: usize,
     /// Time limit for receiving a request's headers.
     pub header_timeout: Duration,
     /// Time limit for receiving a request's body.
@@ -235,6 +237,7 @@
 fn read_limits(table: &mut Table<'_>) -> LimitSettings {
     LimitSettings {
         body_bytes: table.integer_or("body_bytes", 1..=1 << 30, 8 << 20) as usize,
+        body_memory_bytes: table.integer_or("body_memory_bytes", 1..=1 << 40, 256 << 20) as usize,
         header_timeout: table.duration_or("header_seconds", Duration::from_secs(10)),
         body_timeout: table.duration_or("body_seconds", Duration::from_secs(30)),
         turn_wait: table.duration_or("turn_wait_seconds", Duration::from_secs(30)),
--- a/crates/gateway/src/chat.rs
+++ b/crates/gateway/src/chat.rs
@@ -41,9 +41,11 @@
     gateway.dispatcher.check_ready()?;
     let caller = authenticate(gateway.dispatcher.as_ref(), headers)?;
     let program_headers = headers::read(headers)?;
-    let permit = gateway.limits.acquire(&caller.tenant)?;
+    let mut permit = gateway.limits.acquire(&caller.tenant)?;
     let body = gateway.read_body(body).await?;
+    permit.hold(gateway.hold_parsed(&body)?);
     let request = chat_request::parse(&body)?;
+    drop(body);
     let format = ResponseFormat {
         call,
         model: request.model.clone(),
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use sumacdrift_config::Tenant;
+use sumacdrift_request_memory::Reservation;
 use sumacdrift_types::{Problem, ResultCode, TenantName};
 
 /// Retry delay given to callers of a tenant that has reached its limit.
@@ -21,6 +22,15 @@
 pub(crate) struct CallPermit {
     limits: TenantLimits,
     tenant: TenantName,
+    /// Memory for the call's content.
+    memory: Option<Reservation>,
+}
+
+impl CallPermit {
+    /// Holds memory until the call ends.
+    pub(crate) fn hold(&mut self, memory: Reservation) {
+        self.memory = Some(memory);
+    }
 }
 
 impl TenantLimits {
@@ -33,7 +43,7 @@
             return Err(Problem::not_run(ResultCode::TenantLimit, detail).with_retry_after(RETRY_AFTER));
         }
         *count += 1;
-        Ok(CallPermit { limits: self.clone(), tenant: tenant.name.clone() })
+        Ok(CallPermit { limits: self.clone(), tenant: tenant.name.clone(), memory: None })
     }
 
     /// Calls in flight of all tenants.
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -19,6 +19,9 @@
 /// Delay after a failed accept, such as when file descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Buffer of a connection; a request's head has to fit. The HTTP library's default takes six times as much.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
+
 /// Limits on connections from callers.
 #[derive(Debug, Clone, Copy)]
 pub struct ListenerSettings {
@@ -83,6 +86,7 @@
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(settings.header_timeout)
+        .max_buf_size(MAX_BUFFER_BYTES)
         .serve_connection(TokioIo::new(socket), service);
     let connection = graceful.watch(connection);
     tokio::spawn(async move {
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -8,18 +8,23 @@
 use axum::extract::State;
 use axum::response::{IntoResponse, Response};
 use axum::routing::{any, get, post};
-use bytes::{Bytes, BytesMut};
-use futures::StreamExt;
+use bytes::Bytes;
+use sumacdrift_request_memory::{MemoryBudget, OutOfMemory, RequestBodyError, Reservation};
 use sumacdrift_types::{CallId, Problem, ResultCode};
 
 use crate::error::ProblemResponse;
 use crate::{Dispatcher, TenantLimits, chat, programs, services};
 
+/// Retry delay given to callers whose body found no memory.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Limits on request bodies.
 #[derive(Debug, Clone, Copy)]
 pub struct GatewaySettings {
     /// Largest accepted body, in bytes.
     pub body_bytes: usize,
+    /// Memory for the bodies of all requests, in bytes.
+    pub body_memory_bytes: usize,
     /// Time limit for receiving a whole body.
     pub body_timeout: Duration,
 }
@@ -30,11 +35,13 @@
     pub(crate) dispatcher: Arc<dyn Dispatcher>,
     pub(crate) limits: TenantLimits,
     pub(crate) settings: GatewaySettings,
+    pub(crate) body_memory: MemoryBudget,
 }
 
 /// Builds the router for all endpoints that callers use.
 pub fn router(dispatcher: Arc<dyn Dispatcher>, limits: TenantLimits, settings: GatewaySettings) -> Router {
-    let gateway = GatewayState { dispatcher, limits, settings };
+    let body_memory = MemoryBudget::new(settings.body_memory_bytes);
+    let gateway = GatewayState { dispatcher, limits, settings, body_memory };
     Router::new()
         .route("/v1/chat/completions", post(chat::complete))
         .route("/v1/models", get(chat::models))
@@ -57,34 +64,33 @@
 }
 
 impl GatewayState {
-    /// Reads a whole request body within the limits on size and time.
+    /// Reads a whole request body within the limits on size, time and memory. The bytes own their memory.
     pub(crate) async fn read_body(&self, body: Body) -> Result<Bytes, Problem> {
-        let collected = tokio::time::timeout(self.settings.body_timeout, self.collect_body(body)).await;
-        collected.unwrap_or_else(|_| {
+        let reading = self.body_memory.read_body(body, self.settings.body_bytes);
+        let received = tokio::time::timeout(self.settings.body_timeout, reading).await;
+        let received = received.map_err(|_| {
             let seconds = self.settings.body_timeout.as_secs_f64();
             let detail = format!("the body was not received within {seconds} s");
-            Err(Problem::not_run(ResultCode::RequestTooSlow, detail))
+            Problem::not_run(ResultCode::RequestTooSlow, detail)
+        })?;
+        received.map_err(|error| match error {
+            RequestBodyError::TooLarge(_) => Problem::not_run(ResultCode::BodyTooLarge, error.to_string()),
+            RequestBodyError::OutOfMemory => no_body_memory(),
+            RequestBodyError::Unreadable(_) => Problem::not_run(ResultCode::MalformedBody, error.to_string()),
         })
     }
 
-    async fn collect_body(&self, body: Body) -> Result<Bytes, Problem> {
-        let mut chunks = body.into_data_stream();
-        let mut collected = BytesMut::new();
-        while let Some(chunk) = chunks.next().await {
-            let chunk = chunk.map_err(|error| {
-                let detail = format!("reading the body failed: {error}");
-                Problem::not_run(ResultCode::MalformedBody, detail)
-            })?;
-            if collected.len() + chunk.len() > self.settings.body_bytes {
-                let detail = format!("the body is larger than {} bytes", self.settings.body_bytes);
-                return Err(Problem::not_run(ResultCode::BodyTooLarge, detail));
-            }
-            collected.extend_from_slice(&chunk);
-        }
-        Ok(collected.freeze())
+    /// Memory for the content of a body once it is parsed.
+    pub(crate) fn hold_parsed(&self, body: &Bytes) -> Result<Reservation, Problem> {
+        self.body_memory.hold(body.len()).map_err(|OutOfMemory| no_body_memory())
     }
 }
 
+fn no_body_memory() -> Problem {
+    let problem = Problem::not_run(ResultCode::NoBodyMemory, "no memory is left for the body");
+    problem.with_retry_after(MEMORY_RETRY_AFTER)
+}
+
 pub(crate) fn new_call_id() -> CallId {
     CallId::random(&mut rand::rng())
 }
--- a/crates/gateway/tests/bad_input.rs
+++ b/crates/gateway/tests/bad_input.rs
@@ -75,7 +75,11 @@
     let text = include_str!("../../../examples/bundle.toml");
     let bundle = Arc::new(Bundle::parse("bundle.toml", text).expect("the example is valid"));
     let dispatcher = Arc::new(OneWordDispatcher { bundle, dispatched: AtomicUsize::new(0) });
-    let settings = GatewaySettings { body_bytes: 2000, body_timeout: Duration::from_secs(5) };
+    let settings = GatewaySettings {
+        body_bytes: 2000,
+        body_memory_bytes: 1 << 20,
+        body_timeout: Duration::from_secs(5),
+    };
     let router = router(dispatcher.clone(), TenantLimits::default(), settings);
     TestGateway { dispatcher, router }
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -173,8 +173,11 @@
         addresses: NodeAddresses,
     ) -> Node {
         let limits = &components.context.settings.limits;
-        let gateway_settings =
-            GatewaySettings { body_bytes: limits.body_bytes, body_timeout: limits.body_timeout };
+        let gateway_settings = GatewaySettings {
+            body_bytes: limits.body_bytes,
+            body_memory_bytes: limits.body_memory_bytes,
+            body_timeout: limits.body_timeout,
+        };
         let listener_settings = ListenerSettings {
             connections: limits.connections,
             header_timeout: limits.header_timeout,
--- a/test.sh
+++ b/test.sh
@@ -20,8 +20,10 @@
 fi
 cargo test --workspace --release --jobs "$jobs" -- ${known_red[@]+"${known_red[@]}"}
 # Real processes under callers that keep to no limit: one crowd at a time, beside no other load.
-cargo test --release --jobs "$jobs" -p sumacdrift-platform-adapter --test misbehaving_clients -- --ignored --test-threads 1 \
-  ${known_red[@]+"${known_red[@]}"}
+for package in sumacdrift-platform-adapter sumacdrift-node; do
+  cargo test --release --jobs "$jobs" -p "$package" --test misbehaving_clients -- --ignored --test-threads 1 \
+    ${known_red[@]+"${known_red[@]}"}
+done
 # Mutation tests: each breaks one rule of the decision code. Built separately so that no other binary contains the
 # mutation switches.
 cargo test --release --jobs "$jobs" -p sumacdrift-simulation --features mutants --test mutants
