--- a/crates/request-memory/src/budget.rs
+++ b/crates/request-memory/src/budget.rs
@@ -91,6 +91,9 @@
             return Growth { is_granted: false, evicted };
         };
         let grown = Holder { bytes: to_bytes.max(holder.bytes), grown_at: now, ..holder };
+        if !self.can_ever_hold(&grown) {
+            return Growth { is_granted: false, evicted };
+        }
         while !self.fits(&holder, &grown) {
             let Some(victim) = self.select_victim(id, &holder, &grown, now) else {
                 return Growth { is_granted: false, evicted };
@@ -123,12 +126,22 @@
         self.holders.insert(id, to);
     }
 
+    fn large_capacity_bytes(&self) -> usize {
+        self.capacity_bytes - self.capacity_bytes / SMALL_PART_DIVISOR
+    }
+
+    /// Whether there would be memory for a holder if it were the only one.
+    fn can_ever_hold(&self, holder: &Holder) -> bool {
+        let capacity_bytes =
+            if holder.is_large() { self.large_capacity_bytes() } else { self.capacity_bytes };
+        holder.bytes <= capacity_bytes
+    }
+
     /// Whether there is memory for a holder that grows.
     fn fits(&self, from: &Holder, to: &Holder) -> bool {
         let held = self.held_bytes + to.bytes - from.bytes;
         let large = self.large_bytes + to.large_bytes() - from.large_bytes();
-        let large_capacity = self.capacity_bytes - self.capacity_bytes / SMALL_PART_DIVISOR;
-        held <= self.capacity_bytes && (!to.is_large() || large <= large_capacity)
+        held <= self.capacity_bytes && (!to.is_large() || large <= self.large_capacity_bytes())
     }
 
     /// The holder to evict so that another one can grow: of those that may give way, the one that has held most for longest
--- a/crates/request-memory/tests/budget.rs
+++ b/crates/request-memory/tests/budget.rs
@@ -89,9 +89,10 @@
 #[test]
 fn a_body_larger_than_the_budget_is_refused_and_evicts_nobody() {
     let mut budget = Budget::new(CAPACITY);
-    let body = budget.add(at(0));
-    assert_eq!(budget.grow(body, CAPACITY + 1, at(0)), refused());
-    assert_eq!(budget.held_bytes(), 0);
+    let stalled = add_bodies(&mut budget, 2, MEBIBYTE, at(0));
+    let body = budget.add(at(5_000));
+    assert_eq!(budget.grow(body, LARGE_CAPACITY + 1, at(5_000)), refused());
+    assert!(stalled.into_iter().all(|body| budget.complete(body)));
 }
 
 #[derive(Debug, Clone)]
--- a/crates/storage/src/host.rs
+++ b/crates/storage/src/host.rs
@@ -47,6 +47,10 @@
 /// segments it replaces.
 const SNAPSHOT_CAPACITY_DIVISOR: u64 = 3;
 
+/// Content of retained turns is limited to this fraction (1/n) of the journal capacity: a snapshot with all of it must fit beside
+/// the preceding one and the records since.
+const CONTENT_CAPACITY_DIVISOR: u64 = 4;
+
 /// Commits that take longer are logged: callers wait for them, and a sync should take milliseconds.
 const SLOW_COMMIT_THRESHOLD: Duration = Duration::from_millis(300);
 /// Time without a merged feed in contact with the store after which a member of the second group follows the
@@ -146,7 +150,7 @@
         logger: Logger,
     ) -> Result<Arc<Self>, OpenError> {
         let mut replica = Replica::new(settings.replica);
-        replica.limit_content(settings.content_bytes);
+        replica.limit_content(settings.content_bytes.min(settings.capacity_bytes / CONTENT_CAPACITY_DIVISOR));
         let limits = JournalSettings { capacity_bytes: settings.capacity_bytes };
         let mut records = 0_u64;
         let mut unreadable = 0_u64;
--- a/crates/storage/tests/journal_capacity.rs
+++ b/crates/storage/tests/journal_capacity.rs
@@ -8,7 +8,10 @@
 use bytes::Bytes;
 use cluster::{MemoryDisk, ended, open_host};
 use prost::Message;
-use sumacdrift_ledger::{ChainRequest, End, LedgerReply, LedgerRequest, ReplyKind, RequestKind, TurnEnded};
+use sumacdrift_ledger::{
+    Begin, BeginVote, ChainRequest, End, LedgerReply, LedgerRequest, ReplyKind, RequestKind, TurnBegun,
+    TurnEnded,
+};
 use sumacdrift_proto::{Request, Response};
 use sumacdrift_storage::ReplicaHost;
 use sumacdrift_transport::Handler;
@@ -33,6 +36,22 @@
     ask(host, RequestKind::End(End { turn: Some(turn), ..End::default() })).await
 }
 
+async fn begin_turn(host: &Arc<ReplicaHost>, turn: &str) -> BeginVote {
+    let turn = TurnBegun {
+        program: "program".to_owned(),
+        turn: turn.to_owned(),
+        retained_bytes: TURN_BYTES as u64,
+        retention_millis: KEPT_MILLIS,
+        ..TurnBegun::default()
+    };
+    match ask(host, RequestKind::Begin(Begin { turn: Some(turn), ..Begin::default() })).await {
+        Some(ReplyKind::Vote(vote)) => vote,
+        // The host has no group, so its vote would not count; the turn is recorded all the same.
+        Some(ReplyKind::NotVoting(_)) => BeginVote::default(),
+        other => panic!("{other:?}"),
+    }
+}
+
 async fn has_content(host: &Arc<ReplicaHost>, turn: &str) -> bool {
     let reply = ask(host, RequestKind::Chain(ChainRequest { turn: turn.to_owned() })).await;
     matches!(reply, Some(ReplyKind::Chain(chain)) if chain.turns.len() == 1)
@@ -91,3 +110,22 @@
         assert!(has_content(&restarted, turn).await, "{turn} is lost");
     }
 }
+
+/// Guards against a journal that is full of content, so that no snapshot fits and no turn is served any more.
+#[tokio::test(start_paused = true)]
+async fn a_journal_always_has_room_for_a_snapshot_of_its_content() {
+    let host = open_host(MemoryDisk::default(), "m0", CAPACITY_BYTES).await;
+    let mut refused = 0;
+    for number in 0..200 {
+        let turn = format!("t{number}");
+        let vote = begin_turn(&host, &turn).await;
+        if vote.lacks_memory {
+            refused += 1;
+            continue;
+        }
+        let reply = end_turn_with(&host, &turn, TURN_BYTES, KEPT_MILLIS).await;
+        assert!(!matches!(reply, Some(ReplyKind::Failed(_))), "{turn}: {reply:?}");
+        host.expire_and_snapshot().await;
+    }
+    assert!((1..200).contains(&refused), "{refused} turns were refused");
+}
