--- a/crates/edge/src/caller_connections.rs
+++ b/crates/edge/src/caller_connections.rs
@@ -38,10 +38,10 @@
     pub(crate) close: Arc<Notify>,
 }
 
-/// Why a connection was closed, or why none was accepted.
+/// What had to make room for a connection that was accepted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Displaced {
-    /// Nothing had to be closed.
+    /// There was room.
     Nothing,
     /// A connection in this phase was told to close.
     Connection(ConnectionPhase),
